--- /dev/null
+++ b/core/cell/cell.go
@@ -0,0 +1,103 @@
+package cell
+
+import (
+	"strings"
+	"time"
+)
+
+// ID names a cell; today it is the name of a pool.
+type ID string
+
+// RouterID names one life of a router process: its host's name, a slash and an incarnation.
+type RouterID string
+
+// HostID names a host of the member list.
+type HostID string
+
+// Host returns the host that the router runs on.
+func (r RouterID) Host() HostID {
+	host, _, _ := strings.Cut(string(r), "/")
+	return HostID(host)
+}
+
+// EndpointID names an endpoint as the configuration does.
+type EndpointID string
+
+// StartID names one start of an endpoint's process, as the endpoint reports it.
+type StartID string
+
+// TeamID names a team as the configuration does.
+type TeamID string
+
+// AttemptID numbers one attempt at one request, unique within a RouterID.
+type AttemptID uint64
+
+// Session numbers one lending of an entry's stake; a higher one voids all lower ones of the same entry and cell.
+type Session uint64
+
+// Cost is an amount of service in cost units: tokens for engines, calls for services.
+type Cost int64
+
+// Demand asks for one grant.
+type Demand struct {
+	Attempt  AttemptID  `msgpack:"a"`
+	Team     TeamID     `msgpack:"t"`
+	Estimate Cost       `msgpack:"c"`           // Estimate is the caller's hint; zero when there is none.
+	Avoid    EndpointID `msgpack:"v,omitempty"` // Avoid is an endpoint that has just failed this request.
+}
+
+// Grant permits one attempt at one endpoint.
+type Grant struct {
+	Attempt  AttemptID  `msgpack:"a"`
+	Endpoint EndpointID `msgpack:"e"`
+	Start    StartID    `msgpack:"s"` // Start is the endpoint start that the grant holds for.
+}
+
+// Flight is a granted attempt that has not been seen to end.
+type Flight struct {
+	Attempt  AttemptID  `msgpack:"a"`
+	Team     TeamID     `msgpack:"t"`
+	Endpoint EndpointID `msgpack:"e"`
+	Start    StartID    `msgpack:"s"`
+	Charged  Cost       `msgpack:"c"` // Charged is the cost counted so far.
+}
+
+// Outcome says how an attempt ended.
+type Outcome uint8
+
+// Outcomes of an attempt.
+const (
+	Completed    Outcome = iota + 1 // Completed: the whole answer arrived.
+	Failed                          // Failed: bytes were sent and the answer is missing or broken.
+	Cancelled                       // Cancelled: the caller left and the endpoint was told.
+	Unused                          // Unused: the grant was handed back and nothing was sent.
+	Refused                         // Refused: the endpoint refused before running.
+	StartChanged                    // StartChanged: the endpoint has restarted and nothing was sent.
+)
+
+// Progress reports the cost of an attempt so far.
+type Progress struct {
+	Attempt AttemptID `msgpack:"a"`
+	Cost    Cost      `msgpack:"c"`
+}
+
+// End reports that an attempt has ended and what it cost.
+type End struct {
+	Attempt    AttemptID     `msgpack:"a"`
+	Outcome    Outcome       `msgpack:"o"`
+	Cost       Cost          `msgpack:"c"`
+	FirstToken time.Duration `msgpack:"f,omitempty"` // FirstToken is the time from send to first token; zero when unknown.
+}
+
+// Refusal tells an entry that an attempt gets no grant.
+type Refusal struct {
+	Attempt    AttemptID     `msgpack:"a"`
+	Code       uint16        `msgpack:"r"` // Code is a result.Code.
+	RetryAfter time.Duration `msgpack:"w"`
+}
+
+// TeamCounter is a team's virtual service: cost divided by share.
+type TeamCounter struct {
+	Team    TeamID  `msgpack:"t"`
+	Service float64 `msgpack:"s"`
+}
--- /dev/null
+++ b/core/dispatch/event.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/result"
+)
+
+// Event is an input of a Dispatcher.
+type Event interface{ event() }
+
+// TeamPolicy is what the dispatcher must know of a team.
+type TeamPolicy struct {
+	Team  cell.TeamID
+	Share int
+}
+
+// EndpointPolicy is what the dispatcher must know of an endpoint.
+type EndpointPolicy struct {
+	Endpoint  cell.EndpointID
+	WarmLimit int
+	ColdLimit int
+	Closed    bool // Closed endpoints get no new work: they leave or their data centre is out.
+}
+
+// Policy replaces the configuration of the cell.
+type Policy struct {
+	Teams          []TeamPolicy
+	Endpoints      []EndpointPolicy
+	QueueLimit     int
+	QueueTimeout   time.Duration
+	LongestRequest time.Duration
+	LargestCost    cell.Cost
+	WarmUpRequests int
+}
+
+// Voters replaces the hosts whose stakes count, and the number that stakes are divided by.
+type Voters struct {
+	Hosts []cell.HostID
+	Total int // Total is at least len(Hosts).
+}
+
+// Join tells that an entry starts a session, with all that it has in flight and the counters it saw last.
+type Join struct {
+	Router   cell.RouterID
+	Session  cell.Session
+	Stake    bool // Stake is true if the entry lends its stake too.
+	Flights  []cell.Flight
+	Counters []cell.TeamCounter
+}
+
+// Renew tells until when, on this host's clock, an entry's stake may be counted on.
+type Renew struct {
+	Router     cell.RouterID
+	Session    cell.Session
+	StakeUntil time.Time
+}
+
+// Leave tells that a session has ended; its flights stay counted until they are known to have ended.
+type Leave struct {
+	Router  cell.RouterID
+	Session cell.Session
+}
+
+// Want tells of requests that wait at an entry.
+type Want struct {
+	Router  cell.RouterID
+	Session cell.Session
+	Demands []cell.Demand
+}
+
+// Withdraw tells that attempts no longer wait.
+type Withdraw struct {
+	Router   cell.RouterID
+	Session  cell.Session
+	Attempts []cell.AttemptID
+}
+
+// Progressed tells of the cost of running attempts.
+type Progressed struct {
+	Router   cell.RouterID
+	Session  cell.Session
+	Progress []cell.Progress
+}
+
+// Ended tells of attempts that have ended, under any session of the entry.
+type Ended struct {
+	Router cell.RouterID
+	Ends   []cell.End
+}
+
+// Load is an endpoint's own report.
+type Load struct {
+	Endpoint cell.EndpointID
+	Start    cell.StartID
+	Cold     bool      // Cold is the endpoint's own word that it is in a cold start.
+	InFlight int       // InFlight is the number of requests that the endpoint ran when sampled.
+	Sampled  time.Time // Sampled is the earliest time, on this host's clock, that the report can stem from.
+}
+
+// Unreachable tells that an endpoint did not answer a request for its report.
+type Unreachable struct {
+	Endpoint cell.EndpointID
+}
+
+// Tick lets time pass; it is due at least every 100 ms.
+type Tick struct{}
+
+func (*Policy) event()      {}
+func (*Voters) event()      {}
+func (*Join) event()        {}
+func (*Renew) event()       {}
+func (*Leave) event()       {}
+func (*Want) event()        {}
+func (*Withdraw) event()    {}
+func (*Progressed) event()  {}
+func (*Ended) event()       {}
+func (*Load) event()        {}
+func (*Unreachable) event() {}
+func (*Tick) event()        {}
+
+// Action is an output of a Dispatcher; it is valid until the next Step.
+type Action interface{ action() }
+
+// GrantTo gives a grant to an entry.
+type GrantTo struct {
+	Router  cell.RouterID
+	Session cell.Session
+	Grant   cell.Grant
+}
+
+// RefuseTo tells an entry that an attempt gets no grant, and when to come back.
+type RefuseTo struct {
+	Router     cell.RouterID
+	Session    cell.Session
+	Attempt    cell.AttemptID
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+func (*GrantTo) action()  {}
+func (*RefuseTo) action() {}
