--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,177 @@
+package config_test
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/config"
+)
+
+const sample = `environment = "trial"
+
+[[data_centres]]
+name = "khomas-1"
+region = "khomas"
+
+[[pools]]
+name = "chat"
+kind = "engine"
+model = "small"
+queue_timeout = "10s"
+
+[[pools]]
+name = "tickets"
+kind = "service"
+
+[[endpoints]]
+name = "engine-1"
+pool = "chat"
+data_centre = "khomas-1"
+address = "192.0.2.1:8000"
+warm_limit = 8
+cold_limit = 2
+
+[[routes]]
+path = "/v1/chat/completions"
+idempotent = true
+
+[[routes]]
+path = "/charge"
+pool = "tickets"
+
+[[teams]]
+name = "kiosks"
+share = 3
+key_hashes = ["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]
+`
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	doc, err := config.Parse([]byte(sample))
+	is.NoErr(err)
+	is.Equal(doc.Pools[0].QueueTimeout, 10*time.Second)
+	is.Equal(doc.Pools[1].QueueTimeout, config.DefaultQueueTimeout)
+	is.Equal(doc.Pools[0].QueueLimit, 100)
+	is.Equal(doc.Pools[0].LongestRequest, 5*time.Minute)
+	is.Equal(doc.Pools[0].LargestCost, int64(8192))
+	is.Equal(doc.Pools[0].WarmUpRequests, 20)
+	is.Equal(doc.Endpoints[0].Address.String(), "192.0.2.1:8000")
+	is.True(doc.Routes[0].Idempotent)
+	is.Equal(doc.Teams[0].Share, 3)
+}
+
+func TestParseErrors(t *testing.T) {
+	for _, c := range []struct{ name, old, new, want string }{
+		{"unknown key", `share = 3`, `share = 3` + "\n" + `weight = 2`, `line 36: teams.weight: found weight; allowed: one of the keys name, share, key_hashes`},
+		{"unknown table", `[[teams]]`, `[[tenants]]`, `line 33: tenants: found tenants; allowed: [[teams]]`},
+		{"plain table", `[[teams]]`, `[teams]`, `line 33: teams: found teams; allowed: [[teams]]`},
+		{"range", `share = 3`, `share = 0`, `line 35: teams.share: found 0; allowed: a whole number from 1 to 1000000`},
+		{"type", `share = 3`, `share = "3"`, `line 35: teams.share: found "3"; allowed: a whole number`},
+		{"duration", `"10s"`, `10`, `line 11: pools.queue_timeout: found 10; allowed: a duration`},
+		{"missing", `region = "khomas"`, ``, `line 3: data_centres.region: found nothing; allowed:`},
+		{"twice", `share = 3`, "share = 3\nshare = 4", `line 36: teams.share: found share; allowed: each key once a table`},
+		{"no such pool", `pool = "chat"`, `pool = "chats"`, `line 19: endpoints.pool: found "chats"; allowed: the name of one of the pools`},
+		{"no such centre", `data_centre = "khomas-1"`, `data_centre = "x"`, `line 20: endpoints.data_centre: found "x"; allowed: the name of one of the data_centres`},
+		{"host name", `192.0.2.1:8000`, `localhost:8000`, `line 21: endpoints.address: found "localhost:8000"; allowed: an IP number and port`},
+		{"cold above warm", `cold_limit = 2`, `cold_limit = 9`, `line 23: endpoints.cold_limit: found 9; allowed: at most the endpoint's warm_limit`},
+		{"no model", `model = "small"`, ``, `line 7: pools.model: found nothing; allowed: the model`},
+		{"plain key", `9f86`, `9F86`, `line 36: teams.key_hashes: found ["9F86`},
+		{"syntax", `share = 3`, `share = `, `line 35: document: found`},
+		{"path", `"/charge"`, `"charge"`, `line 30: routes.path: found "charge"`},
+		{"no environment", `environment = "trial"`, ``, `line 1: environment: found nothing`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(sample, c.old, c.new, 1)
+			_, err := config.Parse([]byte(text))
+			var all config.Errors
+			is.True(errors.As(err, &all))
+			if !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %q, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestParseListsAllErrors(t *testing.T) {
+	is := is.New(t)
+	text := strings.NewReplacer("share = 3", "share = 0", "cold_limit = 2", "cold_limit = 0").Replace(sample)
+	_, err := config.Parse([]byte(text))
+	var all config.Errors
+	is.True(errors.As(err, &all))
+	is.Equal(len(all), 2)
+	is.True(all[0].Line < all[1].Line)
+}
+
+// large returns a document with many teams and endpoints.
+func large(teams, endpoints int) *config.Document {
+	doc, err := config.Parse([]byte(sample))
+	if err != nil {
+		panic(err)
+	}
+	for i := range teams {
+		name := fmt.Sprintf("team-%05d", i)
+		hash := fmt.Sprintf("%064x", i+1)
+		doc.Teams = append(doc.Teams, config.Team{Name: name, Share: 1 + i%7, KeyHashes: []string{hash}})
+	}
+	for i := range endpoints {
+		e := doc.Endpoints[0]
+		e.Name = fmt.Sprintf("engine-x%04d", i)
+		e.Address = netip.AddrPortFrom(e.Address.Addr(), uint16(10000+i))
+		doc.Endpoints = append(doc.Endpoints, e)
+	}
+	return doc
+}
+
+func TestSplitJoin(t *testing.T) {
+	is := is.New(t)
+	doc := large(12_000, 1_200)
+	root, parts := config.Split(doc)
+	root.Generation = 7
+	total, largest := 0, 0
+	for _, part := range parts {
+		total += len(part)
+		largest = max(largest, len(part))
+	}
+	t.Logf("%d parts, %d bytes, largest %d, root %d", len(parts), total, largest, len(root.Encode()))
+	is.True(total > 1<<20) // The document exceeds one value.
+	is.True(largest <= config.MaxPart)
+	is.True(len(root.Encode()) < 1<<20)
+
+	again, err := config.ParseRoot(root.Encode())
+	is.NoErr(err)
+	joined, err := config.Join(again, parts)
+	is.NoErr(err)
+	is.Equal(string(config.Encode(joined)), string(config.Encode(doc)))
+	reparsed, err := config.Parse(config.Encode(doc))
+	is.NoErr(err)
+	is.Equal(reparsed, joined)
+
+	t.Run("one change, one part", func(t *testing.T) {
+		is := is.New(t)
+		joined.Teams[100].Share = 99
+		_, changed := config.Split(joined)
+		fresh := 0
+		for hash := range changed {
+			if _, old := parts[hash]; !old {
+				fresh++
+			}
+		}
+		is.Equal(fresh, 1)
+	})
+	t.Run("missing and broken parts", func(t *testing.T) {
+		is := is.New(t)
+		first, second := root.Parts[0], root.Parts[1]
+		var bad *config.PartError
+		_, err := config.Join(root, map[string][]byte{first: parts[first]})
+		is.True(errors.As(err, &bad) && bad.Missing)
+		_, err = config.Join(root, map[string][]byte{first: parts[second]})
+		is.True(errors.As(err, &bad) && !bad.Missing)
+	})
+}
--- /dev/null
+++ b/core/config/parts.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MaxPart bounds a part in bytes, so that it fits the platform's values with its envelope.
+	MaxPart = 512 << 10
+
+	itemsPerPart = 64 // itemsPerPart balances the size of the root against that of a changed part.
+	hashBytes    = 16 // hashBytes is the length of a part's name before it is written in hex.
+)
+
+// Root names all parts of one generation of a document.
+type Root struct {
+	Environment string    `json:"environment"`
+	Generation  uint64    `json:"generation"`
+	ChangeID    string    `json:"change_id"`
+	Change      string    `json:"change"` // Change says in a few words what the operator did.
+	Changed     time.Time `json:"changed"`
+	Parts       []string  `json:"parts"` // Parts are hashes, in the order of the text.
+}
+
+// PartError tells that a part is missing or is not what its name says.
+type PartError struct {
+	Hash    string
+	Missing bool
+}
+
+// Error says which part it is about.
+func (e *PartError) Error() string {
+	if e.Missing {
+		return fmt.Sprintf("part %s is missing", e.Hash)
+	}
+	return fmt.Sprintf("part %s holds other data than its name says", e.Hash)
+}
+
+// Hash returns the name of a part.
+func Hash(part []byte) string {
+	sum := sha256.Sum256(part)
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+// Split cuts a document into parts; the root has the parts' names and the environment filled in.
+func Split(d *Document) (Root, map[string][]byte) {
+	root := Root{Environment: d.Environment}
+	parts := map[string][]byte{}
+	for _, part := range cut(sorted(d)) {
+		hash := Hash(part)
+		root.Parts = append(root.Parts, hash)
+		parts[hash] = part
+	}
+	return root, parts
+}
+
+// Join puts a document together again and validates all of it.
+func Join(root Root, parts map[string][]byte) (*Document, error) {
+	var text bytes.Buffer
+	for _, hash := range root.Parts {
+		part, found := parts[hash]
+		if !found {
+			return nil, &PartError{Hash: hash, Missing: true}
+		}
+		if Hash(part) != hash {
+			return nil, &PartError{Hash: hash}
+		}
+		text.Write(part)
+	}
+	doc, err := Parse(text.Bytes())
+	if err != nil {
+		return nil, err
+	}
+	if doc.Environment != root.Environment {
+		return nil, Errors{{Key: "environment", Value: doc.Environment, Allowed: "the environment of the root, " + root.Environment}}
+	}
+	return doc, nil
+}
+
+// ParseRoot reads a root and checks that it can stand for a generation.
+func ParseRoot(data []byte) (Root, error) {
+	var root Root
+	if err := json.Unmarshal(data, &root); err != nil {
+		return Root{}, fmt.Errorf("the root can't be read: %w", err)
+	}
+	if root.Generation == 0 || len(root.Parts) == 0 || root.Environment == "" {
+		return Root{}, fmt.Errorf("the root lacks its generation, environment or parts")
+	}
+	return root, nil
+}
+
+// Encode writes a root as JSON.
+func (r Root) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // A root has no field that JSON can't hold.
+	}
+	return data
+}
+
+// cut writes a sorted document as texts that make up one TOML text in order.
+func cut(d *Document) [][]byte {
+	parts := [][]byte{encodeBase(d)}
+	parts = append(parts, spread(d.Teams, func(t Team) string { return t.Name }, encodeTeam)...)
+	return append(parts, spread(d.Endpoints, func(e Endpoint) string { return e.Name }, encodeEndpoint)...)
+}
+
+// spread puts items into buckets by the hash of their names, so that a change of one item changes one part.
+func spread[T any](items []T, name func(T) string, encode func(*bytes.Buffer, T)) [][]byte {
+	count := uint64(1)
+	for int(count)*itemsPerPart < len(items) {
+		count *= 2
+	}
+	buckets := make([][]T, count)
+	for _, item := range items {
+		b := xxhash.Sum64String(name(item)) % count
+		buckets[b] = append(buckets[b], item)
+	}
+	var parts [][]byte
+	for _, bucket := range buckets {
+		parts = append(parts, texts(bucket, encode)...)
+	}
+	return parts
+}
+
+// texts writes items as one text, or as several if it would grow past MaxPart.
+func texts[T any](items []T, encode func(*bytes.Buffer, T)) [][]byte {
+	var parts [][]byte
+	var text bytes.Buffer
+	for _, item := range items {
+		before := text.Len()
+		encode(&text, item)
+		if text.Len() > MaxPart && before > 0 {
+			parts = append(parts, bytes.Clone(text.Bytes()[:before]))
+			text.Next(before)
+		}
+	}
+	if text.Len() > 0 {
+		parts = append(parts, bytes.Clone(text.Bytes()))
+	}
+	return parts
+}
--- /dev/null
+++ b/core/config/validate.go
@@ -0,0 +1,128 @@
+package config
+
+import "time"
+
+// Defaults of a pool.
+const (
+	DefaultQueueLimit     = 100
+	DefaultQueueTimeout   = 30 * time.Second
+	DefaultLongestRequest = 5 * time.Minute
+	DefaultLargestCost    = 8192
+	DefaultWarmUpRequests = 20
+)
+
+func (d *Document) setDefaults() {
+	for i := range d.Pools {
+		p := &d.Pools[i]
+		orDefault(&p.QueueLimit, DefaultQueueLimit)
+		orDefault(&p.QueueTimeout, DefaultQueueTimeout)
+		orDefault(&p.LongestRequest, DefaultLongestRequest)
+		orDefault(&p.LargestCost, DefaultLargestCost)
+		orDefault(&p.WarmUpRequests, DefaultWarmUpRequests)
+	}
+}
+
+func orDefault[T comparable](to *T, otherwise T) {
+	var zero T
+	if *to == zero {
+		*to = otherwise
+	}
+}
+
+// validate checks what no single value shows: names used twice and names that are missing.
+func (r *reader) validate() {
+	d := r.document
+	r.unique(teamsTable, "name", len(d.Teams), func(i int) string { return d.Teams[i].Name })
+	r.unique(dataCentresTable, "name", len(d.DataCentres), func(i int) string { return d.DataCentres[i].Name })
+	r.unique(poolsTable, "name", len(d.Pools), func(i int) string { return d.Pools[i].Name })
+	r.unique(poolsTable, "model", len(d.Pools), func(i int) string { return d.Pools[i].Model })
+	r.unique(endpointsTable, "name", len(d.Endpoints), func(i int) string { return d.Endpoints[i].Name })
+	r.unique(endpointsTable, "address", len(d.Endpoints), func(i int) string { return addressText(d.Endpoints[i]) })
+	r.unique(routesTable, "path", len(d.Routes), func(i int) string { return d.Routes[i].Path })
+	r.validateKeys()
+	r.validatePools()
+	r.validateEndpoints()
+	r.validateRoutes()
+}
+
+func addressText(e Endpoint) string {
+	if !e.Address.IsValid() {
+		return ""
+	}
+	return e.Address.String()
+}
+
+// unique reports texts that stand twice; empty ones are left out.
+func (r *reader) unique(table, key string, count int, text func(i int) string) {
+	seen := make(map[string]bool, count)
+	for i := range count {
+		one := text(i)
+		if one != "" && seen[one] {
+			r.failAt(table, i, key, "a "+key+" that no other of the "+table+" has")
+		}
+		seen[one] = true
+	}
+}
+
+func (r *reader) validateKeys() {
+	owner := make(map[string]int, len(r.document.Teams))
+	for i, team := range r.document.Teams {
+		for _, hash := range team.KeyHashes {
+			if _, used := owner[hash]; used {
+				r.failAt(teamsTable, i, "key_hashes", "hashes that stand once in the document")
+				break
+			}
+			owner[hash] = i
+		}
+	}
+}
+
+func (r *reader) validatePools() {
+	for i, pool := range r.document.Pools {
+		switch {
+		case pool.Kind == Engine && pool.Model == "":
+			r.failAt(poolsTable, i, "model", "the model that this engine pool serves")
+		case pool.Kind == Service && pool.Model != "":
+			r.failAt(poolsTable, i, "model", "no model in a service pool")
+		}
+	}
+}
+
+func (r *reader) validateEndpoints() {
+	pools := r.document.poolIndex()
+	centres := make(map[string]bool, len(r.document.DataCentres))
+	for _, centre := range r.document.DataCentres {
+		centres[centre.Name] = true
+	}
+	for i, e := range r.document.Endpoints {
+		if _, found := pools[e.Pool]; !found && e.Pool != "" {
+			r.failAt(endpointsTable, i, "pool", "the name of one of the pools")
+		}
+		if !centres[e.DataCentre] && e.DataCentre != "" {
+			r.failAt(endpointsTable, i, "data_centre", "the name of one of the data_centres")
+		}
+		if e.ColdLimit > e.WarmLimit && e.WarmLimit > 0 {
+			r.failAt(endpointsTable, i, "cold_limit", "at most the endpoint's warm_limit")
+		}
+	}
+}
+
+func (r *reader) validateRoutes() {
+	pools := r.document.poolIndex()
+	for i, route := range r.document.Routes {
+		if route.Pool == "" {
+			continue
+		}
+		if _, found := pools[route.Pool]; !found {
+			r.failAt(routesTable, i, "pool", "the name of one of the pools, or no pool where the body names the model")
+		}
+	}
+}
+
+func (d *Document) poolIndex() map[string]int {
+	index := make(map[string]int, len(d.Pools))
+	for i, pool := range d.Pools {
+		index[pool.Name] = i
+	}
+	return index
+}
