--- /dev/null
+++ b/io/peer/config.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ryelug/core/cell"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeartbeat   = 250 * time.Millisecond
+	DefaultSilent      = 750 * time.Millisecond
+	DefaultDialTimeout = 500 * time.Millisecond
+	DefaultRedial      = 50 * time.Millisecond
+	DefaultMaxFrame    = 2 << 20 // bytes
+)
+
+// Config sets a Mesh; zero fields but Self, Key and Listener get their defaults.
+type Config struct {
+	Self        cell.RouterID
+	DataCentre  string
+	Key         []byte        // Key is the secret that all routers share.
+	Heartbeat   time.Duration // Heartbeat is the longest pause between two frames of a link.
+	Silent      time.Duration // Silent is the pause after which a link is closed.
+	DialTimeout time.Duration // DialTimeout bounds the connect and the greeting together.
+	Redial      time.Duration // Redial is the first pause before another dial; it grows to RedialMax.
+	RedialMax   time.Duration
+	Listener    net.Listener
+	Dial        func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	MaxFrame    int // MaxFrame bounds the bytes of a frame's body.
+	Log         logrus.FieldLogger
+}
+
+// Address says where a host's router listens for its peers.
+type Address struct {
+	Host cell.HostID
+	Addr netip.AddrPort
+}
+
+// Event is what a Mesh tells its consumer.
+type Event interface{ event() }
+
+// Up tells that a link has passed its greeting.
+type Up struct{ Link *Link }
+
+// Down tells that a link has closed; nothing of it follows.
+type Down struct{ Link *Link }
+
+// Received tells of a frame; Message is nil for a heartbeat.
+type Received struct {
+	Link    *Link
+	Message Message
+	Echoed  time.Time // Echoed is when this router sent the newest stamp that the sender had seen; zero when none.
+}
+
+func (*Up) event()       {}
+func (*Down) event()     {}
+func (*Received) event() {}
--- /dev/null
+++ b/io/peer/message.go
@@ -0,0 +1,154 @@
+package peer
+
+import "ryelug/core/cell"
+
+// Message is what routers tell each other.
+type Message interface{ kind() Kind }
+
+// Join lends the sender's stake in a cell, or starts a session without one.
+type Join struct {
+	Cell     cell.ID
+	Session  cell.Session
+	Stake    bool
+	Flights  []cell.Flight
+	Counters []cell.TeamCounter
+}
+
+// Accepted answers Join.
+type Accepted struct {
+	Cell    cell.ID
+	Session cell.Session
+}
+
+// Release ends a session; the sender accepts no further grant of it.
+type Release struct {
+	Cell    cell.ID
+	Session cell.Session
+}
+
+// Released answers Release: the stake is counted no more.
+type Released struct {
+	Cell    cell.ID
+	Session cell.Session
+}
+
+// Want tells of requests that wait at the sender.
+type Want struct {
+	Cell    cell.ID
+	Session cell.Session
+	Demands []cell.Demand
+}
+
+// Withdraw tells of attempts that wait no longer.
+type Withdraw struct {
+	Cell     cell.ID
+	Session  cell.Session
+	Attempts []cell.AttemptID
+}
+
+// Grants permits attempts.
+type Grants struct {
+	Cell    cell.ID
+	Session cell.Session
+	Grants  []cell.Grant
+}
+
+// Refusals tells of attempts that get no grant.
+type Refusals struct {
+	Cell     cell.ID
+	Session  cell.Session
+	Refusals []cell.Refusal
+}
+
+// Progress tells the cost so far of running attempts.
+type Progress struct {
+	Cell     cell.ID
+	Session  cell.Session
+	Progress []cell.Progress
+}
+
+// Ends tells of attempts that have ended, under any session of the sender.
+type Ends struct {
+	Cell cell.ID
+	Ends []cell.End
+}
+
+// Counters tells the virtual counters of a cell's teams.
+type Counters struct {
+	Cell     cell.ID
+	Counters []cell.TeamCounter
+}
+
+// Leaving tells that the sender shuts down gracefully.
+type Leaving struct{}
+
+// ConfigNews tells of the newest configuration that the sender has adopted.
+type ConfigNews struct {
+	Generation uint64
+	Root       []byte
+}
+
+// ConfigAsk asks for parts of a configuration by their hashes.
+type ConfigAsk struct {
+	Hashes []string
+}
+
+// ConfigPart answers ConfigAsk with one part.
+type ConfigPart struct {
+	Hash string
+	Data []byte
+}
+
+// Kind numbers a type of message on the wire; numbers are never reused.
+type Kind uint8
+
+// Kinds of frames. KindHeartbeat has no Message.
+const (
+	KindHeartbeat Kind = iota
+	KindJoin
+	KindAccepted
+	KindRelease
+	KindReleased
+	KindWant
+	KindWithdraw
+	KindGrants
+	KindRefusals
+	KindProgress
+	KindEnds
+	KindCounters
+	KindLeaving
+	KindConfigNews
+	KindConfigAsk
+	KindConfigPart
+
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	"heartbeat", "join", "accepted", "release", "released", "want", "withdraw", "grants",
+	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part",
+}
+
+// String returns the kind's name in counters.
+func (k Kind) String() string {
+	if k >= kindCount {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
+func (*Join) kind() Kind       { return KindJoin }
+func (*Accepted) kind() Kind   { return KindAccepted }
+func (*Release) kind() Kind    { return KindRelease }
+func (*Released) kind() Kind   { return KindReleased }
+func (*Want) kind() Kind       { return KindWant }
+func (*Withdraw) kind() Kind   { return KindWithdraw }
+func (*Grants) kind() Kind     { return KindGrants }
+func (*Refusals) kind() Kind   { return KindRefusals }
+func (*Progress) kind() Kind   { return KindProgress }
+func (*Ends) kind() Kind       { return KindEnds }
+func (*Counters) kind() Kind   { return KindCounters }
+func (*Leaving) kind() Kind    { return KindLeaving }
+func (*ConfigNews) kind() Kind { return KindConfigNews }
+func (*ConfigAsk) kind() Kind  { return KindConfigAsk }
+func (*ConfigPart) kind() Kind { return KindConfigPart }
