Carry messages over authenticated links between routers

Cause: entries and dispatchers need links with heartbeats and time stamps that bound the age of a frame on one clock. Ruled out: msgpack's own decoding of slices, which takes memory for the length that a header claims; echoing a stamp as soon as its frame is read, which would let a decision made before a freeze look fresh after it. The consumer acknowledges a frame before it decides. Change: io/frame, io/peer: greeting with key proof, heartbeats, stamps and echoes as growth, bounded rings, counters by kind. Conclusion: usable; each consumer of Events must call Received.Acknowledge, read the clock, then decide and send.

--- a/io/peer/config.go
+++ b/io/peer/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"time"
@@ -17,6 +18,7 @@
 	DefaultSilent      = 750 * time.Millisecond
 	DefaultDialTimeout = 500 * time.Millisecond
 	DefaultRedial      = 50 * time.Millisecond
+	DefaultRedialMax   = time.Second
 	DefaultMaxFrame    = 2 << 20 // bytes
 )
 
@@ -36,6 +38,36 @@
 	Log         logrus.FieldLogger
 }
 
+func (c *Config) setDefaults() {
+	setDefault(&c.Heartbeat, DefaultHeartbeat)
+	setDefault(&c.Silent, DefaultSilent)
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.Redial, DefaultRedial)
+	setDefault(&c.RedialMax, DefaultRedialMax)
+	if c.MaxFrame <= 0 {
+		c.MaxFrame = DefaultMaxFrame
+	}
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
+	if c.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		c.Log = silent
+	}
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", addr.String())
+}
+
 // Address says where a host's router listens for its peers.
 type Address struct {
 	Host cell.HostID
@@ -55,6 +87,7 @@
 type Received struct {
 	Link    *Link
 	Message Message
+	stamp   uint64    // stamp is the sender's.
 	Echoed  time.Time // Echoed is when this router sent the newest stamp that the sender had seen; zero when none.
 }
 
--- /dev/null
+++ b/io/peer/encode.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ryelug/core/cell"
+)
+
+// encoder writes messages as msgpack arrays. Its buffer can't fail, so the
+// first error of the library is a bug and is kept for the caller.
+type encoder struct {
+	buf bytes.Buffer
+	enc *msgpack.Encoder
+	err error
+}
+
+func newEncoder() *encoder {
+	e := &encoder{}
+	e.enc = msgpack.NewEncoder(&e.buf)
+	return e
+}
+
+// encode returns the message's bytes, which are valid until the next call.
+func (e *encoder) encode(msg Message) ([]byte, error) {
+	e.buf.Reset()
+	e.err = nil
+	e.message(msg)
+	return e.buf.Bytes(), e.err
+}
+
+func (e *encoder) message(msg Message) {
+	switch m := msg.(type) {
+	case *Join:
+		e.head(5, m.Cell, m.Session)
+		e.keep(e.enc.EncodeBool(m.Stake))
+		encodeSlice(e, m.Flights, (*encoder).flight)
+		encodeSlice(e, m.Counters, (*encoder).counter)
+	case *Accepted:
+		e.head(2, m.Cell, m.Session)
+	case *Release:
+		e.head(2, m.Cell, m.Session)
+	case *Released:
+		e.head(2, m.Cell, m.Session)
+	case *Want:
+		e.head(3, m.Cell, m.Session)
+		encodeSlice(e, m.Demands, (*encoder).demand)
+	case *Withdraw:
+		e.head(3, m.Cell, m.Session)
+		encodeSlice(e, m.Attempts, func(e *encoder, a *cell.AttemptID) { e.uint(uint64(*a)) })
+	case *Grants:
+		e.head(3, m.Cell, m.Session)
+		encodeSlice(e, m.Grants, (*encoder).grant)
+	case *Refusals:
+		e.head(3, m.Cell, m.Session)
+		encodeSlice(e, m.Refusals, (*encoder).refusal)
+	case *Progress:
+		e.head(3, m.Cell, m.Session)
+		encodeSlice(e, m.Progress, (*encoder).progress)
+	case *Ends:
+		e.array(2)
+		e.string(string(m.Cell))
+		encodeSlice(e, m.Ends, (*encoder).end)
+	case *Counters:
+		e.array(2)
+		e.string(string(m.Cell))
+		encodeSlice(e, m.Counters, (*encoder).counter)
+	default:
+		e.config(msg)
+	}
+}
+
+func (e *encoder) config(msg Message) {
+	switch m := msg.(type) {
+	case *Leaving:
+		e.array(0)
+	case *ConfigNews:
+		e.array(2)
+		e.uint(m.Generation)
+		e.keep(e.enc.EncodeBytes(m.Root))
+	case *ConfigAsk:
+		e.array(1)
+		encodeSlice(e, m.Hashes, func(e *encoder, h *string) { e.string(*h) })
+	case *ConfigPart:
+		e.array(2)
+		e.string(m.Hash)
+		e.keep(e.enc.EncodeBytes(m.Data))
+	}
+}
+
+func (e *encoder) head(fields int, id cell.ID, session cell.Session) {
+	e.array(fields)
+	e.string(string(id))
+	e.uint(uint64(session))
+}
+
+func (e *encoder) demand(d *cell.Demand) {
+	e.array(4)
+	e.uint(uint64(d.Attempt))
+	e.string(string(d.Team))
+	e.int(int64(d.Estimate))
+	e.string(string(d.Avoid))
+}
+
+func (e *encoder) grant(g *cell.Grant) {
+	e.array(3)
+	e.uint(uint64(g.Attempt))
+	e.string(string(g.Endpoint))
+	e.string(string(g.Start))
+}
+
+func (e *encoder) flight(f *cell.Flight) {
+	e.array(5)
+	e.uint(uint64(f.Attempt))
+	e.string(string(f.Team))
+	e.string(string(f.Endpoint))
+	e.string(string(f.Start))
+	e.int(int64(f.Charged))
+}
+
+func (e *encoder) refusal(r *cell.Refusal) {
+	e.array(3)
+	e.uint(uint64(r.Attempt))
+	e.uint(uint64(r.Code))
+	e.duration(r.RetryAfter)
+}
+
+func (e *encoder) progress(p *cell.Progress) {
+	e.array(2)
+	e.uint(uint64(p.Attempt))
+	e.int(int64(p.Cost))
+}
+
+func (e *encoder) end(end *cell.End) {
+	e.array(4)
+	e.uint(uint64(end.Attempt))
+	e.uint(uint64(end.Outcome))
+	e.int(int64(end.Cost))
+	e.duration(end.FirstToken)
+}
+
+func (e *encoder) counter(c *cell.TeamCounter) {
+	e.array(2)
+	e.string(string(c.Team))
+	e.keep(e.enc.EncodeFloat64(c.Service))
+}
+
+// duration writes whole milliseconds, rounded up so that a known time never becomes zero.
+func (e *encoder) duration(d time.Duration) {
+	e.int(int64((d + time.Millisecond - 1) / time.Millisecond))
+}
+
+func (e *encoder) array(n int)     { e.keep(e.enc.EncodeArrayLen(n)) }
+func (e *encoder) uint(n uint64)   { e.keep(e.enc.EncodeUint(n)) }
+func (e *encoder) int(n int64)     { e.keep(e.enc.EncodeInt(n)) }
+func (e *encoder) string(s string) { e.keep(e.enc.EncodeString(s)) }
+
+func (e *encoder) keep(err error) {
+	if e.err == nil {
+		e.err = err
+	}
+}
+
+func encodeSlice[T any](e *encoder, items []T, one func(*encoder, *T)) {
+	e.array(len(items))
+	for i := range items {
+		one(e, &items[i])
+	}
+}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -1,15 +1,138 @@
 package peer
 
-import "ryelug/core/cell"
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
 
-// Link is one authenticated connection to another router.
+	"ryelug/core/cell"
+	"ryelug/io/frame"
+)
+
+const ringLength = 1024 // messages that wait in a link
+
+// Link is one authenticated connection to another router. A link that this
+// router dialed carries the traffic of its entries; one that the other router
+// dialed carries the traffic of the other's entries to the dispatchers here.
 type Link struct {
+	mesh   *Mesh
 	router cell.RouterID
+	dc     string
 	dialed bool
+	conn   *frame.Conn
+	clock  clock
+	closed chan struct{} // closed is closed by Close.
+	done   chan struct{} // done is closed when no event of the link follows.
+	once   sync.Once
+
+	seen    atomic.Uint64 // seen is the newest stamp whose frame the consumer has acknowledged.
+	mu      sync.Mutex    // mu keeps the order of the ring that of the echoes in it.
+	encoder *encoder
+	ring    chan outgoing
+	queued  atomic.Int64 // queued is the bytes in the ring.
+}
+
+// outgoing is a message in the ring, with the echo that held when it was sent.
+type outgoing struct {
+	kind Kind
+	body []byte
+	echo uint64
 }
 
 // Router returns the router at the other end.
 func (l *Link) Router() cell.RouterID { return l.router }
 
+// DataCentre returns the data centre that the other end has named.
+func (l *Link) DataCentre() string { return l.dc }
+
 // Dialed tells whether this router opened the link.
 func (l *Link) Dialed() bool { return l.dialed }
+
+// Send queues a message and never blocks; the message is not kept. It returns
+// false if the link is closed, or is closed now because its ring is full.
+func (l *Link) Send(msg Message) bool {
+	if l.isClosed() {
+		return false
+	}
+	if l.enqueue(msg) {
+		return true
+	}
+	l.Close()
+	return false
+}
+
+func (l *Link) enqueue(msg Message) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	body, err := l.encoder.encode(msg)
+	if err != nil || len(body) > l.mesh.conf.MaxFrame {
+		l.mesh.stats.unsendable.Add(1)
+		return false
+	}
+	size := int64(len(body))
+	if l.queued.Load() > 0 && l.queued.Load()+size > l.mesh.ringBytes() {
+		l.mesh.stats.overflows.Add(1)
+		return false
+	}
+	out := outgoing{kind: msg.kind(), body: append([]byte(nil), body...), echo: l.seen.Load()}
+	select {
+	case l.ring <- out:
+		l.queued.Add(size)
+		return true
+	default:
+		l.mesh.stats.overflows.Add(1)
+		return false
+	}
+}
+
+// Close closes the link; Down follows.
+func (l *Link) Close() {
+	l.once.Do(func() {
+		close(l.closed)
+		_ = l.conn.Close() // The link is of no use either way.
+	})
+}
+
+func (l *Link) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Acknowledge marks the frame as processed: what is sent from now on echoes
+// its stamp. The goroutine that decides calls it first, then reads the clock,
+// then decides and sends, so that an echo never claims more than the decision knew.
+func (r *Received) Acknowledge() {
+	for {
+		seen := r.Link.seen.Load()
+		if r.stamp <= seen || r.Link.seen.CompareAndSwap(seen, r.stamp) {
+			return
+		}
+	}
+}
+
+// clock counts stamps: whole milliseconds since the greeting.
+type clock struct{ start time.Time }
+
+func (c clock) stamp() uint64 { return uint64(time.Since(c.start) / time.Millisecond) }
+
+func (c clock) at(stamp uint64) time.Time {
+	return c.start.Add(time.Duration(stamp) * time.Millisecond)
+}
+
+func newLink(m *Mesh, conn net.Conn, dialed bool) *Link {
+	return &Link{
+		mesh:    m,
+		dialed:  dialed,
+		conn:    frame.New(frame.Config{Conn: conn, Limit: greetingBytes}),
+		clock:   clock{start: time.Now()},
+		closed:  make(chan struct{}),
+		done:    make(chan struct{}),
+		encoder: newEncoder(),
+		ring:    make(chan outgoing, ringLength),
+	}
+}
--- /dev/null
+++ b/io/peer/mesh_test.go
@@ -0,0 +1,41 @@
+package peer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/io/peer"
+)
+
+func TestMeshCarriesMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := newNetwork()
+		a := net.start(t, "a/1", 1, nil)
+		b := net.start(t, "b/1", 2, nil)
+		defer b.stop()
+		defer a.stop()
+		a.SetPeers([]peer.Address{{Host: "b", Addr: b.addr}})
+		up := next[*peer.Up](t, a)
+		is.Equal(string(up.Link.Router()), "b/1")
+		is.True(up.Link.Dialed())
+		back := next[*peer.Up](t, b)
+		is.Equal(string(back.Link.Router()), "a/1")
+		is.True(!back.Link.Dialed())
+		for _, msg := range samples() {
+			is.True(up.Link.Send(msg))
+			got, _ := nextMessage(t, b)
+			assertMessage(t, got, msg)
+		}
+		time.Sleep(time.Second)
+		drain(a)
+		sent := time.Now()
+		is.True(up.Link.Send(&peer.Leaving{}))
+		_, r := nextMessage(t, b)
+		is.True(time.Since(r.Echoed) <= 2*peer.DefaultHeartbeat) // The echo keeps up with the clock.
+		is.True(!r.Echoed.After(sent))
+	})
+}
--- /dev/null
+++ b/io/peer/network_test.go
@@ -0,0 +1,156 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/io/peer"
+)
+
+var errNoRoute = errors.New("no route")
+
+// network joins meshes by net.Pipe, so that they run in a synctest bubble.
+type network struct {
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*listener
+	conns     []net.Conn
+	dials     int
+	blocked   bool
+}
+
+type listener struct {
+	addr  netip.AddrPort
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
+
+func newNetwork() *network { return &network{listeners: make(map[netip.AddrPort]*listener)} }
+
+func (n *network) listen(port uint16) *listener {
+	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	l := &listener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[addr] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	blocked := n.blocked
+	n.dials++
+	n.mu.Unlock()
+	if l == nil || blocked {
+		return nil, errNoRoute
+	}
+	ours, theirs := net.Pipe()
+	select {
+	case l.conns <- theirs:
+	case <-l.done:
+		return nil, errNoRoute
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns = append(n.conns, ours, theirs)
+	return ours, nil
+}
+
+// node is a mesh under test.
+type node struct {
+	*peer.Mesh
+	addr   netip.AddrPort
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (n *network) start(t *testing.T, router cell.RouterID, port uint16, change func(*peer.Config)) *node {
+	t.Helper()
+	l := n.listen(port)
+	conf := peer.Config{Self: router, DataCentre: "north", Key: []byte("secret"), Listener: l, Dial: n.dial}
+	if change != nil {
+		change(&conf)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	nd := &node{Mesh: peer.New(conf), addr: l.addr, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(nd.done)
+		if err := nd.Run(ctx); err != nil {
+			t.Errorf("mesh %s: %v", router, err)
+		}
+	}()
+	return nd
+}
+
+func (nd *node) stop() {
+	nd.cancel()
+	<-nd.done
+}
+
+// next returns the next event of type T and acknowledges all frames on the way.
+func next[T peer.Event](t *testing.T, nd *node) T {
+	t.Helper()
+	for ev := range nd.Events() {
+		if r, ok := ev.(*peer.Received); ok {
+			r.Acknowledge()
+		}
+		if want, ok := ev.(T); ok {
+			return want
+		}
+	}
+	panic("the channel of events never closes")
+}
+
+// nextMessage returns the next message, passing heartbeats by.
+func nextMessage(t *testing.T, nd *node) (peer.Message, *peer.Received) {
+	t.Helper()
+	for {
+		r := next[*peer.Received](t, nd)
+		if r.Message != nil {
+			return r.Message, r
+		}
+	}
+}
+
+func assertMessage(t *testing.T, got, want peer.Message) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	is.Equal(got, want)
+}
+
+// drain acknowledges all frames that wait for the consumer.
+func drain(nd *node) {
+	for {
+		select {
+		case ev := <-nd.Events():
+			if r, ok := ev.(*peer.Received); ok {
+				r.Acknowledge()
+			}
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/peer/pump.go
@@ -0,0 +1,189 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	batchBytes  = 64 << 10 // bytes after which a batch is written
+	headerBytes = 1 + 2*binary.MaxVarintLen64
+)
+
+// ErrStamp is a frame whose stamps are impossible.
+var ErrStamp = errors.New("frame has an impossible stamp")
+
+// writer sends the ring's messages in batches, and heartbeats when there are none.
+// A frame's body is its kind, the growth of the sender's stamp, the growth of
+// the echo, and the message.
+type writer struct {
+	link  *Link
+	stamp uint64 // stamp is the last one written.
+	echo  uint64 // echo is the last one written.
+	batch []byte
+	body  []byte
+}
+
+func (w *writer) run(ctx context.Context) error {
+	beat := time.NewTimer(w.link.mesh.conf.Heartbeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-w.link.closed:
+			return nil
+		case out := <-w.link.ring:
+			w.take(out)
+		case <-beat.C:
+			w.heartbeat()
+		}
+		w.drain()
+		if err := w.flush(); err != nil {
+			return err
+		}
+		beat.Reset(w.link.mesh.conf.Heartbeat)
+	}
+}
+
+func (w *writer) drain() {
+	for len(w.batch) < batchBytes {
+		select {
+		case out := <-w.link.ring:
+			w.take(out)
+		default:
+			return
+		}
+	}
+}
+
+func (w *writer) take(out outgoing) {
+	w.link.queued.Add(-int64(len(out.body)))
+	w.append(out.kind, out.echo, out.body)
+}
+
+// heartbeat writes an empty frame, unless a message slipped in that has an older echo.
+func (w *writer) heartbeat() {
+	w.link.mu.Lock()
+	idle := len(w.link.ring) == 0
+	echo := w.link.seen.Load()
+	w.link.mu.Unlock()
+	if idle {
+		w.append(KindHeartbeat, echo, nil)
+	}
+}
+
+func (w *writer) append(kind Kind, echo uint64, message []byte) {
+	stamp := w.link.clock.stamp()
+	w.body = append(w.body[:0], byte(kind))
+	w.body = binary.AppendUvarint(w.body, stamp-w.stamp)
+	w.body = binary.AppendUvarint(w.body, echo-w.echo)
+	w.stamp = stamp
+	w.echo = echo
+	before := len(w.batch)
+	w.batch = binary.AppendUvarint(w.batch, uint64(len(w.body)+len(message)))
+	w.batch = append(w.batch, w.body...)
+	w.batch = append(w.batch, message...)
+	w.link.mesh.stats.out.add(kind, len(w.batch)-before)
+}
+
+func (w *writer) flush() error {
+	err := w.link.conn.Write(w.batch)
+	w.batch = w.batch[:0]
+	if cap(w.batch) > 2*batchBytes {
+		w.batch = nil
+	}
+	return err
+}
+
+// reader turns frames into events.
+type reader struct {
+	link    *Link
+	decoder *decoder
+	stamp   uint64 // stamp is the newest one of the other end.
+	echo    uint64 // echo is the newest one of ours that came back.
+}
+
+func (r *reader) run(ctx context.Context) error {
+	for {
+		body, err := r.link.conn.Next()
+		if err != nil {
+			return err
+		}
+		ev, err := r.parse(body)
+		if err != nil {
+			return err
+		}
+		if err := r.link.mesh.emit(ctx, r.link, ev); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *reader) parse(body []byte) (*Received, error) {
+	if len(body) == 0 {
+		return nil, ErrShape
+	}
+	kind := Kind(body[0])
+	rest, err := r.stamps(body[1:])
+	if err != nil {
+		return nil, err
+	}
+	r.link.mesh.stats.in.add(kind, frameBytes(len(body)))
+	ev := &Received{Link: r.link, Echoed: r.link.clock.at(r.echo), stamp: r.stamp}
+	if kind == KindHeartbeat {
+		return ev, nil
+	}
+	ev.Message, err = r.decoder.decode(kind, rest)
+	return ev, err
+}
+
+func (r *reader) stamps(src []byte) ([]byte, error) {
+	grown, n := binary.Uvarint(src)
+	if n <= 0 || r.stamp+grown < r.stamp {
+		return nil, ErrStamp
+	}
+	echoed, m := binary.Uvarint(src[n:])
+	if m <= 0 || r.echo+echoed < r.echo {
+		return nil, ErrStamp
+	}
+	r.stamp += grown
+	r.echo += echoed
+	if now := r.link.clock.stamp(); r.echo > now {
+		return nil, fmt.Errorf("%w: echo of %d ms at %d ms", ErrStamp, r.echo, now)
+	}
+	return src[n+m:], nil
+}
+
+// frameBytes returns the bytes on the wire of a frame with a body of n bytes.
+func frameBytes(n int) int {
+	var buf [binary.MaxVarintLen64]byte
+	return n + binary.PutUvarint(buf[:], uint64(n))
+}
+
+// serve runs an open link until it closes and tells the consumer of it.
+func (l *Link) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer l.Close()
+	conf := &l.mesh.conf
+	l.conn.SetLimit(conf.MaxFrame + headerBytes)
+	l.conn.SetTimeouts(conf.Silent, conf.Silent)
+	stop := context.AfterFunc(ctx, l.Close)
+	defer stop()
+	written := make(chan error, 1)
+	go func() {
+		err := (&writer{link: l}).run(ctx)
+		l.Close()
+		written <- err
+	}()
+	err := (&reader{link: l, decoder: newDecoder()}).run(ctx)
+	l.Close()
+	if other := <-written; other != nil && errorIsClosed(err) {
+		err = other
+	}
+	return err
+}
--- /dev/null
+++ b/io/peer/scalar.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"fmt"
+	"math"
+)
+
+func (d *decoder) fail(err error) {
+	if d.err == nil {
+		d.err = err
+	}
+}
+
+func (d *decoder) array(want int) {
+	if n := d.arrayLen(); d.err == nil && n != want {
+		d.fail(fmt.Errorf("%w: array of %d in place of %d", ErrShape, n, want))
+	}
+}
+
+func (d *decoder) arrayLen() int {
+	if d.err != nil {
+		return 0
+	}
+	n, err := d.dec.DecodeArrayLen()
+	if err != nil {
+		d.fail(fmt.Errorf("%w: %w", ErrShape, err))
+		return 0
+	}
+	if n < 0 {
+		d.fail(ErrShape)
+		return 0
+	}
+	return n
+}
+
+// decodeSlice takes memory for a list only when the bytes left can hold it.
+func decodeSlice[T any](d *decoder, one func(*decoder) T) []T {
+	n := d.arrayLen()
+	if n > maxItems || n > d.src.Len() {
+		d.fail(ErrTooMany)
+	}
+	if n == 0 || d.err != nil {
+		return nil
+	}
+	items := make([]T, 0, n)
+	for i := 0; i < n && d.err == nil; i++ {
+		items = append(items, one(d))
+	}
+	return items
+}
+
+func (d *decoder) name() string { return string(d.bytes(maxName)) }
+
+func (d *decoder) bytes(limit int) []byte {
+	if d.err != nil {
+		return nil
+	}
+	n, err := d.dec.DecodeBytesLen()
+	if err != nil {
+		d.fail(fmt.Errorf("%w: %w", ErrShape, err))
+		return nil
+	}
+	if n > limit || n > d.src.Len() {
+		d.fail(ErrTooMany)
+		return nil
+	}
+	if n <= 0 {
+		return nil
+	}
+	b := make([]byte, n)
+	if err := d.dec.ReadFull(b); err != nil {
+		d.fail(fmt.Errorf("%w: %w", ErrShape, err))
+	}
+	return b
+}
+
+func (d *decoder) uint() uint64 { return decodeScalar(d, d.dec.DecodeUint64) }
+
+func (d *decoder) int() int64 { return decodeScalar(d, d.dec.DecodeInt64) }
+
+func (d *decoder) float() float64 { return decodeScalar(d, d.dec.DecodeFloat64) }
+
+func (d *decoder) bool() bool { return decodeScalar(d, d.dec.DecodeBool) }
+
+func (d *decoder) uint16() uint16 { return uint16(d.atMost(math.MaxUint16)) }
+
+func (d *decoder) uint8() uint8 { return uint8(d.atMost(math.MaxUint8)) }
+
+func (d *decoder) atMost(limit uint64) uint64 {
+	n := d.uint()
+	if n > limit {
+		d.fail(ErrShape)
+		return 0
+	}
+	return n
+}
+
+func decodeScalar[T any](d *decoder, read func() (T, error)) T {
+	var zero T
+	if d.err != nil {
+		return zero
+	}
+	v, err := read()
+	if err != nil {
+		d.fail(fmt.Errorf("%w: %w", ErrShape, err))
+		return zero
+	}
+	return v
+}
--- /dev/null
+++ b/io/peer/stats.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+
+	"ryelug/io/frame"
+)
+
+// Stats counts what a Mesh has done since its start.
+type Stats struct {
+	Links        int               // Links is the number of open links, of both directions.
+	Out          map[string]Amount // Out is by kind of frame; only kinds that occurred are present.
+	In           map[string]Amount // In is by kind of frame; only kinds that occurred are present.
+	Refused      map[string]uint64 // Refused counts connections that did not pass the greeting, by reason.
+	DialFailures uint64
+	Overflows    uint64 // Overflows counts links closed because their ring was full.
+	Unsendable   uint64 // Unsendable counts messages over MaxFrame.
+}
+
+// Amount is a number of frames and their bytes.
+type Amount struct {
+	Messages uint64
+	Bytes    uint64
+}
+
+// Stats returns the counters of this moment.
+func (m *Mesh) Stats() Stats {
+	m.mu.Lock()
+	links := len(m.links)
+	m.mu.Unlock()
+	return Stats{
+		Links:        links,
+		Out:          m.stats.out.amounts(),
+		In:           m.stats.in.amounts(),
+		Refused:      m.stats.refusals(),
+		DialFailures: m.stats.dialFailures.Load(),
+		Overflows:    m.stats.overflows.Load(),
+		Unsendable:   m.stats.unsendable.Load(),
+	}
+}
+
+// refusal numbers a reason why a connection did not become a link.
+type refusal int
+
+const (
+	refusedCrowd refusal = iota
+	refusedMagic
+	refusedVersion
+	refusedKey
+	refusedHost
+	refusedTimeout
+	refusedBroken
+
+	refusalCount
+)
+
+var refusalNames = [refusalCount]string{"too_many", "not_a_peer", "version", "key", "host", "timeout", "broken"}
+
+type meshStats struct {
+	out          tally
+	in           tally
+	refused      [refusalCount]atomic.Uint64
+	dialFailures atomic.Uint64
+	overflows    atomic.Uint64
+	unsendable   atomic.Uint64
+}
+
+func (s *meshStats) refuse(reason refusal) { s.refused[reason].Add(1) }
+
+func (s *meshStats) refusals() map[string]uint64 {
+	counts := make(map[string]uint64)
+	for reason := range s.refused {
+		if n := s.refused[reason].Load(); n > 0 {
+			counts[refusalNames[reason]] = n
+		}
+	}
+	return counts
+}
+
+type tally struct {
+	messages [kindCount]atomic.Uint64
+	bytes    [kindCount]atomic.Uint64
+}
+
+func (t *tally) add(kind Kind, bytes int) {
+	if kind >= kindCount {
+		return
+	}
+	t.messages[kind].Add(1)
+	t.bytes[kind].Add(uint64(bytes))
+}
+
+func (t *tally) amounts() map[string]Amount {
+	amounts := make(map[string]Amount)
+	for kind := range kindCount {
+		n := t.messages[kind].Load()
+		if n > 0 {
+			amounts[kind.String()] = Amount{Messages: n, Bytes: t.bytes[kind].Load()}
+		}
+	}
+	return amounts
+}
+
+// refuse counts and logs a connection that did not pass the greeting.
+func (m *Mesh) refuse(remote net.Addr, err error) {
+	reason := refusalOf(err)
+	m.stats.refuse(reason)
+	m.log().Warnf("refused a connection with %v (%s): %v", remote, refusalNames[reason], err)
+}
+
+func refusalOf(err error) refusal {
+	var version *VersionError
+	var large *frame.TooLargeError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &version):
+		return refusedVersion
+	case errors.Is(err, ErrKeyProof):
+		return refusedKey
+	case errors.Is(err, ErrHost):
+		return refusedHost
+	case errors.Is(err, ErrMagic), errors.Is(err, frame.ErrLength), errors.As(err, &large):
+		return refusedMagic
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return refusedTimeout
+	}
+	return refusedBroken
+}
