--- a/core/config/field.go
+++ b/core/config/field.go
@@ -33,7 +33,7 @@
 
 var teamFields = []field[Team]{
 	{"name", true, allowedName, func(t *Team, v value) bool { return v.name(&t.Name) }},
-	{"share", true, "a whole number from 1 to 1000000", func(t *Team, v value) bool { return v.count(&t.Share, 1, maxShare) }},
+	{"share", true, "a whole number from 1 to 1000000", func(t *Team, v value) bool { return v.count(&t.Share, maxShare) }},
 	{"key_hashes", false, allowedHashes, func(t *Team, v value) bool { return v.keyHashes(&t.KeyHashes) }},
 }
 
@@ -48,7 +48,7 @@
 	{"kind", true, `"engine" or "service"`, func(p *Pool, v value) bool { return v.kind(&p.Kind) }},
 	{"model", false, allowedText, func(p *Pool, v value) bool { return v.printable(&p.Model) }},
 	{"queue_limit", false, "a whole number from 1 to 1000000", func(p *Pool, v value) bool {
-		return v.count(&p.QueueLimit, 1, maxQueue)
+		return v.count(&p.QueueLimit, maxQueue)
 	}},
 	{"queue_timeout", false, `a duration from "1ms" to "1h"`, func(p *Pool, v value) bool {
 		return v.duration(&p.QueueTimeout, time.Millisecond, maxWaiting)
@@ -59,7 +59,7 @@
 	{"largest_cost", false, "a whole number from 1 to 1000000000", func(p *Pool, v value) bool {
 		return v.integer(&p.LargestCost, 1, maxCost)
 	}},
-	{"warm_up_requests", false, allowedLimit, func(p *Pool, v value) bool { return v.count(&p.WarmUpRequests, 1, maxLimit) }},
+	{"warm_up_requests", false, allowedLimit, func(p *Pool, v value) bool { return v.count(&p.WarmUpRequests, maxLimit) }},
 }
 
 var endpointFields = []field[Endpoint]{
@@ -67,8 +67,8 @@
 	{"pool", true, allowedName, func(e *Endpoint, v value) bool { return v.name(&e.Pool) }},
 	{"data_centre", true, allowedName, func(e *Endpoint, v value) bool { return v.name(&e.DataCentre) }},
 	{"address", true, `an IP number and port such as "192.0.2.1:8000"`, func(e *Endpoint, v value) bool { return v.address(&e.Address) }},
-	{"warm_limit", true, allowedLimit, func(e *Endpoint, v value) bool { return v.count(&e.WarmLimit, 1, maxLimit) }},
-	{"cold_limit", true, allowedLimit, func(e *Endpoint, v value) bool { return v.count(&e.ColdLimit, 1, maxLimit) }},
+	{"warm_limit", true, allowedLimit, func(e *Endpoint, v value) bool { return v.count(&e.WarmLimit, maxLimit) }},
+	{"cold_limit", true, allowedLimit, func(e *Endpoint, v value) bool { return v.count(&e.ColdLimit, maxLimit) }},
 	{"leaving", false, allowedFlag, func(e *Endpoint, v value) bool { return v.flag(&e.Leaving) }},
 }
 
--- a/core/config/value.go
+++ b/core/config/value.go
@@ -58,9 +58,10 @@
 	return err == nil && n >= low && n <= high
 }
 
-func (v value) count(to *int, low, high int64) bool {
+// count reads a whole number from 1 to high.
+func (v value) count(to *int, high int64) bool {
 	var n int64
-	ok := v.integer(&n, low, high)
+	ok := v.integer(&n, 1, high)
 	*to = int(n)
 	return ok
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -73,6 +73,7 @@
 // quiet drops the log lines of connections that break off.
 type quiet struct{}
 
+// Printf drops a line.
 func (quiet) Printf(string, ...any) {}
 
 // Serve answers calls on a listener until Close.
