Spread configuration generations between routers

Cause: every router must adopt an accepted generation within 3 s, and the platform's calls must not grow with the routers. Ruled out: a watch at each router (calls grow with the fleet); a tree of relays (a lost inner router delays its subtree).

--- /dev/null
+++ b/core/spread/machine.go
@@ -0,0 +1,184 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/config"
+)
+
+// Defaults of Config.
+const (
+	DefaultWatchers = 2
+	DefaultCheck    = time.Second
+	DefaultConfirm  = time.Second
+	DefaultStale    = 2500 * time.Millisecond
+	DefaultRepeat   = 500 * time.Millisecond
+	DefaultAnswer   = 300 * time.Millisecond
+	DefaultGrace    = 1500 * time.Millisecond
+)
+
+const (
+	jitterPerMember = 20 * time.Millisecond // jitterPerMember spreads the reads of a data centre over time.
+	minJitter       = 500 * time.Millisecond
+	maxBackoff      = 16 * time.Second
+	hashesPerAsk    = 64
+	badRetry        = 5 * time.Second // badRetry is how often a peer is asked for a generation whose root was bad.
+	stuckRetry      = time.Second
+	asksBeforeRead  = 2 // asksBeforeRead is how many peers are asked before the platform is.
+)
+
+// Config says who the router is and how long it waits.
+type Config struct {
+	Self        cell.RouterID
+	DataCentre  string
+	Environment string
+	Seed        uint64        // Seed sets the jitter.
+	Watchers    int           // Watchers is the number of routers of a data centre that watch.
+	Check       time.Duration // Check is how often a watcher reads the root's version.
+	Confirm     time.Duration // Confirm is how often a watcher tells its data centre that its news are fresh.
+	Stale       time.Duration // Stale is the age of news at which a router reads for itself.
+	Repeat      time.Duration // Repeat is how often a peer that is behind is told again.
+	Answer      time.Duration // Answer bounds the wait for a peer's answer.
+	Grace       time.Duration // Grace is how long a host without a link still counts as a watcher.
+}
+
+func (c *Config) setDefaults() {
+	set(&c.Watchers, DefaultWatchers)
+	set(&c.Check, DefaultCheck)
+	set(&c.Confirm, DefaultConfirm)
+	set(&c.Stale, DefaultStale)
+	set(&c.Repeat, DefaultRepeat)
+	set(&c.Answer, DefaultAnswer)
+	set(&c.Grace, DefaultGrace)
+}
+
+func set[T int | time.Duration](to *T, otherwise T) {
+	if *to == 0 {
+		*to = otherwise
+	}
+}
+
+// peer is what is known of a router at the other end of a link.
+type peer struct {
+	generation uint64    // generation is the newest that it said it has.
+	told       uint64    // told is the generation that it was told last.
+	toldAt     time.Time // toldAt is when it was told.
+}
+
+// badRoot is a root that can't be adopted.
+type badRoot struct {
+	generation uint64
+	seenAt     time.Time
+}
+
+// Machine is one router's view of the configuration.
+type Machine struct {
+	config  Config
+	random  *rand.Rand
+	now     time.Time
+	actions []Action
+
+	members  map[cell.HostID]*member
+	peers    map[cell.RouterID]*peer
+	roles    map[string][]cell.HostID // roles holds the watchers of each data centre; nil if it is out of date.
+	watching bool
+
+	root    config.Root
+	rawRoot []byte
+	parts   map[string][]byte
+	pending *candidate
+
+	bad      map[string]*badRoot // bad holds roots that can't be adopted, by their hashes.
+	stuck    []byte              // stuck is a root whose parts the platform did not give.
+	stuckAt  time.Time
+	reported uint64 // reported is the last generation whose parts were reported.
+
+	reading   bool      // reading is true while a read of the root is under way.
+	readAt    time.Time // readAt is when the next read of the root is due.
+	failures  int       // failures counts reads of the root that failed in a row.
+	contact   time.Time // contact is when the platform last answered a read of the root.
+	relayed   time.Time // relayed is when a watcher of another data centre last confirmed its news.
+	heard     time.Time // heard is when this router last had fresh news of any kind.
+	confirmAt time.Time // confirmAt is when the next confirmation is due.
+}
+
+// New returns the machine of a router without a configuration.
+func New(config Config, now time.Time) *Machine {
+	config.setDefaults()
+	m := &Machine{
+		config:  config,
+		random:  rand.New(rand.NewPCG(config.Seed, 0)),
+		now:     now,
+		members: map[cell.HostID]*member{},
+		peers:   map[cell.RouterID]*peer{},
+		parts:   map[string][]byte{},
+		bad:     map[string]*badRoot{},
+		heard:   now,
+	}
+	m.readAt = now.Add(m.jitter(minJitter))
+	return m
+}
+
+// Generation returns the generation in force, and 0 before the first.
+func (m *Machine) Generation() uint64 {
+	return m.root.Generation
+}
+
+// Watching reports whether this router watches the platform.
+func (m *Machine) Watching() bool {
+	return m.watching
+}
+
+// Step takes one event and returns what is to be done; the result is valid until the next Step.
+func (m *Machine) Step(now time.Time, event Event) []Action {
+	m.now = now
+	m.actions = m.actions[:0]
+	switch e := event.(type) {
+	case *Members:
+		m.setMembers(e.Members)
+	case *PeerUp:
+		m.peerUp(e.Router)
+	case *PeerDown:
+		m.peerDown(e.Router)
+	case *News:
+		m.news(e)
+	case *Ask:
+		m.answer(e)
+	case *Part:
+		m.partFromPeer(e)
+	case *RootRead:
+		m.rootRead(e)
+	case *RootFailed:
+		m.rootFailed()
+	case *PartRead:
+		m.partRead(e)
+	case *PartFailed:
+		m.partFailed(e)
+	case *Tick:
+		m.roles = nil
+	}
+	m.updateRole()
+	m.scheduleRead()
+	before := m.root.Generation
+	m.pursue()
+	if _, tick := event.(*Tick); tick || m.root.Generation != before {
+		m.announce()
+	}
+	return m.actions
+}
+
+func (m *Machine) do(a Action) {
+	m.actions = append(m.actions, a)
+}
+
+// jitter returns a random duration from 0 to most.
+func (m *Machine) jitter(most time.Duration) time.Duration {
+	return time.Duration(m.random.Int64N(int64(most) + 1))
+}
+
+// age returns the time since t.
+func (m *Machine) age(t time.Time) time.Duration {
+	return m.now.Sub(t)
+}
--- a/io/platform/object.go
+++ b/io/platform/object.go
@@ -10,10 +10,11 @@
 
 // Kinds of objects of an environment.
 const (
-	Parts Kind = "parts" // Parts are pieces of configuration documents, named by their hashes.
-	Roots Kind = "roots" // Roots name the parts of a generation.
-	Hosts Kind = "hosts" // Hosts are the live and leaving hosts of the fleet.
-	Calls Kind = "calls" // Calls are records of requests with an Idempotency-Key.
+	Parts   Kind = "parts"   // Parts are pieces of configuration documents, named by their hashes.
+	Roots   Kind = "roots"   // Roots name the parts of a generation.
+	History Kind = "history" // History holds former roots, named by their generations.
+	Hosts   Kind = "hosts"   // Hosts are the live and leaving hosts of the fleet.
+	Calls   Kind = "calls"   // Calls are records of requests with an Idempotency-Key.
 )
 
 // Object is one named, versioned value.
@@ -30,6 +31,32 @@
 	Items   []Object
 }
 
+// CurrentRoot names the root in force.
+const CurrentRoot = "current"
+
+// partData is the value of a part.
+type partData struct {
+	Text string `json:"text"`
+}
+
+// PartObject returns the object that holds the text of a part.
+func PartObject(hash string, text []byte) Object {
+	data, err := json.Marshal(partData{Text: string(text)})
+	if err != nil {
+		panic(err) // A string can always be written as JSON.
+	}
+	return Object{Name: hash, Data: data}
+}
+
+// PartText returns the text of a part, and nothing if the object holds none.
+func PartText(o Object) []byte {
+	var data partData
+	if err := json.Unmarshal(o.Data, &data); err != nil {
+		return nil
+	}
+	return []byte(data.Text)
+}
+
 // EventType says what happened to an object.
 type EventType string
 
--- /dev/null
+++ b/router/configuration/read.go
@@ -0,0 +1,130 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"ryelug/core/spread"
+	"ryelug/io/platform"
+)
+
+// read is one thing to read from the platform.
+type read interface{ read() }
+
+type readRoot struct{}
+
+type readPart struct{ hash string }
+
+func (readRoot) read() {}
+func (readPart) read() {}
+
+// enqueue adds a read; if too many wait, it fails at once and is tried again later.
+func enqueue[T read](d *Duty, ring chan T, r T) {
+	select {
+	case ring <- r:
+	default:
+		d.failed(r, platform.ErrSilent)
+	}
+}
+
+func (d *Duty) readRoots(ctx context.Context) error {
+	return serve(ctx, d, d.roots)
+}
+
+func (d *Duty) readParts(ctx context.Context) error {
+	return serve(ctx, d, d.parts)
+}
+
+// serve performs reads one after the other.
+func serve[T read](ctx context.Context, d *Duty, ring chan T) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case next := <-ring:
+			d.fetch(ctx, next)
+		}
+	}
+}
+
+func (d *Duty) fetch(ctx context.Context, next read) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	d.counters.reads.Add(1)
+	var err error
+	switch r := next.(type) {
+	case readRoot:
+		err = d.readRoot(ctx)
+	case readPart:
+		err = d.readPart(ctx, r.hash)
+	}
+	if err != nil {
+		d.counters.failedReads.Add(1)
+		d.failed(next, err)
+	}
+}
+
+func (d *Duty) failed(r read, err error) {
+	switch r := r.(type) {
+	case readRoot:
+		d.inbox.put(&spread.RootFailed{})
+	case readPart:
+		d.inbox.put(&spread.PartFailed{Hash: r.hash, Missing: errors.Is(err, platform.ErrNotFound)})
+	}
+}
+
+// readRoot reads the root's version, and the root itself only if that is new.
+func (d *Duty) readRoot(ctx context.Context) error {
+	head, err := d.config.Platform.Head(ctx, platform.Roots, platform.CurrentRoot)
+	if errors.Is(err, platform.ErrNotFound) {
+		d.inbox.put(&spread.RootRead{})
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if !d.watch.versions.isNew(head.Version) {
+		d.inbox.put(&spread.RootRead{})
+		return nil
+	}
+	root, err := d.config.Platform.Get(ctx, platform.Roots, platform.CurrentRoot)
+	if err != nil {
+		return err
+	}
+	d.watch.missed(root.Version)
+	d.inbox.put(&spread.RootRead{Root: root.Data})
+	return nil
+}
+
+func (d *Duty) readPart(ctx context.Context, hash string) error {
+	part, err := d.config.Platform.Get(ctx, platform.Parts, hash)
+	if err != nil {
+		return err
+	}
+	d.inbox.put(&spread.PartRead{Hash: hash, Data: platform.PartText(part)})
+	return nil
+}
+
+// versions remembers the newest version of the root that was handed to the machine.
+type versions struct {
+	mu     sync.Mutex
+	newest string
+}
+
+func (v *versions) isNew(version string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return platform.Newer(version, v.newest)
+}
+
+// seen notes a version and reports whether it is newer than all before.
+func (v *versions) seen(version string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !platform.Newer(version, v.newest) {
+		return false
+	}
+	v.newest = version
+	return true
+}
--- /dev/null
+++ b/router/publish/change.go
@@ -0,0 +1,163 @@
+package publish
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"ryelug/core/config"
+	"ryelug/io/platform"
+)
+
+// Change is what an operator wants to put in force.
+type Change struct {
+	Base     Snapshot         // Base is the generation that the change was made from.
+	Document *config.Document // Document is the whole new document.
+	Text     string           // Text says in a few words what the operator does.
+}
+
+const (
+	baseAnnotation = "base_generation" // baseAnnotation is the generation that the writer of a part started from.
+	touchAttempts  = 10
+)
+
+// errBusy tells that others kept changing a part.
+var errBusy = errors.New("others keep changing the same parts; repeat the command")
+
+// Put writes the parts and then the root of a change, and returns the root in force.
+//
+// Its errors are *ErrConflict if another change came first, *ErrUnknown if the
+// outcome can't be learned now, and otherwise errors after which nothing of the
+// change is in force.
+func (p *Publisher) Put(ctx context.Context, change Change) (config.Root, error) {
+	root, parts := config.Split(change.Document)
+	root.Generation = change.Base.Root.Generation + 1
+	root.ChangeID = p.config.NewID()
+	root.Change = change.Text
+	root.Changed = time.Now().UTC().Truncate(time.Second)
+	if err := p.putParts(ctx, parts, change.Base.Root); err != nil {
+		return config.Root{}, err
+	}
+	if err := p.keepFormer(ctx, change.Base); err != nil {
+		return config.Root{}, err
+	}
+	return p.putRoot(ctx, change.Base, root)
+}
+
+// putParts writes the parts that the base does not name.
+func (p *Publisher) putParts(ctx context.Context, parts map[string][]byte, base config.Root) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+	for hash, text := range parts {
+		if slices.Contains(base.Parts, hash) {
+			continue
+		}
+		group.Go(func() error { return p.putPart(ctx, hash, text, base.Generation) })
+	}
+	return group.Wait()
+}
+
+// putPart makes sure that a part is there and that no sweep deletes it before the root names it.
+func (p *Publisher) putPart(ctx context.Context, hash string, text []byte, base uint64) error {
+	object := platform.PartObject(hash, text)
+	object.Annotations = map[string]string{baseAnnotation: strconv.FormatUint(base, 10)}
+	for range touchAttempts {
+		_, err := retry(ctx, p, func() (platform.Object, error) {
+			return p.config.Platform.Create(ctx, platform.Parts, object)
+		})
+		if !errors.Is(err, platform.ErrExists) {
+			return err
+		}
+		done, err := p.touchPart(ctx, object, base)
+		if done || err != nil {
+			return err
+		}
+	}
+	return errBusy
+}
+
+// touchPart marks a part that exists as needed by a change from the given generation; false if it must be tried again.
+func (p *Publisher) touchPart(ctx context.Context, object platform.Object, base uint64) (bool, error) {
+	present, err := retry(ctx, p, func() (platform.Object, error) {
+		return p.config.Platform.Head(ctx, platform.Parts, object.Name)
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	if baseOf(present) >= base {
+		return true, nil
+	}
+	object.Version = present.Version
+	_, err = p.config.Platform.Update(ctx, platform.Parts, object)
+	var unavailable *platform.ErrUnavailable
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) || errors.As(err, &unavailable) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// baseOf returns the generation that a part was last marked with.
+func baseOf(part platform.Object) uint64 {
+	base, err := strconv.ParseUint(part.Annotations[baseAnnotation], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return base
+}
+
+// putRoot replaces the root if it still is the one that the change was made from.
+func (p *Publisher) putRoot(ctx context.Context, base Snapshot, root config.Root) (config.Root, error) {
+	object := platform.Object{Name: platform.CurrentRoot, Version: base.version, Data: root.Encode()}
+	sent := false
+	_, err := retry(ctx, p, func() (platform.Object, error) {
+		written, err := p.writeRoot(ctx, object)
+		var unavailable *platform.ErrUnavailable
+		sent = sent || errors.As(err, &unavailable) && unavailable.Unknown
+		return written, err
+	})
+	var unavailable *platform.ErrUnavailable
+	switch {
+	case err == nil:
+		return root, nil
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists), errors.Is(err, platform.ErrNotFound):
+		return p.settle(ctx, root, sent)
+	case sent && (errors.As(err, &unavailable) || ctx.Err() != nil):
+		return config.Root{}, &ErrUnknown{ChangeID: root.ChangeID, Cause: err}
+	}
+	return config.Root{}, err
+}
+
+func (p *Publisher) writeRoot(ctx context.Context, object platform.Object) (platform.Object, error) {
+	if object.Version == "" {
+		return p.config.Platform.Create(ctx, platform.Roots, object)
+	}
+	return p.config.Platform.Update(ctx, platform.Roots, object)
+}
+
+// settle finds out whether this change or another one has replaced the base.
+func (p *Publisher) settle(ctx context.Context, root config.Root, sent bool) (config.Root, error) {
+	now, err := p.ReadRoot(ctx)
+	if err != nil {
+		return config.Root{}, &ErrUnknown{ChangeID: root.ChangeID, Cause: err}
+	}
+	if now.Root.ChangeID == root.ChangeID {
+		return root, nil
+	}
+	if sent {
+		former, found, err := p.former(ctx, root.Generation)
+		if err != nil {
+			return config.Root{}, &ErrUnknown{ChangeID: root.ChangeID, Cause: err}
+		}
+		if found && former.ChangeID == root.ChangeID {
+			return root, nil
+		}
+	}
+	return config.Root{}, &ErrConflict{ChangeID: root.ChangeID, Winner: now.Root}
+}
--- /dev/null
+++ b/router/publish/publisher.go
@@ -0,0 +1,177 @@
+package publish
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"ryelug/core/config"
+	"ryelug/io/platform"
+)
+
+const (
+	// DefaultKeep is the number of former roots that are kept.
+	DefaultKeep = 20
+
+	defaultPatience = 15 * time.Second
+	firstPause      = 100 * time.Millisecond
+	longestPause    = 2 * time.Second
+	parallelCalls   = 8 // parallelCalls is the number of parts read or written at a time.
+)
+
+// Platform is what a Publisher needs of the platform; *platform.Client has it.
+type Platform interface {
+	Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
+	Head(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
+	List(ctx context.Context, kind platform.Kind) (platform.List, error)
+	ListNames(ctx context.Context, kind platform.Kind) (platform.List, error)
+	Create(ctx context.Context, kind platform.Kind, o platform.Object) (platform.Object, error)
+	Update(ctx context.Context, kind platform.Kind, o platform.Object) (platform.Object, error)
+	Delete(ctx context.Context, kind platform.Kind, name, version string) error
+}
+
+// Config says where changes go.
+type Config struct {
+	Platform    Platform
+	Environment string
+	Keep        int           // Keep is the number of former roots kept; DefaultKeep by default.
+	Patience    time.Duration // Patience bounds the retries of one step; 15 s by default.
+	NewID       func() string // NewID returns change ids; random by default.
+}
+
+// Publisher changes the configuration of one environment.
+type Publisher struct {
+	config Config
+}
+
+// Snapshot is a root and its document as they were read.
+type Snapshot struct {
+	Root     config.Root
+	Document *config.Document // Document is nil before the first generation.
+	version  string
+	raw      []byte
+}
+
+// ErrConflict tells that another change came first and nothing of this one is in force.
+type ErrConflict struct {
+	ChangeID string
+	Winner   config.Root // Winner is the root in force.
+}
+
+// Error names the change that won.
+func (e *ErrConflict) Error() string {
+	w := e.Winner
+	return fmt.Sprintf("generation %d (%s, change %s) came first; nothing of this change is in force; look at it with \"ryelug status\" and repeat the command",
+		w.Generation, w.Change, w.ChangeID)
+}
+
+// ErrUnknown tells that the platform stopped answering before the outcome was known.
+type ErrUnknown struct {
+	ChangeID string
+	Cause    error
+}
+
+// Error says how to find out.
+func (e *ErrUnknown) Error() string {
+	return fmt.Sprintf("the platform does not answer and change %s may be in force; when it answers again, look for the change with \"ryelug history\" before you repeat it: %v", e.ChangeID, e.Cause)
+}
+
+// Unwrap returns the platform's error.
+func (e *ErrUnknown) Unwrap() error {
+	return e.Cause
+}
+
+// New returns a publisher.
+func New(config Config) *Publisher {
+	if config.Keep == 0 {
+		config.Keep = DefaultKeep
+	}
+	if config.Patience == 0 {
+		config.Patience = defaultPatience
+	}
+	if config.NewID == nil {
+		config.NewID = uuid.NewString
+	}
+	return &Publisher{config: config}
+}
+
+// Read returns the generation in force with its document; before the first one the Snapshot is empty.
+func (p *Publisher) Read(ctx context.Context) (Snapshot, error) {
+	snapshot, err := p.ReadRoot(ctx)
+	if err != nil || snapshot.version == "" {
+		return snapshot, err
+	}
+	snapshot.Document, err = p.document(ctx, snapshot.Root)
+	return snapshot, err
+}
+
+// ReadRoot returns the root in force without its document.
+func (p *Publisher) ReadRoot(ctx context.Context) (Snapshot, error) {
+	object, err := retry(ctx, p, func() (platform.Object, error) {
+		return p.config.Platform.Get(ctx, platform.Roots, platform.CurrentRoot)
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return Snapshot{}, nil
+	}
+	if err != nil {
+		return Snapshot{}, err
+	}
+	root, err := config.ParseRoot(object.Data)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return Snapshot{Root: root, version: object.Version, raw: object.Data}, nil
+}
+
+// document reads the parts of a root and puts them together.
+func (p *Publisher) document(ctx context.Context, root config.Root) (*config.Document, error) {
+	texts := make([][]byte, len(root.Parts))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+	for i, hash := range root.Parts {
+		group.Go(func() error {
+			text, err := p.part(ctx, hash)
+			texts[i] = text
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	parts := make(map[string][]byte, len(texts))
+	for i, hash := range root.Parts {
+		parts[hash] = texts[i]
+	}
+	return config.Join(root, parts)
+}
+
+func (p *Publisher) part(ctx context.Context, hash string) ([]byte, error) {
+	object, err := retry(ctx, p, func() (platform.Object, error) {
+		return p.config.Platform.Get(ctx, platform.Parts, hash)
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, &config.PartError{Hash: hash, Missing: true}
+	}
+	return platform.PartText(object), err
+}
+
+// retry repeats a call that may be repeated while the platform is unavailable.
+func retry[T any](ctx context.Context, p *Publisher, call func() (T, error)) (T, error) {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = firstPause
+	pauses.MaxInterval = longestPause
+	once := func() (T, error) {
+		result, err := call()
+		var unavailable *platform.ErrUnavailable
+		if err != nil && !errors.As(err, &unavailable) {
+			return result, backoff.Permanent(err)
+		}
+		return result, err
+	}
+	return backoff.Retry(ctx, once, backoff.WithBackOff(pauses), backoff.WithMaxElapsedTime(p.config.Patience))
+}
