Serve one request from caller to endpoint and back

Cause: nothing carried a request yet. A call that may not be repeated must be sent once, whatever the service does with the connection. Ruled out: fasthttp's client, which pools connections by address alone and repeats calls by itself; a connection found closed only by the send.

--- /dev/null
+++ b/io/caller/conn.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// listener wraps accepted connections so that the server can notice callers that leave.
+type listener struct {
+	net.Listener
+	writeTimeout time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, writeTimeout: l.writeTimeout}, nil
+}
+
+// conn is a caller's connection. While a request is served it is read in the
+// background, one byte ahead, since a caller's leaving shows only in a read.
+type conn struct {
+	net.Conn
+	writeTimeout time.Duration
+
+	mu    sync.Mutex
+	ahead []byte // ahead is a byte of the next request that the watch has read.
+}
+
+// past is a deadline that wakes a blocked read at once.
+var past = time.Unix(1, 0)
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.ahead) > 0 && len(p) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		c.mu.Unlock()
+		return n, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn; a caller that takes no byte for the write timeout is given up.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// watch calls gone when the caller closes the connection. The returned function
+// ends the watch; nothing else may read the connection before it returns.
+func (c *conn) watch(gone func()) (stop func()) {
+	_ = c.SetReadDeadline(time.Time{})
+	ended := make(chan struct{})
+	stopping := make(chan struct{})
+	go func() {
+		defer close(ended)
+		var one [1]byte
+		n, err := c.Conn.Read(one[:])
+		if n > 0 {
+			c.mu.Lock()
+			c.ahead = append(c.ahead, one[0])
+			c.mu.Unlock()
+			return
+		}
+		select {
+		case <-stopping:
+		default:
+			if err != nil {
+				gone()
+			}
+		}
+	}()
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			close(stopping)
+			_ = c.SetReadDeadline(past)
+			<-ended
+			_ = c.SetReadDeadline(time.Time{})
+		})
+	}
+}
--- /dev/null
+++ b/io/caller/exchange.go
@@ -0,0 +1,213 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ryelug/core/result"
+)
+
+// Errors of a Writer.
+var (
+	ErrGone     = errors.New("the caller has gone")
+	ErrAnswered = errors.New("the request has its answer already")
+)
+
+// head is what the library's goroutine learns first: a whole answer, a refusal, or that a stream begins.
+type head struct {
+	stream  bool
+	answer  *Answer
+	refusal Refusal
+}
+
+// exchange carries one answer from the handler to the library's goroutine.
+type exchange struct {
+	head   chan head
+	events chan Event
+	gone   chan struct{}
+
+	mu      sync.Mutex // mu guards the state; the handler is the only user but for misuse.
+	started bool
+	ended   bool
+}
+
+func newExchange(buffer int) *exchange {
+	return &exchange{
+		head:   make(chan head, 1),
+		events: make(chan Event, buffer),
+		gone:   make(chan struct{}),
+	}
+}
+
+// Whole implements Writer.
+func (x *exchange) Whole(answer Answer) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.started || x.ended {
+		return ErrAnswered
+	}
+	x.ended = true
+	x.head <- head{answer: &answer}
+	return nil
+}
+
+// Event implements Writer.
+func (x *exchange) Event(event Event) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ended {
+		return ErrAnswered
+	}
+	if !x.started {
+		x.started = true
+		x.head <- head{stream: true}
+	}
+	event.Data = append([]byte(nil), event.Data...)
+	select {
+	case x.events <- event:
+		return nil
+	case <-x.gone:
+		return ErrGone
+	}
+}
+
+// Close implements Writer.
+func (x *exchange) Close() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ended || !x.started {
+		return ErrAnswered
+	}
+	x.ended = true
+	close(x.events)
+	return nil
+}
+
+// Refuse implements Writer.
+func (x *exchange) Refuse(refusal Refusal) error {
+	x.mu.Lock()
+	started, ended := x.started, x.ended
+	if !started && !ended {
+		x.ended = true
+		x.head <- head{refusal: refusal}
+	}
+	x.mu.Unlock()
+	if ended {
+		return ErrAnswered
+	}
+	if !started {
+		return nil
+	}
+	if err := x.Event(Event{Name: "error", Data: refusal.encode()}); err != nil {
+		return err
+	}
+	return x.Close()
+}
+
+// end makes sure that a handler that returns without an answer leaves none open.
+func (x *exchange) end() {
+	_ = x.Refuse(Refusal{Code: result.InternalFailure, Detail: "the router ended the request without an answer"})
+}
+
+// stream returns the function that writes the events; ended is called when it has no more use for the connection.
+func (x *exchange) stream(ended func()) fasthttp.StreamWriter {
+	return func(w *bufio.Writer) {
+		defer ended()
+		defer close(x.gone)
+		for event := range x.events {
+			writeEvent(w, event)
+			if len(x.events) > 0 {
+				continue
+			}
+			if err := w.Flush(); err != nil {
+				return
+			}
+		}
+		_ = w.Flush()
+	}
+}
+
+// writeEvent leaves errors to the next Flush, which returns them.
+func writeEvent(w *bufio.Writer, event Event) {
+	if event.ID != "" {
+		writeField(w, "id: ", event.ID)
+	}
+	if event.Name != "" {
+		writeField(w, "event: ", event.Name)
+	}
+	_, _ = w.WriteString("data: ")
+	for _, b := range event.Data {
+		_ = w.WriteByte(b)
+		if b == '\n' {
+			_, _ = w.WriteString("data: ")
+		}
+	}
+	_, _ = w.WriteString("\n\n")
+}
+
+func writeField(w *bufio.Writer, name, value string) {
+	_, _ = w.WriteString(name)
+	_, _ = w.WriteString(value)
+	_ = w.WriteByte('\n')
+}
+
+// write puts a whole answer or a refusal into the library's response.
+func (h head) write(rc *fasthttp.RequestCtx) {
+	if h.answer == nil {
+		h.refusal.write(rc)
+		return
+	}
+	rc.SetStatusCode(h.answer.Status)
+	rc.SetContentType(h.answer.ContentType)
+	if h.answer.Replayed {
+		rc.Response.Header.Set(headerReplayed, "true")
+	}
+	rc.SetBody(h.answer.Body)
+}
+
+func (r Refusal) write(rc *fasthttp.RequestCtx) {
+	info, _ := result.Lookup(r.Code)
+	rc.SetStatusCode(info.Status)
+	rc.SetContentType("application/json")
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		rc.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	rc.SetBody(r.encode())
+}
+
+// refusalBody is the wire form of a Refusal.
+type refusalBody struct {
+	Error refusalError `json:"error"`
+}
+
+type refusalError struct {
+	Code         result.Code `json:"code"`
+	Name         string      `json:"name"`
+	Text         string      `json:"text"`
+	Detail       string      `json:"detail,omitempty"`
+	NotRun       bool        `json:"not_run"`
+	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
+}
+
+func (r Refusal) encode() []byte {
+	info, _ := result.Lookup(r.Code)
+	body, err := json.Marshal(refusalBody{refusalError{
+		Code:         r.Code,
+		Name:         info.Name,
+		Text:         info.Text,
+		Detail:       r.Detail,
+		NotRun:       r.NotRun,
+		RetryAfterMS: r.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		return nil // Unreachable: the body holds only strings, numbers and booleans.
+	}
+	return body
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,195 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"ryelug/core/cell"
+	"ryelug/core/result"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerNonIdempotent  = "X-Non-Idempotent"
+	headerCostHint       = "X-Cost-Hint"
+	headerRequestID      = "X-Request-Id"
+	headerReplayed       = "X-Replayed"
+	bearerPrefix         = "bearer "
+)
+
+// Defaults of a Config.
+const (
+	defaultReadTimeout  = 10 * time.Second
+	defaultWriteTimeout = 30 * time.Second
+	defaultIdleTimeout  = time.Minute
+	defaultMaxHeader    = 8 << 10
+	defaultMaxBody      = 4 << 20
+	defaultBuffer       = 64
+)
+
+// Config sets up a Server; zero fields take defaults.
+type Config struct {
+	Handler      Handler
+	ReadTimeout  time.Duration     // ReadTimeout bounds the arrival of a whole request.
+	WriteTimeout time.Duration     // WriteTimeout bounds the time in which a caller takes nothing.
+	IdleTimeout  time.Duration     // IdleTimeout bounds the time between two requests of a connection.
+	MaxHeader    int               // MaxHeader bounds a request's head, in bytes.
+	MaxBody      int               // MaxBody bounds a request's body, in bytes.
+	Buffer       int               // Buffer bounds the events that wait for a slow caller.
+	MaxConns     int               // MaxConns bounds the callers' connections.
+	Refused      func(result.Code) // Refused is told of requests that never reach the handler.
+}
+
+// Server answers callers.
+type Server struct {
+	config Config
+	http   *fasthttp.Server
+	prefix string
+	serial atomic.Uint64
+}
+
+// New returns a Server.
+func New(config Config) *Server {
+	setDefault(&config.ReadTimeout, defaultReadTimeout)
+	setDefault(&config.WriteTimeout, defaultWriteTimeout)
+	setDefault(&config.IdleTimeout, defaultIdleTimeout)
+	setDefault(&config.MaxHeader, defaultMaxHeader)
+	setDefault(&config.MaxBody, defaultMaxBody)
+	setDefault(&config.Buffer, defaultBuffer)
+	if config.Refused == nil {
+		config.Refused = func(result.Code) {}
+	}
+	s := &Server{config: config, prefix: uuid.NewString()}
+	s.http = &fasthttp.Server{
+		Handler:                      s.serve,
+		ErrorHandler:                 s.unreadable,
+		ReadTimeout:                  config.ReadTimeout,
+		IdleTimeout:                  config.IdleTimeout,
+		ReadBufferSize:               config.MaxHeader,
+		MaxRequestBodySize:           config.MaxBody,
+		Concurrency:                  config.MaxConns,
+		NoDefaultServerHeader:        true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		SecureErrorLogMessage:        true,
+		Logger:                       silent{},
+	}
+	return s
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// silent drops the library's own log lines, which hold what callers sent.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// Serve answers the callers of ln until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout})
+}
+
+// Shutdown stops accepting and waits until all requests are answered or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.ShutdownWithContext(ctx)
+}
+
+// serve runs the handler beside the library's goroutine, which writes the answer.
+func (s *Server) serve(rc *fasthttp.RequestCtx) {
+	req := s.request(rc)
+	rc.Response.Header.Set(headerRequestID, req.ID)
+	ctx, cancel := context.WithCancel(context.Background())
+	ex := newExchange(s.config.Buffer)
+	stop := func() {}
+	if link, ok := rc.Conn().(*conn); ok {
+		stop = link.watch(cancel)
+	}
+	go func() {
+		defer ex.end()
+		s.config.Handler.Serve(ctx, req, ex)
+	}()
+	if head := <-ex.head; !head.stream {
+		stop()
+		cancel()
+		head.write(rc)
+		return
+	}
+	rc.SetContentType("text/event-stream")
+	rc.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	rc.Response.ImmediateHeaderFlush = true
+	rc.SetBodyStreamWriter(ex.stream(func() {
+		stop()
+		cancel()
+	}))
+}
+
+// fields are what the router reads of a body.
+type fields struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+// request copies what the handler needs, since the library reuses its own request.
+func (s *Server) request(rc *fasthttp.RequestCtx) *Request {
+	header := &rc.Request.Header
+	req := &Request{
+		ID:             s.prefix + "-" + strconv.FormatUint(s.serial.Add(1), 10),
+		Key:            bearerKey(string(header.Peek(fasthttp.HeaderAuthorization))),
+		Method:         string(rc.Method()),
+		Path:           string(rc.RequestURI()),
+		ContentType:    string(header.ContentType()),
+		Body:           append([]byte(nil), rc.Request.Body()...),
+		IdempotencyKey: string(header.Peek(headerIdempotencyKey)),
+		NonIdempotent:  string(header.Peek(headerNonIdempotent)) == "true",
+		Hint:           costHint(string(header.Peek(headerCostHint))),
+		Received:       time.Now(),
+	}
+	var body fields
+	if err := json.Unmarshal(req.Body, &body); err != nil {
+		req.Malformed = true
+		return req
+	}
+	req.Model = body.Model
+	req.Stream = body.Stream
+	return req
+}
+
+func bearerKey(authorization string) string {
+	if len(authorization) <= len(bearerPrefix) || !strings.EqualFold(authorization[:len(bearerPrefix)], bearerPrefix) {
+		return ""
+	}
+	return strings.TrimSpace(authorization[len(bearerPrefix):])
+}
+
+func costHint(value string) cell.Cost {
+	hint, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || hint < 0 {
+		return 0
+	}
+	return cell.Cost(hint)
+}
+
+// unreadable answers requests that the library could not read; nothing of them has run.
+func (s *Server) unreadable(rc *fasthttp.RequestCtx, err error) {
+	code := result.BadRequest
+	var small *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
+		code = result.TooLarge
+	}
+	s.config.Refused(code)
+	head{refusal: Refusal{Code: code, NotRun: true}}.write(rc)
+}
--- a/io/endpoint/events.go
+++ b/io/endpoint/events.go
@@ -1,5 +1,23 @@
 package endpoint
 
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Done is the data of the last event of a whole stream.
+const Done = "[DONE]"
+
+// drainTimeout bounds the wait for the end of the framing after the last event.
+const drainTimeout = 50 * time.Millisecond
+
 // Event is one server-sent event.
 type Event struct {
 	ID   string
@@ -7,5 +25,126 @@
 	Data []byte // Data is valid until the next call of Next.
 }
 
-// Events reads the events of one streamed answer.
-type Events struct{}
+// Events reads the events of one streamed answer; one goroutine may use it.
+type Events struct {
+	client *Client
+	link   *conn
+	call   Call
+	resp   *fasthttp.Response
+	stop   func() bool
+	reader *bufio.Reader
+	answer Answer
+	data   []byte
+	done   bool
+	closed bool
+}
+
+func newEvents(client *Client, link *conn, call Call, resp *fasthttp.Response, stop func() bool) *Events {
+	return &Events{
+		client: client,
+		link:   link,
+		call:   call,
+		resp:   resp,
+		stop:   stop,
+		reader: bufio.NewReader(resp.BodyStream()),
+		answer: Answer{RequestID: string(resp.Header.Peek(headerRequestID))},
+	}
+}
+
+func isEventStream(contentType string) bool {
+	return strings.HasPrefix(contentType, eventStream)
+}
+
+// Next returns the next event. After the event with the data Done it returns io.EOF;
+// a stream that stops before that event gives an ErrUnknown.
+func (e *Events) Next() (Event, error) {
+	if e.done {
+		return Event{}, io.EOF
+	}
+	_ = e.link.raw.SetReadDeadline(time.Now().Add(e.client.config.EventTimeout))
+	event, err := e.parse()
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return Event{}, unknown(e.call, err)
+	}
+	e.done = string(event.Data) == Done
+	return event, nil
+}
+
+// parse reads lines up to the empty line that ends an event; an event without data is skipped.
+func (e *Events) parse() (Event, error) {
+	var event Event
+	e.data = e.data[:0]
+	size, hasData := 0, false
+	for {
+		line, err := e.line(e.client.config.MaxEvent - size)
+		if err != nil {
+			return Event{}, err
+		}
+		size += len(line) + 1
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "":
+			if len(line) > 0 || !hasData {
+				continue // A comment, or an empty line before any data.
+			}
+			event.Data = e.data
+			return event, nil
+		case "id":
+			event.ID = string(value)
+		case "event":
+			event.Name = string(value)
+		case "data":
+			if hasData {
+				e.data = append(e.data, '\n')
+			}
+			e.data = append(e.data, value...)
+			hasData = true
+		}
+	}
+}
+
+// line reads a line of at most limit bytes, without its end.
+func (e *Events) line(limit int) ([]byte, error) {
+	line, err := e.reader.ReadSlice('\n')
+	if err == nil {
+		return bytes.TrimRight(line, "\r\n"), nil
+	}
+	long := append([]byte(nil), line...)
+	for errors.Is(err, bufio.ErrBufferFull) && len(long) <= limit {
+		line, err = e.reader.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	if len(long) > limit {
+		return nil, fmt.Errorf("event is longer than %d bytes", e.client.config.MaxEvent)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(long, "\r\n"), nil
+}
+
+// Close ends the reading. A stream read to its end gives its connection back; any
+// other connection is closed, which tells the endpoint to stop.
+func (e *Events) Close() {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	if !e.done || !e.drained() {
+		e.stop()
+		e.link.close()
+		return
+	}
+	e.client.release(e.link, &e.answer, e.resp, e.stop)
+}
+
+// drained reads the end of the framing and tells whether nothing else came before it.
+func (e *Events) drained() bool {
+	_ = e.link.raw.SetReadDeadline(time.Now().Add(drainTimeout))
+	_, err := e.reader.ReadByte()
+	return errors.Is(err, io.EOF)
+}
--- /dev/null
+++ b/router/request/run.go
@@ -0,0 +1,275 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/entry"
+	"ryelug/core/result"
+	"ryelug/io/caller"
+	"ryelug/io/endpoint"
+)
+
+// progressEvery is the number of events after which their cost is reported.
+const progressEvery = 16
+
+// run is one request on its way.
+type run struct {
+	runner *Runner
+	route  Route
+	req    *caller.Request
+	writer caller.Writer
+	life   *entry.Life
+	giveUp time.Time
+	fresh  bool
+
+	permit     Permit
+	answer     *endpoint.Answer
+	event      endpoint.Event
+	sent       bool // sent tells that bytes went to the endpoint under the permit.
+	sendAt     time.Time
+	firstToken time.Duration
+	meter      meter
+	attempt    context.Context // attempt ends when the caller has gone or the attempt takes too long.
+	endAttempt context.CancelFunc
+}
+
+// loop lets the life decide and does what it wants until the final answer.
+func (r *run) loop(ctx context.Context) {
+	r.endAttempt = func() {}
+	var ev entry.Event = &entry.Begin{}
+	for ev != nil {
+		if ctx.Err() != nil {
+			ev = &entry.CallerGone{Sent: r.sent}
+		}
+		ev = r.do(ctx, r.life.Step(time.Now(), ev))
+	}
+}
+
+// do carries out one action and returns the event that follows, or nil at the end.
+func (r *run) do(ctx context.Context, action entry.Action) entry.Event {
+	switch action := action.(type) {
+	case *entry.Ask:
+		return r.ask(ctx, action)
+	case *entry.Send:
+		return r.send(ctx, action)
+	case *entry.Relay:
+		return r.relay()
+	case *entry.Skip:
+		return r.next()
+	case *entry.Deliver:
+		r.deliver()
+	case *entry.Refuse:
+		r.refuse(action)
+	case *entry.Abandon:
+		r.abandon(action)
+	}
+	return nil
+}
+
+func (r *run) ask(ctx context.Context, ask *entry.Ask) entry.Event {
+	r.end(ask.End)
+	r.count(ask.Reason)
+	if !pause(ctx, ask.After) {
+		return &entry.CallerGone{}
+	}
+	queue, cancel := context.WithDeadline(ctx, r.giveUp)
+	defer cancel()
+	permit, err := r.runner.config.Grants.Ask(queue, r.route.Pool, r.route.Team, r.req.Hint, ask.Avoid)
+	if err != nil {
+		return refusedBy(err)
+	}
+	r.permit = permit
+	r.sent = false
+	r.meter = newMeter(r.route.Service, len(r.req.Body))
+	r.attempt, r.endAttempt = context.WithTimeout(ctx, r.route.LongestRequest)
+	return &entry.Granted{}
+}
+
+func (r *run) send(ctx context.Context, send *entry.Send) entry.Event {
+	r.count(send.Reason)
+	r.closeStream()
+	if !pause(ctx, send.After) {
+		return &entry.CallerGone{Sent: r.sent}
+	}
+	call := r.call(send.LastEvent)
+	if send.LastEvent == "" {
+		r.sendAt = time.Now()
+	}
+	answer, err := r.runner.config.Endpoints.Send(r.attempt, call)
+	if err != nil {
+		return r.failed(call, err)
+	}
+	r.sent = true
+	r.answer = answer
+	if answer.Events != nil {
+		return r.next()
+	}
+	return &entry.Whole{}
+}
+
+func (r *run) call(lastEvent string) endpoint.Call {
+	id, address, start := r.permit.Endpoint()
+	call := endpoint.Call{
+		Endpoint:    id,
+		Address:     address,
+		Start:       start,
+		RequestID:   r.req.ID,
+		Method:      r.req.Method,
+		Path:        r.req.Path,
+		ContentType: r.req.ContentType,
+		Body:        r.req.Body,
+		LastEvent:   lastEvent,
+		Fresh:       r.fresh,
+	}
+	if lastEvent == "" {
+		call.Expires = r.permit.Expires() // A resumed stream goes on with what the permit has started.
+	}
+	return call
+}
+
+// failed turns an error of a send into an event.
+func (r *run) failed(call endpoint.Call, err error) entry.Event {
+	var (
+		notSent *endpoint.ErrNotSent
+		start   *endpoint.ErrStartChanged
+		refused *endpoint.ErrRefused
+		unknown *endpoint.ErrUnknown
+	)
+	switch {
+	case errors.As(err, &notSent):
+		return &entry.NotSent{Endpoint: call.Endpoint, Expired: notSent.Expired}
+	case errors.As(err, &start):
+		return &entry.StartChanged{}
+	case errors.As(err, &refused):
+		return &entry.EndpointRefused{Endpoint: call.Endpoint, RetryAfter: refused.RetryAfter}
+	}
+	r.sent = true
+	timeout := errors.As(err, &unknown) && unknown.Timeout
+	return &entry.Broken{Endpoint: call.Endpoint, Timeout: timeout}
+}
+
+// next waits for the stream's next event.
+func (r *run) next() entry.Event {
+	event, err := r.answer.Events.Next()
+	if err != nil {
+		return r.failed(endpoint.Call{}, err)
+	}
+	r.event = event
+	if r.firstToken == 0 {
+		r.firstToken = time.Since(r.sendAt)
+	}
+	return &entry.Streamed{ID: event.ID, Done: string(event.Data) == endpoint.Done}
+}
+
+func (r *run) relay() entry.Event {
+	r.meter.event(r.event.Data)
+	if r.meter.events%progressEvery == 0 {
+		r.permit.Progress(r.meter.cost())
+	}
+	if err := r.writer.Event(r.outgoing()); err != nil {
+		return &entry.CallerGone{Sent: true}
+	}
+	return r.next()
+}
+
+func (r *run) outgoing() caller.Event {
+	return caller.Event{ID: r.event.ID, Name: r.event.Name, Data: r.event.Data}
+}
+
+// deliver hands over a whole answer, or the last event of a stream. The permit ends
+// first, since the endpoint is done and a slow caller must not hold its place.
+func (r *run) deliver() {
+	answer := r.answer
+	r.meter.whole(answer.Body)
+	r.end(cell.Completed)
+	if answer.Events != nil {
+		_ = r.writer.Event(r.outgoing()) // A caller that has gone needs no last event.
+		_ = r.writer.Close()
+		r.closeStream()
+	} else {
+		_ = r.writer.Whole(caller.Answer{
+			Status:      answer.Status,
+			ContentType: answer.ContentType,
+			Body:        answer.Body,
+		})
+	}
+	r.runner.config.Counter.Completed()
+}
+
+func (r *run) refuse(refuse *entry.Refuse) {
+	r.closeStream()
+	_ = r.writer.Refuse(caller.Refusal{
+		Code:       refuse.Code,
+		NotRun:     refuse.NotRun,
+		RetryAfter: refuse.RetryAfter,
+	})
+	r.stop(refuse.End == cell.Failed)
+	r.end(refuse.End)
+	r.runner.config.Counter.Refused(refuse.Code)
+}
+
+// abandon stops the endpoint's work for a caller that has gone and settles its cost.
+func (r *run) abandon(abandon *entry.Abandon) {
+	r.closeStream()
+	r.stop(abandon.End == cell.Cancelled)
+	r.end(abandon.End)
+	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown, NotRun: !r.life.MayHaveRun()})
+	r.runner.config.Counter.Abandoned()
+}
+
+// stop tells the endpoint by an order of its own, since the end of a silent connection does not reach it.
+func (r *run) stop(wanted bool) {
+	if !wanted || r.route.Service || r.permit == nil {
+		return
+	}
+	_, address, _ := r.permit.Endpoint()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.attempt), cancelTimeout)
+	defer cancel()
+	_ = r.runner.config.Endpoints.Cancel(ctx, address, r.req.ID) // An endpoint that can't be told stops at its own limit.
+}
+
+// end settles the permit at hand, if there is one.
+func (r *run) end(outcome cell.Outcome) {
+	if r.permit == nil {
+		return
+	}
+	cost := cell.Cost(0)
+	if outcome == cell.Completed || outcome == cell.Failed || outcome == cell.Cancelled {
+		cost = r.meter.cost()
+	}
+	r.endAttempt()
+	r.permit.End(outcome, cost, r.firstToken)
+	r.permit = nil
+	r.firstToken = 0
+}
+
+func (r *run) closeStream() {
+	if r.answer != nil && r.answer.Events != nil {
+		r.answer.Events.Close()
+	}
+	r.answer = nil
+}
+
+func (r *run) count(reason entry.Reason) {
+	if reason != entry.NoReason {
+		r.runner.config.Counter.Retried(reason)
+	}
+}
+
+// pause waits and tells whether the caller is still there.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/router/request/runner.go
@@ -0,0 +1,193 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"ryelug/core/cell"
+	"ryelug/core/entry"
+	"ryelug/core/result"
+	"ryelug/io/caller"
+	"ryelug/io/endpoint"
+)
+
+// Endpoints sends calls to endpoints.
+type Endpoints interface {
+	// Send sends the call once; its errors tell whether anything was sent.
+	Send(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error)
+	// Cancel tells the endpoint that nobody waits for a request any more.
+	Cancel(ctx context.Context, address netip.AddrPort, requestID string) error
+}
+
+// Grants gives permits to send.
+type Grants interface {
+	// Ask waits for a permit; a RefusedError says that none comes. When ctx ends, the demand is withdrawn.
+	Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (Permit, error)
+}
+
+// Permit is one grant at hand; End must be called once.
+type Permit interface {
+	// Endpoint returns the endpoint, its address and the start that the permit holds for.
+	Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID)
+	// Expires returns the time by which the first byte must be sent.
+	Expires() time.Time
+	// Progress reports the cost so far.
+	Progress(cost cell.Cost)
+	// End reports how the attempt ended and what it cost.
+	End(outcome cell.Outcome, cost cell.Cost, firstToken time.Duration)
+}
+
+// RefusedError tells that no permit comes.
+type RefusedError struct {
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	info, _ := result.Lookup(e.Code)
+	return info.Text
+}
+
+// Counter counts what happens to requests.
+type Counter interface {
+	Refused(code result.Code)
+	Retried(reason entry.Reason)
+	Completed()
+	Abandoned()
+}
+
+// Route is what the configuration says of one request.
+type Route struct {
+	Team           cell.TeamID
+	Pool           cell.ID
+	Service        bool // Service pools cost one unit a call; engines cost tokens.
+	Idempotent     bool
+	QueueTimeout   time.Duration // QueueTimeout bounds the wait for a grant and its retries.
+	LongestRequest time.Duration // LongestRequest bounds an attempt.
+}
+
+// Defaults of a Config.
+const (
+	defaultRetryRatio   = 0.1
+	defaultRetryBurst   = 10
+	defaultBackoffStart = 20 * time.Millisecond
+	defaultBackoffLimit = time.Second
+	defaultQueueTimeout = 30 * time.Second
+	defaultLongest      = 10 * time.Minute
+	cancelTimeout       = time.Second
+)
+
+// Config sets up a Runner; zero numbers take defaults.
+type Config struct {
+	Endpoints    Endpoints
+	Grants       Grants
+	Counter      Counter // Counter may be nil.
+	RetryRatio   float64 // RetryRatio is the number of retries that each request of a pool earns.
+	RetryBurst   float64 // RetryBurst bounds the retries saved up for a pool.
+	BackoffStart time.Duration
+	BackoffLimit time.Duration
+}
+
+// Runner runs requests; it may be used by many goroutines.
+type Runner struct {
+	config Config
+
+	mu      sync.Mutex
+	budgets map[cell.ID]*entry.Budget
+}
+
+// New returns a Runner.
+func New(config Config) *Runner {
+	setDefault(&config.RetryRatio, defaultRetryRatio)
+	setDefault(&config.RetryBurst, defaultRetryBurst)
+	setDefault(&config.BackoffStart, defaultBackoffStart)
+	setDefault(&config.BackoffLimit, defaultBackoffLimit)
+	if config.Counter == nil {
+		config.Counter = uncounted{}
+	}
+	return &Runner{config: config, budgets: make(map[cell.ID]*entry.Budget)}
+}
+
+func setDefault[T float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// uncounted is the Counter of a Runner without one.
+type uncounted struct{}
+
+// Refused implements Counter.
+func (uncounted) Refused(result.Code) {}
+
+// Retried implements Counter.
+func (uncounted) Retried(entry.Reason) {}
+
+// Completed implements Counter.
+func (uncounted) Completed() {}
+
+// Abandoned implements Counter.
+func (uncounted) Abandoned() {}
+
+// Serve runs one request to its final answer; ctx ends when the caller has gone.
+func (r *Runner) Serve(ctx context.Context, route Route, req *caller.Request, w caller.Writer) {
+	setDefault(&route.QueueTimeout, defaultQueueTimeout)
+	setDefault(&route.LongestRequest, defaultLongest)
+	run := r.newRun(route, req, w)
+	run.loop(ctx)
+}
+
+func (r *Runner) newRun(route Route, req *caller.Request, w caller.Writer) *run {
+	nonIdempotent := !route.Idempotent || req.NonIdempotent || req.IdempotencyKey != ""
+	giveUp := time.Now().Add(route.QueueTimeout)
+	return &run{
+		runner: r,
+		route:  route,
+		req:    req,
+		writer: w,
+		giveUp: giveUp,
+		fresh:  nonIdempotent,
+		life: entry.New(entry.Config{
+			NonIdempotent: nonIdempotent,
+			Budget:        r.budget(route.Pool),
+			Backoff:       r.backoff(),
+			GiveUp:        giveUp,
+		}),
+	}
+}
+
+func (r *Runner) budget(pool cell.ID) *entry.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget, ok := r.budgets[pool]
+	if !ok {
+		budget = entry.NewBudget(entry.BudgetConfig{Ratio: r.config.RetryRatio, Burst: r.config.RetryBurst})
+		r.budgets[pool] = budget
+	}
+	return budget
+}
+
+func (r *Runner) backoff() entry.Backoff {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = r.config.BackoffStart
+	pauses.MaxInterval = r.config.BackoffLimit
+	return pauses
+}
+
+// refusedBy turns an error of Grants into an event.
+func refusedBy(err error) entry.Event {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return &entry.AskRefused{Code: refused.Code, RetryAfter: refused.RetryAfter}
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &entry.AskRefused{Code: result.QueueTimeout}
+	}
+	return &entry.AskRefused{Code: result.NoDispatcher}
+}
