Read and check the settings of a router

Cause: a router learns its addresses, data centre and limits from a TOML file, and a wrong key must not pass. Ruled out: strict decoding into a struct (its errors name neither what is allowed nor the value). Change: router/settings with one table of keys that gives the checks, the errors and docs/SETTINGS.md; a test keeps the page and the table alike.

--- /dev/null
+++ b/router/settings/key.go
@@ -0,0 +1,214 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	minPeerKey = 16
+	maxPeerKey = 1024
+	kilobyte   = 1 << 10
+	megabyte   = 1 << 20
+)
+
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// Key describes one key of the file.
+type Key struct {
+	Name     string
+	Allowed  string
+	Text     string
+	Required bool
+	Secret   bool
+
+	initial any
+	set     func(s *Settings, value any) bool
+}
+
+// Default returns the text of the default value.
+func (k Key) Default() string {
+	switch {
+	case k.Required:
+		return "required"
+	case k.initial == nil:
+		return ""
+	}
+	return fmt.Sprint(k.initial)
+}
+
+// Keys returns all keys, in the order of the page.
+func Keys() []Key {
+	return slices.Clone(keys)
+}
+
+var keys = []Key{
+	nameKey("host", "Name of this host, one of its own in the environment.", func(s *Settings) *string { return (*string)(&s.Host) }),
+	nameKey("data_centre", "Data centre that this host is in.", func(s *Settings) *string { return &s.DataCentre }),
+	nameKey("environment", "Environment whose document is in force here.", func(s *Settings) *string { return &s.Environment }),
+	addressKey("callers_address", "Where callers send requests.", false, func(s *Settings) *netip.AddrPort { return &s.CallersAddress }),
+	addressKey("operator_address", "Where `/debug/vars` and `/healthz` are.", false, func(s *Settings) *netip.AddrPort { return &s.OperatorAddress }),
+	addressKey("peer_address", "Where other routers connect; they learn this address, so it must be one that they reach.", true,
+		func(s *Settings) *netip.AddrPort { return &s.PeerAddress }),
+	addressKey("platform_address", "Address of the platform's object API.", true, func(s *Settings) *netip.AddrPort { return &s.PlatformAddress }),
+	peerKeyKey(),
+	peerKeyFileKey(),
+	levelKey(),
+	formatKey(),
+	durationKey("balancer_lag", "Time between the first unhealthy `/healthz` of a leaving router and the close of its listener; longer than the balancer takes to notice.",
+		5*time.Second, 0, 10*time.Minute, func(s *Settings) *time.Duration { return &s.BalancerLag }),
+	durationKey("heartbeat", "Longest silence on a link between routers before a heartbeat is sent.",
+		250*time.Millisecond, 50*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.Heartbeat }),
+	durationKey("link_silent", "Silence after which a link is closed and dialled again; at least twice `heartbeat`.",
+		750*time.Millisecond, 100*time.Millisecond, 30*time.Second, func(s *Settings) *time.Duration { return &s.LinkSilent }),
+	durationKey("dial_timeout", "Limit of the time to connect to another router.",
+		time.Second, 50*time.Millisecond, 30*time.Second, func(s *Settings) *time.Duration { return &s.DialTimeout }),
+	durationKey("stake_lease", "Time for which a dispatcher counts on a stake after it was last confirmed; more than `link_silent`; the same in the whole environment.",
+		900*time.Millisecond, 200*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.StakeLease }),
+	durationKey("grant_valid", "Oldest grant that a router still uses; less than `stake_lease`; the same in the whole environment.",
+		400*time.Millisecond, 50*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.GrantValid }),
+	durationKey("load_poll", "Interval of the dispatcher's requests for an endpoint's load report.",
+		250*time.Millisecond, 50*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.LoadPoll }),
+	durationKey("report_lag", "How old an endpoint's load report may be when it is sent.",
+		500*time.Millisecond, 0, 30*time.Second, func(s *Settings) *time.Duration { return &s.ReportLag }),
+	durationKey("list_lag", "How late the platform's list of hosts may be.",
+		2*time.Second, 100*time.Millisecond, 5*time.Minute, func(s *Settings) *time.Duration { return &s.ListLag }),
+	durationKey("cut_off_after", "Time without the platform and without most other routers after which new requests are refused.",
+		3*time.Second, 500*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.CutOffAfter }),
+	durationKey("connect_timeout", "Limit of the time to connect to an endpoint.",
+		time.Second, 50*time.Millisecond, 30*time.Second, func(s *Settings) *time.Duration { return &s.ConnectTimeout }),
+	durationKey("answer_timeout", "Longest silence of an endpoint within an answer.",
+		30*time.Second, time.Second, 30*time.Minute, func(s *Settings) *time.Duration { return &s.AnswerTimeout }),
+	durationKey("idle_reuse", "Longest idle time after which a connection still carries a call that may not be repeated.",
+		time.Second, 0, time.Minute, func(s *Settings) *time.Duration { return &s.IdleReuse }),
+	durationKey("body_timeout", "Limit of the time in which a caller sends a whole request.",
+		30*time.Second, time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.BodyTimeout }),
+	intKey("max_header", "Largest header of a request, in bytes.", 16*kilobyte, kilobyte, megabyte, func(s *Settings) *int { return &s.MaxHeader }),
+	intKey("max_body", "Largest body of a request, in bytes.", 4*megabyte, kilobyte, 64*megabyte, func(s *Settings) *int { return &s.MaxBody }),
+	intKey("max_callers", "Most open connections of callers.", 4096, 1, 1_000_000, func(s *Settings) *int { return &s.MaxCallers }),
+}
+
+func nameKey(name, text string, field func(*Settings) *string) Key {
+	return Key{
+		Name: name, Text: text, Required: true,
+		Allowed: `text of 1 to 63 of a-z, 0-9, "." and "-", such as "khomas-1"`,
+		set: func(s *Settings, value any) bool {
+			given, ok := value.(string)
+			*field(s) = given
+			return ok && nameForm.MatchString(given)
+		},
+	}
+}
+
+// addressKey makes a key of an address that others connect to (specific) or that only this process listens on.
+func addressKey(name, text string, specific bool, field func(*Settings) *netip.AddrPort) Key {
+	allowed := `an IP address and port, such as "10.1.2.3:8080"`
+	if specific {
+		allowed += `, not 0.0.0.0 or [::]`
+	}
+	return Key{
+		Name: name, Text: text, Required: true, Allowed: allowed,
+		set: func(s *Settings, value any) bool {
+			given, _ := value.(string)
+			address, err := netip.ParseAddrPort(given)
+			*field(s) = address
+			return err == nil && address.Port() != 0 && (!specific || !address.Addr().IsUnspecified())
+		},
+	}
+}
+
+func durationKey(name, text string, initial, least, most time.Duration, field func(*Settings) *time.Duration) Key {
+	return Key{
+		Name: name, Text: text, initial: short(initial),
+		Allowed: fmt.Sprintf(`a duration from "%s" to "%s"`, short(least), short(most)),
+		set: func(s *Settings, value any) bool {
+			given, _ := value.(string)
+			duration, err := time.ParseDuration(given)
+			*field(s) = duration
+			return err == nil && duration >= least && duration <= most
+		},
+	}
+}
+
+func intKey(name, text string, initial, least, most int, field func(*Settings) *int) Key {
+	return Key{
+		Name: name, Text: text, initial: int64(initial),
+		Allowed: fmt.Sprintf("a whole number from %d to %d", least, most),
+		set: func(s *Settings, value any) bool {
+			given, ok := value.(int64)
+			*field(s) = int(given)
+			return ok && given >= int64(least) && given <= int64(most)
+		},
+	}
+}
+
+func peerKeyKey() Key {
+	return Key{
+		Name: "peer_key", Secret: true,
+		Text:    "Secret that all routers of the environment share; links prove it before anything else. `peer_key` or `peer_key_file` is required.",
+		Allowed: fmt.Sprintf("text of %d to %d bytes", minPeerKey, maxPeerKey),
+		set: func(s *Settings, value any) bool {
+			given, _ := value.(string)
+			s.PeerKey = []byte(given)
+			return goodPeerKey(s.PeerKey)
+		},
+	}
+}
+
+func peerKeyFileKey() Key {
+	return Key{
+		Name:    "peer_key_file",
+		Text:    "File that holds the secret, in place of `peer_key`; space at its ends does not count.",
+		Allowed: fmt.Sprintf("the path of a readable file of %d to %d bytes", minPeerKey, maxPeerKey),
+		set: func(s *Settings, value any) bool {
+			given, _ := value.(string)
+			data, err := os.ReadFile(given)
+			s.PeerKey = bytes.TrimSpace(data)
+			return err == nil && goodPeerKey(s.PeerKey)
+		},
+	}
+}
+
+func goodPeerKey(key []byte) bool {
+	return len(key) >= minPeerKey && len(key) <= maxPeerKey
+}
+
+func levelKey() Key {
+	return Key{
+		Name: "log_level", Text: "Least level of what is logged.", initial: "info",
+		Allowed: `"debug", "info", "warning" or "error"`,
+		set: func(s *Settings, value any) bool {
+			given, _ := value.(string)
+			level, err := logrus.ParseLevel(given)
+			s.LogLevel = level
+			return err == nil && slices.Contains([]string{"debug", "info", "warning", "error"}, given)
+		},
+	}
+}
+
+func formatKey() Key {
+	return Key{
+		Name: "log_format", Text: "Form of the log.", initial: "text", Allowed: `"text" or "json"`,
+		set: func(s *Settings, value any) bool {
+			s.LogFormat, _ = value.(string)
+			return s.LogFormat == "text" || s.LogFormat == "json"
+		},
+	}
+}
+
+// short writes a duration without zero parts at its end.
+func short(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	return text
+}
--- /dev/null
+++ b/router/settings/settings_test.go
@@ -0,0 +1,117 @@
+package settings_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/result"
+	"ryelug/router/settings"
+)
+
+const good = `host = "khomas-1"
+data_centre = "khomas-a"
+environment = "trial"
+callers_address = "127.0.0.1:8080"
+operator_address = "127.0.0.1:8081"
+peer_address = "10.0.0.1:8082"
+platform_address = "10.0.0.9:8083"
+peer_key = "sixteen bytes or more"
+`
+
+func TestGood(t *testing.T) {
+	is := is.New(t)
+	parsed, err := settings.Parse("f.toml", []byte(good+"heartbeat = \"100ms\"\nlog_format = \"json\"\nmax_body = 2048"))
+	is.NoErr(err)
+	is.Equal(parsed.Heartbeat, 100*time.Millisecond)
+	is.Equal(parsed.StakeLease, 900*time.Millisecond)
+	is.Equal(parsed.MaxBody, 2048)
+	is.Equal(parsed.PeerAddress.String(), "10.0.0.1:8082")
+	is.Equal(string(parsed.PeerKey), "sixteen bytes or more")
+}
+
+func TestWrong(t *testing.T) {
+	wrongs := []struct{ name, add, remove, want string }{
+		{"unknown key", "heart_beat = \"1s\"", "", "f.toml:9: heart_beat is not a key"},
+		{"unknown table", "[router]\nhost = \"x\"", "", "f.toml:9: router is not a key"},
+		{"likely key", "log-level = \"info\"", "", "did you mean log_level?"},
+		{"syntax", "heartbeat = ", "", "f.toml:9: "},
+		{"twice", "host = \"b\"", "", "f.toml:9: "},
+		{"missing", "", "host = \"khomas-1\"", "f.toml: host is missing"},
+		{"no key", "", "peer_key = \"sixteen bytes or more\"", "one of peer_key and peer_key_file"},
+		{"bad name", "host = \"Khomas 1\"", "host = \"khomas-1\"", `f.toml:9: host = "Khomas 1" is wrong; allowed: text of 1 to 63`},
+		{"host name in place of an address", "peer_address = \"a.example:1\"", "peer_address = \"10.0.0.1:8082\"", "an IP address and port"},
+		{"address for all", "peer_address = \"0.0.0.0:1\"", "peer_address = \"10.0.0.1:8082\"", "not 0.0.0.0"},
+		{"short duration", "heartbeat = \"1ms\"", "", `f.toml:9: heartbeat = "1ms" is wrong; allowed: a duration from "50ms" to "10s"`},
+		{"duration as number", "heartbeat = 5", "", "heartbeat = 5 is wrong"},
+		{"size as text", "max_body = \"1MB\"", "", "a whole number from 1024 to"},
+		{"huge", "max_body = 99999999999", "", "max_body = 99999999999 is wrong"},
+		{"level", "log_level = \"loud\"", "", `"debug", "info", "warning" or "error"`},
+		{"format", "log_format = \"xml\"", "", `allowed: "text" or "json"`},
+		{"secret stays hidden", "peer_key = \"short\"", "peer_key = \"sixteen bytes or more\"", "peer_key = (hidden) is wrong"},
+		{"no such key file", "peer_key_file = \"/none\"", "peer_key = \"sixteen bytes or more\"", "a readable file"},
+		{"lease below silence", "stake_lease = \"700ms\"", "", "more than link_silent"},
+		{"validity above lease", "grant_valid = \"2s\"", "", "less than stake_lease"},
+		{"silence near heartbeat", "link_silent = \"300ms\"", "", "at least twice heartbeat"},
+		{"one address twice", "operator_address = \"127.0.0.1:8080\"", "operator_address = \"127.0.0.1:8081\"", "another address than callers_address"},
+	}
+	for _, wrong := range wrongs {
+		t.Run(wrong.name, func(t *testing.T) {
+			text := good
+			if wrong.remove != "" {
+				text = strings.Replace(text, wrong.remove, "", 1)
+			}
+			checkRefused(t, text+wrong.add+"\n", wrong.want)
+		})
+	}
+	t.Run("all that is wrong is named", func(t *testing.T) {
+		checkRefused(t, good+"a = 1\nb = 2\n", "f.toml:10: b is not a key")
+	})
+}
+
+func checkRefused(t *testing.T, text, want string) {
+	t.Helper()
+	is := is.New(t)
+	_, err := settings.Parse("f.toml", []byte(text))
+	is.True(err != nil)
+	if !strings.Contains(err.Error(), want) {
+		t.Errorf("error %q lacks %q", err, want)
+	}
+	var wrong *settings.Error
+	is.True(errors.As(err, &wrong))
+	is.Equal(wrong.Code(), result.BadSettings)
+}
+
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	secret := filepath.Join(t.TempDir(), "key")
+	is.NoErr(os.WriteFile(secret, []byte("  a secret in a file  \n"), 0o600))
+	file := filepath.Join(t.TempDir(), "f.toml")
+	text := strings.Replace(good, `peer_key = "sixteen bytes or more"`, fmt.Sprintf("peer_key_file = %q", secret), 1)
+	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+	loaded, err := settings.Load(file)
+	is.NoErr(err)
+	is.Equal(string(loaded.PeerKey), "a secret in a file")
+	_, err = settings.Load(file + "-none")
+	is.True(err != nil)
+}
+
+// docs/SETTINGS.md must list each key once, as the table in the code does.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	is.NoErr(err)
+	is.Equal(strings.Count(string(page), "\n| `"), len(settings.Keys()))
+	for _, key := range settings.Keys() {
+		row := fmt.Sprintf("| `%s` | %s | %s | %s |\n", key.Name, key.Default(), key.Allowed, key.Text)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/SETTINGS.md lacks the row %s", row)
+		}
+	}
+}
