Grant the work of a cell by virtual counters under stake caps

Cause: the project had event types and no dispatcher. Ruled out: caps alone. Also ruled out: full knowledge by the joins of all voters, since entries without a stake and dead processes leave flights that no voter brings.

--- /dev/null
+++ b/core/dispatch/action.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/result"
+)
+
+// outbox collects the actions of a step in memory that the next step uses again.
+type outbox struct {
+	actions  []Action
+	grants   []*GrantTo
+	refusals []*RefuseTo
+	granted  int
+	refused  int
+}
+
+func (o *outbox) reset() {
+	o.actions = o.actions[:0]
+	o.granted, o.refused = 0, 0
+}
+
+func (o *outbox) grant(to *entry, grant cell.Grant) {
+	if o.granted == len(o.grants) {
+		o.grants = append(o.grants, &GrantTo{})
+	}
+	action := o.grants[o.granted]
+	o.granted++
+	*action = GrantTo{Router: to.router, Session: to.session, Grant: grant}
+	o.actions = append(o.actions, action)
+}
+
+func (o *outbox) refuse(to *entry, attempt cell.AttemptID, code result.Code, after time.Duration) {
+	if o.refused == len(o.refusals) {
+		o.refusals = append(o.refusals, &RefuseTo{})
+	}
+	action := o.refusals[o.refused]
+	o.refused++
+	*action = RefuseTo{Router: to.router, Session: to.session, Attempt: attempt, Code: code, RetryAfter: after}
+	o.actions = append(o.actions, action)
+}
--- /dev/null
+++ b/core/dispatch/dispatcher_test.go
@@ -0,0 +1,89 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/result"
+)
+
+// warmBench is a dispatcher with all stakes and one warm endpoint.
+func warmBench(t testing.TB, warm int) *bench {
+	b := newBench(t, 3, onePool(1, warm))
+	b.joinAll()
+	b.load(0, b.now, false, 100)
+	return b
+}
+
+func TestGrants(t *testing.T) {
+	t.Run("work conserving", func(t *testing.T) {
+		b := warmBench(t, 3)
+		b.want(0, "a", 5)
+		b.Equal(len(b.grants), 3)
+		b.Equal(b.grants[0].Grant, cell.Grant{Attempt: 1, Endpoint: "e", Start: "s1"})
+		b.end(b.grants[0], cell.Completed, 10)
+		b.Equal(len(b.grants), 4)
+	})
+	t.Run("withdrawn", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.want(0, "a", 3)
+		b.step(&dispatch.Withdraw{Router: router(0), Session: 1, Attempts: []cell.AttemptID{2}})
+		b.end(b.grants[0], cell.Completed, 10)
+		b.Equal(b.grants[1].Grant.Attempt, cell.AttemptID(3))
+	})
+	t.Run("another session is ignored", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.step(&dispatch.Want{Router: router(0), Session: 2, Demands: []cell.Demand{{Attempt: 1, Team: "a"}}})
+		b.Equal(len(b.grants), 0)
+	})
+	t.Run("by share", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.want(0, "a", 13) // The first is granted before c comes.
+		b.want(0, "c", 12)
+		served := map[bool]int{}
+		for i := range 12 {
+			b.end(b.grants[i], cell.Completed, 10)
+			served[b.grants[i+1].Grant.Attempt > 13]++
+		}
+		b.Equal(served, map[bool]int{false: 4, true: 8})
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	t.Run("team's queue is full", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.want(0, "a", 23)
+		b.want(0, "b", 1)
+		b.refused(result.TeamQueueFull, result.TeamQueueFull)
+	})
+	t.Run("waited too long", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.want(0, "a", 2)
+		b.wait(10*time.Second - 1)
+		b.refused()
+		b.wait(1)
+		b.refused(result.QueueTimeout)
+	})
+	t.Run("no endpoint is open", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.want(0, "a", 2)
+		closed := onePool(1, 1)
+		closed.Endpoints[0].Closed = true
+		b.step(&closed)
+		b.want(0, "a", 1)
+		b.refused(result.NoCapacity, result.NoCapacity)
+	})
+	t.Run("retry after the queue has drained", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.want(0, "a", 22)
+		for i := range 8 {
+			b.wait(100 * time.Millisecond)
+			b.end(b.grants[i], cell.Completed, 10)
+			b.want(0, "a", 1)
+		}
+		b.want(0, "a", 1)
+		b.Equal(b.refuse[len(b.refuse)-1].RetryAfter, 2*time.Second) // 20 wait, one goes each 100 ms.
+	})
+}
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -97,6 +97,8 @@
 	Cold     bool      // Cold is the endpoint's own word that it is in a cold start.
 	InFlight int       // InFlight is the number of requests that the endpoint ran when sampled.
 	Sampled  time.Time // Sampled is the earliest time, on this host's clock, that the report can stem from.
+
+	Completed int // Completed is the work that the endpoint says it has done since its start; zero when unknown.
 }
 
 // Unreachable tells that an endpoint did not answer a request for its report.
--- /dev/null
+++ b/core/fair/doc.go
@@ -0,0 +1,6 @@
+// Package fair keeps what fair service between teams needs: a virtual counter
+// per team, the order of the backlogged teams, estimates of request costs, and
+// the bound on the gap between two teams.
+//
+// It belongs to the state layer of core. Teams are dense integers here.
+package fair
--- /dev/null
+++ b/core/fair/ledger.go
@@ -0,0 +1,96 @@
+package fair
+
+import "ryelug/core/cell"
+
+// Ledger holds a virtual counter per team, the cost charged divided by the
+// share, and keeps the backlogged teams in the order of their counters.
+type Ledger struct {
+	counters  []float64
+	shares    []float64
+	floors    []float64 // floors hold the value below which no refund takes a counter.
+	backlog   Heap
+	leastSeen float64 // leastSeen is the least backlogged counter, kept while no team is backlogged.
+}
+
+// Grow makes room for teams 0 to n-1; new teams have share 1.
+func (l *Ledger) Grow(n int) {
+	for len(l.counters) < n {
+		l.counters = append(l.counters, 0)
+		l.shares = append(l.shares, 1)
+		l.floors = append(l.floors, 0)
+	}
+	l.backlog.Grow(n)
+}
+
+// SetShare sets the share of a team; shares below one count as one.
+func (l *Ledger) SetShare(team, share int) {
+	l.shares[team] = float64(max(share, 1))
+}
+
+// Share returns the share of a team.
+func (l *Ledger) Share(team int) float64 { return l.shares[team] }
+
+// Counter returns the virtual counter of a team.
+func (l *Ledger) Counter(team int) float64 { return l.counters[team] }
+
+// Backlogged returns the number of backlogged teams.
+func (l *Ledger) Backlogged() int { return l.backlog.Len() }
+
+// Virtual returns the least counter of the backlogged teams, or the last such value while there are none.
+func (l *Ledger) Virtual() float64 {
+	if team, ok := l.backlog.Min(); ok {
+		l.leastSeen = l.counters[team]
+	}
+	return l.leastSeen
+}
+
+// Enter marks a team as backlogged and lifts its counter to the least active
+// one, so that idleness banks no credit.
+func (l *Ledger) Enter(team int) {
+	if l.backlog.Has(team) {
+		return
+	}
+	virtual := l.Virtual()
+	l.counters[team] = max(l.counters[team], virtual)
+	l.floors[team] = virtual
+	l.backlog.Set(team, l.counters[team])
+}
+
+// Exit marks a team as no longer backlogged.
+func (l *Ledger) Exit(team int) {
+	l.Virtual()
+	l.backlog.Remove(team)
+}
+
+// Least returns the backlogged team with the least counter.
+func (l *Ledger) Least() (team int, ok bool) { return l.backlog.Min() }
+
+// Charge adds a cost to a team's counter; a negative cost is a refund.
+func (l *Ledger) Charge(team int, cost cell.Cost) {
+	counter := l.counters[team] + float64(cost)/l.shares[team]
+	if cost < 0 {
+		counter = max(counter, min(l.floors[team], l.counters[team]))
+	}
+	l.set(team, counter)
+}
+
+// Merge raises a team's counter to one that another dispatcher kept.
+func (l *Ledger) Merge(team int, counter float64) {
+	if counter > l.counters[team] {
+		l.set(team, counter)
+	}
+}
+
+// Advance raises the virtual time that returning teams are lifted to; it does nothing while a team is backlogged.
+func (l *Ledger) Advance(virtual float64) {
+	if l.backlog.Len() == 0 {
+		l.leastSeen = max(l.leastSeen, virtual)
+	}
+}
+
+func (l *Ledger) set(team int, counter float64) {
+	l.counters[team] = counter
+	if l.backlog.Has(team) {
+		l.backlog.Set(team, counter)
+	}
+}
