--- /dev/null
+++ b/core/member/order.go
@@ -0,0 +1,45 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"ryelug/core/cell"
+)
+
+// orderLength bounds the hosts of an order; a cell never looks further.
+const orderLength = 16
+
+// Order returns the hosts that may dispatch the cell, first choice first: live
+// hosts in rendezvous order, then the others. The caller must not change it.
+func (t *Table) Order(now time.Time, id cell.ID) []cell.HostID {
+	t.settle(now)
+	if order, ok := t.orders[id]; ok {
+		return order
+	}
+	live := t.collect(func(r *record) bool { return r.live })
+	rest := t.collect(func(r *record) bool { return !r.live && r.listed })
+	order := appendRanked(nil, live, id)
+	order = appendRanked(order, rest, id)
+	t.orders[id] = order
+	return order
+}
+
+// appendRanked appends hosts by rank until the order is full.
+func appendRanked(order, hosts []cell.HostID, id cell.ID) []cell.HostID {
+	names := make([]string, len(hosts))
+	for i, host := range hosts {
+		names[i] = string(host)
+	}
+	for len(names) > 0 && len(order) < orderLength {
+		first := rendezvous.New(names, xxhash.Sum64String).Lookup(string(id))
+		order = append(order, cell.HostID(first))
+		i, _ := slices.BinarySearchFunc(names, first, cmp.Compare[string])
+		names = slices.Delete(names, i, i+1)
+	}
+	return order
+}
--- /dev/null
+++ b/core/member/table.go
@@ -0,0 +1,271 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ryelug/core/cell"
+)
+
+// Defaults of Config.
+const (
+	DefaultLag         = 2 * time.Second
+	DefaultShrinkDelay = 10 * time.Second
+	DefaultDamping     = 5 * time.Second
+	DefaultCutOffAfter = 3 * time.Second
+)
+
+// Member is a host as the platform lists it.
+type Member struct {
+	Host        cell.HostID
+	PeerAddress netip.AddrPort
+	DataCentre  string
+	Leaving     bool
+}
+
+// Config sets a Table; zero durations get their defaults.
+type Config struct {
+	Self        cell.HostID
+	Lag         time.Duration // Lag bounds the age of a list, and is how long a host must be listed before it votes.
+	ShrinkDelay time.Duration // ShrinkDelay is how long a host counts after the last sign of it; more than CutOffAfter and Lag together.
+	Damping     time.Duration // Damping is how long a link must hold, after it was down, before its host may dispatch again.
+	CutOffAfter time.Duration // CutOffAfter is how long a router may go on without a fresh list and without most of its peers.
+}
+
+// Table is the state of the membership as one router sees it.
+type Table struct {
+	conf      Config
+	hosts     map[cell.HostID]*record
+	told      map[cell.HostID]map[cell.HostID]bool // told is what each linked host says of others.
+	listedAt  time.Time                            // listedAt is the time of the last successful read.
+	connected time.Time                            // connected is the last time at which most members were linked.
+	orders    map[cell.ID][]cell.HostID            // orders caches Order until liveness changes.
+	voters    []cell.HostID
+}
+
+// record is one host.
+type record struct {
+	member   Member
+	listed   bool
+	listedAt time.Time // listedAt is the start of the present stay in the list.
+	voter    bool
+	known    bool      // known tells whether there was a sign of the host when the table was last settled.
+	lastSign time.Time // lastSign is the last time at which known was true.
+	up       bool
+	upAt     time.Time
+	wasDown  bool // wasDown tells that a link to the host has been lost before.
+	leaving  bool // leaving is the host's own word.
+	live     bool // live is up, not leaving and past its damping.
+}
+
+// New returns a Table that knows of its own host alone.
+func New(conf Config) *Table {
+	setDefault(&conf.Lag, DefaultLag)
+	setDefault(&conf.ShrinkDelay, DefaultShrinkDelay)
+	setDefault(&conf.Damping, DefaultDamping)
+	setDefault(&conf.CutOffAfter, DefaultCutOffAfter)
+	t := &Table{
+		conf:   conf,
+		hosts:  make(map[cell.HostID]*record),
+		told:   make(map[cell.HostID]map[cell.HostID]bool),
+		orders: make(map[cell.ID][]cell.HostID),
+	}
+	t.record(conf.Self).up = true
+	return t
+}
+
+// Listed takes a successful read of the platform's list.
+func (t *Table) Listed(now time.Time, members []Member) {
+	t.listedAt = now
+	present := make(map[cell.HostID]bool, len(members))
+	for _, m := range members {
+		present[m.Host] = true
+		r := t.record(m.Host)
+		r.member = m
+		if !r.listed {
+			r.listed = true
+			r.listedAt = now
+		}
+	}
+	for host, r := range t.hosts {
+		if !present[host] {
+			r.listed = false
+		}
+	}
+	t.settle(now)
+}
+
+// ListFailed takes a failed read: the last list stays in force.
+func (t *Table) ListFailed(now time.Time) { t.settle(now) }
+
+// Tick lets time pass; it is due a few times a second.
+func (t *Table) Tick(now time.Time) { t.settle(now) }
+
+// Up tells that there is a link to the host.
+func (t *Table) Up(now time.Time, host cell.HostID) {
+	r := t.record(host)
+	if !r.up {
+		r.up = true
+		r.upAt = now
+		r.leaving = false
+	}
+	t.settle(now)
+}
+
+// Down tells that there is no link to the host any more.
+func (t *Table) Down(now time.Time, host cell.HostID) {
+	if r := t.hosts[host]; r != nil && host != t.conf.Self {
+		r.up = false
+		r.wasDown = true
+	}
+	delete(t.told, host)
+	t.settle(now)
+}
+
+// Leaving tells that the host shuts down, by its own word.
+func (t *Table) Leaving(now time.Time, host cell.HostID) {
+	t.record(host).leaving = true
+	t.settle(now)
+}
+
+// Told takes the hosts of which a linked host has signs of its own, as its Signs returned them.
+func (t *Table) Told(now time.Time, from cell.HostID, hosts []cell.HostID) {
+	said := make(map[cell.HostID]bool, len(hosts))
+	for _, host := range hosts {
+		said[host] = true
+		t.record(host)
+	}
+	t.told[from] = said
+	t.settle(now)
+}
+
+// Signs returns the hosts that this router has listed or is linked to, for Told at its peers.
+func (t *Table) Signs() []cell.HostID {
+	return t.collect(func(r *record) bool { return r.listed || r.up })
+}
+
+// Members returns the hosts of the last list, in order of their names.
+func (t *Table) Members() []Member {
+	hosts := t.collect(func(r *record) bool { return r.listed })
+	members := make([]Member, 0, len(hosts))
+	for _, host := range hosts {
+		members = append(members, t.hosts[host].member)
+	}
+	return members
+}
+
+// Voters returns the hosts whose stakes count, and the number that stakes are
+// divided by. The number grows with the first sign of a host and shrinks only
+// ShrinkDelay after the last; a host votes only after Lag in the list.
+func (t *Table) Voters() (hosts []cell.HostID, total int) {
+	return t.voters, len(t.hosts)
+}
+
+// CutOff tells whether this router has for CutOffAfter had neither a fresh list nor links to more than half of the members.
+func (t *Table) CutOff(now time.Time) bool {
+	latest := t.listedAt
+	if t.connected.After(latest) {
+		latest = t.connected
+	}
+	return now.Sub(latest) > t.conf.CutOffAfter
+}
+
+// settle derives voters and liveness from the signs that hold now.
+func (t *Table) settle(now time.Time) {
+	majority := t.majority()
+	if majority {
+		t.connected = now
+	}
+	reordered := false
+	for host, r := range t.hosts {
+		t.settleSign(now, host, r)
+		gone := !r.known && now.Sub(r.lastSign) > t.conf.ShrinkDelay
+		if gone && majority && host != t.conf.Self {
+			delete(t.hosts, host)
+			reordered = true
+			continue
+		}
+		live := t.isLive(now, host, r)
+		reordered = reordered || live != r.live
+		r.live = live
+	}
+	t.voters = t.collect(func(r *record) bool { return r.voter })
+	if reordered {
+		clear(t.orders)
+	}
+}
+
+func (t *Table) settleSign(now time.Time, host cell.HostID, r *record) {
+	known := r.listed || r.up || t.isTold(host)
+	if known || r.known || r.lastSign.IsZero() {
+		r.lastSign = now
+	}
+	r.known = known
+	if r.listed && now.Sub(r.listedAt) >= t.conf.Lag {
+		r.voter = true
+	}
+}
+
+func (t *Table) isTold(host cell.HostID) bool {
+	for _, said := range t.told {
+		if said[host] {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) isLive(now time.Time, host cell.HostID, r *record) bool {
+	if r.leaving || r.member.Leaving {
+		return false
+	}
+	if host == t.conf.Self {
+		return true
+	}
+	damped := r.wasDown && now.Sub(r.upAt) < t.conf.Damping
+	return r.up && !damped
+}
+
+// majority tells whether this router is linked to more than half of the listed hosts, itself among them.
+func (t *Table) majority() bool {
+	listed, linked := 0, 0
+	for _, r := range t.hosts {
+		if !r.listed {
+			continue
+		}
+		listed++
+		if r.up {
+			linked++
+		}
+	}
+	return 2*linked > listed
+}
+
+func (t *Table) record(host cell.HostID) *record {
+	r := t.hosts[host]
+	if r == nil {
+		r = &record{member: Member{Host: host}}
+		t.hosts[host] = r
+		clear(t.orders)
+	}
+	return r
+}
+
+func (t *Table) collect(want func(*record) bool) []cell.HostID {
+	var hosts []cell.HostID
+	for host, r := range t.hosts {
+		if want(r) {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.SortFunc(hosts, cmp.Compare[cell.HostID])
+	return hosts
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
--- a/io/peer/decode.go
+++ b/io/peer/decode.go
@@ -106,6 +106,9 @@
 	case KindConfigPart:
 		d.array(2)
 		return &ConfigPart{d.name(), d.bytes(math.MaxInt)}
+	case KindMembers:
+		d.array(1)
+		return &Members{decodeSlice(d, func(d *decoder) cell.HostID { return cell.HostID(d.name()) })}
 	}
 	d.fail(ErrKind)
 	return nil
--- a/io/peer/encode.go
+++ b/io/peer/encode.go
@@ -83,6 +83,9 @@
 	case *ConfigAsk:
 		e.array(1)
 		encodeSlice(e, m.Hashes, func(e *encoder, h *string) { e.string(*h) })
+	case *Members:
+		e.array(1)
+		encodeSlice(e, m.Hosts, func(e *encoder, h *cell.HostID) { e.string(string(*h)) })
 	case *ConfigPart:
 		e.array(2)
 		e.string(m.Hash)
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -99,6 +99,11 @@
 	Data []byte
 }
 
+// Members tells the hosts that the sender has listed or is linked to.
+type Members struct {
+	Hosts []cell.HostID
+}
+
 // Kind numbers a type of message on the wire; numbers are never reused.
 type Kind uint8
 
@@ -120,13 +125,14 @@
 	KindConfigNews
 	KindConfigAsk
 	KindConfigPart
+	KindMembers
 
 	kindCount
 )
 
 var kindNames = [kindCount]string{
 	"heartbeat", "join", "accepted", "release", "released", "want", "withdraw", "grants",
-	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part",
+	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part", "members",
 }
 
 // String returns the kind's name in counters.
@@ -152,3 +158,4 @@
 func (*ConfigNews) kind() Kind { return KindConfigNews }
 func (*ConfigAsk) kind() Kind  { return KindConfigAsk }
 func (*ConfigPart) kind() Kind { return KindConfigPart }
+func (*Members) kind() Kind    { return KindMembers }
--- a/io/peer/message_test.go
+++ b/io/peer/message_test.go
@@ -28,5 +28,6 @@
 		&peer.ConfigNews{Generation: 12, Root: []byte("{}")},
 		&peer.ConfigAsk{Hashes: []string{"ab", "cd"}},
 		&peer.ConfigPart{Hash: "ab", Data: []byte("part")},
+		&peer.Members{Hosts: []cell.HostID{"a", "b"}},
 	}
 }
