--- /dev/null
+++ b/io/operator/vars.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+
+	"ryelug/core/result"
+)
+
+// Group names a set of counters that operators read together.
+type Group string
+
+// Groups of counters; docs/OPERATING.md lists them.
+const (
+	Requests     Group = "requests"       // Requests counts finished requests by the name of their result code.
+	Refusals     Group = "refusals"       // Refusals counts refused requests by the name of their result code.
+	Retries      Group = "retries"        // Retries counts attempts after the first by reason.
+	Resumes      Group = "resumes"        // Resumes counts streams that went on after a break, by reason.
+	Grants       Group = "grants"         // Grants counts grants given, received, used and handed back.
+	Sessions     Group = "sessions"       // Sessions counts sessions begun and ended, by reason.
+	BytesOut     Group = "peer_bytes_out" // BytesOut counts bytes to other routers by kind of message.
+	BytesIn      Group = "peer_bytes_in"  // BytesIn counts bytes from other routers by kind of message.
+	MessagesOut  Group = "peer_messages_out"
+	MessagesIn   Group = "peer_messages_in"
+	PlatformCall Group = "platform_calls" // PlatformCall counts calls of the platform by verb and outcome.
+	Adoptions    Group = "adoptions"      // Adoptions counts generations adopted and refused.
+)
+
+// Groups returns all groups of counters.
+func Groups() []Group {
+	return []Group{
+		Requests, Refusals, Retries, Resumes, Grants, Sessions, BytesOut, BytesIn,
+		MessagesOut, MessagesIn, PlatformCall, Adoptions,
+	}
+}
+
+// Vars holds the variables of one router; unlike the global ones of expvar, several routers may live in a process.
+type Vars struct {
+	groups map[Group]*expvar.Map
+	all    *expvar.Map
+}
+
+// NewVars returns variables with all counters at zero; a counter for each result code of a refusal is there from the start.
+func NewVars() *Vars {
+	vars := &Vars{groups: map[Group]*expvar.Map{}, all: new(expvar.Map).Init()}
+	for _, group := range Groups() {
+		counters := new(expvar.Map).Init()
+		vars.groups[group] = counters
+		vars.all.Set(string(group), counters)
+	}
+	for _, code := range result.Codes() {
+		info, _ := result.Lookup(code)
+		if info.Status != 0 {
+			vars.Add(Refusals, info.Name, 0)
+		}
+	}
+	return vars
+}
+
+// Add adds to the counter with this name in a group.
+func (v *Vars) Add(group Group, name string, delta int64) {
+	if counters, ok := v.groups[group]; ok {
+		counters.Add(name, delta)
+	}
+}
+
+// Set sets the counter with this name in a group, for counts that are kept elsewhere.
+func (v *Vars) Set(group Group, name string, count int64) {
+	counters, ok := v.groups[group]
+	if !ok {
+		return
+	}
+	value := new(expvar.Int)
+	value.Set(count)
+	counters.Set(name, value)
+}
+
+// Count returns the counter with this name in a group.
+func (v *Vars) Count(group Group, name string) int64 {
+	counters, ok := v.groups[group]
+	if !ok {
+		return 0
+	}
+	if counter, ok := counters.Get(name).(*expvar.Int); ok {
+		return counter.Value()
+	}
+	return 0
+}
+
+// Finished counts a request by its result code, and as a refusal unless it was answered.
+func (v *Vars) Finished(code result.Code) {
+	info, ok := result.Lookup(code)
+	if !ok {
+		info, _ = result.Lookup(result.InternalFailure)
+	}
+	v.Add(Requests, info.Name, 1)
+	if code != result.OK {
+		v.Add(Refusals, info.Name, 1)
+	}
+}
+
+// Gauge publishes what read returns, as JSON, at each reading; read must be safe to call from any goroutine.
+func (v *Vars) Gauge(name string, read func() any) {
+	v.all.Set(name, expvar.Func(read))
+}
+
+// write writes all variables, those of the process included, as one JSON object.
+func (v *Vars) write(out io.Writer) {
+	fmt.Fprint(out, "{")
+	first := true
+	each := func(variable expvar.KeyValue) {
+		if !first {
+			fmt.Fprint(out, ",")
+		}
+		first = false
+		fmt.Fprintf(out, "\n%q: %s", variable.Key, variable.Value)
+	}
+	v.all.Do(each)
+	expvar.Do(each)
+	fmt.Fprint(out, "\n}\n")
+}
