Add the program's frame: main, stand-ins, version

Cause: one thin program with subcommands, exit statuses by result code, and errors that say what to do. Ruled out: each command printing its own errors (the code, the exit status and the advice would stand in each). Change: cmd/ryelug with command, standin platform|engine|service and version; router and dev follow when the router is there. Conclusion: actions return errors with a result code; other commands register the same way.

--- /dev/null
+++ b/cmd/ryelug/main.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(status))
+}
+
+// execute runs the command that the arguments name.
+func execute(ctx context.Context, args []string, out, errOut io.Writer) subcommands.ExitStatus {
+	flags := flag.NewFlagSet("ryelug", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	commander := subcommands.NewCommander(flags, "ryelug")
+	commander.Output, commander.Error = out, errOut
+	register(commander, streams{out: out, err: errOut})
+	if err := flags.Parse(args); err != nil {
+		return exitStatus(usageError("%v", err))
+	}
+	if flags.NArg() == 0 {
+		flags.Usage()
+		return exitStatus(usageError("no command"))
+	}
+	return commander.Execute(ctx)
+}
+
+func register(commander *subcommands.Commander, to streams) {
+	const (
+		run    = "run"
+		trial  = "try out"
+		others = "other"
+	)
+	commander.Register(&command{streams: to, action: &routerCommand{}}, run)
+	commander.Register(&command{streams: to, action: &devCommand{}}, trial)
+	commander.Register(&command{streams: to, action: &standinCommand{}}, trial)
+	commander.Register(&command{streams: to, action: &versionCommand{}}, others)
+	commander.Register(commander.HelpCommand(), others)
+}
--- /dev/null
+++ b/cmd/ryelug/router.go
@@ -0,0 +1,4 @@
+package main
+
+type routerCommand struct{ versionCommand }
+type devCommand struct{ versionCommand }
