Add a stand-in of the network with delays and faults

Ruled out: net.Pipe (a write waits for its read, so there is no delay and no silence); fasthttputil's listener (no delay). Change: standin/network; settings gain event_timeout; the log takes the part as text.

--- a/io/operator/log.go
+++ b/io/operator/log.go
@@ -60,7 +60,7 @@
 
 // Part returns the log of one part.
 func Part(log logrus.FieldLogger, part Prefix) logrus.FieldLogger {
-	return log.WithField(partField, part)
+	return log.WithField(partField, string(part))
 }
 
 // prefixer puts the part before the message.
@@ -70,12 +70,12 @@
 
 // Format returns the line of an entry.
 func (p *prefixer) Format(entry *logrus.Entry) ([]byte, error) {
-	part, ok := entry.Data[partField].(Prefix)
+	part, ok := entry.Data[partField].(string)
 	if !ok {
 		return p.form.Format(entry)
 	}
 	line := *entry
-	line.Message = string(part) + ": " + entry.Message
+	line.Message = part + ": " + entry.Message
 	line.Data = make(logrus.Fields, len(entry.Data))
 	for name, value := range entry.Data {
 		if name != partField {
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -41,6 +41,7 @@
 
 	ConnectTimeout time.Duration
 	AnswerTimeout  time.Duration
+	EventTimeout   time.Duration
 	IdleReuse      time.Duration
 	BodyTimeout    time.Duration
 	MaxHeader      int
--- /dev/null
+++ b/standin/network/conn.go
@@ -0,0 +1,234 @@
+package network
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// conn is one end of a connection.
+type conn struct {
+	network *Network
+	local   netip.AddrPort
+	remote  netip.AddrPort
+	served  netip.AddrPort // served is the address that was dialled.
+	in, out *half
+}
+
+// Read returns what has arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	return c.in.read(p)
+}
+
+// Write sends; it blocks while too much is on its way.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.out.write(p)
+	c.network.count(c.served, n)
+	return n, err
+}
+
+// Close ends both directions; the other end reads what was sent before.
+func (c *conn) Close() error {
+	c.shut()
+	return nil
+}
+
+func (c *conn) shut() {
+	c.out.finish()
+	c.in.abandon()
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	delete(c.network.conns, c)
+}
+
+// LocalAddr returns the own address.
+func (c *conn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
+
+// RemoteAddr returns the other end's address.
+func (c *conn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.remote) }
+
+// SetDeadline sets both deadlines.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// SetReadDeadline sets the time at which reads fail.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	return nil
+}
+
+// SetWriteDeadline sets the time at which writes fail.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// segment is bytes that arrive together; nil data is the end of the stream.
+type segment struct {
+	at   time.Time
+	data []byte
+}
+
+// half is one direction of a connection.
+type half struct {
+	network  *Network
+	from, to netip.Addr
+
+	mu            sync.Mutex
+	changed       chan struct{} // changed closes at each change.
+	queue         []segment
+	size          int
+	finished      bool // finished: the writer has closed.
+	abandoned     bool // abandoned: the reader has closed.
+	silent        bool
+	readDeadline  time.Time
+	writeDeadline time.Time
+}
+
+func newHalf(n *Network, from, to netip.Addr) *half {
+	return &half{network: n, from: from, to: to, changed: make(chan struct{})}
+}
+
+// update changes the state and wakes all that wait.
+func (h *half) update(apply func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	apply()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *half) silence()                     { h.update(func() { h.silent = true }) }
+func (h *half) abandon()                     { h.update(func() { h.abandoned = true }) }
+func (h *half) setReadDeadline(t time.Time)  { h.update(func() { h.readDeadline = t }) }
+func (h *half) setWriteDeadline(t time.Time) { h.update(func() { h.writeDeadline = t }) }
+
+func (h *half) finish() {
+	h.update(func() {
+		if h.finished {
+			return
+		}
+		h.finished = true
+		h.queue = append(h.queue, segment{at: h.arrival()})
+	})
+}
+
+func (h *half) arrival() time.Time {
+	return time.Now().Add(h.network.delay(h.from, h.to))
+}
+
+func (h *half) write(p []byte) (int, error) {
+	for {
+		n, wait, deadline, err := h.tryWrite(p)
+		if n > 0 || err != nil || len(p) == 0 {
+			return n, err
+		}
+		await(wait, nil, deadline)
+	}
+}
+
+func (h *half) tryWrite(p []byte) (n int, wait <-chan struct{}, deadline time.Time, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.finished:
+		return 0, nil, deadline, net.ErrClosed
+	case isPast(h.writeDeadline):
+		return 0, nil, deadline, os.ErrDeadlineExceeded
+	case h.abandoned:
+		return 0, nil, deadline, syscall.EPIPE
+	case h.size >= window:
+		return 0, h.changed, h.writeDeadline, nil
+	case len(p) == 0:
+		return 0, nil, deadline, nil
+	}
+	h.queue = append(h.queue, segment{at: h.arrival(), data: append([]byte(nil), p...)})
+	h.size += len(p)
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return len(p), nil, deadline, nil
+}
+
+func (h *half) read(p []byte) (int, error) {
+	for {
+		reaches, healed := h.network.reaches(h.from, h.to)
+		n, wait, until, err := h.tryRead(p, reaches)
+		if n > 0 || err != nil || len(p) == 0 {
+			return n, err
+		}
+		await(wait, healed, until)
+	}
+}
+
+// tryRead returns bytes, an error, or what to wait for.
+func (h *half) tryRead(p []byte, reaches bool) (n int, wait <-chan struct{}, until time.Time, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.abandoned {
+		return 0, nil, until, net.ErrClosed
+	}
+	if isPast(h.readDeadline) {
+		return 0, nil, until, os.ErrDeadlineExceeded
+	}
+	if !reaches || h.silent || len(h.queue) == 0 {
+		return 0, h.changed, h.readDeadline, nil
+	}
+	first := &h.queue[0]
+	if time.Now().Before(first.at) {
+		return 0, h.changed, earlier(first.at, h.readDeadline), nil
+	}
+	if first.data == nil {
+		return 0, nil, until, io.EOF
+	}
+	n = copy(p, first.data)
+	h.take(n)
+	return n, nil, until, nil
+}
+
+// take removes n bytes of the first segment; h.mu is held.
+func (h *half) take(n int) {
+	first := &h.queue[0]
+	first.data = first.data[n:]
+	if len(first.data) == 0 {
+		h.queue = h.queue[1:]
+	}
+	full := h.size >= window
+	h.size -= n
+	if full {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+}
+
+// await waits for a channel or a time; a zero time never comes.
+func await(one, other <-chan struct{}, until time.Time) {
+	var alarm <-chan time.Time
+	if !until.IsZero() {
+		timer := time.NewTimer(time.Until(until))
+		defer timer.Stop()
+		alarm = timer.C
+	}
+	select {
+	case <-one:
+	case <-other:
+	case <-alarm:
+	}
+}
+
+func isPast(deadline time.Time) bool {
+	return !deadline.IsZero() && !time.Now().Before(deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/standin/network/network.go
@@ -0,0 +1,254 @@
+package network
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	backlog = 1024    // backlog bounds the connections that wait for Accept.
+	window  = 4 << 20 // window bounds the bytes on their way in one direction of a connection.
+)
+
+// Delay returns the one-way delay between two addresses.
+type Delay func(from, to netip.Addr) time.Duration
+
+// Config is what a Network is made of.
+type Config struct {
+	Delay Delay // Delay is zero everywhere when nil.
+}
+
+// Network joins hosts.
+type Network struct {
+	delay Delay
+
+	mu        sync.Mutex
+	listeners map[netip.AddrPort]*listener
+	conns     map[*conn]bool
+	cut       map[pair]bool
+	alone     map[netip.Addr]bool
+	healed    chan struct{} // healed closes when the cuts change.
+	sent      map[netip.AddrPort]int64
+	port      uint16
+}
+
+// pair is two addresses, the lesser first.
+type pair struct {
+	a, b netip.Addr
+}
+
+func pairOf(a, b netip.Addr) pair {
+	if b.Less(a) {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
+
+// New returns a network without hosts.
+func New(config Config) *Network {
+	network := &Network{
+		delay:     config.Delay,
+		listeners: map[netip.AddrPort]*listener{},
+		conns:     map[*conn]bool{},
+		cut:       map[pair]bool{},
+		alone:     map[netip.Addr]bool{},
+		healed:    make(chan struct{}),
+		sent:      map[netip.AddrPort]int64{},
+		port:      1 << 15,
+	}
+	if network.delay == nil {
+		network.delay = func(netip.Addr, netip.Addr) time.Duration { return 0 }
+	}
+	return network
+}
+
+// Listen opens a listener at an address.
+func (n *Network) Listen(address netip.AddrPort) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "memory", Addr: net.TCPAddrFromAddrPort(address), Err: syscall.EADDRINUSE}
+	}
+	listener := &listener{network: n, address: address, conns: make(chan net.Conn, backlog), done: make(chan struct{})}
+	n.listeners[address] = listener
+	return listener, nil
+}
+
+// Dialer returns the function by which the host with this address dials.
+func (n *Network) Dialer(from netip.Addr) func(context.Context, netip.AddrPort) (net.Conn, error) {
+	return func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		return n.dial(ctx, from, to)
+	}
+}
+
+// Cut loses all that is sent between two hosts, until Heal.
+func (n *Network) Cut(a, b netip.Addr) {
+	n.change(func() { n.cut[pairOf(a, b)] = true })
+}
+
+// Heal ends a Cut; what connections hold arrives then.
+func (n *Network) Heal(a, b netip.Addr) {
+	n.change(func() { delete(n.cut, pairOf(a, b)) })
+}
+
+// Isolate loses all that a host sends and gets, until Rejoin.
+func (n *Network) Isolate(host netip.Addr) {
+	n.change(func() { n.alone[host] = true })
+}
+
+// Rejoin ends an Isolate.
+func (n *Network) Rejoin(host netip.Addr) {
+	n.change(func() { delete(n.alone, host) })
+}
+
+// Silence makes the open connections between two hosts silent for good; new ones work.
+func (n *Network) Silence(a, b netip.Addr) {
+	n.change(func() {
+		for conn := range n.conns {
+			if pairOf(conn.local.Addr(), conn.remote.Addr()) == pairOf(a, b) {
+				conn.in.silence()
+			}
+		}
+	})
+}
+
+// Crash resets all connections of a host.
+func (n *Network) Crash(host netip.Addr) {
+	n.mu.Lock()
+	var broken []*conn
+	for conn := range n.conns {
+		if conn.local.Addr() == host || conn.remote.Addr() == host {
+			broken = append(broken, conn)
+		}
+	}
+	n.mu.Unlock()
+	for _, conn := range broken {
+		conn.shut()
+	}
+}
+
+// Sent returns the bytes written so far from a listening address or to it, by either end.
+func (n *Network) Sent(address netip.AddrPort) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[address]
+}
+
+func (n *Network) change(apply func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	apply()
+	close(n.healed)
+	n.healed = make(chan struct{})
+}
+
+// reaches tells whether packets pass between two hosts, and returns what closes when that may have changed.
+func (n *Network) reaches(a, b netip.Addr) (bool, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cut := a != b && (n.cut[pairOf(a, b)] || n.alone[a] || n.alone[b])
+	return !cut, n.healed
+}
+
+func (n *Network) count(address netip.AddrPort, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[address] += int64(bytes)
+}
+
+func (n *Network) dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error) {
+	if err := n.handshake(ctx, from, to.Addr()); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listener := n.listeners[to]
+	if listener == nil {
+		return nil, &net.OpError{Op: "dial", Net: "memory", Addr: net.TCPAddrFromAddrPort(to), Err: syscall.ECONNREFUSED}
+	}
+	n.port++
+	ours, theirs := n.connect(netip.AddrPortFrom(from, n.port), to)
+	select {
+	case listener.conns <- theirs:
+		n.conns[ours], n.conns[theirs] = true, true
+		return ours, nil
+	default:
+		return nil, &net.OpError{Op: "dial", Net: "memory", Addr: net.TCPAddrFromAddrPort(to), Err: syscall.ECONNREFUSED}
+	}
+}
+
+// handshake waits for one round trip.
+func (n *Network) handshake(ctx context.Context, from, to netip.Addr) error {
+	timer := time.NewTimer(n.delay(from, to) + n.delay(to, from))
+	defer timer.Stop()
+	for {
+		reaches, changed := n.reaches(from, to)
+		wait := timer.C
+		if !reaches {
+			wait = nil
+		}
+		select {
+		case <-wait:
+			return nil
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// connect returns both ends of a new connection.
+func (n *Network) connect(from, to netip.AddrPort) (ours, theirs *conn) {
+	there := newHalf(n, from.Addr(), to.Addr())
+	back := newHalf(n, to.Addr(), from.Addr())
+	ours = &conn{network: n, local: from, remote: to, served: to, in: back, out: there}
+	theirs = &conn{network: n, local: to, remote: from, served: to, in: there, out: back}
+	return ours, theirs
+}
+
+// listener hands out the far ends of dialled connections.
+type listener struct {
+	network *Network
+	address netip.AddrPort
+	conns   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close frees the address; connections that wait are closed.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.address)
+		l.network.mu.Unlock()
+		close(l.done)
+		for {
+			select {
+			case conn := <-l.conns:
+				conn.Close()
+			default:
+				return
+			}
+		}
+	})
+	return nil
+}
+
+// Addr returns the address.
+func (l *listener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(l.address)
+}
