Add the operators' commands

Cause: operators need to change an environment safely while others do the same. Ruled out: repeating a command by itself after a conflict, which would put a change on a document its operator has not seen. Change: check, apply, promote, status, history, data-centre and endpoint, all through one conditional update of the root; a lost answer is settled by reading the root and the history.

--- a/cmd/ryelug/main.go
+++ b/cmd/ryelug/main.go
@@ -37,11 +37,15 @@
 
 func register(commander *subcommands.Commander, to streams) {
 	const (
-		run    = "run"
-		trial  = "try out"
-		others = "other"
+		run     = "run"
+		operate = "operate"
+		trial   = "try out"
+		others  = "other"
 	)
 	commander.Register(&command{streams: to, action: &routerCommand{}}, run)
+	for _, one := range operatorCommands() {
+		commander.Register(&command{streams: to, action: one}, operate)
+	}
 	commander.Register(&command{streams: to, action: &devCommand{}}, trial)
 	commander.Register(&command{streams: to, action: &standinCommand{}}, trial)
 	commander.Register(&command{streams: to, action: &versionCommand{}}, others)
--- a/router/publish/change.go
+++ b/router/publish/change.go
@@ -66,9 +66,7 @@
 	object := platform.PartObject(hash, text)
 	object.Annotations = map[string]string{baseAnnotation: strconv.FormatUint(base, 10)}
 	for range touchAttempts {
-		_, err := retry(ctx, p, func() (platform.Object, error) {
-			return p.config.Platform.Create(ctx, platform.Parts, object)
-		})
+		err := p.create(ctx, platform.Parts, object)
 		if !errors.Is(err, platform.ErrExists) {
 			return err
 		}
@@ -112,14 +110,40 @@
 	return base
 }
 
+// create writes an object that others may write alike; a lost answer counts as ErrExists if the object is there.
+func (p *Publisher) create(ctx context.Context, kind platform.Kind, object platform.Object) error {
+	_, err := retry(ctx, p, func() (platform.Object, error) {
+		created, err := p.config.Platform.Create(ctx, kind, object)
+		if !mayHaveWritten(err) {
+			return created, err
+		}
+		if _, unread := p.config.Platform.Head(ctx, kind, object.Name); unread == nil {
+			return created, platform.ErrExists
+		}
+		return created, err
+	})
+	return err
+}
+
+// mayHaveWritten reports whether a write may have taken effect although it failed.
+func mayHaveWritten(err error) bool {
+	var unavailable *platform.ErrUnavailable
+	return errors.As(err, &unavailable) && unavailable.Unknown
+}
+
 // putRoot replaces the root if it still is the one that the change was made from.
 func (p *Publisher) putRoot(ctx context.Context, base Snapshot, root config.Root) (config.Root, error) {
 	object := platform.Object{Name: platform.CurrentRoot, Version: base.version, Data: root.Encode()}
-	sent := false
+	lost := false
 	_, err := retry(ctx, p, func() (platform.Object, error) {
 		written, err := p.writeRoot(ctx, object)
-		var unavailable *platform.ErrUnavailable
-		sent = sent || errors.As(err, &unavailable) && unavailable.Unknown
+		if !mayHaveWritten(err) {
+			return written, err
+		}
+		lost = true
+		if now, unread := p.version(ctx); unread == nil && now != base.version {
+			return written, platform.ErrConflict
+		}
 		return written, err
 	})
 	var unavailable *platform.ErrUnavailable
@@ -127,13 +151,22 @@
 	case err == nil:
 		return root, nil
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrExists), errors.Is(err, platform.ErrNotFound):
-		return p.settle(ctx, root, sent)
-	case sent && (errors.As(err, &unavailable) || ctx.Err() != nil):
+		return p.settle(ctx, root, lost)
+	case lost && (errors.As(err, &unavailable) || ctx.Err() != nil):
 		return config.Root{}, &ErrUnknown{ChangeID: root.ChangeID, Cause: err}
 	}
 	return config.Root{}, err
 }
 
+// version returns the version of the root, and an empty one if there is no root.
+func (p *Publisher) version(ctx context.Context) (string, error) {
+	head, err := p.config.Platform.Head(ctx, platform.Roots, platform.CurrentRoot)
+	if errors.Is(err, platform.ErrNotFound) {
+		return "", nil
+	}
+	return head.Version, err
+}
+
 func (p *Publisher) writeRoot(ctx context.Context, object platform.Object) (platform.Object, error) {
 	if object.Version == "" {
 		return p.config.Platform.Create(ctx, platform.Roots, object)
@@ -142,20 +175,22 @@
 }
 
 // settle finds out whether this change or another one has replaced the base.
-func (p *Publisher) settle(ctx context.Context, root config.Root, sent bool) (config.Root, error) {
+func (p *Publisher) settle(ctx context.Context, root config.Root, lost bool) (config.Root, error) {
 	now, err := p.ReadRoot(ctx)
 	if err != nil {
 		return config.Root{}, &ErrUnknown{ChangeID: root.ChangeID, Cause: err}
 	}
 	if now.Root.ChangeID == root.ChangeID {
+		p.config.Notice("an answer of the platform was lost; the root names this change, it is in force")
 		return root, nil
 	}
-	if sent {
+	if lost {
 		former, found, err := p.former(ctx, root.Generation)
 		if err != nil {
 			return config.Root{}, &ErrUnknown{ChangeID: root.ChangeID, Cause: err}
 		}
 		if found && former.ChangeID == root.ChangeID {
+			p.config.Notice("an answer of the platform was lost; this change was in force and another one has followed")
 			return root, nil
 		}
 	}
--- a/router/publish/history.go
+++ b/router/publish/history.go
@@ -21,13 +21,11 @@
 
 // keepFormer copies the root that is about to be replaced into the history; all who try write the same.
 func (p *Publisher) keepFormer(ctx context.Context, base Snapshot) error {
-	if base.version == "" {
+	if base.version == "" || base.Broken != nil {
 		return nil
 	}
 	object := platform.Object{Name: formerName(base.Root.Generation), Data: base.raw}
-	_, err := retry(ctx, p, func() (platform.Object, error) {
-		return p.config.Platform.Create(ctx, platform.History, object)
-	})
+	err := p.create(ctx, platform.History, object)
 	if errors.Is(err, platform.ErrExists) {
 		return nil
 	}
@@ -60,6 +58,9 @@
 		return nil, err
 	}
 	roots := []config.Root{now.Root}
+	if now.Broken != nil {
+		roots = nil
+	}
 	for _, f := range former {
 		if f.root.Generation < now.Root.Generation && len(roots) <= p.config.Keep {
 			roots = append(roots, f.root)
@@ -124,7 +125,7 @@
 // that was listed, so a part that another change has marked since stays.
 func (p *Publisher) Sweep(ctx context.Context) error {
 	now, err := p.ReadRoot(ctx)
-	if err != nil || now.version == "" {
+	if err != nil || now.version == "" || now.Broken != nil {
 		return err
 	}
 	former, err := p.formerRoots(ctx)
--- a/router/publish/publisher.go
+++ b/router/publish/publisher.go
@@ -42,6 +42,7 @@
 	Keep        int           // Keep is the number of former roots kept; DefaultKeep by default.
 	Patience    time.Duration // Patience bounds the retries of one step; 15 s by default.
 	NewID       func() string // NewID returns change ids; random by default.
+	Notice      func(string)  // Notice is told of lost answers; nobody by default.
 }
 
 // Publisher changes the configuration of one environment.
@@ -52,7 +53,8 @@
 // Snapshot is a root and its document as they were read.
 type Snapshot struct {
 	Root     config.Root
-	Document *config.Document // Document is nil before the first generation.
+	Document *config.Document // Document is nil before the first generation and if Broken is set.
+	Broken   error            // Broken tells why the root or its document can't be read; it can be replaced as a whole.
 	version  string
 	raw      []byte
 }
@@ -66,8 +68,7 @@
 // Error names the change that won.
 func (e *ErrConflict) Error() string {
 	w := e.Winner
-	return fmt.Sprintf("generation %d (%s, change %s) came first; nothing of this change is in force; look at it with \"ryelug status\" and repeat the command",
-		w.Generation, w.Change, w.ChangeID)
+	return fmt.Sprintf("generation %d came first (%s, change %s); nothing of this change is in force", w.Generation, w.Change, w.ChangeID)
 }
 
 // ErrUnknown tells that the platform stopped answering before the outcome was known.
@@ -78,7 +79,7 @@
 
 // Error says how to find out.
 func (e *ErrUnknown) Error() string {
-	return fmt.Sprintf("the platform does not answer and change %s may be in force; when it answers again, look for the change with \"ryelug history\" before you repeat it: %v", e.ChangeID, e.Cause)
+	return fmt.Sprintf("change %s may be in force; when the platform answers, look for it with \"ryelug history\" before you repeat it: %v", e.ChangeID, e.Cause)
 }
 
 // Unwrap returns the platform's error.
@@ -97,16 +98,25 @@
 	if config.NewID == nil {
 		config.NewID = uuid.NewString
 	}
+	if config.Notice == nil {
+		config.Notice = func(string) {}
+	}
 	return &Publisher{config: config}
 }
 
 // Read returns the generation in force with its document; before the first one the Snapshot is empty.
 func (p *Publisher) Read(ctx context.Context) (Snapshot, error) {
 	snapshot, err := p.ReadRoot(ctx)
-	if err != nil || snapshot.version == "" {
+	if err != nil || snapshot.version == "" || snapshot.Broken != nil {
 		return snapshot, err
 	}
 	snapshot.Document, err = p.document(ctx, snapshot.Root)
+	var part *config.PartError
+	var document config.Errors
+	if errors.As(err, &part) || errors.As(err, &document) {
+		snapshot.Broken = err
+		return snapshot, nil
+	}
 	return snapshot, err
 }
 
@@ -121,11 +131,21 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
-	root, err := config.ParseRoot(object.Data)
-	if err != nil {
-		return Snapshot{}, err
+	snapshot := Snapshot{version: object.Version, raw: object.Data}
+	snapshot.Root, snapshot.Broken = config.ParseRoot(object.Data)
+	if snapshot.Broken != nil {
+		snapshot.Root, err = p.standForBroken(ctx)
+	}
+	return snapshot, err
+}
+
+// standForBroken returns a root with the highest generation that a broken one may have replaced.
+func (p *Publisher) standForBroken(ctx context.Context) (config.Root, error) {
+	former, err := p.formerRoots(ctx)
+	if err != nil || len(former) == 0 {
+		return config.Root{Generation: 1}, err
 	}
-	return Snapshot{Root: root, version: object.Version, raw: object.Data}, nil
+	return config.Root{Generation: former[0].root.Generation + 1}, nil
 }
 
 // document reads the parts of a root and puts them together.
