--- a/core/spread/fetch.go
+++ b/core/spread/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"ryelug/core/cell"
@@ -113,12 +114,23 @@
 	case c.from != "":
 		m.do(&SendAsk{To: c.from, Hashes: hashes})
 	case c.raw != nil:
-		m.do(&ReadParts{Hashes: hashes})
+		m.readParts(hashes)
 	default:
 		m.readSoon()
 	}
 }
 
+// readParts reads the parts that are not being read yet.
+func (m *Machine) readParts(hashes []string) {
+	fresh := slices.DeleteFunc(hashes, func(hash string) bool { return m.fetching[hash] })
+	for _, hash := range fresh {
+		m.fetching[hash] = true
+	}
+	if len(fresh) > 0 {
+		m.do(&ReadParts{Hashes: fresh})
+	}
+}
+
 // nextSource turns to another peer with the generation, and to the platform after a few.
 func (m *Machine) nextSource(c *candidate) {
 	if c.from != "" {
@@ -151,23 +163,26 @@
 }
 
 func (m *Machine) partRead(e *PartRead) {
+	delete(m.fetching, e.Hash)
 	if !m.store(e.Hash, e.Data) {
-		m.giveWay(&config.PartError{Hash: e.Hash})
+		m.giveWay(e.Hash, &config.PartError{Hash: e.Hash})
 	}
 }
 
 func (m *Machine) partFailed(e *PartFailed) {
+	delete(m.fetching, e.Hash)
 	if e.Missing {
-		m.giveWay(&config.PartError{Hash: e.Hash, Missing: true})
+		m.giveWay(e.Hash, &config.PartError{Hash: e.Hash, Missing: true})
 		return
 	}
-	m.giveWay(nil)
+	m.giveWay(e.Hash, nil)
 }
 
-// giveWay puts a candidate aside that the platform can't complete, so that a lower generation may be adopted.
-func (m *Machine) giveWay(err error) {
+// giveWay puts a candidate aside that lacks a part which the platform did not
+// give, so that a lower generation may be adopted.
+func (m *Machine) giveWay(hash string, err error) {
 	c := m.pending
-	if c == nil || c.raw == nil || c.from != "" {
+	if c == nil || !c.wanted[hash] || c.from != "" {
 		return
 	}
 	m.pending = nil
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -85,10 +85,11 @@
 	roles    map[string][]cell.HostID // roles holds the watchers of each data centre; nil if it is out of date.
 	watching bool
 
-	root    config.Root
-	rawRoot []byte
-	parts   map[string][]byte
-	pending *candidate
+	root     config.Root
+	rawRoot  []byte
+	parts    map[string][]byte
+	pending  *candidate
+	fetching map[string]bool // fetching holds the parts that are being read from the platform.
 
 	bad      map[string]*badRoot // bad holds roots that can't be adopted, by their hashes.
 	stuck    []byte              // stuck is a root whose parts the platform did not give.
@@ -97,6 +98,7 @@
 
 	reading   bool      // reading is true while a read of the root is under way.
 	readAt    time.Time // readAt is when the next read of the root is due.
+	startedAt time.Time // startedAt is when the last read of the root began.
 	failures  int       // failures counts reads of the root that failed in a row.
 	contact   time.Time // contact is when the platform last answered a read of the root.
 	relayed   time.Time // relayed is when a watcher of another data centre last confirmed its news.
@@ -108,14 +110,15 @@
 func New(config Config, now time.Time) *Machine {
 	config.setDefaults()
 	m := &Machine{
-		config:  config,
-		random:  rand.New(rand.NewPCG(config.Seed, 0)),
-		now:     now,
-		members: map[cell.HostID]*member{},
-		peers:   map[cell.RouterID]*peer{},
-		parts:   map[string][]byte{},
-		bad:     map[string]*badRoot{},
-		heard:   now,
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, 0)),
+		now:      now,
+		members:  map[cell.HostID]*member{},
+		peers:    map[cell.RouterID]*peer{},
+		parts:    map[string][]byte{},
+		bad:      map[string]*badRoot{},
+		fetching: map[string]bool{},
+		heard:    now,
 	}
 	m.readAt = now.Add(m.jitter(minJitter))
 	return m
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -7,7 +7,10 @@
 	"ryelug/core/config"
 )
 
-const firstBackoff = time.Second
+const (
+	firstBackoff    = time.Second
+	retriesPerCheck = 4 // retriesPerCheck is how much faster a watcher reads again after a failure.
+)
 
 // scheduleRead reads the root when it is due: as a watcher regularly, otherwise when news are old.
 func (m *Machine) scheduleRead() {
@@ -18,7 +21,7 @@
 		m.readAt = m.heard.Add(m.config.Stale + m.jitter(m.spreadOut()))
 		return
 	}
-	m.reading = true
+	m.reading, m.startedAt = true, m.now
 	m.do(&ReadRoot{})
 }
 
@@ -38,7 +41,7 @@
 	}
 	m.failures = 0
 	m.contact, m.heard = m.now, m.now
-	m.readAt = m.now.Add(m.config.Check)
+	m.readAt = m.startedAt.Add(m.config.Check)
 	if !m.watching {
 		m.confirmAt = m.now // The neighbours need not read as well.
 		m.readAt = m.now.Add(m.config.Stale + m.jitter(m.spreadOut()))
@@ -72,7 +75,7 @@
 	m.dropRumour()
 	m.failures++
 	if m.watching {
-		m.readAt = m.now.Add(m.config.Check)
+		m.readAt = m.now.Add(m.config.Check / retriesPerCheck)
 		return
 	}
 	wait := min(maxBackoff, firstBackoff<<min(m.failures, 10))
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -29,7 +29,7 @@
 type Config struct {
 	Address     netip.AddrPort
 	Environment string
-	Timeout     time.Duration // Timeout bounds a call; 2 s by default.
+	Timeout     time.Duration // Timeout bounds a dial, and a call whose context has no deadline; 2 s by default.
 	Silence     time.Duration // Silence bounds the time between events of a watch; 30 s by default.
 	Dial        DialFunc      // Dial opens connections; TCP by default.
 }
@@ -61,8 +61,6 @@
 		MaxIdleConnDuration:       idleConnection,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		ReadTimeout:               config.Timeout,
-		WriteTimeout:              config.Timeout,
 		MaxResponseBodySize:       maxBody,
 		NoDefaultUserAgentHeader:  true,
 	}
@@ -194,9 +192,9 @@
 		return nil, err
 	}
 	c.calls.Add(1)
-	deadline := time.Now().Add(c.config.Timeout)
-	if sooner, found := ctx.Deadline(); found && sooner.Before(deadline) {
-		deadline = sooner
+	deadline, found := ctx.Deadline()
+	if !found {
+		deadline = time.Now().Add(c.config.Timeout)
 	}
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
 		c.http.CloseIdleConnections() // Others may have gone silent with this one.
--- a/router/configuration/duty.go
+++ b/router/configuration/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,10 +18,11 @@
 
 const (
 	tickEvery   = 100 * time.Millisecond
-	ringSize    = 256              // ringSize bounds the parts that wait to be read.
-	partReaders = 8                // partReaders is the number of parts read at a time.
-	inboxSize   = 4096             // inboxSize bounds the messages that wait.
-	readTimeout = 2 * time.Second  // readTimeout bounds one read.
+	ringSize    = 256         // ringSize bounds the parts that wait to be read.
+	partReaders = 8           // partReaders is the number of parts read at a time.
+	inboxSize   = 4096        // inboxSize bounds the messages that wait.
+	readTimeout = time.Second // readTimeout bounds one call; it doubles with each failure.
+	maxTimeout  = 12 * time.Second
 	rewatch     = time.Second / 2  // rewatch is the pause before a watch is opened again.
 	maxRewatch  = 10 * time.Second // maxRewatch is the longest such pause.
 )
@@ -50,6 +52,7 @@
 	roots    chan readRoot
 	parts    chan readPart
 	watch    *watch
+	timeouts atomic.Int32 // timeouts counts the calls that were too slow in a row.
 	counters counters
 }
 
--- a/router/configuration/fleet_test.go
+++ b/router/configuration/fleet_test.go
@@ -74,17 +74,21 @@
 		for _, r := range f.routers {
 			f.start(r)
 		}
+		defer f.close()
 		test(f)
-		for _, r := range f.routers {
-			r.stop()
-		}
-		f.operator.Close()
-		f.server.Close()
-		f.running.Wait()
-		time.Sleep(time.Minute) // The cleaners of connection pools end.
 	})
 }
 
+func (f *fleet) close() {
+	for _, r := range f.routers {
+		r.stop()
+	}
+	f.operator.Close()
+	f.server.Close()
+	f.running.Wait()
+	time.Sleep(time.Minute) // The cleaners of connection pools end.
+}
+
 func (f *fleet) client(r *router) *platform.Client {
 	dial := func(context.Context, netip.AddrPort) (net.Conn, error) {
 		f.mu.Lock()
--- a/router/configuration/read.go
+++ b/router/configuration/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"ryelug/core/spread"
 	"ryelug/io/platform"
@@ -49,8 +50,6 @@
 }
 
 func (d *Duty) fetch(ctx context.Context, next read) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	d.counters.reads.Add(1)
 	var err error
 	switch r := next.(type) {
@@ -65,6 +64,21 @@
 	}
 }
 
+// call makes one call to the platform; a platform that is slow is given more time by and by.
+func (d *Duty) call(ctx context.Context, get func(ctx context.Context) (platform.Object, error)) (platform.Object, error) {
+	wait := min(maxTimeout, readTimeout<<min(d.timeouts.Load(), 3))
+	deadline := time.Now().Add(wait)
+	bounded, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	object, err := get(bounded)
+	if time.Now().Before(deadline) {
+		d.timeouts.Store(0)
+	} else {
+		d.timeouts.Add(1)
+	}
+	return object, err
+}
+
 func (d *Duty) failed(r read, err error) {
 	switch r := r.(type) {
 	case readRoot:
@@ -76,7 +90,9 @@
 
 // readRoot reads the root's version, and the root itself only if that is new.
 func (d *Duty) readRoot(ctx context.Context) error {
-	head, err := d.config.Platform.Head(ctx, platform.Roots, platform.CurrentRoot)
+	head, err := d.call(ctx, func(ctx context.Context) (platform.Object, error) {
+		return d.config.Platform.Head(ctx, platform.Roots, platform.CurrentRoot)
+	})
 	if errors.Is(err, platform.ErrNotFound) {
 		d.inbox.put(&spread.RootRead{})
 		return nil
@@ -88,7 +104,9 @@
 		d.inbox.put(&spread.RootRead{})
 		return nil
 	}
-	root, err := d.config.Platform.Get(ctx, platform.Roots, platform.CurrentRoot)
+	root, err := d.call(ctx, func(ctx context.Context) (platform.Object, error) {
+		return d.config.Platform.Get(ctx, platform.Roots, platform.CurrentRoot)
+	})
 	if err != nil {
 		return err
 	}
@@ -98,7 +116,9 @@
 }
 
 func (d *Duty) readPart(ctx context.Context, hash string) error {
-	part, err := d.config.Platform.Get(ctx, platform.Parts, hash)
+	part, err := d.call(ctx, func(ctx context.Context) (platform.Object, error) {
+		return d.config.Platform.Get(ctx, platform.Parts, hash)
+	})
 	if err != nil {
 		return err
 	}
--- a/router/publish/change.go
+++ b/router/publish/change.go
@@ -30,11 +30,14 @@
 
 // Put writes the parts and then the root of a change, and returns the root in force.
 //
-// Its errors are *ErrConflict if another change came first, *ErrUnknown if the
-// outcome can't be learned now, and otherwise errors after which nothing of the
-// change is in force.
+// A document that "ryelug check" refuses is refused with config.Errors. The error
+// is *ErrConflict if another change came first and *ErrUnknown if the outcome
+// can't be learned now; after any other one nothing of the change is in force.
 func (p *Publisher) Put(ctx context.Context, change Change) (config.Root, error) {
 	root, parts := config.Split(change.Document)
+	if _, err := config.Join(root, parts); err != nil {
+		return config.Root{}, err
+	}
 	root.Generation = change.Base.Root.Generation + 1
 	root.ChangeID = p.config.NewID()
 	root.Change = change.Text
@@ -80,7 +83,7 @@
 
 // touchPart marks a part that exists as needed by a change from the given generation; false if it must be tried again.
 func (p *Publisher) touchPart(ctx context.Context, object platform.Object, base uint64) (bool, error) {
-	present, err := retry(ctx, p, func() (platform.Object, error) {
+	present, err := retry(ctx, p, func(ctx context.Context) (platform.Object, error) {
 		return p.config.Platform.Head(ctx, platform.Parts, object.Name)
 	})
 	if errors.Is(err, platform.ErrNotFound) {
@@ -93,6 +96,8 @@
 		return true, nil
 	}
 	object.Version = present.Version
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	_, err = p.config.Platform.Update(ctx, platform.Parts, object)
 	var unavailable *platform.ErrUnavailable
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) || errors.As(err, &unavailable) {
@@ -112,7 +117,7 @@
 
 // create writes an object that others may write alike; a lost answer counts as ErrExists if the object is there.
 func (p *Publisher) create(ctx context.Context, kind platform.Kind, object platform.Object) error {
-	_, err := retry(ctx, p, func() (platform.Object, error) {
+	_, err := retry(ctx, p, func(ctx context.Context) (platform.Object, error) {
 		created, err := p.config.Platform.Create(ctx, kind, object)
 		if !mayHaveWritten(err) {
 			return created, err
@@ -135,7 +140,7 @@
 func (p *Publisher) putRoot(ctx context.Context, base Snapshot, root config.Root) (config.Root, error) {
 	object := platform.Object{Name: platform.CurrentRoot, Version: base.version, Data: root.Encode()}
 	lost := false
-	_, err := retry(ctx, p, func() (platform.Object, error) {
+	_, err := retry(ctx, p, func(ctx context.Context) (platform.Object, error) {
 		written, err := p.writeRoot(ctx, object)
 		if !mayHaveWritten(err) {
 			return written, err
--- a/router/publish/history.go
+++ b/router/publish/history.go
@@ -34,7 +34,7 @@
 
 // former reads one former root.
 func (p *Publisher) former(ctx context.Context, generation uint64) (config.Root, bool, error) {
-	object, err := retry(ctx, p, func() (platform.Object, error) {
+	object, err := retry(ctx, p, func(ctx context.Context) (platform.Object, error) {
 		return p.config.Platform.Get(ctx, platform.History, formerName(generation))
 	})
 	if errors.Is(err, platform.ErrNotFound) {
@@ -91,7 +91,7 @@
 
 // formerRoots returns the history, the newest first.
 func (p *Publisher) formerRoots(ctx context.Context) ([]formerRoot, error) {
-	list, err := retry(ctx, p, func() (platform.List, error) {
+	list, err := retry(ctx, p, func(ctx context.Context) (platform.List, error) {
 		return p.config.Platform.List(ctx, platform.History)
 	})
 	if err != nil {
@@ -153,7 +153,7 @@
 }
 
 func (p *Publisher) sweepParts(ctx context.Context, needed map[string]bool, generation uint64) error {
-	list, err := retry(ctx, p, func() (platform.List, error) {
+	list, err := retry(ctx, p, func(ctx context.Context) (platform.List, error) {
 		return p.config.Platform.ListNames(ctx, platform.Parts)
 	})
 	if err != nil {
@@ -172,6 +172,8 @@
 
 // remove deletes an object unless somebody has changed or deleted it.
 func (p *Publisher) remove(ctx context.Context, kind platform.Kind, o platform.Object) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	err := p.config.Platform.Delete(ctx, kind, o.Name, o.Version)
 	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
 		return nil
--- a/router/publish/publisher.go
+++ b/router/publish/publisher.go
@@ -18,7 +18,8 @@
 	// DefaultKeep is the number of former roots that are kept.
 	DefaultKeep = 20
 
-	defaultPatience = 15 * time.Second
+	defaultPatience = 30 * time.Second
+	callTimeout     = 10 * time.Second
 	firstPause      = 100 * time.Millisecond
 	longestPause    = 2 * time.Second
 	parallelCalls   = 8 // parallelCalls is the number of parts read or written at a time.
@@ -40,7 +41,7 @@
 	Platform    Platform
 	Environment string
 	Keep        int           // Keep is the number of former roots kept; DefaultKeep by default.
-	Patience    time.Duration // Patience bounds the retries of one step; 15 s by default.
+	Patience    time.Duration // Patience bounds the retries of one step; 30 s by default.
 	NewID       func() string // NewID returns change ids; random by default.
 	Notice      func(string)  // Notice is told of lost answers; nobody by default.
 }
@@ -106,23 +107,34 @@
 
 // Read returns the generation in force with its document; before the first one the Snapshot is empty.
 func (p *Publisher) Read(ctx context.Context) (Snapshot, error) {
-	snapshot, err := p.ReadRoot(ctx)
-	if err != nil || snapshot.version == "" || snapshot.Broken != nil {
-		return snapshot, err
+	for {
+		snapshot, err := p.ReadRoot(ctx)
+		if err != nil || snapshot.version == "" || snapshot.Broken != nil {
+			return snapshot, err
+		}
+		snapshot.Document, err = p.document(ctx, snapshot.Root)
+		if !isBroken(err) {
+			return snapshot, err
+		}
+		snapshot.Broken = err
+		version, err := p.version(ctx)
+		if err != nil || version == snapshot.version {
+			return snapshot, err
+		}
 	}
-	snapshot.Document, err = p.document(ctx, snapshot.Root)
+}
+
+// isBroken reports whether a document lacks a part or is not valid. A part may
+// be missing because other changes have replaced the root meanwhile.
+func isBroken(err error) bool {
 	var part *config.PartError
 	var document config.Errors
-	if errors.As(err, &part) || errors.As(err, &document) {
-		snapshot.Broken = err
-		return snapshot, nil
-	}
-	return snapshot, err
+	return errors.As(err, &part) || errors.As(err, &document)
 }
 
 // ReadRoot returns the root in force without its document.
 func (p *Publisher) ReadRoot(ctx context.Context) (Snapshot, error) {
-	object, err := retry(ctx, p, func() (platform.Object, error) {
+	object, err := retry(ctx, p, func(ctx context.Context) (platform.Object, error) {
 		return p.config.Platform.Get(ctx, platform.Roots, platform.CurrentRoot)
 	})
 	if errors.Is(err, platform.ErrNotFound) {
@@ -171,7 +183,7 @@
 }
 
 func (p *Publisher) part(ctx context.Context, hash string) ([]byte, error) {
-	object, err := retry(ctx, p, func() (platform.Object, error) {
+	object, err := retry(ctx, p, func(ctx context.Context) (platform.Object, error) {
 		return p.config.Platform.Get(ctx, platform.Parts, hash)
 	})
 	if errors.Is(err, platform.ErrNotFound) {
@@ -181,12 +193,14 @@
 }
 
 // retry repeats a call that may be repeated while the platform is unavailable.
-func retry[T any](ctx context.Context, p *Publisher, call func() (T, error)) (T, error) {
+func retry[T any](ctx context.Context, p *Publisher, call func(context.Context) (T, error)) (T, error) {
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval = firstPause
 	pauses.MaxInterval = longestPause
 	once := func() (T, error) {
-		result, err := call()
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		result, err := call(ctx)
 		var unavailable *platform.ErrUnavailable
 		if err != nil && !errors.As(err, &unavailable) {
 			return result, backoff.Permanent(err)
