--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"ryelug/core/cell"
@@ -41,7 +42,9 @@
 	window time.Duration // window is the time from a grant to the latest arrival at the endpoint.
 	policy Policy
 	known  bool // known is true once there is a policy.
-	slots  int  // slots is the sum of the warm limits.
+	slots  int  // slots is the sum of the warm limits of open endpoints.
+
+	leastShare int
 
 	teams      []team
 	teamIndex  map[cell.TeamID]int32
@@ -154,9 +157,11 @@
 func (d *Dispatcher) setPolicy(now time.Time, policy *Policy) {
 	d.policy = *policy
 	d.known = true
+	d.leastShare = math.MaxInt
 	for i := range policy.Teams {
-		index := d.teamOf(policy.Teams[i].Team)
-		d.ledger.SetShare(int(index), policy.Teams[i].Share)
+		share := policy.Teams[i].Share
+		d.ledger.SetShare(int(d.teamOf(policy.Teams[i].Team)), share)
+		d.leastShare = min(d.leastShare, share)
 	}
 	d.setEndpoints(policy.Endpoints)
 	d.refreshStakes(now)
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -108,12 +108,11 @@
 		least = min(least, counters[i].Service)
 	}
 	d.ledger.Advance(least)
-	virtual := d.ledger.Virtual()
+	ceiling := d.ledger.Virtual() + fair.Spread(d.policy.LargestCost, d.slots, d.leastShare)
 	for i := range counters {
 		index := d.teamOf(counters[i].Team)
 		d.teams[index].active = now
-		spread := fair.Spread(d.policy.LargestCost, d.slots, d.ledger.Share(int(index)))
-		d.ledger.Merge(int(index), min(counters[i].Service, virtual+spread))
+		d.ledger.Merge(int(index), min(counters[i].Service, ceiling))
 	}
 }
 
--- a/core/dispatch/flight.go
+++ b/core/dispatch/flight.go
@@ -20,6 +20,9 @@
 	kind     kind
 }
 
+// heldPart divides the charge of an attempt that did not complete.
+const heldPart = 16
+
 // kind says how a flight counts at its endpoint.
 type kind uint8
 
@@ -195,16 +198,16 @@
 	d.refreshCaps(now, at)
 }
 
-// settle replaces the charge of a flight by its cost.
+// settle replaces the charge of a flight by its cost. Whatever does not complete
+// costs a part of its charge at least, for the time in which it held the endpoint.
 func (d *Dispatcher) settle(now time.Time, flying *flight, end *cell.End) {
-	cost := max(0, end.Cost)
+	cost := max(1, end.Cost)
 	of := &d.teams[flying.team]
 	of.active = now
-	switch end.Outcome {
-	case cell.Completed:
+	if end.Outcome == cell.Completed {
 		of.estimate.Seen(cost)
-	case cell.Unused, cell.Refused, cell.StartChanged:
-		cost = 0
+	} else {
+		cost = max(cost, flying.charged/heldPart)
 	}
 	d.ledger.Charge(int(flying.team), cost-flying.charged)
 	flying.charged = cost
--- a/core/fair/bound.go
+++ b/core/fair/bound.go
@@ -2,9 +2,33 @@
 
 import "ryelug/core/cell"
 
-// Spread bounds how far a team's counter stands above the least backlogged
-// one while the team is backlogged: every slot can hold a request whose charge
-// is wrong by the largest cost.
-func Spread(largest cell.Cost, slots int, leastShare float64) float64 {
-	return float64(slots) * float64(largest) / leastShare
+// Bound holds what the gap in service between two teams depends on; docs/DESIGN.md derives it.
+type Bound struct {
+	LargestCost cell.Cost // LargestCost is the largest cost of one request.
+	Slots       int       // Slots is the most requests in flight at once.
+	ShareA      int
+	ShareB      int
+	LeastShare  int       // LeastShare is the least share of any backlogged team.
+	HandOvers   int       // HandOvers is the number of changes of the dispatcher in the interval.
+	Unreported  cell.Cost // Unreported is the cost that one slot serves between two broadcasts of the counters.
+}
+
+// GapBound returns the largest difference in service divided by share between
+// two teams, over any interval in which both are backlogged.
+func GapBound(b Bound) float64 {
+	inFlight := float64(b.Slots) * float64(b.LargestCost)
+	least := float64(min(b.ShareA, b.ShareB))
+	steady := 2*inFlight/least + Spread(b.LargestCost, b.Slots, b.LeastShare)
+	return steady + float64(b.HandOvers)*HandOverGap(b)
+}
+
+// HandOverGap returns what one change of the dispatcher adds to the gap.
+func HandOverGap(b Bound) float64 {
+	lost := float64(b.Slots) * float64(2*b.LargestCost+b.Unreported)
+	return lost / float64(min(b.ShareA, b.ShareB))
+}
+
+// Spread bounds how far the counter of a backlogged team stands above the least one.
+func Spread(largest cell.Cost, slots, leastShare int) float64 {
+	return float64(slots) * float64(largest) / float64(max(1, leastShare))
 }
