Bound the gap between teams and carry counters over a hand-over

Cause: counters carried over a hand-over included estimates of running requests, and teams that re-entered one by one were each lifted to those before.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -44,7 +44,8 @@
 	known  bool // known is true once there is a policy.
 	slots  int  // slots is the sum of the warm limits of open endpoints.
 
-	leastShare int
+	leastShare    int
+	mergedVirtual float64 // mergedVirtual is the greatest virtual time that an entry brought.
 
 	teams      []team
 	teamIndex  map[cell.TeamID]int32
@@ -216,7 +217,6 @@
 	d.unqueue(slot)
 	served := &d.teams[waiting.team]
 	charge := served.estimate.Of(waiting.hint, d.policy.LargestCost)
-	d.ledger.Charge(int(waiting.team), charge)
 	served.granted(now)
 	d.cellGranted(now)
 	start := d.endpoints[at].gate.Start()
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -100,22 +100,28 @@
 // A counter is raised no further than the spread above the virtual time, so that
 // counters of another scale starve no team.
 func (d *Dispatcher) mergeCounters(now time.Time, counters []cell.TeamCounter) {
-	if len(counters) == 0 {
-		return
-	}
-	least := counters[0].Service
 	for i := range counters {
-		least = min(least, counters[i].Service)
+		if counters[i].Team == virtualTime {
+			d.ledger.Advance(counters[i].Service)
+			d.mergedVirtual = max(d.mergedVirtual, counters[i].Service)
+		}
 	}
-	d.ledger.Advance(least)
-	ceiling := d.ledger.Virtual() + fair.Spread(d.policy.LargestCost, d.slots, d.leastShare)
+	ceiling := d.ledger.Virtual() + d.spread()
 	for i := range counters {
+		if counters[i].Team == virtualTime {
+			continue
+		}
 		index := d.teamOf(counters[i].Team)
-		d.teams[index].active = now
+		d.teams[index].active, d.teams[index].merged = now, now
 		d.ledger.Merge(int(index), min(counters[i].Service, ceiling))
 	}
 }
 
+// spread bounds how far apart the counters of backlogged teams stand.
+func (d *Dispatcher) spread() float64 {
+	return fair.Spread(d.policy.LargestCost, d.slots, d.leastShare)
+}
+
 func (d *Dispatcher) renew(now time.Time, ev *Renew) {
 	if _, ok := d.sessionOf(ev.Router, ev.Session); !ok {
 		return
--- a/core/dispatch/flight.go
+++ b/core/dispatch/flight.go
@@ -39,6 +39,7 @@
 	d.flights[slot] = flying
 	d.entries[flying.entry].flights[flying.attempt] = slot
 	d.teams[flying.team].inFlight++
+	d.ledger.Charge(int(flying.team), flying.charged)
 	at := &d.endpoints[flying.endpoint]
 	d.byEndpoint.push(&at.flights, slot)
 	if flying.granted.After(at.recentSince) {
@@ -104,6 +105,7 @@
 		return
 	}
 	d.teams[flying.team].inFlight--
+	d.ledger.Settle(int(flying.team), flying.charged, flying.charged)
 	delete(d.entries[flying.entry].flights, flying.attempt)
 	d.dropEntry(flying.entry)
 }
@@ -209,8 +211,8 @@
 	} else {
 		cost = max(cost, flying.charged/heldPart)
 	}
-	d.ledger.Charge(int(flying.team), cost-flying.charged)
-	flying.charged = cost
+	d.ledger.Settle(int(flying.team), flying.charged, cost)
+	flying.charged = 0
 }
 
 // judge tells the endpoint's gate what an attempt showed of it.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -14,6 +14,7 @@
 	leastRetry         = 100 * time.Millisecond // leastRetry is the shortest RetryAfter.
 	unknownRetry       = time.Second            // unknownRetry is the RetryAfter while no grant has shown a pace.
 	activeSpan         = 10 * time.Second       // activeSpan is how long a team counts as active after demand or service.
+	mergeSpan          = 2 * time.Second        // mergeSpan is the time after a Join in which its teams continue their backlog.
 	closedRetry        = 5 * time.Second        // closedRetry is the RetryAfter while no endpoint is open.
 )
 
@@ -24,6 +25,7 @@
 	estimate  fair.Estimate
 	inFlight  int
 	active    time.Time
+	merged    time.Time // merged is when an entry brought the team's counter.
 	grantedAt time.Time
 	interval  time.Duration // interval is the average time between two grants.
 }
@@ -138,7 +140,17 @@
 	d.entries[waiting.entry].waiting[waiting.attempt] = slot
 	d.byArrival.push(&d.arrivals, slot)
 	d.byTeam.push(&d.teams[waiting.team].queue, slot)
-	d.ledger.Enter(int(waiting.team))
+	d.ledger.Enter(int(waiting.team), d.floorOf(&d.teams[waiting.team], waiting.since))
+}
+
+// floorOf returns what a returning team's counter is lifted to: the virtual time,
+// but for a team that was active at the former dispatcher the virtual time there.
+func (d *Dispatcher) floorOf(returning *team, now time.Time) float64 {
+	virtual := d.ledger.Virtual()
+	if returning.merged.IsZero() || now.Sub(returning.merged) > mergeSpan {
+		return virtual
+	}
+	return min(virtual, max(d.mergedVirtual, virtual-d.spread()))
 }
 
 // unqueue takes a waiting request out of all lists and frees its slot.
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -62,12 +62,18 @@
 	return shot
 }
 
-// Counters appends the counters of the teams with demand or service in the last seconds.
+// virtualTime is the name under which Counters and Join carry the virtual time.
+const virtualTime cell.TeamID = ""
+
+// Counters appends the settled counters of the teams with demand or service in
+// the last seconds, after the virtual time under the empty name. What requests in
+// flight are charged is left out, since entries bring it with their flights.
 func (d *Dispatcher) Counters(dst []cell.TeamCounter) []cell.TeamCounter {
+	dst = append(dst, cell.TeamCounter{Team: virtualTime, Service: d.ledger.SettledVirtual()})
 	for i := range d.teams {
 		of := &d.teams[i]
 		if of.queue.length > 0 || of.inFlight > 0 || !of.active.IsZero() && d.now.Sub(of.active) < activeSpan {
-			dst = append(dst, cell.TeamCounter{Team: of.id, Service: d.ledger.Counter(i)})
+			dst = append(dst, cell.TeamCounter{Team: of.id, Service: d.ledger.Settled(i)})
 		}
 	}
 	return dst
--- a/core/fair/ledger.go
+++ b/core/fair/ledger.go
@@ -8,6 +8,7 @@
 	counters  []float64
 	shares    []float64
 	floors    []float64 // floors hold the value below which no refund takes a counter.
+	open      []float64 // open holds the part of a counter that requests in flight are charged.
 	backlog   Heap
 	leastSeen float64 // leastSeen is the least backlogged counter, kept while no team is backlogged.
 }
@@ -18,6 +19,7 @@
 		l.counters = append(l.counters, 0)
 		l.shares = append(l.shares, 1)
 		l.floors = append(l.floors, 0)
+		l.open = append(l.open, 0)
 	}
 	l.backlog.Grow(n)
 }
@@ -27,9 +29,6 @@
 	l.shares[team] = float64(max(share, 1))
 }
 
-// Share returns the share of a team.
-func (l *Ledger) Share(team int) float64 { return l.shares[team] }
-
 // Counter returns the virtual counter of a team.
 func (l *Ledger) Counter(team int) float64 { return l.counters[team] }
 
@@ -44,15 +43,15 @@
 	return l.leastSeen
 }
 
-// Enter marks a team as backlogged and lifts its counter to the least active
-// one, so that idleness banks no credit.
-func (l *Ledger) Enter(team int) {
+// Enter marks a team as backlogged and lifts its counter to the floor, in
+// general the virtual time, so that idleness banks no credit.
+func (l *Ledger) Enter(team int, floor float64) {
 	if l.backlog.Has(team) {
 		return
 	}
-	virtual := l.Virtual()
-	l.counters[team] = max(l.counters[team], virtual)
-	l.floors[team] = virtual
+	l.Virtual()
+	l.counters[team] = max(l.counters[team], floor)
+	l.floors[team] = floor
 	l.backlog.Set(team, l.counters[team])
 }
 
@@ -65,19 +64,39 @@
 // Least returns the backlogged team with the least counter.
 func (l *Ledger) Least() (team int, ok bool) { return l.backlog.Min() }
 
-// Charge adds a cost to a team's counter; a negative cost is a refund.
+// Charge adds to a team's counter the cost of a request in flight.
 func (l *Ledger) Charge(team int, cost cell.Cost) {
-	counter := l.counters[team] + float64(cost)/l.shares[team]
-	if cost < 0 {
+	part := float64(cost) / l.shares[team]
+	l.open[team] += part
+	l.set(team, l.counters[team]+part)
+}
+
+// Settle replaces what a request in flight was charged by its final cost.
+func (l *Ledger) Settle(team int, charged, cost cell.Cost) {
+	l.open[team] -= float64(charged) / l.shares[team]
+	counter := l.counters[team] + float64(cost-charged)/l.shares[team]
+	if cost < charged {
 		counter = max(counter, min(l.floors[team], l.counters[team]))
 	}
 	l.set(team, counter)
 }
 
-// Merge raises a team's counter to one that another dispatcher kept.
-func (l *Ledger) Merge(team int, counter float64) {
-	if counter > l.counters[team] {
-		l.set(team, counter)
+// Settled returns a team's counter without what requests in flight are charged.
+func (l *Ledger) Settled(team int) float64 { return l.counters[team] - l.open[team] }
+
+// SettledVirtual returns the least settled counter of the backlogged teams, or the virtual time while there are none.
+func (l *Ledger) SettledVirtual() float64 {
+	least := l.Virtual()
+	for _, team := range l.backlog.items {
+		least = min(least, l.Settled(int(team)))
+	}
+	return least
+}
+
+// Merge raises a team's settled counter to one that another dispatcher kept.
+func (l *Ledger) Merge(team int, settled float64) {
+	if more := settled - l.Settled(team); more > 0 {
+		l.set(team, l.counters[team]+more)
 	}
 }
 
