Serve a request through two routers

Cause: the parts (dispatcher, lender, links, configuration, requests) existed side by side, and nothing joined them. Ruled out: a lock over the cells' state shared by all goroutines; one coordination goroutine owns it and all others reach it over bounded rings, so that a step of a dispatcher or lender sees no other in between. Change: package router with its duties (coordination, links, load reports, list of hosts, configuration, requests, graceful shutdown). A peer may dispatch only after it has told its signs of hosts, which it does once it has a configuration.

--- /dev/null
+++ b/router/command.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"net/netip"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/member"
+	"ryelug/io/endpoint"
+	"ryelug/io/peer"
+)
+
+// command is what another duty asks of the coordination duty.
+type command interface{ command() }
+
+// ask asks for a grant.
+type ask struct {
+	cell   cell.ID
+	demand cell.Demand
+	reply  chan decision // reply has room for one decision, so that answering never blocks.
+}
+
+// withdraw tells that an ask is given up.
+type withdraw struct {
+	cell    cell.ID
+	attempt cell.AttemptID
+}
+
+// finish tells that a granted attempt has ended.
+type finish struct {
+	cell cell.ID
+	end  cell.End
+}
+
+// adopt puts a generation of the configuration in force.
+type adopt struct{ directory *directory }
+
+// listed tells of the platform's list of hosts; err tells that it could not be read.
+type listed struct {
+	members []member.Member
+	err     error
+}
+
+// measured tells of an endpoint's report, or that there was none.
+type measured struct {
+	cell     cell.ID
+	endpoint cell.EndpointID
+	load     endpoint.Load
+	sampled  time.Time
+	err      error
+}
+
+// tell sends a message to a router, or to all linked ones if to is empty.
+type tell struct {
+	to      cell.RouterID
+	message peer.Message
+}
+
+// depart gives the dispatcher role away.
+type depart struct{}
+
+// inspect asks for a view of the coordination state.
+type inspect struct{ reply chan View }
+
+func (ask) command()      {}
+func (withdraw) command() {}
+func (finish) command()   {}
+func (adopt) command()    {}
+func (listed) command()   {}
+func (measured) command() {}
+func (tell) command()     {}
+func (depart) command()   {}
+func (inspect) command()  {}
+
+// decision answers an ask: a granted permit or a refusal.
+type decision struct {
+	endpoint cell.EndpointID
+	address  netip.AddrPort
+	start    cell.StartID
+	expires  time.Time
+	cost     *runningCost
+	refusal  *cell.Refusal
+}
--- /dev/null
+++ b/router/coordinator.go
@@ -0,0 +1,276 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/lend"
+	"ryelug/core/member"
+	"ryelug/core/spread"
+	"ryelug/io/peer"
+)
+
+// Sizes of the coordinator's rings and the pace of its duties.
+const (
+	commandRing      = 4096                   // commands
+	tickInterval     = 50 * time.Millisecond  // between two passes over all cells
+	progressInterval = time.Second            // between two reports of the cost of running attempts
+	countersInterval = time.Second            // between two rounds of counters to entries
+	countersPerEntry = 16                     // counters told to an entry in one round
+	slowStep         = 200 * time.Millisecond // a pass that takes longer is logged
+)
+
+// coordinator is the duty that owns the member table and the state of all cells.
+type coordinator struct {
+	config    *Config
+	self      cell.RouterID
+	log       logrus.FieldLogger
+	commands  chan command
+	done      chan struct{} // done is closed when run has returned.
+	mesh      *peer.Mesh
+	news      newsReceiver
+	table     *member.Table
+	cells     map[cell.ID]*cellState
+	links     linkSet
+	loopback  []peer.Message // loopback holds this router's messages to itself.
+	deferred  []command      // deferred holds commands that arise inside a step.
+	directory *directory
+	voters    []cell.HostID // voters and total are what the dispatchers were told last.
+	total     int
+	signs     []cell.HostID // signs is what the peers were told last; nil until there is a configuration.
+	leaving   bool
+	cutOff    atomic.Bool
+	polled    atomic.Pointer[[]pollTarget]
+
+	progressAt time.Time
+	countersAt time.Time
+}
+
+// newsReceiver takes the messages that spread the configuration.
+type newsReceiver interface {
+	Received(from cell.RouterID, message peer.Message)
+	PeerUp(router cell.RouterID)
+	PeerDown(router cell.RouterID)
+	SetMembers(members []spread.Member)
+}
+
+func newCoordinator(config *Config, mesh *peer.Mesh) *coordinator {
+	return &coordinator{
+		config:   config,
+		self:     config.routerID(),
+		log:      config.Log.WithField("part", "coordination"),
+		commands: make(chan command, commandRing),
+		done:     make(chan struct{}),
+		mesh:     mesh,
+		table:    member.New(config.memberConfig()),
+		cells:    make(map[cell.ID]*cellState),
+		links:    newLinkSet(),
+	}
+}
+
+// run owns the state until ctx ends.
+func (c *coordinator) run(ctx context.Context) error {
+	defer close(c.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event, ok := <-c.mesh.Events():
+			if !ok {
+				return nil
+			}
+			c.peerEvent(event)
+		case cmd := <-c.commands:
+			c.handle(time.Now(), cmd)
+		case <-ticker.C:
+			c.tick(time.Now())
+		}
+		c.drain()
+	}
+}
+
+// postAlways hands a command to the coordinator, unless that has ended.
+func (c *coordinator) postAlways(cmd command) {
+	select {
+	case c.commands <- cmd:
+	case <-c.done:
+	}
+}
+
+// post hands a command to the coordinator, or gives up when ctx ends.
+func (c *coordinator) post(ctx context.Context, cmd command) bool {
+	select {
+	case c.commands <- cmd:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *coordinator) handle(now time.Time, cmd command) {
+	switch cmd := cmd.(type) {
+	case ask:
+		c.handleAsk(now, cmd)
+	case withdraw:
+		c.handleWithdraw(now, cmd)
+	case finish:
+		c.handleFinish(now, cmd)
+	case adopt:
+		c.adopt(now, cmd.directory)
+	case listed:
+		c.handleListed(now, cmd)
+	case measured:
+		c.handleMeasured(now, cmd)
+	case tell:
+		c.tell(cmd)
+	case depart:
+		c.depart(now)
+	case inspect:
+		cmd.reply <- c.view(now)
+	}
+}
+
+// tick lets time pass in every cell and refreshes what follows from it.
+func (c *coordinator) tick(now time.Time) {
+	c.table.Tick(now)
+	c.cutOff.Store(c.table.CutOff(now))
+	report := now.Sub(c.progressAt) >= progressInterval
+	if report {
+		c.progressAt = now
+	}
+	counters := now.Sub(c.countersAt) >= countersInterval
+	if counters {
+		c.countersAt = now
+	}
+	c.refreshVoters(now)
+	for _, state := range c.cells {
+		c.refreshOrder(now, state)
+		if report {
+			c.reportProgress(now, state)
+		}
+		c.renewSelf(now, state)
+		c.lenderStep(now, state, &lend.Tick{})
+		c.dispatcherStep(now, state, &dispatch.Tick{})
+		if counters {
+			c.tellCounters(state)
+		}
+	}
+	c.choosePolled()
+	if took := time.Since(now); took > slowStep {
+		c.log.WithField("took", took).Warn("A pass over the cells took long.")
+	}
+}
+
+// drain handles what the last event left behind: this router's messages to
+// itself and the commands that arose inside a step, until none is left.
+func (c *coordinator) drain() {
+	for len(c.loopback) > 0 || len(c.deferred) > 0 {
+		loopback, deferred := c.loopback, c.deferred
+		c.loopback, c.deferred = nil, nil
+		now := time.Now()
+		for _, message := range loopback {
+			c.received(now, c.self, message, now)
+		}
+		for _, cmd := range deferred {
+			c.handle(now, cmd)
+		}
+	}
+}
+
+func (c *coordinator) handleListed(now time.Time, cmd listed) {
+	if cmd.err != nil {
+		c.table.ListFailed(now)
+		return
+	}
+	c.table.Listed(now, cmd.members)
+	c.refreshVoters(now)
+	c.mesh.SetPeers(c.peerAddresses())
+	c.news.SetMembers(c.spreadMembers())
+	c.tellSigns()
+}
+
+// tellSigns tells all peers which hosts this router has signs of, if that has
+// changed. The first such message also tells that this router has a configuration.
+func (c *coordinator) tellSigns() {
+	signs := c.table.Signs()
+	if c.directory == nil || c.leaving || slices.Equal(signs, c.signs) {
+		return
+	}
+	c.signs = slices.Clone(signs)
+	c.links.each(func(link *peer.Link) { link.Send(&peer.Members{Hosts: c.signs}) })
+}
+
+// refreshVoters tells the dispatchers whose stakes count, if that has changed.
+func (c *coordinator) refreshVoters(now time.Time) {
+	hosts, total := c.table.Voters()
+	if total == c.total && slices.Equal(hosts, c.voters) {
+		return
+	}
+	c.voters = slices.Clone(hosts)
+	c.total = total
+	for _, state := range c.cells {
+		c.dispatcherStep(now, state, &dispatch.Voters{Hosts: c.voters, Total: total})
+	}
+}
+
+func (c *coordinator) peerAddresses() []peer.Address {
+	members := c.table.Members()
+	addresses := make([]peer.Address, 0, len(members))
+	for _, m := range members {
+		if m.Host != c.config.Host {
+			addresses = append(addresses, peer.Address{Host: m.Host, Addr: m.PeerAddress})
+		}
+	}
+	return addresses
+}
+
+func (c *coordinator) spreadMembers() []spread.Member {
+	var members []spread.Member
+	for _, m := range c.table.Members() {
+		if !m.Leaving {
+			members = append(members, spread.Member{Host: m.Host, DataCentre: m.DataCentre})
+		}
+	}
+	return members
+}
+
+// adopt puts a generation in force in all cells.
+func (c *coordinator) adopt(now time.Time, next *directory) {
+	first := c.directory == nil
+	c.directory = next
+	for id := range next.pools {
+		if c.cells[id] == nil {
+			c.openCell(id)
+		}
+	}
+	for id, state := range c.cells {
+		policy, ok := next.policies[id]
+		if !ok {
+			policy = &dispatch.Policy{} // A pool that is gone takes no work.
+		}
+		c.dispatcherStep(now, state, policy)
+		c.refreshOrder(now, state)
+	}
+	if first {
+		c.tellSigns()
+	}
+}
+
+// depart tells all routers that this one leaves and takes itself out of the order.
+func (c *coordinator) depart(now time.Time) {
+	c.leaving = true
+	c.table.Leaving(now, c.config.Host)
+	c.links.each(func(link *peer.Link) { link.Send(&peer.Leaving{}) })
+	for _, state := range c.cells {
+		c.lenderStep(now, state, &lend.PeerLeaving{Router: c.self})
+		c.refreshOrder(now, state)
+	}
+}
--- /dev/null
+++ b/router/hosts.go
@@ -0,0 +1,37 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// hostPoller is the duty that reads the platform's list of hosts.
+type hostPoller struct {
+	config      *Config
+	coordinator *coordinator
+}
+
+// run reads the list until ctx ends, with jitter so that routers do not ask together.
+func (p *hostPoller) run(ctx context.Context) error {
+	for {
+		p.read(ctx)
+		pause := p.config.Timings.HostsPoll
+		pause += rand.N(pause / 2)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (p *hostPoller) read(ctx context.Context) {
+	readCtx, cancel := context.WithTimeout(ctx, p.config.Timings.PlatformTimeout)
+	members, err := p.config.Hosts.Hosts(readCtx)
+	cancel()
+	if err != nil {
+		p.config.Log.WithField("part", "hosts").WithError(err).Debug("The list of hosts can't be read.")
+	}
+	p.coordinator.post(ctx, listed{members: members, err: err})
+}
--- /dev/null
+++ b/router/links.go
@@ -0,0 +1,194 @@
+package router
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/lend"
+	"ryelug/io/peer"
+)
+
+// linkSet holds the newest link to each router in each direction.
+type linkSet struct {
+	dialed   map[cell.RouterID]*peer.Link // dialed carry this entry's traffic to dispatchers.
+	accepted map[cell.RouterID]*peer.Link // accepted carry other entries' traffic to this dispatcher.
+}
+
+func newLinkSet() linkSet {
+	return linkSet{
+		dialed:   make(map[cell.RouterID]*peer.Link),
+		accepted: make(map[cell.RouterID]*peer.Link),
+	}
+}
+
+func (s *linkSet) side(link *peer.Link) map[cell.RouterID]*peer.Link {
+	if link.Dialed() {
+		return s.dialed
+	}
+	return s.accepted
+}
+
+// remove forgets link and tells whether it was the newest one.
+func (s *linkSet) remove(link *peer.Link) bool {
+	side := s.side(link)
+	if side[link.Router()] != link {
+		return false
+	}
+	delete(side, link.Router())
+	return true
+}
+
+// each calls f for every link.
+func (s *linkSet) each(f func(*peer.Link)) {
+	for _, link := range s.dialed {
+		f(link)
+	}
+	for _, link := range s.accepted {
+		f(link)
+	}
+}
+
+// peerEvent takes an event of the mesh. A frame is acknowledged before the clock
+// is read, so that an echo never claims more than the decisions knew.
+func (c *coordinator) peerEvent(event peer.Event) {
+	switch event := event.(type) {
+	case *peer.Up:
+		c.linkUp(time.Now(), event.Link)
+	case *peer.Down:
+		c.linkDown(time.Now(), event.Link)
+	case *peer.Received:
+		if c.links.side(event.Link)[event.Link.Router()] == event.Link {
+			event.Acknowledge()
+			c.frame(time.Now(), event)
+		}
+	}
+}
+
+func (c *coordinator) linkUp(now time.Time, link *peer.Link) {
+	c.links.side(link)[link.Router()] = link
+	c.news.PeerUp(link.Router())
+	if c.leaving {
+		link.Send(&peer.Leaving{})
+	}
+	if c.signs != nil && !c.leaving {
+		link.Send(&peer.Members{Hosts: c.signs})
+	}
+	if !link.Dialed() {
+		return
+	}
+	for _, state := range c.cells {
+		c.lenderStep(now, state, &lend.LinkUp{Router: link.Router()})
+	}
+}
+
+func (c *coordinator) linkDown(now time.Time, link *peer.Link) {
+	if !c.links.remove(link) {
+		return
+	}
+	router := link.Router()
+	if c.links.dialed[router] == nil && c.links.accepted[router] == nil {
+		c.news.PeerDown(router)
+	}
+	if !link.Dialed() {
+		c.entryLost(now, router)
+		return
+	}
+	c.table.Down(now, router.Host())
+	for _, state := range c.cells {
+		c.lenderStep(now, state, &lend.LinkDown{Router: router})
+		c.refreshOrder(now, state)
+	}
+}
+
+// frame takes one frame: it renews the leases that rest on the link, then delivers the message.
+func (c *coordinator) frame(now time.Time, event *peer.Received) {
+	router := event.Link.Router()
+	if event.Link.Dialed() {
+		for _, state := range c.cells {
+			c.lenderStep(now, state, &lend.Heard{Router: router})
+		}
+	} else {
+		c.renew(now, router, event.Echoed)
+	}
+	if event.Message != nil {
+		c.received(now, router, event.Message, event.Echoed)
+	}
+}
+
+// received delivers a message of a router, which may be this one.
+func (c *coordinator) received(now time.Time, from cell.RouterID, message peer.Message, echoed time.Time) {
+	switch message := message.(type) {
+	case *peer.Join, *peer.Release, *peer.Want, *peer.Withdraw, *peer.Progress, *peer.Ends:
+		c.dispatcherReceived(now, from, message, echoed)
+	case *peer.Accepted, *peer.Released, *peer.Grants, *peer.Refusals, *peer.Counters:
+		c.lenderReceived(now, from, message, echoed)
+	case *peer.Leaving:
+		c.peerLeaving(now, from)
+	case *peer.Members:
+		c.told(now, from, message.Hosts)
+	case *peer.ConfigNews, *peer.ConfigAsk, *peer.ConfigPart:
+		c.news.Received(from, message)
+	}
+}
+
+// told takes a peer's signs of hosts. Only a router that has a configuration
+// tells them, so from then on the peer may dispatch.
+func (c *coordinator) told(now time.Time, from cell.RouterID, hosts []cell.HostID) {
+	c.table.Told(now, from.Host(), hosts)
+	if c.links.dialed[from] != nil {
+		c.table.Up(now, from.Host())
+	}
+}
+
+func (c *coordinator) peerLeaving(now time.Time, from cell.RouterID) {
+	c.table.Leaving(now, from.Host())
+	for _, state := range c.cells {
+		c.refreshOrder(now, state)
+		c.lenderStep(now, state, &lend.PeerLeaving{Router: from})
+	}
+}
+
+// toDispatcher sends a message of this router's entry role.
+func (c *coordinator) toDispatcher(router cell.RouterID, message peer.Message) {
+	c.send(c.links.dialed[router], router, message)
+}
+
+// toEntry sends a message of this router's dispatcher role.
+func (c *coordinator) toEntry(router cell.RouterID, message peer.Message) {
+	c.send(c.links.accepted[router], router, message)
+}
+
+func (c *coordinator) send(link *peer.Link, router cell.RouterID, message peer.Message) {
+	if router == c.self {
+		c.loopback = append(c.loopback, message)
+		return
+	}
+	if link != nil {
+		link.Send(message) // A full ring closes the link; its Down follows.
+	}
+}
+
+// tell sends a message of the configuration duty, over whichever link there is.
+func (c *coordinator) tell(cmd tell) {
+	if cmd.to != "" {
+		c.tellOne(cmd.to, cmd.message)
+		return
+	}
+	told := make(map[cell.RouterID]bool)
+	c.links.each(func(link *peer.Link) {
+		if !told[link.Router()] {
+			told[link.Router()] = true
+			link.Send(cmd.message)
+		}
+	})
+}
+
+func (c *coordinator) tellOne(to cell.RouterID, message peer.Message) {
+	link := c.links.dialed[to]
+	if link == nil {
+		link = c.links.accepted[to]
+	}
+	if link != nil {
+		link.Send(message)
+	}
+}
--- /dev/null
+++ b/router/loads.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+)
+
+// loadPollers bounds the endpoints that are asked for their report at the same time.
+const loadPollers = 64
+
+// pollTarget is an endpoint of a cell that this router dispatches.
+type pollTarget struct {
+	cell     cell.ID
+	endpoint cell.EndpointID
+	address  netip.AddrPort
+}
+
+// choosePolled publishes the endpoints whose reports the dispatchers here need.
+func (c *coordinator) choosePolled() {
+	var targets []pollTarget
+	for id, state := range c.cells {
+		if len(state.entries) == 0 || c.directory == nil {
+			continue
+		}
+		for _, endpoint := range c.directory.members[id] {
+			address := c.directory.addresses[endpoint]
+			targets = append(targets, pollTarget{cell: id, endpoint: endpoint, address: address})
+		}
+	}
+	c.polled.Store(&targets)
+}
+
+func (c *coordinator) handleMeasured(now time.Time, cmd measured) {
+	if cmd.err != nil {
+		c.dispatch(now, cmd.cell, &dispatch.Unreachable{Endpoint: cmd.endpoint})
+		return
+	}
+	c.dispatch(now, cmd.cell, &dispatch.Load{
+		Endpoint:  cmd.endpoint,
+		Start:     cmd.load.Start,
+		Cold:      cmd.load.Cold,
+		InFlight:  cmd.load.InFlight,
+		Completed: int(cmd.load.Completed),
+		Sampled:   cmd.sampled,
+	})
+}
+
+// loadPoller is the duty that asks endpoints for their reports.
+type loadPoller struct {
+	config      *Config
+	coordinator *coordinator
+
+	mu   sync.Mutex
+	busy map[cell.EndpointID]bool // busy endpoints have not answered the last question.
+}
+
+func newLoadPoller(config *Config, coordinator *coordinator) *loadPoller {
+	return &loadPoller{config: config, coordinator: coordinator, busy: make(map[cell.EndpointID]bool)}
+}
+
+// run polls until ctx ends.
+func (p *loadPoller) run(ctx context.Context) error {
+	ticker := time.NewTicker(p.config.Timings.LoadPoll)
+	defer ticker.Stop()
+	slots := make(chan struct{}, loadPollers)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			p.round(ctx, slots, &group)
+		}
+	}
+}
+
+func (p *loadPoller) round(ctx context.Context, slots chan struct{}, group *sync.WaitGroup) {
+	targets := p.coordinator.polled.Load()
+	if targets == nil {
+		return
+	}
+	for _, target := range *targets {
+		if !p.begin(target.endpoint) {
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			p.end(target.endpoint)
+			return
+		}
+		group.Go(func() {
+			p.poll(ctx, target)
+			p.end(target.endpoint)
+			<-slots
+		})
+	}
+}
+
+func (p *loadPoller) begin(endpoint cell.EndpointID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[endpoint] {
+		return false
+	}
+	p.busy[endpoint] = true
+	return true
+}
+
+func (p *loadPoller) end(endpoint cell.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, endpoint)
+}
+
+// poll asks one endpoint. The report can be as old as the report lag when it is written.
+func (p *loadPoller) poll(ctx context.Context, target pollTarget) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.Timings.LoadTimeout)
+	defer cancel()
+	sampled := time.Now().Add(-p.config.Timings.ReportLag)
+	load, err := p.config.Endpoints.Load(ctx, target.address)
+	p.coordinator.post(ctx, measured{
+		cell: target.cell, endpoint: target.endpoint, load: load, sampled: sampled, err: err,
+	})
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,161 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"ryelug/core/cell"
+	"ryelug/core/config"
+	"ryelug/io/caller"
+	"ryelug/io/peer"
+	"ryelug/router/configuration"
+	"ryelug/router/request"
+)
+
+// Router is one router process.
+type Router struct {
+	config        *Config
+	log           logrus.FieldLogger
+	mesh          *peer.Mesh
+	coordinator   *coordinator
+	configuration *configuration.Duty
+	runner        *request.Runner
+	callers       *caller.Server
+	directory     atomic.Pointer[directory]
+	leaving       atomic.Bool
+
+	gate     sync.Mutex
+	closed   bool // closed tells that no further request is taken.
+	requests sync.WaitGroup
+}
+
+// New returns a Router that Run starts.
+func New(conf Config) *Router {
+	r := &Router{config: &conf, log: conf.Log.WithField("part", "router")}
+	r.mesh = peer.New(conf.peerConfig())
+	r.coordinator = newCoordinator(&conf, r.mesh)
+	r.configuration = configuration.New(r.configurationConfig())
+	r.coordinator.news = r.configuration
+	r.runner = request.New(request.Config{
+		Endpoints: conf.Endpoints,
+		Grants:    &grants{coordinator: r.coordinator},
+		Counter:   conf.Counter,
+	})
+	conf.Callers.Handler = r
+	conf.Callers.Refused = conf.Counter.Refused
+	r.callers = caller.New(conf.Callers)
+	return r
+}
+
+// Run serves until ctx ends, then shuts down without cutting a request.
+func (r *Router) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	r.start(work, group)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			r.shutDown(work)
+		case <-work.Done(): // A duty has failed.
+		}
+		stop()
+		return nil
+	})
+	return group.Wait()
+}
+
+// start starts the duties.
+func (r *Router) start(ctx context.Context, group *errgroup.Group) {
+	loads := newLoadPoller(r.config, r.coordinator)
+	hosts := &hostPoller{config: r.config, coordinator: r.coordinator}
+	group.Go(func() error { return r.mesh.Run(ctx) })
+	group.Go(func() error { return r.coordinator.run(ctx) })
+	group.Go(func() error { return r.configuration.Run(ctx) })
+	group.Go(func() error { return loads.run(ctx) })
+	group.Go(func() error { return hosts.run(ctx) })
+	if r.config.CallersOn != nil {
+		group.Go(func() error { return r.callers.Serve(r.config.CallersOn) })
+	}
+}
+
+// shutDown leaves gracefully: the balancer and the peers are told, the
+// dispatcher role is given away, and all requests finish.
+func (r *Router) shutDown(ctx context.Context) {
+	r.log.Info("The router leaves.")
+	r.leaving.Store(true)
+	r.coordinator.post(ctx, depart{})
+	r.wait(ctx, r.config.Timings.BalancerLag)
+	r.closeGate()
+	r.requests.Wait()
+	if r.config.CallersOn != nil {
+		if err := r.callers.Shutdown(ctx); err != nil {
+			r.log.WithError(err).Warn("The callers' server did not close in order.")
+		}
+	}
+	r.wait(ctx, lastWords)
+	r.log.Info("All requests are finished.")
+}
+
+// lastWords is the time in which the ends of the last requests reach the dispatchers.
+const lastWords = 100 * time.Millisecond
+
+func (r *Router) wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+}
+
+func (r *Router) closeGate() {
+	r.gate.Lock()
+	defer r.gate.Unlock()
+	r.closed = true
+}
+
+// adopt puts a generation of the configuration in force.
+func (r *Router) adopt(generation uint64, doc *config.Document) {
+	next := newDirectory(generation, doc)
+	r.directory.Store(next)
+	r.coordinator.postAlways(adopt{directory: next})
+}
+
+// send hands a message of the configuration duty to the links.
+func (r *Router) send(to cell.RouterID, message peer.Message) {
+	r.coordinator.postAlways(tell{to: to, message: message})
+}
+
+// report logs a generation that can't be adopted; the last good one stays in force.
+func (r *Router) report(generation uint64, err error) {
+	r.log.WithField("generation", generation).WithError(err).Error("A generation can't be adopted.")
+}
+
+// Health tells the balancer whether this router takes requests.
+func (r *Router) Health() Health {
+	return Health{
+		Leaving:    r.leaving.Load(),
+		CutOff:     r.coordinator.cutOff.Load(),
+		Configured: r.directory.Load() != nil,
+		Generation: r.generation(),
+	}
+}
+
+// Health is what decides whether the balancer should send requests here.
+type Health struct {
+	Leaving    bool
+	CutOff     bool
+	Configured bool
+	Generation uint64
+}
+
+func (r *Router) generation() uint64 {
+	if d := r.directory.Load(); d != nil {
+		return d.generation
+	}
+	return 0
+}
--- /dev/null
+++ b/router/view.go
@@ -0,0 +1,52 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/io/peer"
+)
+
+// View is the coordination state of a router, for metrics and tests.
+type View struct {
+	Router cell.RouterID
+	Links  int // Links is the number of routers that this one has dialed and reached.
+	Total  int // Total is the number that stakes are divided by.
+	CutOff bool
+	Cells  []dispatch.Snapshot // Cells lists the cells that this router dispatches.
+	Peers  peer.Stats
+}
+
+// View returns the coordination state, and false if ctx ends first.
+func (r *Router) View(ctx context.Context) (View, bool) {
+	reply := make(chan View, 1)
+	if !r.coordinator.post(ctx, inspect{reply: reply}) {
+		return View{}, false
+	}
+	select {
+	case view := <-reply:
+		return view, true
+	case <-r.coordinator.done:
+		return View{}, false
+	case <-ctx.Done():
+		return View{}, false
+	}
+}
+
+func (c *coordinator) view(now time.Time) View {
+	view := View{
+		Router: c.self,
+		Links:  len(c.links.dialed),
+		Total:  c.total,
+		CutOff: c.table.CutOff(now),
+		Peers:  c.mesh.Stats(),
+	}
+	for _, state := range c.cells {
+		if len(state.entries) > 0 {
+			view.Cells = append(view.Cells, state.dispatcher.Snapshot())
+		}
+	}
+	return view
+}
