Run a request with an Idempotency-Key once over all routers

Cause: callers repeat charges and filings through other routers when an answer is missing; nothing kept the repeats from running again. Ruled out: a lookup before the create (a read more for each call, and still a race); leases on keys (wall clocks of two hosts would decide about a second run); deleting the record of an attempt that did not run (a create still on its way would take the name again). Change: core/idempotency decides on claims and settlements; router/request creates the record before it asks for a grant, replays recorded answers, and deletes old records by version. TestKeyedCallsCost: 2 writes a call, 1 write and 1 read a repeat, 1 read more for a lost answer. Conclusion: at most one run a key under lost answers, outages and a dead router.

--- a/router/request/run.go
+++ b/router/request/run.go
@@ -32,6 +32,7 @@
 	sendAt     time.Time
 	firstToken time.Duration
 	meter      meter
+	key        *key            // key is nil for a request without an Idempotency-Key.
 	attempt    context.Context // attempt ends when the caller has gone or the attempt takes too long.
 	endAttempt context.CancelFunc
 }
@@ -41,13 +42,16 @@
 	r.endAttempt = func() {}
 	var ev entry.Event = &entry.Begin{}
 	for ev != nil {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !r.detached() {
 			ev = &entry.CallerGone{Sent: r.sent}
 		}
 		ev = r.do(ctx, r.life.Step(time.Now(), ev))
 	}
 }
 
+// detached tells that the request goes on without its caller, who will ask for the outcome by its key.
+func (r *run) detached() bool { return r.key != nil && r.sent }
+
 // do carries out one action and returns the event that follows, or nil at the end.
 func (r *run) do(ctx context.Context, action entry.Action) entry.Event {
 	switch action := action.(type) {
@@ -70,6 +74,10 @@
 }
 
 func (r *run) ask(ctx context.Context, ask *entry.Ask) entry.Event {
+	if ask.Reason == entry.AnswerLate {
+		r.closeStream()
+		r.stop(true)
+	}
 	r.end(ask.End)
 	r.count(ask.Reason)
 	if !pause(ctx, ask.After) {
@@ -84,6 +92,9 @@
 	r.permit = permit
 	r.sent = false
 	r.meter = newMeter(r.route.Service, len(r.req.Body))
+	if r.key != nil {
+		ctx = context.WithoutCancel(ctx)
+	}
 	r.attempt, r.endAttempt = context.WithTimeout(ctx, r.route.LongestRequest)
 	return &entry.Granted{}
 }
@@ -185,6 +196,7 @@
 	answer := r.answer
 	r.meter.whole(answer.Body)
 	r.end(cell.Completed)
+	r.key.answered(answer)
 	if answer.Events != nil {
 		_ = r.writer.Event(r.outgoing()) // A caller that has gone needs no last event.
 		_ = r.writer.Close()
@@ -201,6 +213,7 @@
 
 func (r *run) refuse(refuse *entry.Refuse) {
 	r.closeStream()
+	r.key.unanswered(refuse.NotRun)
 	_ = r.writer.Refuse(caller.Refusal{
 		Code:       refuse.Code,
 		NotRun:     refuse.NotRun,
@@ -214,6 +227,7 @@
 // abandon stops the endpoint's work for a caller that has gone and settles its cost.
 func (r *run) abandon(abandon *entry.Abandon) {
 	r.closeStream()
+	r.key.unanswered(!r.life.MayHaveRun())
 	r.stop(abandon.End == cell.Cancelled)
 	r.end(abandon.End)
 	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown, NotRun: !r.life.MayHaveRun()})
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
 
 	"ryelug/core/cell"
 	"ryelug/core/entry"
@@ -81,15 +82,24 @@
 	defaultQueueTimeout = 30 * time.Second
 	defaultLongest      = 10 * time.Minute
 	cancelTimeout       = time.Second
+	defaultKeyRate      = 20
+	defaultKeyTimeout   = 2 * time.Second
+	defaultKeyRetention = 6 * time.Hour
+	defaultMaxRecorded  = 64 << 10
 )
 
 // Config sets up a Runner; zero numbers take defaults.
 type Config struct {
 	Endpoints    Endpoints
 	Grants       Grants
-	Counter      Counter // Counter may be nil.
-	RetryRatio   float64 // RetryRatio is the number of retries that each request of a pool earns.
-	RetryBurst   float64 // RetryBurst bounds the retries saved up for a pool.
+	Counter      Counter       // Counter may be nil.
+	RetryRatio   float64       // RetryRatio is the number of retries that each request of a pool earns.
+	RetryBurst   float64       // RetryBurst bounds the retries saved up for a pool.
+	Records      Records       // Records may be nil; then requests with an Idempotency-Key are refused.
+	KeyRate      float64       // KeyRate bounds the requests with an Idempotency-Key, a second.
+	KeyTimeout   time.Duration // KeyTimeout bounds the platform's part before the send.
+	KeyRetention time.Duration // KeyRetention is how long a key's record is kept.
+	MaxRecorded  int           // MaxRecorded bounds the recorded answer, in bytes.
 	BackoffStart time.Duration
 	BackoffLimit time.Duration
 }
@@ -98,6 +108,8 @@
 type Runner struct {
 	config Config
 
+	keys *rate.Limiter
+
 	mu      sync.Mutex
 	budgets map[cell.ID]*entry.Budget
 }
@@ -108,13 +120,21 @@
 	setDefault(&config.RetryBurst, defaultRetryBurst)
 	setDefault(&config.BackoffStart, defaultBackoffStart)
 	setDefault(&config.BackoffLimit, defaultBackoffLimit)
+	setDefault(&config.KeyRate, defaultKeyRate)
+	setDefault(&config.KeyTimeout, defaultKeyTimeout)
+	setDefault(&config.KeyRetention, defaultKeyRetention)
+	setDefault(&config.MaxRecorded, defaultMaxRecorded)
 	if config.Counter == nil {
 		config.Counter = uncounted{}
 	}
-	return &Runner{config: config, budgets: make(map[cell.ID]*entry.Budget)}
+	return &Runner{
+		config:  config,
+		keys:    rate.NewLimiter(rate.Limit(config.KeyRate), max(1, int(config.KeyRate))),
+		budgets: make(map[cell.ID]*entry.Budget),
+	}
 }
 
-func setDefault[T float64 | time.Duration](field *T, value T) {
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
 	}
@@ -140,7 +160,17 @@
 	setDefault(&route.QueueTimeout, defaultQueueTimeout)
 	setDefault(&route.LongestRequest, defaultLongest)
 	run := r.newRun(route, req, w)
-	run.loop(ctx)
+	if req.IdempotencyKey == "" {
+		run.loop(ctx)
+		return
+	}
+	run.keyed(ctx)
+}
+
+// SetKeyRate changes the bound on requests with an Idempotency-Key: all routers share what the platform bears.
+func (r *Runner) SetKeyRate(perSecond float64) {
+	r.keys.SetLimit(rate.Limit(perSecond))
+	r.keys.SetBurst(max(1, int(perSecond)))
 }
 
 func (r *Runner) newRun(route Route, req *caller.Request, w caller.Writer) *run {
