--- a/cmd/ryelug/main.go
+++ b/cmd/ryelug/main.go
@@ -26,11 +26,13 @@
 	commander.Output, commander.Error = out, errOut
 	register(commander, streams{out: out, err: errOut})
 	if err := flags.Parse(args); err != nil {
-		return exitStatus(usageError("%v", err))
+		return subcommands.ExitUsageError // The flag package has told of it.
 	}
 	if flags.NArg() == 0 {
 		flags.Usage()
-		return exitStatus(usageError("no command"))
+		err := usageError("no command")
+		report(errOut, err)
+		return exitStatus(err)
 	}
 	return commander.Execute(ctx)
 }
--- a/cmd/ryelug/router.go
+++ b/cmd/ryelug/router.go
@@ -1,4 +1,94 @@
 package main
 
-type routerCommand struct{ versionCommand }
-type devCommand struct{ versionCommand }
+import (
+	"context"
+	"flag"
+	"net"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"ryelug/io/operator"
+	"ryelug/router/process"
+	"ryelug/router/settings"
+)
+
+// routerCommand runs a router.
+type routerCommand struct {
+	settings string
+}
+
+// Name returns the command's name.
+func (*routerCommand) Name() string { return "router" }
+
+// Synopsis returns one line of help.
+func (*routerCommand) Synopsis() string { return "run a router" }
+
+// Usage returns the help text.
+func (*routerCommand) Usage() string {
+	return `router -settings FILE
+
+Run a router until it is interrupted; then it finishes all its requests and ends.
+docs/SETTINGS.md lists the keys of the file.
+
+Example:
+  ryelug router -settings /etc/ryelug/router.toml
+
+Flags:
+`
+}
+
+// SetFlags sets the flags.
+func (r *routerCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&r.settings, "settings", "", "the settings file")
+}
+
+func (r *routerCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
+	if err := noArguments(flags); err != nil {
+		return err
+	}
+	if r.settings == "" {
+		return usageError("-settings is missing")
+	}
+	given, err := settings.Load(r.settings)
+	if err != nil {
+		return err
+	}
+	log := operator.NewLog(operator.LogConfig{Level: given.LogLevel, Format: given.LogFormat, Output: to.err})
+	one, err := newProcess(given, log)
+	if err != nil {
+		return err
+	}
+	return one.Run(ctx)
+}
+
+// newProcess opens the listeners of a router, so that an address in use is told at once.
+func newProcess(given *settings.Settings, log logrus.FieldLogger) (*process.Process, error) {
+	listeners, err := listenAll(given.CallersAddress, given.OperatorAddress, given.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return process.New(process.Config{
+		Settings: given,
+		Callers:  listeners[0],
+		Operator: listeners[1],
+		Peers:    listeners[2],
+		Log:      log,
+	}), nil
+}
+
+// listenAll opens a listener for each address, or none.
+func listenAll(addresses ...netip.AddrPort) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := listen(address)
+		if err != nil {
+			for _, opened := range listeners {
+				opened.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -22,7 +22,7 @@
 	vars := operator.NewVars()
 	vars.Finished(result.OK)
 	vars.Finished(result.TeamQueueFull)
-	vars.Set(operator.BytesOut, "grants", 7)
+	vars.Add(operator.Retries, "grant_expired", 7)
 	vars.Gauge("queue", func() any { return map[string]int{"team-a": 3} })
 	health := operator.Health{NoConfiguration: true}
 	lis := fasthttputil.NewInmemoryListener()
@@ -45,7 +45,7 @@
 	is.Equal(got["requests"], map[string]any{"ok": 1.0, "team_queue_full": 1.0})
 	is.Equal(got["refusals"].(map[string]any)["team_queue_full"], 1.0)
 	is.Equal(got["refusals"].(map[string]any)["cut_off"], 0.0) // A counter for each reason is there from the start.
-	is.Equal(got["peer_bytes_out"], map[string]any{"grants": 7.0})
+	is.Equal(got["retries"], map[string]any{"grant_expired": 7.0})
 	is.Equal(got["queue"], map[string]any{"team-a": 3.0})
 	is.True(got["memstats"] != nil)
 
--- a/io/operator/vars.go
+++ b/io/operator/vars.go
@@ -13,26 +13,14 @@
 
 // Groups of counters; docs/OPERATING.md lists them.
 const (
-	Requests     Group = "requests"       // Requests counts finished requests by the name of their result code.
-	Refusals     Group = "refusals"       // Refusals counts refused requests by the name of their result code.
-	Retries      Group = "retries"        // Retries counts attempts after the first by reason.
-	Resumes      Group = "resumes"        // Resumes counts streams that went on after a break, by reason.
-	Grants       Group = "grants"         // Grants counts grants given, received, used and handed back.
-	Sessions     Group = "sessions"       // Sessions counts sessions begun and ended, by reason.
-	BytesOut     Group = "peer_bytes_out" // BytesOut counts bytes to other routers by kind of message.
-	BytesIn      Group = "peer_bytes_in"  // BytesIn counts bytes from other routers by kind of message.
-	MessagesOut  Group = "peer_messages_out"
-	MessagesIn   Group = "peer_messages_in"
-	PlatformCall Group = "platform_calls" // PlatformCall counts calls of the platform by verb and outcome.
-	Adoptions    Group = "adoptions"      // Adoptions counts generations adopted and refused.
+	Requests Group = "requests" // Requests counts finished requests by the name of their result code.
+	Refusals Group = "refusals" // Refusals counts refused and failed requests by the name of their result code.
+	Retries  Group = "retries"  // Retries counts attempts after the first by reason.
 )
 
 // Groups returns all groups of counters.
 func Groups() []Group {
-	return []Group{
-		Requests, Refusals, Retries, Resumes, Grants, Sessions, BytesOut, BytesIn,
-		MessagesOut, MessagesIn, PlatformCall, Adoptions,
-	}
+	return []Group{Requests, Refusals, Retries}
 }
 
 // Vars holds the variables of one router; unlike the global ones of expvar, several routers may live in a process.
@@ -51,7 +39,7 @@
 	}
 	for _, code := range result.Codes() {
 		info, _ := result.Lookup(code)
-		if info.Status != 0 {
+		if info.Status != 0 && code != result.OK {
 			vars.Add(Refusals, info.Name, 0)
 		}
 	}
@@ -65,17 +53,6 @@
 	}
 }
 
-// Set sets the counter with this name in a group, for counts that are kept elsewhere.
-func (v *Vars) Set(group Group, name string, count int64) {
-	counters, ok := v.groups[group]
-	if !ok {
-		return
-	}
-	value := new(expvar.Int)
-	value.Set(count)
-	counters.Set(name, value)
-}
-
 // Count returns the counter with this name in a group.
 func (v *Vars) Count(group Group, name string) int64 {
 	counters, ok := v.groups[group]
