Hand a cell over without a pause when its dispatcher leaves

Cause: (1) the new dispatcher knew nothing of the endpoints until the next round of load reports, and had kept a stale count of completed work from the time when it started; (2) a router that had left counted as a stake for 10 s more, so that for that time no dispatcher held all stakes. Ruled out: reports polled by the second in the order too, which doubles the polls; the list of hosts alone, which lags. Change: a dispatcher that gets its first entry asks for reports at once; a gate warms by the completed work that the endpoint reports; a router tells Departed when its last request has ended and counts no more from then on (a host that is back votes again only 5 s later).

--- a/cmd/ryelug/command_test.go
+++ b/cmd/ryelug/command_test.go
@@ -15,7 +15,7 @@
 )
 
 // checkCommand runs a command line and checks its exit status and that its output holds a text.
-func checkCommand(t *testing.T, status int, want string, args ...string) {
+func assertRun(t *testing.T, status int, want string, args ...string) {
 	t.Helper()
 	var out bytes.Buffer
 	got := execute(context.Background(), args, &out, &out)
@@ -54,7 +54,7 @@
 		{"stand-in's port in use", 1, "address_in_use", []string{"standin", "engine", "-listen", address}},
 	}
 	for _, run := range runs {
-		t.Run(run.name, func(t *testing.T) { checkCommand(t, run.status, run.want, run.args...) })
+		t.Run(run.name, func(t *testing.T) { assertRun(t, run.status, run.want, run.args...) })
 	}
 }
 
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -48,6 +48,8 @@
 	reported   bool // reported is true after a report of the present start.
 	saysCold   bool
 	done       int // done is the work completed since the endpoint was last cold.
+	completed  int // completed is the work that the endpoint had reported when it was last cold.
+	reportedOf int // reportedOf is the work completed since the start by the last report.
 	failures   int
 	lostPolls  int
 	reportedAt time.Time
@@ -78,22 +80,27 @@
 	if restarted {
 		g.start = report.Start
 		g.firstTokens, g.firstToken = 0, 0
-		g.done = min(max(report.Completed, 0), g.warmUp)
+		g.done, g.completed = 0, 0
 		g.failures = 0
 	}
+	g.reportedOf = max(report.Completed, 0)
 	if report.Cold {
-		g.done = 0
+		g.chill()
 	}
+	g.done = max(g.done, min(g.reportedOf-g.completed, g.warmUp))
 	g.reported, g.saysCold = true, report.Cold
 	g.reportedAt, g.lostPolls = now, 0
 	return restarted
 }
 
+// chill makes the endpoint cold: only work completed from now on warms it.
+func (g *Gate) chill() { g.done, g.completed = 0, g.reportedOf }
+
 // Completed takes in one completed request with its first-token time, zero when unknown.
 func (g *Gate) Completed(now time.Time, firstToken time.Duration) {
 	g.workedAt, g.failures = now, 0
 	if g.outOfLine(firstToken) {
-		g.done = 0
+		g.chill()
 		return
 	}
 	if !g.saysCold && g.reported {
@@ -106,7 +113,7 @@
 	g.workedAt = now
 	g.failures++
 	if g.failures >= failuresToCold {
-		g.done = 0
+		g.chill()
 	}
 }
 
@@ -114,18 +121,21 @@
 func (g *Gate) PollLost() {
 	g.lostPolls++
 	if g.lostPolls >= pollsToUnreachable {
-		g.done = 0
+		g.chill()
 	}
 }
 
 // Outdated takes in that the endpoint no longer has the start that it reported;
 // it gets no work until its next report.
-func (g *Gate) Outdated() { g.reported, g.done = false, 0 }
+func (g *Gate) Outdated() {
+	g.reported = false
+	g.chill()
+}
 
 // Elapse makes an endpoint cold that was idle for long and has no fresh report.
 func (g *Gate) Elapse(now time.Time) {
 	if now.Sub(g.reportedAt) > reportFresh && now.Sub(g.workedAt) > idleToCold {
-		g.done = 0
+		g.chill()
 	}
 }
 
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -15,6 +15,8 @@
 	DefaultShrinkDelay = 10 * time.Second
 	DefaultDamping     = 5 * time.Second
 	DefaultCutOffAfter = 3 * time.Second
+
+	departedKeep = 5 * time.Second // departedKeep is how long a departed host stays without a vote, even if it is back at once.
 )
 
 // Member is a host as the platform lists it.
@@ -43,6 +45,7 @@
 	connected time.Time                            // connected is the last time at which most members were linked.
 	orders    map[cell.ID][]cell.HostID            // orders caches Order until liveness changes.
 	voters    []cell.HostID
+	total     int
 }
 
 // record is one host.
@@ -57,7 +60,9 @@
 	upAt     time.Time
 	wasDown  bool // wasDown tells that a link to the host has been lost before.
 	leaving  bool // leaving is the host's own word.
-	live     bool // live is up, not leaving and past its damping.
+
+	departedAt time.Time // departedAt is when the host said that it has nothing in flight and lends no stake; zero if it did not.
+	live       bool      // live is up, not leaving and past its damping.
 }
 
 // New returns a Table that knows of its own host alone.
@@ -110,10 +115,31 @@
 		r.up = true
 		r.upAt = now
 		r.leaving = false
+		r.comeBack()
 	}
 	t.settle(now)
 }
 
+// Departed tells that the host has nothing in flight and lends no stake, by its
+// own last word. It counts no more, whatever the lagging list says.
+func (t *Table) Departed(now time.Time, host cell.HostID) {
+	r := t.record(host)
+	r.leaving = true
+	r.departedAt = now
+	r.voter = false
+	t.settle(now)
+}
+
+// comeBack counts a departed host again. It votes only after departedKeep, when
+// all others, who may not have heard of it, count it too.
+func (r *record) comeBack() {
+	if r.departedAt.IsZero() {
+		return
+	}
+	r.listedAt = r.departedAt.Add(departedKeep)
+	r.departedAt = time.Time{}
+}
+
 // Down tells that there is no link to the host any more.
 func (t *Table) Down(now time.Time, host cell.HostID) {
 	if r := t.hosts[host]; r != nil && host != t.conf.Self {
@@ -160,7 +186,7 @@
 // divided by. The number grows with the first sign of a host and shrinks only
 // ShrinkDelay after the last; a host votes only after Lag in the list.
 func (t *Table) Voters() (hosts []cell.HostID, total int) {
-	return t.voters, len(t.hosts)
+	return t.voters, t.total
 }
 
 // CutOff tells whether this router has for CutOffAfter had neither a fresh list nor links to more than half of the members.
@@ -181,8 +207,7 @@
 	reordered := false
 	for host, r := range t.hosts {
 		t.settleSign(now, host, r)
-		gone := !r.known && now.Sub(r.lastSign) > t.conf.ShrinkDelay
-		if gone && majority && host != t.conf.Self {
+		if t.isGone(now, r, majority) && host != t.conf.Self {
 			delete(t.hosts, host)
 			reordered = true
 			continue
@@ -192,22 +217,47 @@
 		r.live = live
 	}
 	t.voters = t.collect(func(r *record) bool { return r.voter })
+	t.total = len(t.collect(func(r *record) bool { return r.departedAt.IsZero() }))
 	if reordered {
 		clear(t.orders)
 	}
 }
 
+// isGone tells whether a host is to be forgotten: a departed one with the last
+// sign of it, any other ShrinkDelay later and only while most hosts are linked.
+func (t *Table) isGone(now time.Time, r *record, majority bool) bool {
+	if r.known {
+		return false
+	}
+	if !r.departedAt.IsZero() {
+		return true
+	}
+	return majority && now.Sub(r.lastSign) > t.conf.ShrinkDelay
+}
+
 func (t *Table) settleSign(now time.Time, host cell.HostID, r *record) {
 	known := r.listed || r.up || t.isTold(host)
 	if known || r.known || r.lastSign.IsZero() {
 		r.lastSign = now
 	}
 	r.known = known
+	if !r.departedAt.IsZero() {
+		t.settleDeparted(now, r)
+		return
+	}
 	if r.listed && now.Sub(r.listedAt) >= t.conf.Lag {
 		r.voter = true
 	}
 }
 
+// settleDeparted counts a departed host again that the list shows as staying:
+// its next process may have been seen by others only.
+func (t *Table) settleDeparted(now time.Time, r *record) {
+	if r.listed && !r.member.Leaving && now.Sub(r.departedAt) >= departedKeep {
+		r.comeBack()
+	}
+}
+
 func (t *Table) isTold(host cell.HostID) bool {
 	for _, said := range t.told {
 		if said[host] {
--- a/io/peer/decode.go
+++ b/io/peer/decode.go
@@ -97,6 +97,9 @@
 	case KindLeaving:
 		d.array(0)
 		return &Leaving{}
+	case KindDeparted:
+		d.array(0)
+		return &Departed{}
 	case KindConfigNews:
 		d.array(2)
 		return &ConfigNews{d.uint(), d.bytes(math.MaxInt)}
--- a/io/peer/decode_test.go
+++ b/io/peer/decode_test.go
@@ -24,7 +24,7 @@
 		&Progress{"chat", 3, []cell.Progress{{Attempt: 9, Cost: 120}}},
 		&Ends{"chat", []cell.End{{Attempt: 9, Outcome: cell.Failed}}},
 		&Counters{"chat", counters}, &Leaving{}, &ConfigNews{12, []byte("{}")},
-		&ConfigAsk{[]string{"ab"}}, &ConfigPart{"ab", []byte("part")}, &Members{[]cell.HostID{"a"}},
+		&ConfigAsk{[]string{"ab"}}, &ConfigPart{"ab", []byte("part")}, &Members{[]cell.HostID{"a"}}, &Departed{},
 	}
 }
 
--- a/io/peer/encode.go
+++ b/io/peer/encode.go
@@ -74,7 +74,7 @@
 
 func (e *encoder) config(msg Message) {
 	switch m := msg.(type) {
-	case *Leaving:
+	case *Leaving, *Departed:
 		e.array(0)
 	case *ConfigNews:
 		e.array(2)
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -82,6 +82,10 @@
 // Leaving tells that the sender shuts down gracefully.
 type Leaving struct{}
 
+// Departed tells that the sender's last request has ended: it has nothing in
+// flight, lends no stake and asks for nothing any more.
+type Departed struct{}
+
 // ConfigNews tells of the newest configuration that the sender has adopted.
 type ConfigNews struct {
 	Generation uint64
@@ -126,6 +130,7 @@
 	KindConfigAsk
 	KindConfigPart
 	KindMembers
+	KindDeparted
 
 	kindCount
 )
@@ -133,6 +138,7 @@
 var kindNames = [kindCount]string{
 	"heartbeat", "join", "accepted", "release", "released", "want", "withdraw", "grants",
 	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part", "members",
+	"departed",
 }
 
 // String returns the kind's name in counters.
@@ -155,6 +161,7 @@
 func (*Ends) kind() Kind       { return KindEnds }
 func (*Counters) kind() Kind   { return KindCounters }
 func (*Leaving) kind() Kind    { return KindLeaving }
+func (*Departed) kind() Kind   { return KindDeparted }
 func (*ConfigNews) kind() Kind { return KindConfigNews }
 func (*ConfigAsk) kind() Kind  { return KindConfigAsk }
 func (*ConfigPart) kind() Kind { return KindConfigPart }
--- a/router/cells.go
+++ b/router/cells.go
@@ -118,6 +118,9 @@
 		return
 	}
 	state.entries[from] = m.Session
+	if len(state.entries) == 1 {
+		c.choosePolled()
+	}
 	c.dispatcherStep(now, state, &dispatch.Join{
 		Router: from, Session: m.Session, Stake: m.Stake, Flights: m.Flights, Counters: m.Counters,
 	})
--- a/router/command.go
+++ b/router/command.go
@@ -59,6 +59,9 @@
 // depart gives the dispatcher role away.
 type depart struct{}
 
+// farewell tells all routers that nothing of this one is left.
+type farewell struct{}
+
 // inspect asks for a view of the coordination state.
 type inspect struct{ reply chan View }
 
@@ -70,6 +73,7 @@
 func (measured) command() {}
 func (tell) command()     {}
 func (depart) command()   {}
+func (farewell) command() {}
 func (inspect) command()  {}
 
 // decision answers an ask: a granted permit or a refusal.
--- a/router/config.go
+++ b/router/config.go
@@ -140,6 +140,6 @@
 		Send:     r.send,
 		Adopt:    r.adopt,
 		Report:   r.report,
-		Log:      r.config.Log.WithField("part", "configuration"),
+		Log:      r.config.Log.WithField("part", "config"),
 	}
 }
--- a/router/coordinator.go
+++ b/router/coordinator.go
@@ -47,6 +47,7 @@
 	leaving   bool
 	cutOff    atomic.Bool
 	polled    atomic.Pointer[[]pollTarget]
+	pollNow   chan struct{} // pollNow asks for a round of load reports before the next one is due.
 
 	progressAt time.Time
 	countersAt time.Time
@@ -64,9 +65,10 @@
 	return &coordinator{
 		config:   config,
 		self:     config.routerID(),
-		log:      config.Log.WithField("part", "coordination"),
+		log:      config.Log.WithField("part", "dispatch"),
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
+		pollNow:  make(chan struct{}, 1),
 		mesh:     mesh,
 		table:    member.New(config.memberConfig()),
 		cells:    make(map[cell.ID]*cellState),
@@ -133,6 +135,8 @@
 		c.tell(cmd)
 	case depart:
 		c.depart(now)
+	case farewell:
+		c.links.each(func(link *peer.Link) { link.Send(&peer.Departed{}) })
 	case inspect:
 		cmd.reply <- c.view(now)
 	}
--- a/router/hosts.go
+++ b/router/hosts.go
@@ -10,6 +10,12 @@
 type hostPoller struct {
 	config      *Config
 	coordinator *coordinator
+	random      *rand.Rand
+}
+
+func newHostPoller(config *Config, coordinator *coordinator) *hostPoller {
+	random := rand.New(rand.NewPCG(config.Seed, 0))
+	return &hostPoller{config: config, coordinator: coordinator, random: random}
 }
 
 // run reads the list until ctx ends, with jitter so that routers do not ask together.
@@ -17,7 +23,7 @@
 	for {
 		p.read(ctx)
 		pause := p.config.Timings.HostsPoll
-		pause += rand.N(pause / 2)
+		pause += time.Duration(p.random.Int64N(int64(pause / 2)))
 		select {
 		case <-ctx.Done():
 			return nil
@@ -31,7 +37,7 @@
 	members, err := p.config.Hosts.Hosts(readCtx)
 	cancel()
 	if err != nil {
-		p.config.Log.WithField("part", "hosts").WithError(err).Debug("The list of hosts can't be read.")
+		p.config.Log.WithField("part", "member").WithError(err).Debug("The list of hosts can't be read.")
 	}
 	p.coordinator.post(ctx, listed{members: members, err: err})
 }
--- a/router/links.go
+++ b/router/links.go
@@ -124,6 +124,9 @@
 		c.lenderReceived(now, from, message, echoed)
 	case *peer.Leaving:
 		c.peerLeaving(now, from)
+	case *peer.Departed:
+		c.table.Departed(now, from.Host())
+		c.refreshVoters(now)
 	case *peer.Members:
 		c.told(now, from, message.Hosts)
 	case *peer.ConfigNews, *peer.ConfigAsk, *peer.ConfigPart:
--- a/router/loads.go
+++ b/router/loads.go
@@ -21,6 +21,8 @@
 }
 
 // choosePolled publishes the endpoints whose reports the dispatchers here need.
+// Those of a cell that is new here are asked at once, since without a report
+// its endpoints get no work.
 func (c *coordinator) choosePolled() {
 	var targets []pollTarget
 	for id, state := range c.cells {
@@ -32,7 +34,13 @@
 			targets = append(targets, pollTarget{cell: id, endpoint: endpoint, address: address})
 		}
 	}
-	c.polled.Store(&targets)
+	before := c.polled.Swap(&targets)
+	if before == nil || len(*before) < len(targets) {
+		select {
+		case c.pollNow <- struct{}{}:
+		default: // A round is due already.
+		}
+	}
 }
 
 func (c *coordinator) handleMeasured(now time.Time, cmd measured) {
@@ -74,6 +82,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-p.coordinator.pollNow:
+			p.round(ctx, slots, &group)
 		case <-ticker.C:
 			p.round(ctx, slots, &group)
 		}
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -30,6 +30,7 @@
 	Operator    net.Listener
 	Peers       net.Listener
 	Log         logrus.FieldLogger
+	Seed        uint64         // Seed sets the jitter; zero draws one.
 	Dial        Dial           // Dial opens all connections; TCP when nil.
 	Order       dispatch.Order // Order is nil for fair service; another one is a baseline.
 	LocalQueues bool           // LocalQueues makes the router dispatch for itself, a baseline.
@@ -49,6 +50,9 @@
 	if config.Dial == nil {
 		config.Dial = dialTCP
 	}
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
 	process := &Process{config: config, vars: operator.NewVars()}
 	process.platform = platform.New(platform.Config{
 		Address:     config.Settings.PlatformAddress,
@@ -124,7 +128,7 @@
 		Incarnation:  uuid.NewString(),
 		DataCentre:   given.DataCentre,
 		Environment:  given.Environment,
-		Seed:         rand.Uint64(),
+		Seed:         p.config.Seed,
 		PeerKey:      given.PeerKey,
 		PeerListener: p.config.Peers,
 		PeerDial:     p.config.Dial,
--- a/router/router.go
+++ b/router/router.go
@@ -73,7 +73,7 @@
 // start starts the duties.
 func (r *Router) start(ctx context.Context, group *errgroup.Group) {
 	loads := newLoadPoller(r.config, r.coordinator)
-	hosts := &hostPoller{config: r.config, coordinator: r.coordinator}
+	hosts := newHostPoller(r.config, r.coordinator)
 	group.Go(func() error { return r.mesh.Run(ctx) })
 	group.Go(func() error { return r.coordinator.run(ctx) })
 	group.Go(func() error { return r.configuration.Run(ctx) })
@@ -99,10 +99,12 @@
 		}
 	}
 	r.wait(ctx, lastWords)
+	r.coordinator.post(ctx, farewell{})
+	r.wait(ctx, lastWords)
 	r.log.Info("All requests are finished.")
 }
 
-// lastWords is the time in which the ends of the last requests reach the dispatchers.
+// lastWords is the time in which the last messages reach the other routers.
 const lastWords = 100 * time.Millisecond
 
 func (r *Router) wait(ctx context.Context, pause time.Duration) {
--- /dev/null
+++ b/standin/fleet/member.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"ryelug/io/operator"
+	"ryelug/router"
+	"ryelug/router/process"
+	"ryelug/router/settings"
+	"ryelug/standin/platform"
+)
+
+// peerKey is the key that all routers of a fleet share.
+const peerKey = "a key of all routers"
+
+const defaultListLag = 2 * time.Second
+
+const settingsText = `host = %q
+data_centre = %q
+environment = %q
+peer_address = "%s"
+callers_address = "%s"
+operator_address = "%s"
+platform_address = "%s"
+peer_key = %q
+balancer_lag = "%s"
+list_lag = "%s"
+`
+
+// Member is one life of a router.
+type Member struct {
+	Host       string
+	DataCentre string
+	Address    netip.Addr
+
+	fleet   *Fleet
+	process *process.Process
+	stop    context.CancelFunc
+	stopped atomic.Bool     // stopped tells that the router was told to end, or is dead to all others.
+	killed  context.Context // killed ends when the router is killed.
+	kill    context.CancelFunc
+	done    chan struct{}
+	err     error
+}
+
+// AddRouter starts a router on a new host and lists it.
+func (f *Fleet) AddRouter(host, dataCentre string) (*Member, error) {
+	m := &Member{Host: host, DataCentre: dataCentre, Address: f.host(), fleet: f, done: make(chan struct{})}
+	peers, err := f.Network.Listen(netip.AddrPortFrom(m.Address, peerPort))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	operators, err := f.Network.Listen(netip.AddrPortFrom(m.Address, operatorPort))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	given, err := f.settings(m)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	m.process = process.New(process.Config{
+		Settings:    given,
+		Operator:    operators,
+		Peers:       peers,
+		Log:         operator.Part(f.log, operator.RouterPart).WithField("host", host),
+		Dial:        f.Network.Dialer(m.Address),
+		Seed:        f.config.Seed + uint64(len(f.Routers)) + 1,
+		Order:       f.config.Order,
+		LocalQueues: f.config.LocalQueues,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	m.killed, m.kill = context.WithCancel(context.Background())
+	go func() {
+		m.err = m.process.Run(ctx)
+		close(m.done)
+	}()
+	f.Platform.SetHost(platform.Host{Host: host, PeerAddress: given.PeerAddress, DataCentre: dataCentre})
+	f.Routers = append(f.Routers, m)
+	return m, nil
+}
+
+// settings returns a router's settings, through the checks that a file goes through.
+func (f *Fleet) settings(m *Member) (*settings.Settings, error) {
+	text := fmt.Sprintf(settingsText, m.Host, m.DataCentre, Environment,
+		netip.AddrPortFrom(m.Address, peerPort), netip.AddrPortFrom(m.Address, callersPort),
+		netip.AddrPortFrom(m.Address, operatorPort), f.platform, peerKey,
+		f.config.BalancerLag, orDefault(f.config.ListLag, defaultListLag))
+	return settings.Parse(m.Host, []byte(text))
+}
+
+// Router returns the router.
+func (m *Member) Router() *router.Router { return m.process.Router() }
+
+// Vars returns the router's counters.
+func (m *Member) Vars() *operator.Vars { return m.process.Vars() }
+
+// Leave shuts the router down gracefully and waits for it. The list of hosts lags: it shows the host to the end.
+func (m *Member) Leave() error {
+	m.stopped.Store(true)
+	m.stop()
+	m.wait()
+	m.fleet.Platform.RemoveHost(m.Host)
+	return m.err
+}
+
+// Kill cuts the router off for good and resets its connections, as the end of
+// its process would. What remains of it reaches nobody.
+func (m *Member) Kill() {
+	m.stopped.Store(true)
+	m.fleet.Network.Isolate(m.Address)
+	m.fleet.Network.Crash(m.Address)
+	m.kill()
+	m.stop()
+}
+
+// Stopped tells whether the router was told to end.
+func (m *Member) Stopped() bool { return m.stopped.Load() }
+
+// takes tells whether a balancer sends requests here.
+func (m *Member) takes() bool { return !m.Stopped() && m.process.Health().Healthy() }
+
+// lifetime returns a context that ends when the router is killed, which ends its callers' connections.
+func (m *Member) lifetime(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(m.killed, cancel)
+	return ctx
+}
+
+func (m *Member) wait() { <-m.done }
