--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -147,7 +147,6 @@
 	}
 	l.links[router.Host()] = router
 	delete(l.gone, router)
-	l.sendOwed(router)
 }
 
 func (l *Lender) linkDown(router cell.RouterID) {
@@ -159,6 +158,9 @@
 	if l.present.router == router {
 		l.closeSession()
 	}
+	if f := l.former[router]; f != nil {
+		f.unlinked = true
+	}
 	if l.holder.router == router {
 		l.holder.asked = time.Time{}
 	}
@@ -199,14 +201,15 @@
 	if l.inSession() && l.present.router != target {
 		l.leaveSession(now)
 	}
-	if !l.inSession() {
-		l.recall(now, target)
-	}
 	unlent := !l.inSession() && l.isFree(now, target)
 	late := l.inSession() && !l.present.stake && l.mayLend(now)
 	if unlent || late {
 		l.join(now, target)
 	}
+	l.restate(now, target)
+	if !l.inSession() {
+		l.recall(now, target)
+	}
 }
 
 // passOver avoids a dispatcher that does not answer Join.
@@ -261,7 +264,7 @@
 
 // closeSession forgets the session; its dispatcher goes on counting its flights.
 func (l *Lender) closeSession() {
-	l.former[l.present.router] = newFormer(l.present.session, l.flights)
+	l.former[l.present.router] = l.newFormer()
 	l.present = present{}
 }
 
@@ -321,7 +324,7 @@
 		Router:   router,
 		Session:  l.last,
 		Stake:    stake,
-		Flights:  l.flightList(),
+		Flights:  l.flightList(nil),
 		Counters: l.counterList(now),
 	})
 	if demands := l.pending.list(); len(demands) > 0 {
--- a/core/lend/work.go
+++ b/core/lend/work.go
@@ -153,31 +153,40 @@
 	delete(f.counts, end.Attempt)
 	if l.isLinked(router) {
 		l.act(&SendEnds{Router: router, Ends: []cell.End{end}})
-		return
 	}
-	f.owed = append(f.owed, end)
 }
 
-// sendOwed sends what a former dispatcher missed while it was not linked.
-func (l *Lender) sendOwed(router cell.RouterID) {
-	f := l.former[router]
-	if f == nil || len(f.owed) == 0 {
-		return
+// restate tells former dispatchers that are linked again what still runs, by
+// a session that ends at once: grants and ends were lost with the link.
+func (l *Lender) restate(now time.Time, target cell.RouterID) {
+	for _, router := range sortedKeys(l.former) {
+		f := l.former[router]
+		if !f.unlinked || !l.isLinked(router) || router == target {
+			continue
+		}
+		l.last++
+		f.session = l.last
+		f.unlinked = false
+		l.act(&Join{Router: router, Session: l.last, Flights: l.flightList(f.counts)})
+		l.act(&Release{Router: router, Session: l.last})
+		if l.holder.router == router {
+			l.holder.session = l.last
+			l.holder.asked = now
+		}
 	}
-	l.act(&SendEnds{Router: router, Ends: f.owed})
-	f.owed = nil
 }
 
-// former is a router that was this entry's dispatcher and may still count some of its flights.
+// former is a router that was this entry's dispatcher and may still count some of its attempts.
 type former struct {
-	session cell.Session
-	counts  map[cell.AttemptID]bool
-	owed    []cell.End
+	session  cell.Session
+	counts   map[cell.AttemptID]bool // counts holds what ran when the session ended, and still runs.
+	unlinked bool                    // unlinked tells that the link was lost since.
 }
 
-func newFormer(session cell.Session, flights map[cell.AttemptID]*cell.Flight) *former {
-	f := &former{session: session, counts: make(map[cell.AttemptID]bool, len(flights))}
-	for attempt := range flights {
+// newFormer takes down what the dispatcher of the present session counts.
+func (l *Lender) newFormer() *former {
+	f := &former{session: l.present.session, counts: make(map[cell.AttemptID]bool, len(l.flights))}
+	for attempt := range l.flights {
 		f.counts[attempt] = true
 	}
 	return f
@@ -217,10 +226,13 @@
 	return list
 }
 
-func (l *Lender) flightList() []cell.Flight {
+// flightList returns the flights in the set; all of them if it is nil.
+func (l *Lender) flightList(set map[cell.AttemptID]bool) []cell.Flight {
 	list := make([]cell.Flight, 0, len(l.flights))
 	for _, attempt := range sortedKeys(l.flights) {
-		list = append(list, *l.flights[attempt])
+		if set == nil || set[attempt] {
+			list = append(list, *l.flights[attempt])
+		}
 	}
 	return list
 }
