--- a/core/lend/world_test.go
+++ b/core/lend/world_test.go
@@ -44,7 +44,6 @@
 	offset   time.Duration
 	rate     float64
 	frozen   time.Duration
-	ticked   time.Duration
 	lender   *lend.Lender
 	events   []lend.Event
 	busy     bool
