--- a/core/entry/life.go
+++ b/core/entry/life.go
@@ -12,7 +12,7 @@
 const (
 	defaultMaxAttempts = 4
 	defaultMaxReasks   = 8
-	defaultMaxResumes  = 3
+	defaultMaxResumes  = 6
 	defaultRetryAfter  = time.Second
 )
 
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -94,9 +94,17 @@
 
 func requestID(req *fasthttp.Request) string { return string(req.Header.Peek("X-Request-Id")) }
 
+// target is an endpoint that fakeGrants grants.
+type target interface {
+	address() netip.AddrPort
+	startID() cell.StartID
+}
+
+func (f *fakeEndpoint) startID() cell.StartID { return cell.StartID(f.start) }
+
 // fakeGrants grants the endpoints in turn, at once, and keeps how attempts ended.
 type fakeGrants struct {
-	endpoints []*fakeEndpoint
+	endpoints []target
 	valid     time.Duration
 
 	mu    sync.Mutex
@@ -112,7 +120,7 @@
 		g.asked++
 		id := cell.EndpointID(fmt.Sprintf("e%d", n))
 		if id != avoid || len(g.endpoints) == 1 {
-			return &fakePermit{grants: g, id: id, endpoint: g.endpoints[n], expires: time.Now().Add(g.valid)}, nil
+			return &fakePermit{grants: g, id: id, endpoint: g.endpoints[n], start: g.endpoints[n].startID(), expires: time.Now().Add(g.valid)}, nil
 		}
 	}
 	return nil, context.Canceled
@@ -133,12 +141,13 @@
 type fakePermit struct {
 	grants   *fakeGrants
 	id       cell.EndpointID
-	endpoint *fakeEndpoint
+	endpoint target
+	start    cell.StartID
 	expires  time.Time
 }
 
 func (p *fakePermit) Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID) {
-	return p.id, p.endpoint.address(), "s1"
+	return p.id, p.endpoint.address(), p.start
 }
 func (p *fakePermit) Expires() time.Time { return p.expires }
 func (p *fakePermit) Progress(cell.Cost) {}
--- a/router/request/key_test.go
+++ b/router/request/key_test.go
@@ -200,7 +200,7 @@
 	for _, client := range clients {
 		router := &mortal{Records: client, Endpoints: endpoint.New(endpoint.Config{})}
 		routers = append(routers, router)
-		grants := &fakeGrants{endpoints: []*fakeEndpoint{service}, valid: 300 * time.Millisecond}
+		grants := &fakeGrants{endpoints: []target{service}, valid: 300 * time.Millisecond}
 		config := request.Config{Endpoints: router, Records: router, Grants: grants, KeyRate: 1e6, KeyTimeout: 100 * time.Millisecond}
 		urls = append(urls, serveCallers(t, config, request.Route{Service: true, QueueTimeout: time.Second, LongestRequest: 250 * time.Millisecond}))
 	}
--- a/router/request/once_test.go
+++ b/router/request/once_test.go
@@ -103,7 +103,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			service = newFakeEndpoint(t, c.script)
-			grants := &fakeGrants{endpoints: []*fakeEndpoint{service}, valid: time.Second}
+			grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
 			url := serveCallers(t, request.Config{Grants: grants}, route)
 			_, body := post(t, url, `{}`)
 			got := parseRefusal(t, body)
@@ -118,7 +118,7 @@
 	}
 	t.Run("library defaults are seen", func(t *testing.T) {
 		service = newFakeEndpoint(t, cases[0].script)
-		grants := &fakeGrants{endpoints: []*fakeEndpoint{service}, valid: time.Second}
+		grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
 		url := serveCallers(t, request.Config{Grants: grants, Endpoints: &libraryClient{}}, route)
 		post(t, url, `{}`)
 		is.New(t).True(service.sends() > 1)
--- a/router/request/record_test.go
+++ b/router/request/record_test.go
@@ -24,7 +24,7 @@
 		write(conn, "text/plain", requestID(req), answer)
 		return true
 	})
-	grants := &fakeGrants{endpoints: []*fakeEndpoint{service}, valid: time.Second}
+	grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
 	config := request.Config{Records: clients[0], Grants: grants, MaxRecorded: 10, KeyTimeout: 100 * time.Millisecond}
 	url := serveCallers(t, config, request.Route{Service: true})
 	settled := func(calls int64) {
--- a/router/request/runner_test.go
+++ b/router/request/runner_test.go
@@ -63,7 +63,7 @@
 			requestID(req), len(body), body)
 		return true
 	}
-	grants := &fakeGrants{endpoints: []*fakeEndpoint{newFakeEndpoint(t, script)}, valid: time.Second}
+	grants := &fakeGrants{endpoints: []target{newFakeEndpoint(t, script)}, valid: time.Second}
 	url := serveCallers(t, request.Config{Grants: grants}, request.Route{Idempotent: true})
 	t.Run("whole", func(t *testing.T) {
 		status, body := post(t, url, `{"model":"m"}`)
