--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -75,8 +75,8 @@
 
 // Defaults of a Config.
 const (
-	defaultRetryRatio   = 0.1
-	defaultRetryBurst   = 10
+	defaultRetryRatio   = 0.2
+	defaultRetryBurst   = 20
 	defaultBackoffStart = 20 * time.Millisecond
 	defaultBackoffLimit = time.Second
 	defaultQueueTimeout = 30 * time.Second
