--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"ryelug/core/cell"
@@ -41,7 +42,10 @@
 	window time.Duration // window is the time from a grant to the latest arrival at the endpoint.
 	policy Policy
 	known  bool // known is true once there is a policy.
-	slots  int  // slots is the sum of the warm limits.
+	slots  int  // slots is the sum of the warm limits of open endpoints.
+
+	leastShare    int
+	mergedVirtual float64 // mergedVirtual is the greatest virtual time that an entry brought.
 
 	teams      []team
 	teamIndex  map[cell.TeamID]int32
@@ -154,9 +158,11 @@
 func (d *Dispatcher) setPolicy(now time.Time, policy *Policy) {
 	d.policy = *policy
 	d.known = true
+	d.leastShare = math.MaxInt
 	for i := range policy.Teams {
-		index := d.teamOf(policy.Teams[i].Team)
-		d.ledger.SetShare(int(index), policy.Teams[i].Share)
+		share := policy.Teams[i].Share
+		d.ledger.SetShare(int(d.teamOf(policy.Teams[i].Team)), share)
+		d.leastShare = min(d.leastShare, share)
 	}
 	d.setEndpoints(policy.Endpoints)
 	d.refreshStakes(now)
@@ -211,7 +217,6 @@
 	d.unqueue(slot)
 	served := &d.teams[waiting.team]
 	charge := served.estimate.Of(waiting.hint, d.policy.LargestCost)
-	d.ledger.Charge(int(waiting.team), charge)
 	served.granted(now)
 	d.cellGranted(now)
 	start := d.endpoints[at].gate.Start()
