--- a/cmd/ryelug/dev.go
+++ b/cmd/ryelug/dev.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -13,9 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"ryelug/core/config"
 	"ryelug/io/operator"
-	platformclient "ryelug/io/platform"
 	"ryelug/router/process"
 	"ryelug/router/settings"
 	"ryelug/standin/engine"
@@ -199,7 +196,7 @@
 
 // run starts the routers and serves until ctx ends.
 func (f *devFleet) run(ctx context.Context) error {
-	if err := f.publish(ctx); err != nil {
+	if err := publishSample(ctx, f.platform, f.endpoints); err != nil {
 		return err
 	}
 	group, running := errgroup.WithContext(ctx)
@@ -248,25 +245,6 @@
 	return settings.Parse("dev", []byte(text))
 }
 
-// publish writes the sample document to the platform.
-func (f *devFleet) publish(ctx context.Context) error {
-	client := platformclient.New(platformclient.Config{Address: f.platform, Environment: sampleEnvironment})
-	defer client.Close()
-	root, parts := config.Split(sampleDocument(f.endpoints))
-	for hash, part := range parts {
-		data, err := json.Marshal(map[string]string{"text": string(part)})
-		if err != nil {
-			return err
-		}
-		if _, err := client.Create(ctx, platformclient.Parts, platformclient.Object{Name: hash, Data: data}); err != nil {
-			return err
-		}
-	}
-	root.Generation, root.ChangeID, root.Changed = 1, "dev", time.Now()
-	_, err := client.Create(ctx, platformclient.Roots, platformclient.Object{Name: "current", Data: root.Encode()})
-	return err
-}
-
 // awaitReady waits until all routers take requests.
 func (f *devFleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, devReadyLimit)
--- a/cmd/ryelug/sample.go
+++ b/cmd/ryelug/sample.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
 	"time"
 
 	"ryelug/core/config"
+	"ryelug/io/platform"
 )
 
 // The sample environment of the dev command.
@@ -96,3 +98,18 @@
 		WarmUpRequests: sampleWarmUp,
 	}
 }
+
+// publishSample writes the sample document to a new platform.
+func publishSample(ctx context.Context, address netip.AddrPort, endpoints []sampleEndpoint) error {
+	client := platform.New(platform.Config{Address: address, Environment: sampleEnvironment})
+	defer client.Close()
+	root, parts := config.Split(sampleDocument(endpoints))
+	for hash, part := range parts {
+		if _, err := client.Create(ctx, platform.Parts, platform.PartObject(hash, part)); err != nil {
+			return err
+		}
+	}
+	root.Generation, root.ChangeID, root.Changed = 1, "sample", time.Now()
+	_, err := client.Create(ctx, platform.Roots, platform.Object{Name: platform.CurrentRoot, Data: root.Encode()})
+	return err
+}
