Measure the users' four measures against baselines and bounds

Cause: the users decide by measures, and a change must not lose them unseen. Change: bench: both deployments, the router code beside first come first served and local queues in virtual time, a data centre that leaves and returns cold, JSON, SVG, bounds by formula, slopes by size.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,76 @@
+//go:build !race
+
+package bench_test
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/bench"
+)
+
+var report = flag.String("report", "", "directory for the measures of both deployments as JSON and SVG")
+
+// run runs one deployment in one mode in virtual time.
+func run(t *testing.T, d bench.Deployment, mode bench.Mode) (measured bench.Measures) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		done, err := bench.Run(context.Background(), d, mode, bench.DefaultScript(), seed)
+		is.NoErr(err)
+		measured = done.Measure()
+		if *report != "" {
+			is.NoErr(done.WritePlot(*report))
+		}
+	})
+	return measured
+}
+
+// The race detector's own runtime fails on runs of this length (a CHECK of
+// tsan_rtl.cpp), so .ci/run runs these tests a second time without it.
+
+// TestMeasures runs the router code and the baselines, and holds the router code to the derived bounds.
+func TestMeasures(t *testing.T) {
+	deployments := bench.Deployments()
+	if *report == "" {
+		deployments = deployments[:1]
+	}
+	var all []bench.Measures
+	for _, d := range deployments {
+		var own, firstCome bench.Measures
+		for _, mode := range bench.Modes() {
+			measured := run(t, d, mode)
+			all = append(all, measured)
+			switch mode.Name {
+			case "ryelug":
+				own = measured
+			case "first_come":
+				firstCome = measured
+			}
+		}
+		t.Run(d.Name, func(t *testing.T) { checkBounds(t, own, firstCome) })
+	}
+	bench.WriteTable(os.Stdout, all)
+	if *report != "" {
+		is.New(t).NoErr(bench.WriteJSON(*report, "measures.json", all))
+	}
+}
+
+func checkBounds(t *testing.T, own, firstCome bench.Measures) {
+	t.Helper()
+	is := is.New(t)
+	is.True(own.GapMost <= own.GapBound)
+	is.True(firstCome.GapMost > own.GapBound) // The load tells fair service from none.
+	is.True(own.Utilisation >= own.UtilisationBound)
+	is.Equal(len(own.LeaveRefusals), 0)
+	is.Equal(own.LeaveCut, 0)
+	is.True(own.LastWorkAfter <= (3 * time.Second).Seconds())
+	is.True(own.FullUseAfter >= 0 && own.FullUseAfter <= own.FullUseBound)
+	is.Equal(own.ColdExcess, 0)
+}
--- /dev/null
+++ b/bench/control.go
@@ -0,0 +1,88 @@
+package bench
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"ryelug/standin/fleet"
+)
+
+// Control is the traffic between routers and to the platform.
+type Control struct {
+	Span          time.Duration // Span is zero in a reading, and the time between two readings in a difference.
+	Bytes         []uint64      // Bytes are those that each router sent to and got from other routers.
+	Messages      uint64
+	PlatformCalls int64
+	Processor     time.Duration // Processor is the processor time of the whole process.
+	at            time.Time
+}
+
+func readControl(ctx context.Context, f *fleet.Fleet) Control {
+	read := Control{at: time.Now(), PlatformCalls: f.Platform.Calls().Total(), Processor: processorTime()}
+	for _, m := range f.Routers {
+		view, _ := m.Router().View(ctx)
+		var bytes uint64
+		for _, amount := range view.Peers.Out {
+			bytes += amount.Bytes
+			read.Messages += amount.Messages
+		}
+		for _, amount := range view.Peers.In {
+			bytes += amount.Bytes
+		}
+		read.Bytes = append(read.Bytes, bytes)
+	}
+	return read
+}
+
+// since returns the difference to an earlier reading.
+func (c Control) since(before Control) Control {
+	diff := Control{
+		Span:          c.at.Sub(before.at),
+		Messages:      c.Messages - before.Messages,
+		PlatformCalls: c.PlatformCalls - before.PlatformCalls,
+		Processor:     c.Processor - before.Processor,
+	}
+	for i := range c.Bytes {
+		diff.Bytes = append(diff.Bytes, c.Bytes[i]-before.Bytes[i])
+	}
+	return diff
+}
+
+// Rates are a Control by node and second.
+type Rates struct {
+	BytesMean     float64 `json:"bytes_mean"`
+	BytesMost     float64 `json:"bytes_most"` // BytesMost is that of the busiest node.
+	Messages      float64 `json:"messages"`
+	PlatformCalls float64 `json:"platform_calls"` // PlatformCalls are those of the whole fleet.
+}
+
+func (c Control) rates() Rates {
+	seconds := c.Span.Seconds()
+	var sum, most uint64
+	for _, bytes := range c.Bytes {
+		sum += bytes
+		most = max(most, bytes)
+	}
+	nodes := float64(len(c.Bytes))
+	return Rates{
+		BytesMean:     float64(sum) / nodes / seconds,
+		BytesMost:     float64(most) / seconds,
+		Messages:      float64(c.Messages) / nodes / seconds,
+		PlatformCalls: float64(c.PlatformCalls) / seconds,
+	}
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// processorRate returns the milliseconds of processor time a node and second; the stand-ins' time is in it.
+func (c Control) processorRate() float64 {
+	return float64(c.Processor.Microseconds()) / 1000 / float64(len(c.Bytes)) / c.Span.Seconds()
+}
--- /dev/null
+++ b/bench/slope.go
@@ -0,0 +1,153 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ryelug/core/config"
+	"ryelug/standin/engine"
+	"ryelug/standin/fleet"
+)
+
+const (
+	slopeSpan    = 10 * time.Second
+	slopeTokens  = 5
+	idleRequests = 200
+	idlePause    = 300 * time.Millisecond
+)
+
+// Size is what a fleet of one slope is made of.
+type Size struct {
+	Routers   int `json:"routers"`
+	Teams     int `json:"teams"`
+	Endpoints int `json:"endpoints"`
+	Callers   int `json:"callers"` // Callers of a router send one request a second each.
+}
+
+// Slope is what a fleet of one size spends.
+type Slope struct {
+	Size
+	Control       Rates   `json:"control"`
+	ProcessorTime float64 `json:"processor_ms"` // ProcessorTime is in milliseconds a node and second, stand-ins included.
+	Heap          float64 `json:"heap_mb"`      // Heap is in megabytes a node, stand-ins included.
+	Served        int     `json:"served"`
+	Adoption      float64 `json:"adoption_s"` // Adoption is the time in which a change is in force at all routers.
+}
+
+// MeasureSlope runs a fleet of one size for a while.
+func MeasureSlope(ctx context.Context, size Size, seed uint64) (Slope, error) {
+	before := heap()
+	f := fleet.New(fleet.Config{
+		Routers:     size.Routers,
+		Engines:     size.Endpoints,
+		Teams:       manyTeams(size.Teams),
+		DataCentres: Deployments()[0].DataCentres,
+		Delay:       Deployments()[0].delay(),
+		Seed:        seed,
+		Engine: engine.Config{
+			WarmLimit: warmLimit, ColdLimit: coldLimit, WarmUp: warmUp,
+			FirstToken: firstToken, TokenGap: tokenGap, ReportLag: reportLag,
+		},
+		LargestCost: largestCost,
+	})
+	if err := f.Start(ctx); err != nil {
+		return Slope{}, err
+	}
+	if err := f.Await(ctx); err != nil {
+		return Slope{}, err
+	}
+	run := f.Drive(ctx, slopeLoads(size)...)
+	time.Sleep(slopeSpan)
+	first := readControl(ctx, f)
+	time.Sleep(slopeSpan)
+	spent := readControl(ctx, f).since(first)
+	slope := Slope{Size: size, Control: spent.rates(), ProcessorTime: spent.processorRate()}
+	slope.Heap = (heap() - before) / float64(size.Routers)
+	adopted, err := adoption(ctx, f)
+	if err != nil {
+		return Slope{}, err
+	}
+	slope.Adoption = adopted.Seconds()
+	slope.Served = len(run.Stop())
+	return slope, f.Close()
+}
+
+func manyTeams(count int) []config.Team {
+	teams := make([]config.Team, count)
+	for i := range teams {
+		teams[i] = config.Team{Name: fmt.Sprintf("team-%05d", i), Share: 1 + i%4}
+	}
+	return teams
+}
+
+// slopeLoads lets each caller be of another team, as far as there are teams.
+func slopeLoads(size Size) []fleet.Load {
+	var loads []fleet.Load
+	for i := range size.Routers * size.Callers {
+		loads = append(loads, fleet.Load{
+			Team:    fmt.Sprintf("team-%05d", i%size.Teams),
+			Callers: 1,
+			Routers: []int{i % size.Routers},
+			Tokens:  slopeTokens,
+			Pause:   time.Second - firstToken - slopeTokens*tokenGap,
+		})
+	}
+	return loads
+}
+
+// adoption changes one data centre and returns the time until all routers have the new generation.
+func adoption(ctx context.Context, f *fleet.Fleet) (time.Duration, error) {
+	began := time.Now()
+	generation := f.Routers[0].Router().Health().Generation
+	if err := f.TakeOut(ctx, f.Document.DataCentres[0].Name, true); err != nil {
+		return 0, err
+	}
+	for !adopted(f, generation+1) {
+		if time.Since(began) > time.Minute {
+			return time.Since(began), nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(began), nil
+}
+
+func adopted(f *fleet.Fleet, generation uint64) bool {
+	for _, m := range f.Routers {
+		if m.Router().Health().Generation < generation {
+			return false
+		}
+	}
+	return true
+}
+
+// heap returns the megabytes of live heap.
+func heap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc) / (1 << 20)
+}
+
+// FirstToken returns the time that an idle fleet adds to the first token, over a
+// direct call of the engine from the router's place.
+func FirstToken(ctx context.Context, d Deployment, seed uint64) (Percentiles, error) {
+	f := d.fleet(Modes()[0], seed)
+	if err := f.Start(ctx); err != nil {
+		return Percentiles{}, err
+	}
+	if err := f.Await(ctx); err != nil {
+		return Percentiles{}, err
+	}
+	added := hdrhistogram.New(1, histogramTop, digits)
+	direct := firstToken + 2*d.Delay
+	for i := range idleRequests {
+		reply := f.Routers[i%len(f.Routers)].Chat(ctx, Teams()[i%len(Teams())].Name, 1)
+		_ = added.RecordValue(max(1, (reply.First - direct).Microseconds()))
+		time.Sleep(idlePause)
+	}
+	return percentilesOf(added), f.Close()
+}
--- /dev/null
+++ b/bench/slope_test.go
@@ -0,0 +1,38 @@
+//go:build !race
+
+package bench_test
+
+import (
+	"context"
+	"flag"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"ryelug/bench"
+)
+
+var slopes = flag.String("slopes", "", `which slopes to measure: "routers", "teams", "endpoints" or "requests"`)
+
+// sizes are those of each slope.
+var sizes = map[string][]bench.Size{
+	"routers":   {{3, 16, 10, 1}, {7, 16, 10, 1}, {15, 16, 10, 1}, {30, 16, 10, 1}, {50, 16, 10, 1}},
+	"teams":     {{3, 16, 10, 5}, {3, 160, 10, 5}, {3, 1600, 10, 5}, {3, 12000, 10, 5}},
+	"endpoints": {{3, 16, 10, 5}, {3, 16, 100, 5}, {3, 16, 400, 5}, {3, 16, 1200, 5}},
+	"requests":  {{7, 16, 40, 0}, {7, 16, 40, 1}, {7, 16, 40, 5}, {7, 16, 40, 20}},
+}
+
+// TestSlopes measures what a fleet spends by its size; it runs when it is asked for.
+func TestSlopes(t *testing.T) {
+	if *slopes == "" {
+		t.Skip("measures only with -slopes NAME")
+	}
+	for _, size := range sizes[*slopes] {
+		synctest.Test(t, func(t *testing.T) {
+			slope, err := bench.MeasureSlope(context.Background(), size, seed)
+			is.New(t).NoErr(err)
+			t.Logf("%+v", slope)
+		})
+	}
+}
