--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,102 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+)
+
+// fullCell returns a dispatcher of so many warm endpoints with all slots in use, and a tenth of the teams backlogged.
+func fullCell(b *testing.B, teams, endpoints int, order dispatch.Order) (*dispatch.Dispatcher, []dispatch.GrantTo) {
+	const slots = 8
+	policy := dispatch.Policy{QueueTimeout: time.Hour, LongestRequest: time.Hour, LargestCost: 4096, WarmUpRequests: 1}
+	for i := range teams {
+		policy.Teams = append(policy.Teams, dispatch.TeamPolicy{Team: cell.TeamID(fmt.Sprint("team", i)), Share: 1 + i%7})
+	}
+	for i := range endpoints {
+		policy.Endpoints = append(policy.Endpoints, dispatch.EndpointPolicy{
+			Endpoint: cell.EndpointID(fmt.Sprint("e", i)), WarmLimit: slots, ColdLimit: 1,
+		})
+	}
+	d := dispatch.New(dispatch.Config{Cell: "cell", Order: order})
+	d.Step(began, &policy)
+	d.Step(began, &dispatch.Voters{Hosts: []cell.HostID{"h0"}, Total: 1})
+	for i := range endpoints {
+		d.Step(began, &dispatch.Load{Endpoint: policy.Endpoints[i].Endpoint, Start: "s", Sampled: began, Completed: 9})
+	}
+	d.Step(began, &dispatch.Join{Router: router(0), Session: 1, Stake: true})
+	d.Step(began, &dispatch.Renew{Router: router(0), Session: 1, StakeUntil: began.Add(1000 * time.Hour)})
+	grants := make([]dispatch.GrantTo, 0, endpoints*slots)
+	backlogged := max(1, teams/10)
+	for attempt := range cell.AttemptID(endpoints*slots + 4*backlogged) {
+		team := policy.Teams[int(attempt)%backlogged].Team
+		want := &dispatch.Want{Router: router(0), Session: 1, Demands: []cell.Demand{{Attempt: attempt, Team: team, Estimate: 100}}}
+		for _, action := range d.Step(began, want) {
+			grants = append(grants, *action.(*dispatch.GrantTo))
+		}
+	}
+	return d, grants
+}
+
+// leastRate is the target of decisions a second on one core.
+const leastRate = 100_000
+
+// decide measures one request's way through the dispatcher: its end, the grant that follows, and a new demand of the team.
+func decide(b *testing.B, teams, endpoints int, order dispatch.Order) {
+	d, grants := fullCell(b, teams, endpoints, order)
+	names := make([]cell.TeamID, max(1, teams/10))
+	for i := range names {
+		names[i] = cell.TeamID(fmt.Sprint("team", i))
+	}
+	ended := &dispatch.Ended{Router: router(0), Ends: make([]cell.End, 1)}
+	want := &dispatch.Want{Router: router(0), Session: 1, Demands: make([]cell.Demand, 1)}
+	next := cell.AttemptID(1 << 32)
+	now := began
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(10 * time.Microsecond)
+		at := i % len(grants)
+		ended.Ends[0] = cell.End{Attempt: grants[at].Grant.Attempt, Outcome: cell.Completed, Cost: cell.Cost(1 + i*7%4096)}
+		actions := d.Step(now, ended)
+		grants[at] = *actions[0].(*dispatch.GrantTo)
+		next++
+		want.Demands[0] = cell.Demand{Attempt: next, Team: names[i%len(names)]}
+		d.Step(now, want)
+	}
+	rate := float64(b.N) / b.Elapsed().Seconds()
+	b.ReportMetric(rate, "decisions/s")
+	if b.N > 10000 && rate < leastRate {
+		b.Errorf("%.0f decisions a second; %d are the target", rate, leastRate)
+	}
+}
+
+func BenchmarkTeams(b *testing.B) {
+	for _, teams := range []int{16, 160, 1600, 12000} {
+		b.Run(fmt.Sprint(teams), func(b *testing.B) { decide(b, teams, 100, dispatch.Fair{}) })
+	}
+}
+
+func BenchmarkEndpoints(b *testing.B) {
+	for _, endpoints := range []int{10, 100, 1200} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) { decide(b, 1600, endpoints, dispatch.Fair{}) })
+	}
+}
+
+func BenchmarkFirstCome(b *testing.B) {
+	decide(b, 1600, 100, dispatch.FirstCome{})
+}
+
+// BenchmarkTick measures what passing time costs at the target size.
+func BenchmarkTick(b *testing.B) {
+	d, _ := fullCell(b, 12000, 1200, dispatch.Fair{})
+	var counters []cell.TeamCounter
+	b.ReportAllocs()
+	for i := range b.N {
+		d.Step(began.Add(time.Duration(i)*time.Microsecond), &dispatch.Tick{})
+		counters = d.Counters(counters[:0])
+	}
+}
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -87,3 +87,19 @@
 		b.Equal(b.refuse[len(b.refuse)-1].RetryAfter, 2*time.Second) // 20 wait, one goes each 100 ms.
 	})
 }
+
+func TestDecisionAllocatesNothing(t *testing.T) {
+	b := warmBench(t, 4)
+	b.want(0, "a", 10)
+	ended := &dispatch.Ended{Router: router(0), Ends: []cell.End{{Attempt: 1, Outcome: cell.Completed, Cost: 5}}}
+	want := &dispatch.Want{Router: router(0), Session: 1, Demands: []cell.Demand{{Attempt: b.next, Team: "b"}}}
+	allocs := testing.AllocsPerRun(10000, func() {
+		b.now = b.now.Add(time.Millisecond)
+		for _, action := range b.d.Step(b.now, ended) {
+			ended.Ends[0].Attempt = action.(*dispatch.GrantTo).Grant.Attempt
+		}
+		want.Demands[0].Attempt++
+		b.d.Step(b.now, want)
+	})
+	b.Equal(allocs, 0.0)
+}
--- a/core/dispatch/stakes_test.go
+++ b/core/dispatch/stakes_test.go
@@ -1,10 +1,12 @@
 package dispatch_test
 
 import (
-	"github.com/matryer/is"
-	"ryelug/core/dispatch"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/dispatch"
 )
 
 // Ten requests run at entry B, granted before a split; entry A joins a rival, which must not add to them.
