--- a/cmd/ryelug/main.go
+++ b/cmd/ryelug/main.go
@@ -26,22 +26,28 @@
 	commander.Output, commander.Error = out, errOut
 	register(commander, streams{out: out, err: errOut})
 	if err := flags.Parse(args); err != nil {
-		return exitStatus(usageError("%v", err))
+		return subcommands.ExitUsageError // The flag package has told of it.
 	}
 	if flags.NArg() == 0 {
 		flags.Usage()
-		return exitStatus(usageError("no command"))
+		err := usageError("no command")
+		report(errOut, err)
+		return exitStatus(err)
 	}
 	return commander.Execute(ctx)
 }
 
 func register(commander *subcommands.Commander, to streams) {
 	const (
-		run    = "run"
-		trial  = "try out"
-		others = "other"
+		run     = "run"
+		operate = "operate"
+		trial   = "try out"
+		others  = "other"
 	)
 	commander.Register(&command{streams: to, action: &routerCommand{}}, run)
+	for _, one := range operatorCommands() {
+		commander.Register(&command{streams: to, action: one}, operate)
+	}
 	commander.Register(&command{streams: to, action: &devCommand{}}, trial)
 	commander.Register(&command{streams: to, action: &standinCommand{}}, trial)
 	commander.Register(&command{streams: to, action: &versionCommand{}}, others)
