--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -150,8 +150,11 @@
 	d.expireWaits(now)
 	d.expireOrphans(now)
 	for i := range d.endpoints {
-		d.endpoints[i].gate.Elapse(now)
-		d.refreshCaps(now, int32(i))
+		at := &d.endpoints[i]
+		at.gate.Elapse(now)
+		if !at.warm || at.gate.State() != limit.Warm {
+			d.refreshCaps(now, int32(i))
+		}
 	}
 }
 
--- a/core/dispatch/gap_test.go
+++ b/core/dispatch/gap_test.go
@@ -45,6 +45,8 @@
 	service []float64
 	gaps    map[[2]int]*span
 	granted int
+	ahead   float64 // ahead is the cost of what others got while team 0 waits.
+	longest float64 // longest is the greatest such value.
 	carried []cell.TeamCounter
 	isFresh bool // isFresh is true if entries have seen the counters of the moment when a dispatcher dies.
 }
@@ -121,12 +123,21 @@
 				delete(f.waiting[team], id)
 				f.granted++
 				f.runs[id] = &run{team: team, cost: 1 + cell.Cost(f.rand.Int64N(int64(f.policy.LargestCost)))}
+				f.waitFor(f.runs[id])
 				f.ids = append(f.ids, id)
 			}
 		}
 	}
 }
 
+// waitFor notes what others got since the last grant to team 0, while it waited.
+func (f *flow) waitFor(granted *run) {
+	f.ahead += float64(granted.cost)
+	if granted.team == 0 || len(f.waiting[0]) == 0 {
+		f.longest, f.ahead = max(f.longest, f.ahead), 0
+	}
+}
+
 // serve lets one request advance, report its progress or end.
 func (f *flow) serve() {
 	if len(f.ids) == 0 {
@@ -241,6 +252,26 @@
 	t.Logf("%.2f of the bound over %d dispatchers", worst, f.epoch)
 }
 
+// A team of the smallest share waits no longer than the bound beside floods of all others.
+func TestSmallestShareWaits(t *testing.T) {
+	wait := func(order dispatch.Order) float64 {
+		f := newFlow(t, 1, []int{1, 9, 9, 9}, 2, order)
+		for range 20000 {
+			f.now = f.now.Add(time.Millisecond)
+			if team := f.rand.IntN(4); len(f.waiting[team]) < 2000*min(team, 1)+1 {
+				f.demand(team, 1)
+			}
+			f.serve()
+		}
+		return f.longest / fair.WaitBound(f.bound([2]int{0, 1}, 0), 4, 28)
+	}
+	is := is.New(t)
+	fairly, firstCome := wait(dispatch.Fair{}), wait(dispatch.FirstCome{})
+	t.Logf("longest wait over its bound: fair %.2f, first come first served %.2f", fairly, firstCome)
+	is.True(fairly <= 1)
+	is.True(firstCome > 1)
+}
+
 // The same load exceeds the bound when it is served first come first served.
 func TestFirstComeExceedsBound(t *testing.T) {
 	f := newFlow(t, 1, []int{1, 1, 1}, 3, dispatch.FirstCome{})
--- a/core/fair/bound.go
+++ b/core/fair/bound.go
@@ -28,6 +28,14 @@
 	return lost / float64(min(b.ShareA, b.ShareB))
 }
 
+// WaitBound returns the most service that others can get, in cost units, before
+// the next grant of a backlogged team; teams and shares are those of all
+// backlogged teams together.
+func WaitBound(b Bound, teams, shares int) float64 {
+	behind := float64(shares) * Spread(b.LargestCost, b.Slots, b.LeastShare)
+	return behind + float64(2*b.Slots+teams)*float64(b.LargestCost)
+}
+
 // Spread bounds how far the counter of a backlogged team stands above the least one.
 func Spread(largest cell.Cost, slots, leastShare int) float64 {
 	return float64(slots) * float64(largest) / float64(max(1, leastShare))
