Count no work from before an endpoint was cold towards its slow start

Cause: reports lag, so the work that an endpoint completed just before it was cold appeared in the next report and made it warm at once. Ruled out: ignoring reported work after a cold start: a dispatcher that is new would then warm up endpoints that others warmed. Change: the base of reported work is taken from the first report sampled after the endpoint was last cold. TestGateBecomesCold failed before the change: limit 10 where 2 is due, for each sign but a new start. Conclusion: a late report warms nothing.

--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -73,12 +73,12 @@
 	former, last := at.gate.Start(), at.sampled
 	if former != "" && former != ev.Start && ev.Sampled.Before(at.heard) {
 		// Either report may be the older one: no grants until that is certain.
-		at.gate.Outdated()
+		at.gate.Outdated(now)
 		d.refreshCaps(now, index)
 		return
 	}
 	at.heard = now
-	report := limit.Report{Start: ev.Start, Cold: ev.Cold, Completed: ev.Completed}
+	report := limit.Report{Start: ev.Start, Cold: ev.Cold, Completed: ev.Completed, Sampled: ev.Sampled}
 	if at.gate.Reported(now, report) && former != "" {
 		at.former = former
 		at.proven = later(at.proven, last)
@@ -143,7 +143,7 @@
 
 func (d *Dispatcher) unreachable(now time.Time, ev *Unreachable) {
 	if index, ok := d.endpointIndex[ev.Endpoint]; ok {
-		d.endpoints[index].gate.PollLost()
+		d.endpoints[index].gate.PollLost(now)
 		d.refreshCaps(now, index)
 	}
 }
--- a/core/dispatch/flight.go
+++ b/core/dispatch/flight.go
@@ -227,7 +227,7 @@
 	case cell.Failed, cell.Refused:
 		gate.Failed(now)
 	case cell.StartChanged:
-		gate.Outdated()
+		gate.Outdated(now)
 	}
 }
 
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -47,9 +47,10 @@
 	start      cell.StartID
 	reported   bool // reported is true after a report of the present start.
 	saysCold   bool
-	done       int // done is the work completed since the endpoint was last cold.
-	completed  int // completed is the work that the endpoint had reported when it was last cold.
-	reportedOf int // reportedOf is the work completed since the start by the last report.
+	done       int  // done is the work completed since the endpoint was last cold.
+	isBased    bool // isBased is true once base is known.
+	base       int  // base is the work that the endpoint had completed when it was last cold, by its own word.
+	coldAt     time.Time
 	failures   int
 	lostPolls  int
 	reportedAt time.Time
@@ -71,7 +72,8 @@
 type Report struct {
 	Start     cell.StartID
 	Cold      bool
-	Completed int // Completed is the work done since the start; zero when unknown.
+	Completed int       // Completed is the work done since the start; zero when unknown.
+	Sampled   time.Time // Sampled is the earliest time that the report can stem from.
 }
 
 // Reported takes in a report and tells whether the endpoint has a new start.
@@ -80,27 +82,41 @@
 	if restarted {
 		g.start = report.Start
 		g.firstTokens, g.firstToken = 0, 0
-		g.done, g.completed = 0, 0
-		g.failures = 0
+		g.done, g.failures = 0, 0
+		g.isBased, g.base = true, 0
 	}
-	g.reportedOf = max(report.Completed, 0)
 	if report.Cold {
-		g.chill()
+		g.chill(now)
 	}
-	g.done = max(g.done, min(g.reportedOf-g.completed, g.warmUp))
+	g.count(report)
 	g.reported, g.saysCold = true, report.Cold
 	g.reportedAt, g.lostPolls = now, 0
 	return restarted
 }
 
+// count takes in the work that the endpoint says it has completed since it was
+// last cold. A report from before then tells nothing of it.
+func (g *Gate) count(report Report) {
+	if !g.isBased {
+		if report.Sampled.Before(g.coldAt) {
+			return
+		}
+		g.isBased, g.base = true, report.Completed
+	}
+	g.done = max(g.done, min(report.Completed-g.base, g.warmUp))
+}
+
 // chill makes the endpoint cold: only work completed from now on warms it.
-func (g *Gate) chill() { g.done, g.completed = 0, g.reportedOf }
+func (g *Gate) chill(now time.Time) {
+	g.done = 0
+	g.isBased, g.coldAt = false, now
+}
 
 // Completed takes in one completed request with its first-token time, zero when unknown.
 func (g *Gate) Completed(now time.Time, firstToken time.Duration) {
 	g.workedAt, g.failures = now, 0
 	if g.outOfLine(firstToken) {
-		g.chill()
+		g.chill(now)
 		return
 	}
 	if !g.saysCold && g.reported {
@@ -113,29 +129,29 @@
 	g.workedAt = now
 	g.failures++
 	if g.failures >= failuresToCold {
-		g.chill()
+		g.chill(now)
 	}
 }
 
 // PollLost takes in that the endpoint did not answer a request for its report.
-func (g *Gate) PollLost() {
+func (g *Gate) PollLost(now time.Time) {
 	g.lostPolls++
 	if g.lostPolls >= pollsToUnreachable {
-		g.chill()
+		g.chill(now)
 	}
 }
 
 // Outdated takes in that the endpoint no longer has the start that it reported;
 // it gets no work until its next report.
-func (g *Gate) Outdated() {
+func (g *Gate) Outdated(now time.Time) {
 	g.reported = false
-	g.chill()
+	g.chill(now)
 }
 
 // Elapse makes an endpoint cold that was idle for long and has no fresh report.
 func (g *Gate) Elapse(now time.Time) {
 	if now.Sub(g.reportedAt) > reportFresh && now.Sub(g.workedAt) > idleToCold {
-		g.chill()
+		g.chill(now)
 	}
 }
 
--- a/core/limit/gate_test.go
+++ b/core/limit/gate_test.go
@@ -39,9 +39,9 @@
 	}{
 		{"new start", func(g *limit.Gate) { g.Reported(began, limit.Report{Start: "b"}) }},
 		{"its own word", func(g *limit.Gate) { g.Reported(began, limit.Report{Start: "a", Cold: true}) }},
-		{"start is outdated", func(g *limit.Gate) { g.Outdated() }},
+		{"start is outdated", func(g *limit.Gate) { g.Outdated(began) }},
 		{"failures", func(g *limit.Gate) { g.Failed(began); g.Failed(began) }},
-		{"lost polls", func(g *limit.Gate) { g.PollLost(); g.PollLost() }},
+		{"lost polls", func(g *limit.Gate) { g.PollLost(began); g.PollLost(began) }},
 		{"idleness without a report", func(g *limit.Gate) { g.Elapse(late) }},
 		{"late first token", func(g *limit.Gate) {
 			for range 20 {
@@ -57,8 +57,16 @@
 			sign.happen(gate)
 			is.Equal(gate.State(), limit.Cold)
 			is.Equal(gate.Limit(), 2)
-			gate.Reported(late, limit.Report{Start: gate.Start()})
-			is.Equal(gate.Limit(), 2) // A report alone does not make it warm again.
+			work := 0
+			if gate.Start() == "a" {
+				work = 50 // The endpoint did that before it was cold, and reports it late.
+			}
+			gate.Reported(late, limit.Report{Start: gate.Start(), Completed: work, Sampled: began.Add(-1)})
+			is.Equal(gate.Limit(), 2)
+			gate.Reported(late, limit.Report{Start: gate.Start(), Completed: work, Sampled: late})
+			is.Equal(gate.Limit(), 2)
+			gate.Reported(late, limit.Report{Start: gate.Start(), Completed: work + 4, Sampled: late})
+			is.Equal(gate.Limit(), 10)
 		})
 	}
 }
