Split the dispatcher into queue, flight, session and slot

Ruled out: one package for queues and flights: they share only slots and lists. Change: core/slot, core/queue, core/flight, core/session; after idleness a fresh report counts the work since the last base again.

--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -5,6 +5,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/result"
+	"ryelug/core/session"
 )
 
 // outbox collects the actions of a step in memory that the next step uses again.
@@ -21,22 +22,22 @@
 	o.granted, o.refused = 0, 0
 }
 
-func (o *outbox) grant(to *entry, grant cell.Grant) {
+func (o *outbox) grant(to *session.Entry, grant cell.Grant) {
 	if o.granted == len(o.grants) {
 		o.grants = append(o.grants, &GrantTo{})
 	}
 	action := o.grants[o.granted]
 	o.granted++
-	*action = GrantTo{Router: to.router, Session: to.session, Grant: grant}
+	*action = GrantTo{Router: to.Router, Session: to.Session, Grant: grant}
 	o.actions = append(o.actions, action)
 }
 
-func (o *outbox) refuse(to *entry, attempt cell.AttemptID, code result.Code, after time.Duration) {
+func (o *outbox) refuse(to *session.Entry, attempt cell.AttemptID, code result.Code, after time.Duration) {
 	if o.refused == len(o.refusals) {
 		o.refusals = append(o.refusals, &RefuseTo{})
 	}
 	action := o.refusals[o.refused]
 	o.refused++
-	*action = RefuseTo{Router: to.router, Session: to.session, Attempt: attempt, Code: code, RetryAfter: after}
+	*action = RefuseTo{Router: to.Router, Session: to.Session, Attempt: attempt, Code: code, RetryAfter: after}
 	o.actions = append(o.actions, action)
 }
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -2,7 +2,7 @@
 
 import (
 	"ryelug/core/cell"
-	"ryelug/core/limit"
+	"ryelug/core/flight"
 )
 
 // Snapshot is a Dispatcher's state for metrics.
@@ -13,7 +13,7 @@
 	Entries   int // Entries is the number of live sessions.
 	Waiting   int
 	Teams     []TeamSnapshot // Teams lists the teams with a queue or work in flight.
-	Endpoints []EndpointSnapshot
+	Endpoints []flight.State
 }
 
 // TeamSnapshot is a team's state.
@@ -24,41 +24,16 @@
 	Counter  float64
 }
 
-// EndpointSnapshot is an endpoint's state.
-type EndpointSnapshot struct {
-	Endpoint cell.EndpointID
-	State    limit.State
-	Open     bool
-	Limit    int
-	InFlight int
-	Free     int
-}
-
 // Snapshot returns the state after the last Step.
 func (d *Dispatcher) Snapshot() Snapshot {
-	shot := Snapshot{
-		Cell:    d.cell,
-		Held:    d.stakes.Held(d.now),
-		Total:   d.stakes.Total(),
-		Waiting: d.arrivals.length,
-	}
-	for i := range d.entries {
-		if d.entries[i].live {
-			shot.Entries++
-		}
-	}
+	shot := Snapshot{Cell: d.cell, Entries: d.entries.Live(), Waiting: d.waiting.Len(), Endpoints: d.flights.States()}
+	shot.Held, shot.Total = d.flights.Held(d.now)
 	for i := range d.teams {
 		of := &d.teams[i]
-		if of.queue.length+of.inFlight > 0 {
-			shot.Teams = append(shot.Teams, TeamSnapshot{of.id, of.queue.length, of.inFlight, d.ledger.Counter(i)})
+		if queued := d.waiting.LenOf(int32(i)); queued+of.inFlight > 0 {
+			shot.Teams = append(shot.Teams, TeamSnapshot{of.id, queued, of.inFlight, d.ledger.Counter(i)})
 		}
 	}
-	for i := range d.endpoints {
-		at := &d.endpoints[i]
-		shot.Endpoints = append(shot.Endpoints, EndpointSnapshot{
-			at.id, at.gate.State(), at.open, at.gate.Limit(), at.inFlight() + at.lingering, at.free(),
-		})
-	}
 	return shot
 }
 
@@ -72,7 +47,7 @@
 	dst = append(dst, cell.TeamCounter{Team: virtualTime, Service: d.ledger.SettledVirtual()})
 	for i := range d.teams {
 		of := &d.teams[i]
-		if of.queue.length > 0 || of.inFlight > 0 || !of.active.IsZero() && d.now.Sub(of.active) < activeSpan {
+		if d.waiting.LenOf(int32(i)) > 0 || of.inFlight > 0 || !of.active.IsZero() && d.now.Sub(of.active) < activeSpan {
 			dst = append(dst, cell.TeamCounter{Team: of.id, Service: d.ledger.Settled(i)})
 		}
 	}
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -148,10 +148,11 @@
 	g.chill(now)
 }
 
-// Elapse makes an endpoint cold that was idle for long and has no fresh report.
+// Elapse makes an endpoint cold that was idle for long and has no fresh report;
+// the next report tells how much of its work still counts.
 func (g *Gate) Elapse(now time.Time) {
 	if now.Sub(g.reportedAt) > reportFresh && now.Sub(g.workedAt) > idleToCold {
-		g.chill(now)
+		g.done = 0
 	}
 }
 
