--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"strconv"
@@ -68,6 +69,11 @@
 		x.started = true
 		x.head <- head{stream: true}
 	}
+	select {
+	case <-x.gone:
+		return ErrGone
+	default:
+	}
 	event.Data = append([]byte(nil), event.Data...)
 	select {
 	case x.events <- event:
@@ -121,11 +127,11 @@
 		defer ended()
 		defer close(x.gone)
 		for event := range x.events {
-			writeEvent(w, event)
-			if len(x.events) > 0 {
-				continue
+			err := writeEvent(w, event)
+			if err == nil && len(x.events) == 0 {
+				err = w.Flush()
 			}
-			if err := w.Flush(); err != nil {
+			if err != nil {
 				return
 			}
 		}
@@ -133,22 +139,20 @@
 	}
 }
 
-// writeEvent leaves errors to the next Flush, which returns them.
-func writeEvent(w *bufio.Writer, event Event) {
+// writeEvent needs to look at the last error only, since the writer keeps the first one.
+func writeEvent(w *bufio.Writer, event Event) error {
 	if event.ID != "" {
 		writeField(w, "id: ", event.ID)
 	}
 	if event.Name != "" {
 		writeField(w, "event: ", event.Name)
 	}
-	_, _ = w.WriteString("data: ")
-	for _, b := range event.Data {
-		_ = w.WriteByte(b)
-		if b == '\n' {
-			_, _ = w.WriteString("data: ")
-		}
+	for line := range bytes.SplitSeq(event.Data, []byte("\n")) {
+		_, _ = w.WriteString("data: ")
+		_, _ = w.Write(line)
+		_ = w.WriteByte('\n')
 	}
-	_, _ = w.WriteString("\n\n")
+	return w.WriteByte('\n')
 }
 
 func writeField(w *bufio.Writer, name, value string) {
