Bound an event of many short lines

Cause: the limit on an event held only for lines longer than the reader's buffer; an endless event of short lines grew without bound. Ruled out: a limit on the number of lines beside the one on bytes.

--- a/io/endpoint/events.go
+++ b/io/endpoint/events.go
@@ -110,21 +110,28 @@
 // line reads a line of at most limit bytes, without its end.
 func (e *Events) line(limit int) ([]byte, error) {
 	line, err := e.reader.ReadSlice('\n')
-	if err == nil {
-		return bytes.TrimRight(line, "\r\n"), nil
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = e.longLine(limit, line)
 	}
-	long := append([]byte(nil), line...)
-	for errors.Is(err, bufio.ErrBufferFull) && len(long) <= limit {
-		line, err = e.reader.ReadSlice('\n')
-		long = append(long, line...)
-	}
-	if len(long) > limit {
+	if len(line) > limit {
 		return nil, fmt.Errorf("event is longer than %d bytes", e.client.config.MaxEvent)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return bytes.TrimRight(long, "\r\n"), nil
+	return bytes.TrimRight(line, "\r\n"), nil
+}
+
+// longLine goes on with a line that is longer than the reader's buffer.
+func (e *Events) longLine(limit int, begun []byte) ([]byte, error) {
+	line := append([]byte(nil), begun...)
+	err := bufio.ErrBufferFull
+	for errors.Is(err, bufio.ErrBufferFull) && len(line) <= limit {
+		var more []byte
+		more, err = e.reader.ReadSlice('\n')
+		line = append(line, more...)
+	}
+	return line, err
 }
 
 // Close ends the reading. A stream read to its end gives its connection back; any
