Prove cancels, late grants and final answers at once

Cause: the runner's handling of callers that leave, of grants that come late, of late engines and of refused demands had no tests. Ruled out: nothing; no fault was found. Change: TestCallerLeaves, TestLateEngine, TestLateGrant, TestNoGrant. Conclusion: the final answer goes out when it is known.

--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -108,8 +108,10 @@
 	valid     time.Duration
 
 	mu    sync.Mutex
+	late  int // late is the number of grants to come that have expired already.
 	asked int
 	ends  []cell.Outcome
+	cost  cell.Cost // cost is that of the latest end.
 }
 
 func (g *fakeGrants) Ask(_ context.Context, _ cell.ID, _ cell.TeamID, _ cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
@@ -120,7 +122,11 @@
 		g.asked++
 		id := cell.EndpointID(fmt.Sprintf("e%d", n))
 		if id != avoid || len(g.endpoints) == 1 {
-			return &fakePermit{grants: g, id: id, endpoint: g.endpoints[n], start: g.endpoints[n].startID(), expires: time.Now().Add(g.valid)}, nil
+			expires := time.Now()
+			if g.late--; g.late < 0 {
+				expires = expires.Add(g.valid)
+			}
+			return &fakePermit{grants: g, id: id, endpoint: g.endpoints[n], start: g.endpoints[n].startID(), expires: expires}, nil
 		}
 	}
 	return nil, context.Canceled
@@ -151,10 +157,10 @@
 }
 func (p *fakePermit) Expires() time.Time { return p.expires }
 func (p *fakePermit) Progress(cell.Cost) {}
-func (p *fakePermit) End(outcome cell.Outcome, _ cell.Cost, _ time.Duration) {
+func (p *fakePermit) End(outcome cell.Outcome, cost cell.Cost, _ time.Duration) {
 	p.grants.mu.Lock()
 	defer p.grants.mu.Unlock()
-	p.grants.ends = append(p.grants.ends, outcome)
+	p.grants.ends, p.grants.cost = append(p.grants.ends, outcome), cost
 }
 
 // handler serves every request on one route.
--- a/router/request/runner_test.go
+++ b/router/request/runner_test.go
@@ -1,6 +1,7 @@
 package request_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,9 +13,13 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"ryelug/core/cell"
+	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
 	"ryelug/router/request"
+	standin "ryelug/standin/endpoint"
+	"ryelug/standin/engine"
 )
 
 // serveCallers starts a callers' server before a Runner and returns its URL.
@@ -74,3 +79,86 @@
 		is.New(t).Equal([]any{status, body}, []any{200, "id: 1\ndata: one\n\nid: 2\ndata: two\n\ndata: [DONE]\n\n"})
 	})
 }
+
+// TestCallerLeaves cancels the engine's work and settles what it has cost so far.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, engine.Config{Name: "e", Tokens: 10_000, TokenGap: 5 * time.Millisecond})
+	grants := &fakeGrants{endpoints: []target{e}, valid: time.Second}
+	url := serveCallers(t, request.Config{Grants: grants}, request.Route{Idempotent: true})
+	resp, err := http.Post(url, "application/json", strings.NewReader(`{"model":"m","stream":true}`))
+	is.NoErr(err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 500))
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(grants.ended(1), []cell.Outcome{cell.Cancelled})
+	is.True(grants.cost > 2 && grants.cost < 1000)
+	is.Equal(e.History().Count(standin.CancelledRun), 1)
+}
+
+// TestLateEngine leaves an engine that does not begin in time, stops its work, and answers from another.
+func TestLateEngine(t *testing.T) {
+	is := is.New(t)
+	slow := startEngine(t, engine.Config{Name: "slow", FirstToken: time.Hour})
+	quick := startEngine(t, engine.Config{Name: "quick", Tokens: 3})
+	grants := &fakeGrants{endpoints: []target{slow, quick}, valid: time.Second}
+	client := endpoint.New(endpoint.Config{EventTimeout: 100 * time.Millisecond, AnswerTimeout: 100 * time.Millisecond})
+	url := serveCallers(t, request.Config{Grants: grants, Endpoints: client}, request.Route{Idempotent: true})
+	for _, body := range []string{`{"model":"m"}`, `{"model":"m","stream":true}`} {
+		status, _ := post(t, url, body)
+		is.Equal(status, 200)
+	}
+	is.Equal(grants.ended(4), []cell.Outcome{cell.Failed, cell.Completed, cell.Failed, cell.Completed})
+	is.Equal(slow.History().Count(standin.CancelledRun), 2)
+}
+
+// TestLateGrant hands back grants that came too late, and sends under the next one in time.
+func TestLateGrant(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idempotent %t", idempotent), func(t *testing.T) {
+			is := is.New(t)
+			e := startEngine(t, engine.Config{Name: "e"})
+			grants := &fakeGrants{endpoints: []target{e}, valid: time.Second, late: 2}
+			status, _ := post(t, serveCallers(t, request.Config{Grants: grants}, request.Route{Idempotent: idempotent}), `{"model":"m"}`)
+			is.Equal(status, 200)
+			is.Equal(grants.ended(3), []cell.Outcome{cell.Unused, cell.Unused, cell.Completed})
+			is.Equal(e.History().Count(standin.Started), 1)
+		})
+	}
+}
+
+// noGrants refuses at once, or keeps every demand waiting.
+type noGrants struct{ err error }
+
+func (g *noGrants) Ask(ctx context.Context, _ cell.ID, _ cell.TeamID, _ cell.Cost, _ cell.EndpointID) (request.Permit, error) {
+	if g.err != nil {
+		return nil, g.err
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestNoGrant gives the final answer as soon as it is known, with when to come back.
+func TestNoGrant(t *testing.T) {
+	cases := []struct {
+		name       string
+		err        error
+		code       result.Code
+		retryAfter int64
+	}{
+		{"queue timeout", nil, result.QueueTimeout, 1000},
+		{"queue full", &request.RefusedError{Code: result.TeamQueueFull, RetryAfter: 3 * time.Second}, result.TeamQueueFull, 3000},
+		{"no dispatcher", io.ErrUnexpectedEOF, result.NoDispatcher, 1000},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			url := serveCallers(t, request.Config{Grants: &noGrants{c.err}}, request.Route{QueueTimeout: 50 * time.Millisecond})
+			began := time.Now()
+			_, body := post(t, url, `{}`)
+			is.True(time.Since(began) < 500*time.Millisecond)
+			got := parseRefusal(t, body).Error
+			is.Equal([]any{got.Code, got.NotRun, got.RetryAfterMS}, []any{c.code, true, c.retryAfter})
+		})
+	}
+}
