Give the records of keys a package of their own

Ruled out: leaving the records to the runner; they speak to the platform, the runner to endpoints and callers. Change: router/keyed holds claims, settlements and the sweeper; request.Config.Keys takes a keyed.Keeper. TestSweep seen failing with the delete's version left out.

--- a/router/request/sweeper.go
+++ b/router/keyed/sweeper.go
@@ -1,4 +1,4 @@
-package request
+package keyed
 
 import (
 	"context"
--- a/router/request/key_test.go
+++ b/router/request/key_test.go
@@ -21,13 +21,14 @@
 	"ryelug/core/result"
 	"ryelug/io/endpoint"
 	"ryelug/io/platform"
+	"ryelug/router/keyed"
 	"ryelug/router/request"
 	standin "ryelug/standin/platform"
 )
 
 // mortal is a router's way to the world; after its death nothing comes back.
 type mortal struct {
-	request.Records
+	keyed.Records
 	request.Endpoints
 	dead atomic.Bool
 }
@@ -201,7 +202,8 @@
 		router := &mortal{Records: client, Endpoints: endpoint.New(endpoint.Config{})}
 		routers = append(routers, router)
 		grants := &fakeGrants{endpoints: []target{service}, valid: 300 * time.Millisecond}
-		config := request.Config{Endpoints: router, Records: router, Grants: grants, KeyRate: 1e6, KeyTimeout: 100 * time.Millisecond}
+		config := request.Config{Endpoints: router, Grants: grants,
+			Keys: keyed.New(keyed.Config{Records: router, Rate: 1e6, Timeout: 100 * time.Millisecond})}
 		urls = append(urls, serveCallers(t, config, request.Route{Service: true, QueueTimeout: time.Second, LongestRequest: 250 * time.Millisecond}))
 	}
 	stop := make(chan struct{})
--- a/router/request/record_test.go
+++ b/router/request/record_test.go
@@ -1,9 +1,7 @@
 package request_test
 
 import (
-	"context"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -11,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ryelug/core/result"
-	"ryelug/io/platform"
+	"ryelug/router/keyed"
 	"ryelug/router/request"
 	standin "ryelug/standin/platform"
 )
@@ -25,7 +23,8 @@
 		return true
 	})
 	grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
-	config := request.Config{Records: clients[0], Grants: grants, MaxRecorded: 10, KeyTimeout: 100 * time.Millisecond}
+	keys := keyed.New(keyed.Config{Records: clients[0], MaxRecorded: 10, Timeout: 100 * time.Millisecond})
+	config := request.Config{Keys: keys, Grants: grants}
 	url := serveCallers(t, config, request.Route{Service: true})
 	settled := func(calls int64) {
 		for deadline := time.Now().Add(time.Second); server.Calls().Total() < calls && time.Now().Before(deadline); {
@@ -71,36 +70,3 @@
 		})
 	}
 }
-
-// TestSweep deletes a record after its time and no other, and spares one that changed after the list.
-func TestSweep(t *testing.T) {
-	is := is.New(t)
-	_, clients := startPlatform(t, 1)
-	client, ctx, now := clients[0], t.Context(), time.Now()
-	for name, expires := range map[string]string{"old": "1000", "new": "99999999999", "unmarked": ""} {
-		_, err := client.Create(ctx, platform.Calls, platform.Object{Name: name, Annotations: map[string]string{"expires": expires}, Data: []byte("{}")})
-		is.NoErr(err)
-	}
-	racing := &racingRecords{Client: client}
-	is.Equal(request.NewSweeper(request.SweeperConfig{Records: racing}).Sweep(ctx, now), 0)
-	is.Equal(request.NewSweeper(request.SweeperConfig{Records: client}).Sweep(ctx, now), 1)
-	list, err := client.ListNames(ctx, platform.Calls)
-	is.NoErr(err)
-	var names []string
-	for _, object := range list.Items {
-		names = append(names, object.Name)
-	}
-	is.Equal(strings.Join(names, " "), "new unmarked")
-}
-
-// racingRecords has another router delete and write anew each record between the list and the delete.
-type racingRecords struct{ *platform.Client }
-
-func (r *racingRecords) ListNames(ctx context.Context, kind platform.Kind) (platform.List, error) {
-	list, err := r.Client.ListNames(ctx, kind)
-	for _, object := range list.Items {
-		_ = r.Delete(ctx, kind, object.Name, object.Version)
-		_, _ = r.Create(ctx, kind, platform.Object{Name: object.Name, Annotations: object.Annotations, Data: []byte("{}")})
-	}
-	return list, err
-}
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -10,6 +10,7 @@
 	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
+	"ryelug/router/keyed"
 )
 
 // progressEvery is the number of events after which their cost is reported.
@@ -32,7 +33,7 @@
 	sendAt     time.Time
 	firstToken time.Duration
 	meter      meter
-	key        *key            // key is nil for a request without an Idempotency-Key.
+	key        *keyed.Hold     // key is nil for a request without an Idempotency-Key.
 	attempt    context.Context // attempt ends when the caller has gone or the attempt takes too long.
 	endAttempt context.CancelFunc
 }
@@ -196,12 +197,13 @@
 	answer := r.answer
 	r.meter.whole(answer.Body)
 	r.end(cell.Completed)
-	r.key.answered(answer)
 	if answer.Events != nil {
+		r.key.Streamed(answer.Status)
 		_ = r.writer.Event(r.outgoing()) // A caller that has gone needs no last event.
 		_ = r.writer.Close()
 		r.closeStream()
 	} else {
+		r.key.Answered(answer.Status, answer.ContentType, answer.Body)
 		_ = r.writer.Whole(caller.Answer{
 			Status:      answer.Status,
 			ContentType: answer.ContentType,
@@ -213,7 +215,7 @@
 
 func (r *run) refuse(refuse *entry.Refuse) {
 	r.closeStream()
-	r.key.unanswered(refuse.NotRun)
+	r.key.Unanswered(refuse.NotRun)
 	_ = r.writer.Refuse(caller.Refusal{
 		Code:       refuse.Code,
 		NotRun:     refuse.NotRun,
@@ -227,7 +229,7 @@
 // abandon stops the endpoint's work for a caller that has gone and settles its cost.
 func (r *run) abandon(abandon *entry.Abandon) {
 	r.closeStream()
-	r.key.unanswered(!r.life.MayHaveRun())
+	r.key.Unanswered(!r.life.MayHaveRun())
 	r.stop(abandon.End == cell.Cancelled)
 	r.end(abandon.End)
 	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown, NotRun: !r.life.MayHaveRun()})
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"golang.org/x/time/rate"
 
 	"ryelug/core/cell"
 	"ryelug/core/entry"
 	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
+	"ryelug/router/keyed"
 )
 
 // Endpoints sends calls to endpoints.
@@ -82,10 +82,6 @@
 	defaultQueueTimeout = 30 * time.Second
 	defaultLongest      = 10 * time.Minute
 	cancelTimeout       = time.Second
-	defaultKeyRate      = 20
-	defaultKeyTimeout   = 2 * time.Second
-	defaultKeyRetention = 6 * time.Hour
-	defaultMaxRecorded  = 64 << 10
 )
 
 // Config sets up a Runner; zero numbers take defaults.
@@ -95,11 +91,7 @@
 	Counter      Counter       // Counter may be nil.
 	RetryRatio   float64       // RetryRatio is the number of retries that each request of a pool earns.
 	RetryBurst   float64       // RetryBurst bounds the retries saved up for a pool.
-	Records      Records       // Records may be nil; then requests with an Idempotency-Key are refused.
-	KeyRate      float64       // KeyRate bounds the requests with an Idempotency-Key, a second.
-	KeyTimeout   time.Duration // KeyTimeout bounds the platform's part before the send.
-	KeyRetention time.Duration // KeyRetention is how long a key's record is kept.
-	MaxRecorded  int           // MaxRecorded bounds the recorded answer, in bytes.
+	Keys         *keyed.Keeper // Keys may be nil; then requests with an Idempotency-Key are refused.
 	BackoffStart time.Duration
 	BackoffLimit time.Duration
 }
@@ -108,8 +100,6 @@
 type Runner struct {
 	config Config
 
-	keys *rate.Limiter
-
 	mu      sync.Mutex
 	budgets map[cell.ID]*entry.Budget
 }
@@ -120,21 +110,13 @@
 	setDefault(&config.RetryBurst, defaultRetryBurst)
 	setDefault(&config.BackoffStart, defaultBackoffStart)
 	setDefault(&config.BackoffLimit, defaultBackoffLimit)
-	setDefault(&config.KeyRate, defaultKeyRate)
-	setDefault(&config.KeyTimeout, defaultKeyTimeout)
-	setDefault(&config.KeyRetention, defaultKeyRetention)
-	setDefault(&config.MaxRecorded, defaultMaxRecorded)
 	if config.Counter == nil {
 		config.Counter = uncounted{}
 	}
-	return &Runner{
-		config:  config,
-		keys:    rate.NewLimiter(rate.Limit(config.KeyRate), max(1, int(config.KeyRate))),
-		budgets: make(map[cell.ID]*entry.Budget),
-	}
+	return &Runner{config: config, budgets: make(map[cell.ID]*entry.Budget)}
 }
 
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
+func setDefault[T float64 | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
 	}
@@ -167,12 +149,6 @@
 	run.keyed(ctx)
 }
 
-// SetKeyRate changes the bound on requests with an Idempotency-Key: all routers share what the platform bears.
-func (r *Runner) SetKeyRate(perSecond float64) {
-	r.keys.SetLimit(rate.Limit(perSecond))
-	r.keys.SetBurst(max(1, int(perSecond)))
-}
-
 func (r *Runner) newRun(route Route, req *caller.Request, w caller.Writer) *run {
 	nonIdempotent := !route.Idempotent || req.NonIdempotent || req.IdempotencyKey != ""
 	giveUp := time.Now().Add(route.QueueTimeout)
