End a server that is shut down before it serves

Cause: the HTTP library's Shutdown closes only listeners that Serve has seen. A server that was closed first served for ever; TestCheck hung until its timeout of 600 s, and a router that is told to leave while it starts would have hung too. Ruled out: a wait in the test for the server to serve, which leaves the router's fault. Change: the callers' and operators' servers and the stand-in platform close their listeners themselves. Conclusion: mended.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -55,6 +55,9 @@
 	http   *fasthttp.Server
 	prefix string
 	serial atomic.Uint64
+
+	closing context.Context // closing ends with Shutdown.
+	close   context.CancelFunc
 }
 
 // New returns a Server.
@@ -69,6 +72,7 @@
 		config.Refused = func(result.Code) {}
 	}
 	s := &Server{config: config, prefix: uuid.NewString()}
+	s.closing, s.close = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:                      s.serve,
 		ErrorHandler:                 s.unreadable,
@@ -100,11 +104,17 @@
 
 // Serve answers the callers of ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout})
+	defer context.AfterFunc(s.closing, func() { ln.Close() })()
+	err := s.http.Serve(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout})
+	if s.closing.Err() != nil {
+		return nil
+	}
+	return err
 }
 
 // Shutdown stops accepting and waits until all requests are answered or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.close() // The library closes only listeners that it has seen.
 	return s.http.ShutdownWithContext(ctx)
 }
 
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -79,6 +79,7 @@
 		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 		defer cancel()
 		_ = s.http.ShutdownWithContext(closing) // A reader that keeps its connection open does not hold up the end.
+		_ = s.config.Listener.Close()           // The library closes only a listener that it has seen.
 		return nil
 	})
 	return group.Wait()
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -78,7 +78,29 @@
 
 // Serve answers calls on a listener until Close.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.http.Serve(listener)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-s.done: // The library closes only listeners that it has seen.
+			listener.Close()
+		case <-stop:
+		}
+	}()
+	err := s.http.Serve(listener)
+	if s.isClosed() {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) isClosed() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // Close ends all watches and stops the server.
