Send a change as root, index and leaf, down a tree of routers

Ruled out: a root sent as a difference, which needs a base that both ends share; smaller parts alone, which make the root larger. Change: the root lists indexes of 32 leaves of about 16 items; a router passes a generation on to 3 others of its data centre, the watchers are the roots of that tree and tell those who are behind after 500 ms; a slow platform keeps its longer timeout.

--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"strings"
 	"testing"
@@ -163,16 +164,22 @@
 				fresh++
 			}
 		}
-		is.Equal(fresh, 1)
+		is.Equal(fresh, 2) // A leaf and its index.
 	})
 	t.Run("missing and broken parts", func(t *testing.T) {
 		is := is.New(t)
 		first, second := root.Parts[0], root.Parts[1]
-		var bad *config.PartError
-		_, err := config.Join(root, map[string][]byte{first: parts[first]})
-		is.True(errors.As(err, &bad) && bad.Missing)
-		_, err = config.Join(root, map[string][]byte{first: parts[second]})
-		is.True(errors.As(err, &bad) && !bad.Missing)
+		leaf := config.Leaves(parts[second])[0]
+		for _, hash := range []string{first, leaf} {
+			var bad *config.PartError
+			broken := maps.Clone(parts)
+			delete(broken, hash)
+			_, err := config.Join(root, broken)
+			is.True(errors.As(err, &bad) && bad.Missing && bad.Hash == hash)
+			broken[hash] = parts[second]
+			_, err = config.Join(root, broken)
+			is.True(errors.As(err, &bad) && !bad.Missing && bad.Hash == hash)
+		}
 	})
 }
 
--- a/core/config/parts.go
+++ b/core/config/parts.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,18 +17,21 @@
 	// MaxPart bounds a part in bytes, so that it fits the platform's values with its envelope.
 	MaxPart = 512 << 10
 
-	itemsPerPart = 64 // itemsPerPart balances the size of the root against that of a changed part.
-	hashBytes    = 16 // hashBytes is the length of a part's name before it is written in hex.
+	itemsPerLeaf   = 16 // itemsPerLeaf and leavesPerIndex balance the sizes of root, index and leaf that a change sends.
+	leavesPerIndex = 32
+	hashBytes      = 16 // hashBytes is the length of a part's name before it is written in hex.
 )
 
-// Root names all parts of one generation of a document.
+// Root names all parts of one generation of a document: it lists indexes, an
+// index lists leaves, and the leaves make up the text. So a change of one item
+// changes one leaf, one index and the root.
 type Root struct {
 	Environment string    `json:"environment"`
 	Generation  uint64    `json:"generation"`
 	ChangeID    string    `json:"change_id"`
 	Change      string    `json:"change"` // Change says in a few words what the operator did.
 	Changed     time.Time `json:"changed"`
-	Parts       []string  `json:"parts"` // Parts are hashes, in the order of the text.
+	Parts       []string  `json:"parts"` // Parts are the hashes of indexes, in the order of the text.
 }
 
 // PartError tells that a part is missing or is not what its name says.
@@ -53,26 +58,83 @@
 func Split(d *Document) (Root, map[string][]byte) {
 	root := Root{Environment: d.Environment}
 	parts := map[string][]byte{}
-	for _, part := range cut(sorted(d)) {
-		hash := Hash(part)
+	for leaves := range slices.Chunk(cut(sorted(d)), leavesPerIndex) {
+		var index bytes.Buffer
+		for _, leaf := range leaves {
+			hash := Hash(leaf)
+			parts[hash] = leaf
+			index.WriteString(hash + "\n")
+		}
+		hash := Hash(index.Bytes())
+		parts[hash] = index.Bytes()
 		root.Parts = append(root.Parts, hash)
-		parts[hash] = part
 	}
 	return root, parts
 }
 
+// Leaves returns the names of the leaves that an index lists.
+func Leaves(index []byte) []string {
+	return strings.Fields(string(index))
+}
+
+// Find looks a part up by its name.
+type Find func(hash string) ([]byte, bool)
+
+// Missing returns up to most names of parts that are needed next and not found.
+func Missing(root Root, find Find, most int) []string {
+	var missing []string
+	want := func(hash string) ([]byte, bool) {
+		part, found := find(hash)
+		if !found && len(missing) < most {
+			missing = append(missing, hash)
+		}
+		return part, found
+	}
+	for _, hash := range root.Parts {
+		index, found := want(hash)
+		if !found {
+			continue
+		}
+		for _, leaf := range Leaves(index) {
+			want(leaf)
+		}
+	}
+	return missing
+}
+
+// Reachable returns all parts of a root that are found.
+func Reachable(root Root, find Find) map[string][]byte {
+	parts := map[string][]byte{}
+	add := func(hash string) []byte {
+		part, found := find(hash)
+		if found {
+			parts[hash] = part
+		}
+		return part
+	}
+	for _, hash := range root.Parts {
+		for _, leaf := range Leaves(add(hash)) {
+			add(leaf)
+		}
+	}
+	return parts
+}
+
 // Join puts a document together again and validates all of it.
 func Join(root Root, parts map[string][]byte) (*Document, error) {
 	var text bytes.Buffer
 	for _, hash := range root.Parts {
-		part, found := parts[hash]
-		if !found {
-			return nil, &PartError{Hash: hash, Missing: true}
+		index, err := whole(parts, hash)
+		if err != nil {
+			return nil, err
 		}
-		if Hash(part) != hash {
-			return nil, &PartError{Hash: hash}
+		for _, leaf := range Leaves(index) {
+			part, err := whole(parts, leaf)
+			if err != nil {
+				return nil, err
+			}
+			text.Write(part)
 		}
-		text.Write(part)
 	}
 	doc, err := Parse(text.Bytes())
 	if err != nil {
@@ -84,6 +146,18 @@
 	return doc, nil
 }
 
+// whole returns a part after checking it against its name.
+func whole(parts map[string][]byte, hash string) ([]byte, error) {
+	part, found := parts[hash]
+	if !found {
+		return nil, &PartError{Hash: hash, Missing: true}
+	}
+	if Hash(part) != hash {
+		return nil, &PartError{Hash: hash}
+	}
+	return part, nil
+}
+
 // ParseRoot reads a root and checks that it can stand for a generation.
 func ParseRoot(data []byte) (Root, error) {
 	var root Root
@@ -115,7 +189,7 @@
 // spread puts items into buckets by the hash of their names, so that a change of one item changes one part.
 func spread[T any](items []T, name func(T) string, encode func(*bytes.Buffer, T)) [][]byte {
 	count := uint64(1)
-	for int(count)*itemsPerPart < len(items) {
+	for int(count)*itemsPerLeaf < len(items) {
 		count *= 2
 	}
 	buckets := make([][]T, count)
--- a/core/spread/announce.go
+++ b/core/spread/announce.go
@@ -61,26 +61,35 @@
 
 // announce tells those that this router cares for of a new generation, and of fresh news.
 func (m *Machine) announce() {
-	if m.root.Generation == 0 || !m.watching && m.confirmAt.IsZero() {
+	if m.root.Generation == 0 {
 		return
 	}
-	confirm := !m.now.Before(m.confirmAt)
+	confirm := (m.watching || !m.confirmAt.IsZero()) && !m.now.Before(m.confirmAt)
 	local := confirm && m.hasFreshNews()
 	abroad := confirm && m.hasContact()
 	for _, router := range m.sortedPeers() {
-		p := m.peers[router]
-		neighbour := m.isNeighbour(router.Host())
-		if !neighbour && !m.isWatcherAbroad(router.Host()) {
-			continue
-		}
-		behind := p.generation < m.root.Generation && (p.told < m.root.Generation || m.age(p.toldAt) >= m.config.Repeat)
-		if behind || neighbour && local || !neighbour && abroad {
+		p, host := m.peers[router], router.Host()
+		behind := p.generation < m.root.Generation
+		confirms := local && m.isNeighbour(host) || abroad && m.isWatcherAbroad(host)
+		if behind && m.owes(host, p) || !behind && confirms {
 			m.tell(router, p)
 		}
 	}
 	m.scheduleConfirm(confirm)
 }
 
+// owes reports whether this router has to tell a peer that is behind: a child at
+// once, and as a watcher all of its data centre after a while.
+func (m *Machine) owes(host cell.HostID, p *peer) bool {
+	if p.told < m.root.Generation && (m.children[host] || m.watching && m.isWatcherAbroad(host)) {
+		return true
+	}
+	if !m.watching || m.age(m.adoptedAt) < m.config.Repeat || m.age(p.toldAt) < m.config.Repeat {
+		return false
+	}
+	return m.isNeighbour(host) || m.isWatcherAbroad(host)
+}
+
 func (m *Machine) scheduleConfirm(confirmed bool) {
 	switch {
 	case !m.watching:
--- a/core/spread/fetch.go
+++ b/core/spread/fetch.go
@@ -48,24 +48,24 @@
 		return
 	}
 	c := &candidate{generation: root.Generation, root: root, raw: raw, from: from, tried: map[cell.RouterID]bool{}}
-	c.parts = make(map[string][]byte, len(root.Parts))
-	for _, hash := range root.Parts {
-		if part, found := m.parts[hash]; found {
-			c.parts[hash] = part
-		}
-	}
+	c.parts = map[string][]byte{}
 	m.pending = c
 }
 
-// missing returns the parts that have not arrived, as many as fit one request.
-func (c *candidate) missing() []string {
-	var hashes []string
-	for _, hash := range c.root.Parts {
-		if _, found := c.parts[hash]; !found && len(hashes) < hashesPerAsk {
-			hashes = append(hashes, hash)
+// find looks a part up among those of the candidate and of the generation in force.
+func (m *Machine) find(c *candidate) config.Find {
+	return func(hash string) ([]byte, bool) {
+		if part, found := c.parts[hash]; found {
+			return part, true
 		}
+		part, found := m.parts[hash]
+		return part, found
 	}
-	return hashes
+}
+
+// missing returns the parts that have not arrived, as many as fit one request.
+func (m *Machine) missing(c *candidate) []string {
+	return config.Missing(c.root, m.find(c), hashesPerAsk)
 }
 
 // pursue adopts the candidate or asks for what it lacks.
@@ -77,7 +77,7 @@
 	if c == nil {
 		return
 	}
-	if c.raw != nil && len(c.missing()) == 0 {
+	if c.raw != nil && len(m.missing(c)) == 0 {
 		m.adopt(c)
 		return
 	}
@@ -105,7 +105,7 @@
 
 // ask requests the root or the missing parts from the candidate's source.
 func (m *Machine) ask(c *candidate) {
-	hashes := c.missing()
+	hashes := m.missing(c)
 	c.wanted = make(map[string]bool, len(hashes))
 	for _, hash := range hashes {
 		c.wanted[hash] = true
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -17,6 +17,7 @@
 	DefaultRepeat   = 500 * time.Millisecond
 	DefaultAnswer   = 300 * time.Millisecond
 	DefaultGrace    = 500 * time.Millisecond
+	DefaultFanOut   = 3
 )
 
 const (
@@ -41,6 +42,7 @@
 	Stale       time.Duration // Stale is the age of news at which a router reads for itself.
 	Repeat      time.Duration // Repeat is how often a peer that is behind is told again.
 	Answer      time.Duration // Answer bounds the wait for a peer's answer.
+	FanOut      int           // FanOut is how many routers of its data centre a router passes a generation on to.
 	Grace       time.Duration // Grace is how long a host without a link still counts as a watcher.
 }
 
@@ -52,6 +54,7 @@
 	set(&c.Repeat, DefaultRepeat)
 	set(&c.Answer, DefaultAnswer)
 	set(&c.Grace, DefaultGrace)
+	set(&c.FanOut, DefaultFanOut)
 }
 
 func set[T int | time.Duration](to *T, otherwise T) {
@@ -83,13 +86,15 @@
 	members  map[cell.HostID]*member
 	peers    map[cell.RouterID]*peer
 	roles    map[string][]cell.HostID // roles holds the watchers of each data centre; nil if it is out of date.
+	children map[cell.HostID]bool     // children are the hosts that this router passes generations on to.
 	watching bool
 
-	root     config.Root
-	rawRoot  []byte
-	parts    map[string][]byte
-	pending  *candidate
-	fetching map[string]bool // fetching holds the parts that are being read from the platform.
+	root      config.Root
+	rawRoot   []byte
+	parts     map[string][]byte
+	adoptedAt time.Time
+	pending   *candidate
+	fetching  map[string]bool // fetching holds the parts that are being read from the platform.
 
 	bad      map[string]*badRoot // bad holds roots that can't be adopted, by their hashes.
 	stuck    []byte              // stuck is a root whose parts the platform did not give.
--- a/core/spread/machine_test.go
+++ b/core/spread/machine_test.go
@@ -23,6 +23,8 @@
 	slowAnswer  = 700 * time.Millisecond
 	linkSilence = 750 * time.Millisecond
 	tickEvery   = 100 * time.Millisecond
+	newsBytes   = 20 // newsBytes is the size of a message without its data.
+	hashBytes   = 34
 )
 
 // TestMain fixes the seed of the property tests; -rapid.seed overrides it.
@@ -65,7 +67,7 @@
 	cut      bool // cut separates it from the platform.
 	group    int  // group numbers its side of a partition among routers.
 	adopted  uint64
-	reads    int
+	sent     int // sent is the bytes sent to peers.
 }
 
 func (n *node) dataCentre() string { return fmt.Sprintf("dc-%d", n.centre) }
@@ -206,17 +208,19 @@
 			w.tellWatcher(n)
 		}
 	case *spread.ReadRoot:
-		n.reads++
 		w.call(n, func() spread.Event { return &spread.RootRead{Root: w.root} }, &spread.RootFailed{})
 	case *spread.ReadParts:
 		for _, hash := range a.Hashes {
 			w.call(n, func() spread.Event { return &spread.PartRead{Hash: hash, Data: w.readPart(hash)} }, &spread.PartFailed{Hash: hash})
 		}
 	case *spread.SendNews:
+		n.sent += newsBytes + len(a.Root)
 		w.send(n, a.To, &spread.News{From: n.id, Generation: a.Generation, Root: a.Root})
 	case *spread.SendAsk:
+		n.sent += newsBytes + len(a.Hashes)*hashBytes
 		w.send(n, a.To, &spread.Ask{From: n.id, Hashes: a.Hashes})
 	case *spread.SendPart:
+		n.sent += newsBytes + len(a.Data)
 		w.send(n, a.To, &spread.Part{From: n.id, Hash: a.Hash, Data: a.Data})
 	case *spread.Adopt:
 		if a.Root.Generation <= n.adopted {
@@ -366,6 +370,39 @@
 	})
 }
 
+// busiest returns the bytes that the busiest router and a router on average send for a change.
+func busiest(t *testing.T, settings spread.Config) (most, mean int) {
+	const changes = 10
+	w := newWorld(nil, 60, settings)
+	w.publish()
+	w.run(5 * time.Second)
+	for _, n := range w.nodes {
+		n.sent = 0
+	}
+	for range changes {
+		w.publish()
+		w.run(time.Second)
+	}
+	for _, n := range w.nodes {
+		most = max(most, n.sent/changes)
+		mean += n.sent / changes
+		if n.adopted != w.newest {
+			t.Errorf("%s has generation %d, not %d", n.id, n.adopted, w.newest)
+		}
+	}
+	return most, mean / len(w.nodes)
+}
+
+// No router of a large data centre sends a change to many others.
+func TestLoadIsSpread(t *testing.T) {
+	relayed, mean := busiest(t, spread.Config{})
+	direct, _ := busiest(t, spread.Config{FanOut: 60})
+	t.Logf("60 routers in 3 data centres: the busiest sends %d bytes a change, %d on average; %d if watchers send all", relayed, mean, direct)
+	if relayed > 5*mean || direct < 2*relayed {
+		t.Errorf("the busiest router sends %d bytes a change, the mean is %d", relayed, mean)
+	}
+}
+
 // The check must find what a machine without one of its mechanisms does.
 func TestSpreadBaselines(t *testing.T) {
 	for _, c := range []struct {
--- a/core/spread/member.go
+++ b/core/spread/member.go
@@ -86,7 +86,27 @@
 	}
 	m.roles = make(map[string][]cell.HostID, len(able))
 	for dataCentre, hosts := range able {
-		m.roles[dataCentre] = first(hosts, dataCentre, m.config.Watchers)
+		m.roles[dataCentre] = first(slices.Clone(hosts), dataCentre, m.config.Watchers)
+	}
+	m.assignChildren(able[m.config.DataCentre])
+}
+
+// assignChildren puts the hosts of this data centre into a tree whose roots are
+// the watchers, so that none sends a generation to more than a few others.
+func (m *Machine) assignChildren(hosts []string) {
+	watchers := m.roles[m.config.DataCentre]
+	order := slices.Clone(watchers)
+	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	for _, host := range hosts {
+		if !slices.Contains(watchers, cell.HostID(host)) {
+			order = append(order, cell.HostID(host))
+		}
+	}
+	m.children = make(map[cell.HostID]bool, m.config.FanOut)
+	at := slices.Index(order, m.config.Self.Host())
+	start := len(watchers) + at*m.config.FanOut
+	for i := start; at >= 0 && i < min(start+m.config.FanOut, len(order)); i++ {
+		m.children[order[i]] = true
 	}
 }
 
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -88,12 +88,14 @@
 	if c.root.Generation <= m.root.Generation {
 		return
 	}
-	doc, err := config.Join(c.root, c.parts)
+	parts := config.Reachable(c.root, m.find(c))
+	doc, err := config.Join(c.root, parts)
 	if err != nil {
 		m.reject(c.raw, c.root.Generation, err)
 		return
 	}
-	m.root, m.rawRoot, m.parts = c.root, c.raw, c.parts
+	m.root, m.rawRoot, m.parts = c.root, c.raw, parts
+	m.adoptedAt = m.now
 	m.do(&Adopt{Root: c.root, Document: doc})
 	maps.DeleteFunc(m.bad, func(_ string, b *badRoot) bool { return b.generation <= c.root.Generation })
 	m.acknowledge()
--- a/core/spread/source_test.go
+++ b/core/spread/source_test.go
@@ -57,6 +57,15 @@
 	}
 }
 
+// give answers with all parts twice: the leaves are asked for when the index is there.
+func (s *script) give(parts map[string][]byte, answer func(hash string) spread.Event) {
+	for range 2 {
+		for hash := range parts {
+			s.step(answer(hash))
+		}
+	}
+}
+
 // generation returns a root and the parts of a document with the given share.
 func generation(number uint64, share int) ([]byte, map[string][]byte) {
 	root, parts := config.Split(&config.Document{Environment: "trial", Teams: []config.Team{{Name: "kiosks", Share: share}}})
@@ -81,10 +90,8 @@
 	s.asked = nil
 	s.step(&spread.RootRead{Root: root})
 	s.wait(time.Second)
-	is.Equal(s.asked, []string{"platform 2", "b/1 2", "c/1 2"}) // The platform is not asked again while it has not answered.
-	for hash, part := range parts {
-		s.step(&spread.Part{From: "c/1", Hash: hash, Data: part})
-	}
+	is.Equal(s.asked, []string{"platform 1", "b/1 1", "c/1 1"}) // The platform is not asked again while it has not answered.
+	s.give(parts, func(hash string) spread.Event { return &spread.Part{From: "c/1", Hash: hash, Data: parts[hash]} })
 	is.Equal(s.adopted, uint64(5))
 }
 
@@ -100,13 +107,9 @@
 	}
 	s.step(&spread.News{From: "b/1", Generation: 8})
 	s.step(&spread.News{From: "b/1", Generation: 8, Root: low})
-	for hash, part := range lowParts {
-		s.step(&spread.Part{From: "b/1", Hash: hash, Data: part})
-	}
+	s.give(lowParts, func(hash string) spread.Event { return &spread.Part{From: "b/1", Hash: hash, Data: lowParts[hash]} })
 	is.Equal(s.adopted, uint64(8))
 	s.wait(2 * time.Second)
-	for hash, part := range highParts {
-		s.step(&spread.PartRead{Hash: hash, Data: part})
-	}
+	s.give(highParts, func(hash string) spread.Event { return &spread.PartRead{Hash: hash, Data: highParts[hash]} })
 	is.Equal(s.adopted, uint64(9)) // The parts have come after all.
 }
--- a/router/configuration/duty_test.go
+++ b/router/configuration/duty_test.go
@@ -100,6 +100,13 @@
 	})
 }
 
+// leaf returns the name of a leaf of a generation.
+func (f *fleet) leaf(root config.Root) string {
+	index, err := f.operator.Get(f.Context(), platform.Parts, root.Parts[0])
+	f.NoErr(err)
+	return config.Leaves(platform.PartText(index))[0]
+}
+
 func TestBadRoot(t *testing.T) {
 	withFleet(t, 7, spread.Config{}, func(f *fleet) {
 		good := f.change(1)
@@ -108,7 +115,7 @@
 			`{"generation":"x"}`,
 			`{"generation":50,"environment":"trial","parts":["00000000000000000000000000000000"]}`,
 			`{"generation":51,"environment":"other","parts":["` + good.Parts[0] + `"]}`,
-			`{"generation":52,"environment":"trial","parts":["` + good.Parts[1] + `"]}`,
+			`{"generation":52,"environment":"trial","parts":["` + f.leaf(good) + `"]}`,
 		} {
 			now, err := f.operator.Get(f.Context(), platform.Roots, platform.CurrentRoot)
 			f.NoErr(err)
--- a/router/configuration/read.go
+++ b/router/configuration/read.go
@@ -67,14 +67,15 @@
 // call makes one call to the platform; a platform that is slow is given more time by and by.
 func (d *Duty) call(ctx context.Context, get func(ctx context.Context) (platform.Object, error)) (platform.Object, error) {
 	wait := min(maxTimeout, readTimeout<<min(d.timeouts.Load(), 3))
-	deadline := time.Now().Add(wait)
-	bounded, cancel := context.WithDeadline(ctx, deadline)
+	started := time.Now()
+	bounded, cancel := context.WithDeadline(ctx, started.Add(wait))
 	defer cancel()
 	object, err := get(bounded)
-	if time.Now().Before(deadline) {
-		d.timeouts.Store(0)
-	} else {
+	switch took := time.Since(started); {
+	case took >= wait:
 		d.timeouts.Add(1)
+	case took < readTimeout/2:
+		d.timeouts.Store(0)
 	}
 	return object, err
 }
--- a/router/publish/change.go
+++ b/router/publish/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 	"time"
 
@@ -42,7 +41,7 @@
 	root.ChangeID = p.config.NewID()
 	root.Change = change.Text
 	root.Changed = time.Now().UTC().Truncate(time.Second)
-	if err := p.putParts(ctx, parts, change.Base.Root); err != nil {
+	if err := p.putParts(ctx, parts, change.Base); err != nil {
 		return config.Root{}, err
 	}
 	if err := p.keepFormer(ctx, change.Base); err != nil {
@@ -52,14 +51,14 @@
 }
 
 // putParts writes the parts that the base does not name.
-func (p *Publisher) putParts(ctx context.Context, parts map[string][]byte, base config.Root) error {
+func (p *Publisher) putParts(ctx context.Context, parts map[string][]byte, base Snapshot) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
 	for hash, text := range parts {
-		if slices.Contains(base.Parts, hash) {
+		if _, kept := base.parts[hash]; kept {
 			continue
 		}
-		group.Go(func() error { return p.putPart(ctx, hash, text, base.Generation) })
+		group.Go(func() error { return p.putPart(ctx, hash, text, base.Root.Generation) })
 	}
 	return group.Wait()
 }
--- a/router/publish/history.go
+++ b/router/publish/history.go
@@ -77,7 +77,8 @@
 	}
 	for _, root := range roots {
 		if root.Generation == generation {
-			return p.document(ctx, root)
+			document, _, err := p.document(ctx, root)
+			return document, err
 		}
 	}
 	return nil, platform.ErrNotFound
@@ -132,11 +133,15 @@
 	if err != nil {
 		return err
 	}
-	needed := map[string]bool{}
-	need(needed, now.Root)
+	needed := map[string][]byte{}
+	if err := p.need(ctx, needed, now.Root); err != nil {
+		return err
+	}
 	for i, f := range former {
 		if i < p.config.Keep || f.root.Generation >= now.Root.Generation {
-			need(needed, f.root)
+			if err := p.need(ctx, needed, f.root); err != nil && !isBroken(err) {
+				return err
+			}
 			continue
 		}
 		if err := p.remove(ctx, platform.History, f.object); err != nil {
@@ -146,13 +151,26 @@
 	return p.sweepParts(ctx, needed, now.Root.Generation)
 }
 
-func need(needed map[string]bool, root config.Root) {
+// need adds the names of all parts of a root; those of its indexes with their texts.
+func (p *Publisher) need(ctx context.Context, needed map[string][]byte, root config.Root) error {
+	var unread []string
 	for _, hash := range root.Parts {
-		needed[hash] = true
+		if _, read := needed[hash]; !read {
+			unread = append(unread, hash)
+		}
+	}
+	if err := p.readParts(ctx, unread, needed); err != nil {
+		return err
+	}
+	for _, hash := range unread {
+		for _, leaf := range config.Leaves(needed[hash]) {
+			needed[leaf] = nil
+		}
 	}
+	return nil
 }
 
-func (p *Publisher) sweepParts(ctx context.Context, needed map[string]bool, generation uint64) error {
+func (p *Publisher) sweepParts(ctx context.Context, needed map[string][]byte, generation uint64) error {
 	list, err := retry(ctx, p, func(ctx context.Context) (platform.List, error) {
 		return p.config.Platform.ListNames(ctx, platform.Parts)
 	})
@@ -160,7 +178,7 @@
 		return err
 	}
 	for _, part := range list.Items {
-		if needed[part.Name] || baseOf(part) >= generation {
+		if _, kept := needed[part.Name]; kept || baseOf(part) >= generation {
 			continue
 		}
 		if err := p.remove(ctx, platform.Parts, part); err != nil {
--- a/router/publish/publisher.go
+++ b/router/publish/publisher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -58,6 +59,7 @@
 	Broken   error            // Broken tells why the root or its document can't be read; it can be replaced as a whole.
 	version  string
 	raw      []byte
+	parts    map[string][]byte // parts are those of the document.
 }
 
 // ErrConflict tells that another change came first and nothing of this one is in force.
@@ -112,7 +114,7 @@
 		if err != nil || snapshot.version == "" || snapshot.Broken != nil {
 			return snapshot, err
 		}
-		snapshot.Document, err = p.document(ctx, snapshot.Root)
+		snapshot.Document, snapshot.parts, err = p.document(ctx, snapshot.Root)
 		if !isBroken(err) {
 			return snapshot, err
 		}
@@ -160,12 +162,31 @@
 	return config.Root{Generation: former[0].root.Generation + 1}, nil
 }
 
-// document reads the parts of a root and puts them together.
-func (p *Publisher) document(ctx context.Context, root config.Root) (*config.Document, error) {
-	texts := make([][]byte, len(root.Parts))
+// document reads the parts of a root, first indexes and then leaves, and puts them together.
+func (p *Publisher) document(ctx context.Context, root config.Root) (*config.Document, map[string][]byte, error) {
+	parts := map[string][]byte{}
+	find := func(hash string) ([]byte, bool) {
+		part, found := parts[hash]
+		return part, found
+	}
+	for {
+		missing := config.Missing(root, find, math.MaxInt)
+		if len(missing) == 0 {
+			document, err := config.Join(root, parts)
+			return document, parts, err
+		}
+		if err := p.readParts(ctx, missing, parts); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// readParts adds the parts of the given names to those that are there.
+func (p *Publisher) readParts(ctx context.Context, hashes []string, parts map[string][]byte) error {
+	texts := make([][]byte, len(hashes))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
-	for i, hash := range root.Parts {
+	for i, hash := range hashes {
 		group.Go(func() error {
 			text, err := p.part(ctx, hash)
 			texts[i] = text
@@ -173,13 +194,12 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		return nil, err
+		return err
 	}
-	parts := make(map[string][]byte, len(texts))
-	for i, hash := range root.Parts {
+	for i, hash := range hashes {
 		parts[hash] = texts[i]
 	}
-	return config.Join(root, parts)
+	return nil
 }
 
 func (p *Publisher) part(ctx context.Context, hash string) ([]byte, error) {
