Read beside a read that hangs, and name fresh parts in the root

Change: the root names the parts that its change has written, so they are read beside the index; a read of the root that takes 400 ms gets a second one beside it, which also helps against a silent connection.

--- a/core/config/parts.go
+++ b/core/config/parts.go
@@ -19,6 +19,7 @@
 
 	itemsPerLeaf   = 16 // itemsPerLeaf and leavesPerIndex balance the sizes of root, index and leaf that a change sends.
 	leavesPerIndex = 32
+	maxFresh       = 16 // maxFresh bounds the names of fresh parts in a root.
 	hashBytes      = 16 // hashBytes is the length of a part's name before it is written in hex.
 )
 
@@ -32,6 +33,7 @@
 	Change      string    `json:"change"` // Change says in a few words what the operator did.
 	Changed     time.Time `json:"changed"`
 	Parts       []string  `json:"parts"` // Parts are the hashes of indexes, in the order of the text.
+	Fresh       []string  `json:"fresh"` // Fresh are the parts that this change has written, if they are few.
 }
 
 // PartError tells that a part is missing or is not what its name says.
@@ -72,6 +74,14 @@
 	return root, parts
 }
 
+// SetFresh names the parts that a change has written, unless they are many.
+func (r *Root) SetFresh(hashes []string) {
+	r.Fresh = nil
+	if len(hashes) <= maxFresh {
+		r.Fresh = slices.Sorted(slices.Values(hashes))
+	}
+}
+
 // Leaves returns the names of the leaves that an index lists.
 func Leaves(index []byte) []string {
 	return strings.Fields(string(index))
@@ -81,20 +91,22 @@
 type Find func(hash string) ([]byte, bool)
 
 // Missing returns up to most names of parts that are needed next and not found.
+// Fresh parts are among the first, so that a reader need not wait for the index
+// to learn the name of the leaf that has changed.
 func Missing(root Root, find Find, most int) []string {
 	var missing []string
 	want := func(hash string) ([]byte, bool) {
 		part, found := find(hash)
-		if !found && len(missing) < most {
+		if !found && len(missing) < most && !slices.Contains(missing, hash) {
 			missing = append(missing, hash)
 		}
 		return part, found
 	}
+	for _, hash := range root.Fresh {
+		want(hash)
+	}
 	for _, hash := range root.Parts {
-		index, found := want(hash)
-		if !found {
-			continue
-		}
+		index, _ := want(hash)
 		for _, leaf := range Leaves(index) {
 			want(leaf)
 		}
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -25,7 +25,9 @@
 	minJitter       = 500 * time.Millisecond
 	maxBackoff      = 16 * time.Second
 	hashesPerAsk    = 64
-	badRetry        = 5 * time.Second // badRetry is how often a peer is asked for a generation whose root was bad.
+	maxReads        = 2                      // maxReads bounds the reads of the root at a time.
+	secondRead      = 400 * time.Millisecond // secondRead is when a read that hangs gets company.
+	badRetry        = 5 * time.Second        // badRetry is how often a peer is asked for a generation whose root was bad.
 	stuckRetry      = time.Second
 	asksBeforeRead  = 2 // asksBeforeRead is how many peers are asked before the platform is.
 )
@@ -101,7 +103,7 @@
 	stuckAt  time.Time
 	reported uint64 // reported is the last generation whose parts were reported.
 
-	reading   bool      // reading is true while a read of the root is under way.
+	reading   int       // reading is the number of reads of the root that are under way.
 	readAt    time.Time // readAt is when the next read of the root is due.
 	startedAt time.Time // startedAt is when the last read of the root began.
 	failures  int       // failures counts reads of the root that failed in a row.
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -14,17 +14,33 @@
 
 // scheduleRead reads the root when it is due: as a watcher regularly, otherwise when news are old.
 func (m *Machine) scheduleRead() {
-	if m.reading || m.now.Before(m.readAt) {
+	if m.reading > 0 {
+		m.readAgain()
+		return
+	}
+	if m.now.Before(m.readAt) {
 		return
 	}
 	if !m.watching && !m.isStale() {
 		m.readAt = m.heard.Add(m.config.Stale + m.jitter(m.spreadOut()))
 		return
 	}
-	m.reading, m.startedAt = true, m.now
+	m.readRoot()
+}
+
+func (m *Machine) readRoot() {
+	m.reading++
+	m.startedAt = m.now
 	m.do(&ReadRoot{})
 }
 
+// readAgain starts a second read beside one that hangs: its connection may be silent for good.
+func (m *Machine) readAgain() {
+	if m.reading < maxReads && m.age(m.startedAt) >= secondRead {
+		m.readRoot()
+	}
+}
+
 // isStale reports whether the news are so old that this router reads for itself.
 func (m *Machine) isStale() bool {
 	return m.root.Generation == 0 || m.age(m.heard) >= m.config.Stale
@@ -37,7 +53,7 @@
 
 func (m *Machine) rootRead(e *RootRead) {
 	if !e.Watched {
-		m.reading = false
+		m.reading--
 	}
 	m.failures = 0
 	m.contact, m.heard = m.now, m.now
@@ -71,7 +87,7 @@
 }
 
 func (m *Machine) rootFailed() {
-	m.reading = false
+	m.reading--
 	m.dropRumour()
 	m.failures++
 	if m.watching {
--- a/router/configuration/duty.go
+++ b/router/configuration/duty.go
@@ -19,6 +19,7 @@
 const (
 	tickEvery   = 100 * time.Millisecond
 	ringSize    = 256         // ringSize bounds the parts that wait to be read.
+	rootReaders = 2           // rootReaders is the number of reads of the root at a time.
 	partReaders = 8           // partReaders is the number of parts read at a time.
 	inboxSize   = 4096        // inboxSize bounds the messages that wait.
 	readTimeout = time.Second // readTimeout bounds one call; it doubles with each failure.
@@ -63,7 +64,7 @@
 		silent.SetOutput(io.Discard)
 		config.Log = silent
 	}
-	d := &Duty{config: config, inbox: newInbox(), roots: make(chan readRoot, 1), parts: make(chan readPart, ringSize)}
+	d := &Duty{config: config, inbox: newInbox(), roots: make(chan readRoot, rootReaders), parts: make(chan readPart, ringSize)}
 	d.watch = newWatch(d)
 	return d
 }
@@ -73,7 +74,9 @@
 	d.machine = spread.New(d.config.Spread, time.Now())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.decide(ctx) })
-	group.Go(func() error { return d.readRoots(ctx) })
+	for range rootReaders {
+		group.Go(func() error { return d.readRoots(ctx) })
+	}
 	for range partReaders {
 		group.Go(func() error { return d.readParts(ctx) })
 	}
--- a/router/publish/change.go
+++ b/router/publish/change.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,7 +43,11 @@
 	root.ChangeID = p.config.NewID()
 	root.Change = change.Text
 	root.Changed = time.Now().UTC().Truncate(time.Second)
-	if err := p.putParts(ctx, parts, change.Base); err != nil {
+	for hash := range change.Base.parts {
+		delete(parts, hash)
+	}
+	root.SetFresh(slices.Collect(maps.Keys(parts)))
+	if err := p.putParts(ctx, parts, change.Base.Root.Generation); err != nil {
 		return config.Root{}, err
 	}
 	if err := p.keepFormer(ctx, change.Base); err != nil {
@@ -51,14 +57,11 @@
 }
 
 // putParts writes the parts that the base does not name.
-func (p *Publisher) putParts(ctx context.Context, parts map[string][]byte, base Snapshot) error {
+func (p *Publisher) putParts(ctx context.Context, parts map[string][]byte, base uint64) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
 	for hash, text := range parts {
-		if _, kept := base.parts[hash]; kept {
-			continue
-		}
-		group.Go(func() error { return p.putPart(ctx, hash, text, base.Root.Generation) })
+		group.Go(func() error { return p.putPart(ctx, hash, text, base) })
 	}
 	return group.Wait()
 }
