Report a platform that was set back, and let apply go above it

Cause: routers never adopt a lower generation, so after a restore of the platform no change would be in force until the generations had passed the old ones, and nothing said so. Ruled out: adopting a lower generation with a newer resource version, which is how a late answer looks. Change: a read that began after the adoption and finds a root that is not above it is reported once with both generations; apply -above writes a generation above them; a resource version that went back is read too.

--- a/cmd/ryelug/apply.go
+++ b/cmd/ryelug/apply.go
@@ -15,6 +15,7 @@
 type applyCommand struct {
 	target target
 	back   bool
+	above  uint64
 }
 
 // Name returns the command's name.
@@ -25,7 +26,7 @@
 
 // Usage returns the help text.
 func (*applyCommand) Usage() string {
-	return `apply -platform ADDR -environment NAME [-return] FILE
+	return `apply -platform ADDR -environment NAME [-return] [-above N] FILE
 
 Validate a document as "ryelug check" does and put it in force as the next
 generation. If another change comes first, nothing of this one is kept.
@@ -34,6 +35,9 @@
 is refused unless -return is given: "ryelug data-centre" and "ryelug endpoint"
 may have changed them since the file was written.
 
+Routers never go back to a lower generation. If the platform was restored to an
+older state, their logs name the generation in force; give it with -above.
+
 Example:
   ryelug apply -platform 192.0.2.10:8080 -environment trial trial.toml
 
@@ -44,6 +48,7 @@
 // SetFlags sets the command's flags.
 func (c *applyCommand) SetFlags(flags *flag.FlagSet) {
 	c.target.setFlags(flags)
+	flags.Uint64Var(&c.above, "above", 0, "generation that the new one must exceed, after the platform was set back")
 	flags.BoolVar(&c.back, "return", false, "let the file return data centres and endpoints to work")
 }
 
@@ -77,7 +82,7 @@
 	if err := c.refuseReturns(base, document); err != nil {
 		return err
 	}
-	return put(ctx, publisher, publish.Change{Base: base, Document: document, Text: "apply"}, to)
+	return put(ctx, publisher, publish.Change{Base: base, Document: document, Text: "apply", Above: c.above}, to)
 }
 
 // refuseReturns refuses a document that would put back to work what operators have taken out.
--- a/cmd/ryelug/environment.go
+++ b/cmd/ryelug/environment.go
@@ -102,7 +102,7 @@
 
 // put puts a change in force and tells the outcome.
 func put(ctx context.Context, publisher *publish.Publisher, change publish.Change, to streams) error {
-	if change.Base.Document != nil && config.Same(change.Base.Document, change.Document) {
+	if change.Above == 0 && change.Base.Document != nil && config.Same(change.Base.Document, change.Document) {
 		fmt.Fprintf(to.out, "generation %d holds this already; nothing to do\n", change.Base.Root.Generation)
 		return nil
 	}
--- a/core/spread/event.go
+++ b/core/spread/event.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"time"
+
 	"ryelug/core/cell"
 	"ryelug/core/config"
 )
@@ -51,8 +53,10 @@
 
 // RootRead tells what the platform holds as root.
 type RootRead struct {
-	Root    []byte // Root is empty if there is none or it is the one that was read last.
-	Watched bool   // Watched is true if a watch told of it.
+	Root    []byte    // Root is empty if there is none or it is the same.
+	Same    bool      // Same is true if it is the root that the platform gave last.
+	Watched bool      // Watched is true if a watch told of it.
+	Began   time.Time // Began is the time of the ReadRoot that this answers.
 }
 
 // RootFailed tells that the platform did not answer a read of the root.
@@ -94,7 +98,9 @@
 }
 
 // ReadRoot reads the root from the platform; RootRead or RootFailed must follow.
-type ReadRoot struct{}
+type ReadRoot struct {
+	Began time.Time
+}
 
 // ReadParts reads parts from the platform; PartRead or PartFailed must follow for each.
 type ReadParts struct {
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -103,6 +103,7 @@
 	stuckAt  time.Time
 	reported uint64 // reported is the last generation whose parts were reported.
 
+	held      []byte    // held is the root that the platform gave last.
 	reading   int       // reading is the number of reads of the root that are under way.
 	readAt    time.Time // readAt is when the next read of the root is due.
 	startedAt time.Time // startedAt is when the last read of the root began.
--- a/core/spread/machine_test.go
+++ b/core/spread/machine_test.go
@@ -208,7 +208,7 @@
 			w.tellWatcher(n)
 		}
 	case *spread.ReadRoot:
-		w.call(n, func() spread.Event { return &spread.RootRead{Root: w.root} }, &spread.RootFailed{})
+		w.call(n, func() spread.Event { return &spread.RootRead{Root: w.root, Began: a.Began} }, &spread.RootFailed{})
 	case *spread.ReadParts:
 		for _, hash := range a.Hashes {
 			w.call(n, func() spread.Event { return &spread.PartRead{Hash: hash, Data: w.readPart(hash)} }, &spread.PartFailed{Hash: hash})
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"bytes"
+	"fmt"
 	"maps"
 	"time"
 
@@ -31,7 +33,7 @@
 func (m *Machine) readRoot() {
 	m.reading++
 	m.startedAt = m.now
-	m.do(&ReadRoot{})
+	m.do(&ReadRoot{Began: m.now})
 }
 
 // readAgain starts a second read beside one that hangs: its connection may be silent for good.
@@ -63,9 +65,26 @@
 		m.readAt = m.now.Add(m.config.Stale + m.jitter(m.spreadOut()))
 	}
 	m.dropRumour()
+	if !e.Same {
+		m.held = e.Root
+	}
 	if len(e.Root) > 0 {
 		m.consider(e.Root, "")
 	}
+	if !e.Watched && e.Began.After(m.adoptedAt) {
+		m.reportOlder()
+	}
+}
+
+// reportOlder reports a platform that holds another root than one above the
+// generation in force; only a read that began after the adoption shows it.
+func (m *Machine) reportOlder() {
+	root, err := config.ParseRoot(m.held)
+	if err != nil || root.Generation > m.root.Generation || bytes.Equal(m.held, m.rawRoot) || m.isBad(m.held) {
+		return
+	}
+	m.reject(m.held, root.Generation, fmt.Errorf("the platform holds generation %d, which is not above generation %d in force; apply with -above %d",
+		root.Generation, m.root.Generation, m.root.Generation))
 }
 
 // dropRumour forgets a generation that no peer gave and that the platform was asked about.
--- a/router/configuration/duty.go
+++ b/router/configuration/duty.go
@@ -141,7 +141,7 @@
 		d.watch.set(a.On)
 		d.counters.watching.Store(a.On)
 	case *spread.ReadRoot:
-		enqueue(d, d.roots, readRoot{})
+		enqueue(d, d.roots, readRoot{a.Began})
 	case *spread.ReadParts:
 		for _, hash := range a.Hashes {
 			enqueue(d, d.parts, readPart{hash})
--- a/router/configuration/duty_test.go
+++ b/router/configuration/duty_test.go
@@ -139,6 +139,33 @@
 	})
 }
 
+func TestPlatformSetBack(t *testing.T) {
+	withFleet(t, 6, spread.Config{}, func(f *fleet) {
+		f.everywhere(f.change(1))
+		old, err := f.operator.Get(f.Context(), platform.Roots, platform.CurrentRoot)
+		f.NoErr(err)
+		f.everywhere(f.change(2))
+		now, err := f.operator.Get(f.Context(), platform.Roots, platform.CurrentRoot)
+		f.NoErr(err)
+		now.Data = old.Data
+		_, err = f.operator.Update(f.Context(), platform.Roots, now)
+		f.NoErr(err)
+		time.Sleep(settle)
+		reports := int64(0)
+		for _, r := range f.routers {
+			f.Equal(r.adopted, []uint64{1, 2})
+			reports += r.duty.Stats().Rejected
+		}
+		f.True(reports > 0 && reports < 20)
+		base, err := f.publisher().Read(f.Context())
+		f.NoErr(err)
+		root, err := f.publisher().Put(f.Context(), publish.Change{Base: base, Document: base.Document, Text: "test", Above: 2})
+		f.NoErr(err)
+		f.Equal(root.Generation, uint64(3))
+		f.everywhere(root)
+	})
+}
+
 func TestManyTeams(t *testing.T) {
 	withFleet(t, 6, spread.Config{}, func(f *fleet) {
 		doc := &config.Document{Environment: environment}
--- a/router/configuration/read.go
+++ b/router/configuration/read.go
@@ -13,7 +13,7 @@
 // read is one thing to read from the platform.
 type read interface{ read() }
 
-type readRoot struct{}
+type readRoot struct{ began time.Time }
 
 type readPart struct{ hash string }
 
@@ -54,7 +54,7 @@
 	var err error
 	switch r := next.(type) {
 	case readRoot:
-		err = d.readRoot(ctx)
+		err = d.readRoot(ctx, r.began)
 	case readPart:
 		err = d.readPart(ctx, r.hash)
 	}
@@ -90,19 +90,19 @@
 }
 
 // readRoot reads the root's version, and the root itself only if that is new.
-func (d *Duty) readRoot(ctx context.Context) error {
+func (d *Duty) readRoot(ctx context.Context, began time.Time) error {
 	head, err := d.call(ctx, func(ctx context.Context) (platform.Object, error) {
 		return d.config.Platform.Head(ctx, platform.Roots, platform.CurrentRoot)
 	})
 	if errors.Is(err, platform.ErrNotFound) {
-		d.inbox.put(&spread.RootRead{})
+		d.inbox.put(&spread.RootRead{Began: began})
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if !d.watch.versions.isNew(head.Version) {
-		d.inbox.put(&spread.RootRead{})
+	if !d.watch.versions.differs(head.Version) {
+		d.inbox.put(&spread.RootRead{Same: true, Began: began})
 		return nil
 	}
 	root, err := d.call(ctx, func(ctx context.Context) (platform.Object, error) {
@@ -112,7 +112,7 @@
 		return err
 	}
 	d.watch.missed(root.Version)
-	d.inbox.put(&spread.RootRead{Root: root.Data})
+	d.inbox.put(&spread.RootRead{Root: root.Data, Began: began})
 	return nil
 }
 
@@ -127,25 +127,24 @@
 	return nil
 }
 
-// versions remembers the newest version of the root that was handed to the machine.
+// versions remembers the version of the root that was handed to the machine last.
 type versions struct {
-	mu     sync.Mutex
-	newest string
+	mu   sync.Mutex
+	last string
 }
 
-func (v *versions) isNew(version string) bool {
+// differs reports whether a version is not the last one; a platform that was restored may have gone back.
+func (v *versions) differs(version string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return platform.Newer(version, v.newest)
+	return version != v.last
 }
 
-// seen notes a version and reports whether it is newer than all before.
-func (v *versions) seen(version string) bool {
+// set notes a version and reports whether it is newer than the one before.
+func (v *versions) set(version string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !platform.Newer(version, v.newest) {
-		return false
-	}
-	v.newest = version
-	return true
+	newer := platform.Newer(version, v.last)
+	v.last = version
+	return newer
 }
--- a/router/configuration/watch.go
+++ b/router/configuration/watch.go
@@ -44,7 +44,7 @@
 
 // missed notes a version that a read has found; an open watch that has not told of it is closed.
 func (w *watch) missed(version string) {
-	if !w.versions.seen(version) {
+	if !w.versions.set(version) {
 		return
 	}
 	w.mu.Lock()
@@ -104,7 +104,8 @@
 	w.duty.counters.watches.Add(1)
 	err := w.duty.config.Platform.Watch(ctx, platform.Roots, "", func(e platform.Event) error {
 		changed := e.Type == platform.Added || e.Type == platform.Modified
-		if changed && e.Object.Name == platform.CurrentRoot && w.versions.seen(e.Object.Version) {
+		if changed && e.Object.Name == platform.CurrentRoot && w.versions.differs(e.Object.Version) {
+			w.versions.set(e.Object.Version)
 			w.duty.inbox.put(&spread.RootRead{Root: e.Object.Data, Watched: true})
 		}
 		return nil
--- a/router/publish/change.go
+++ b/router/publish/change.go
@@ -19,6 +19,7 @@
 	Base     Snapshot         // Base is the generation that the change was made from.
 	Document *config.Document // Document is the whole new document.
 	Text     string           // Text says in a few words what the operator does.
+	Above    uint64           // Above is a generation that the new one must exceed, for a platform that was set back.
 }
 
 const (
@@ -39,7 +40,7 @@
 	if _, err := config.Join(root, parts); err != nil {
 		return config.Root{}, err
 	}
-	root.Generation = change.Base.Root.Generation + 1
+	root.Generation = max(change.Base.Root.Generation, change.Above) + 1
 	root.ChangeID = p.config.NewID()
 	root.Change = change.Text
 	root.Changed = time.Now().UTC().Truncate(time.Second)
