--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -17,6 +17,7 @@
 	DefaultRepeat   = 500 * time.Millisecond
 	DefaultAnswer   = 300 * time.Millisecond
 	DefaultGrace    = 500 * time.Millisecond
+	DefaultFanOut   = 3
 )
 
 const (
@@ -24,7 +25,9 @@
 	minJitter       = 500 * time.Millisecond
 	maxBackoff      = 16 * time.Second
 	hashesPerAsk    = 64
-	badRetry        = 5 * time.Second // badRetry is how often a peer is asked for a generation whose root was bad.
+	maxReads        = 2                      // maxReads bounds the reads of the root at a time.
+	secondRead      = 400 * time.Millisecond // secondRead is when a read that hangs gets company.
+	badRetry        = 5 * time.Second        // badRetry is how often a peer is asked for a generation whose root was bad.
 	stuckRetry      = time.Second
 	asksBeforeRead  = 2 // asksBeforeRead is how many peers are asked before the platform is.
 )
@@ -41,6 +44,7 @@
 	Stale       time.Duration // Stale is the age of news at which a router reads for itself.
 	Repeat      time.Duration // Repeat is how often a peer that is behind is told again.
 	Answer      time.Duration // Answer bounds the wait for a peer's answer.
+	FanOut      int           // FanOut is how many routers of its data centre a router passes a generation on to.
 	Grace       time.Duration // Grace is how long a host without a link still counts as a watcher.
 }
 
@@ -52,6 +56,7 @@
 	set(&c.Repeat, DefaultRepeat)
 	set(&c.Answer, DefaultAnswer)
 	set(&c.Grace, DefaultGrace)
+	set(&c.FanOut, DefaultFanOut)
 }
 
 func set[T int | time.Duration](to *T, otherwise T) {
@@ -83,20 +88,23 @@
 	members  map[cell.HostID]*member
 	peers    map[cell.RouterID]*peer
 	roles    map[string][]cell.HostID // roles holds the watchers of each data centre; nil if it is out of date.
+	children map[cell.HostID]bool     // children are the hosts that this router passes generations on to.
 	watching bool
 
-	root     config.Root
-	rawRoot  []byte
-	parts    map[string][]byte
-	pending  *candidate
-	fetching map[string]bool // fetching holds the parts that are being read from the platform.
+	root      config.Root
+	rawRoot   []byte
+	parts     map[string][]byte
+	adoptedAt time.Time
+	pending   *candidate
+	fetching  map[string]bool // fetching holds the parts that are being read from the platform.
 
 	bad      map[string]*badRoot // bad holds roots that can't be adopted, by their hashes.
 	stuck    []byte              // stuck is a root whose parts the platform did not give.
 	stuckAt  time.Time
 	reported uint64 // reported is the last generation whose parts were reported.
 
-	reading   bool      // reading is true while a read of the root is under way.
+	held      []byte    // held is the root that the platform gave last.
+	reading   int       // reading is the number of reads of the root that are under way.
 	readAt    time.Time // readAt is when the next read of the root is due.
 	startedAt time.Time // startedAt is when the last read of the root began.
 	failures  int       // failures counts reads of the root that failed in a row.
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"bytes"
+	"fmt"
 	"maps"
 	"time"
 
@@ -14,15 +16,31 @@
 
 // scheduleRead reads the root when it is due: as a watcher regularly, otherwise when news are old.
 func (m *Machine) scheduleRead() {
-	if m.reading || m.now.Before(m.readAt) {
+	if m.reading > 0 {
+		m.readAgain()
+		return
+	}
+	if m.now.Before(m.readAt) {
 		return
 	}
 	if !m.watching && !m.isStale() {
 		m.readAt = m.heard.Add(m.config.Stale + m.jitter(m.spreadOut()))
 		return
 	}
-	m.reading, m.startedAt = true, m.now
-	m.do(&ReadRoot{})
+	m.readRoot()
+}
+
+func (m *Machine) readRoot() {
+	m.reading++
+	m.startedAt = m.now
+	m.do(&ReadRoot{Began: m.now})
+}
+
+// readAgain starts a second read beside one that hangs: its connection may be silent for good.
+func (m *Machine) readAgain() {
+	if m.reading < maxReads && m.age(m.startedAt) >= secondRead {
+		m.readRoot()
+	}
 }
 
 // isStale reports whether the news are so old that this router reads for itself.
@@ -37,7 +55,7 @@
 
 func (m *Machine) rootRead(e *RootRead) {
 	if !e.Watched {
-		m.reading = false
+		m.reading--
 	}
 	m.failures = 0
 	m.contact, m.heard = m.now, m.now
@@ -47,9 +65,26 @@
 		m.readAt = m.now.Add(m.config.Stale + m.jitter(m.spreadOut()))
 	}
 	m.dropRumour()
+	if !e.Same {
+		m.held = e.Root
+	}
 	if len(e.Root) > 0 {
 		m.consider(e.Root, "")
 	}
+	if !e.Watched && e.Began.After(m.adoptedAt) {
+		m.reportOlder()
+	}
+}
+
+// reportOlder reports a platform that holds another root than one above the
+// generation in force; only a read that began after the adoption shows it.
+func (m *Machine) reportOlder() {
+	root, err := config.ParseRoot(m.held)
+	if err != nil || root.Generation > m.root.Generation || bytes.Equal(m.held, m.rawRoot) || m.isBad(m.held) {
+		return
+	}
+	m.reject(m.held, root.Generation, fmt.Errorf("the platform holds generation %d, which is not above generation %d in force; apply with -above %d",
+		root.Generation, m.root.Generation, m.root.Generation))
 }
 
 // dropRumour forgets a generation that no peer gave and that the platform was asked about.
@@ -71,7 +106,7 @@
 }
 
 func (m *Machine) rootFailed() {
-	m.reading = false
+	m.reading--
 	m.dropRumour()
 	m.failures++
 	if m.watching {
@@ -88,12 +123,14 @@
 	if c.root.Generation <= m.root.Generation {
 		return
 	}
-	doc, err := config.Join(c.root, c.parts)
+	parts := config.Reachable(c.root, m.find(c))
+	doc, err := config.Join(c.root, parts)
 	if err != nil {
 		m.reject(c.raw, c.root.Generation, err)
 		return
 	}
-	m.root, m.rawRoot, m.parts = c.root, c.raw, c.parts
+	m.root, m.rawRoot, m.parts = c.root, c.raw, parts
+	m.adoptedAt = m.now
 	m.do(&Adopt{Root: c.root, Document: doc})
 	maps.DeleteFunc(m.bad, func(_ string, b *badRoot) bool { return b.generation <= c.root.Generation })
 	m.acknowledge()
