Work the target size out from measured slopes

Ruled out: extrapolating from totals (the parts by links, requests, teams and endpoints grow apart).

--- a/bench/control.go
+++ b/bench/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"syscall"
 	"time"
 
@@ -13,17 +14,19 @@
 	Span          time.Duration // Span is zero in a reading, and the time between two readings in a difference.
 	Bytes         []uint64      // Bytes are those that each router sent to and got from other routers.
 	Messages      uint64
+	ByKind        map[string]uint64 // ByKind is the bytes that all routers sent, by kind of message.
 	PlatformCalls int64
 	Processor     time.Duration // Processor is the processor time of the whole process.
 	at            time.Time
 }
 
 func readControl(ctx context.Context, f *fleet.Fleet) Control {
-	read := Control{at: time.Now(), PlatformCalls: f.Platform.Calls().Total(), Processor: processorTime()}
+	read := Control{ByKind: map[string]uint64{}, at: time.Now(), PlatformCalls: f.Platform.Calls().Total(), Processor: processorTime()}
 	for _, m := range f.Routers {
 		view, _ := m.Router().View(ctx)
 		var bytes uint64
-		for _, amount := range view.Peers.Out {
+		for kind, amount := range view.Peers.Out {
+			read.ByKind[kind] += amount.Bytes
 			bytes += amount.Bytes
 			read.Messages += amount.Messages
 		}
@@ -38,6 +41,7 @@
 // since returns the difference to an earlier reading.
 func (c Control) since(before Control) Control {
 	diff := Control{
+		ByKind:        map[string]uint64{},
 		Span:          c.at.Sub(before.at),
 		Messages:      c.Messages - before.Messages,
 		PlatformCalls: c.PlatformCalls - before.PlatformCalls,
@@ -46,6 +50,9 @@
 	for i := range c.Bytes {
 		diff.Bytes = append(diff.Bytes, c.Bytes[i]-before.Bytes[i])
 	}
+	for kind, bytes := range c.ByKind {
+		diff.ByKind[kind] = bytes - before.ByKind[kind]
+	}
 	return diff
 }
 
@@ -55,6 +62,8 @@
 	BytesMost     float64 `json:"bytes_most"` // BytesMost is that of the busiest node.
 	Messages      float64 `json:"messages"`
 	PlatformCalls float64 `json:"platform_calls"` // PlatformCalls are those of the whole fleet.
+
+	SentByKind map[string]float64 `json:"sent_by_kind"` // SentByKind is the bytes that a node sends, by kind of message.
 }
 
 func (c Control) rates() Rates {
@@ -65,7 +74,12 @@
 		most = max(most, bytes)
 	}
 	nodes := float64(len(c.Bytes))
+	byKind := map[string]float64{}
+	for kind, bytes := range c.ByKind {
+		byKind[kind] = math.Round(float64(bytes) / nodes / seconds)
+	}
 	return Rates{
+		SentByKind:    byKind,
 		BytesMean:     float64(sum) / nodes / seconds,
 		BytesMost:     float64(most) / seconds,
 		Messages:      float64(c.Messages) / nodes / seconds,
--- a/bench/slope.go
+++ b/bench/slope.go
@@ -35,7 +35,9 @@
 	ProcessorTime float64 `json:"processor_ms"` // ProcessorTime is in milliseconds a node and second, stand-ins included.
 	Heap          float64 `json:"heap_mb"`      // Heap is in megabytes a node, stand-ins included.
 	Served        int     `json:"served"`
-	Adoption      float64 `json:"adoption_s"` // Adoption is the time in which a change is in force at all routers.
+	PollBytes     float64 `json:"poll_bytes"`   // PollBytes are those of load reports and requests, a second and endpoint.
+	Adoption      float64 `json:"adoption_s"`   // Adoption is the time in which a change is in force at all routers.
+	ChangeBytes   float64 `json:"change_bytes"` // ChangeBytes are those that a node sends and gets while a change spreads.
 }
 
 // MeasureSlope runs a fleet of one size for a while.
@@ -62,16 +64,21 @@
 	}
 	run := f.Drive(ctx, slopeLoads(size)...)
 	time.Sleep(slopeSpan)
-	first := readControl(ctx, f)
+	first, polled := readControl(ctx, f), endpointBytes(f)
 	time.Sleep(slopeSpan)
+	polled = endpointBytes(f) - polled
 	spent := readControl(ctx, f).since(first)
 	slope := Slope{Size: size, Control: spent.rates(), ProcessorTime: spent.processorRate()}
 	slope.Heap = (heap() - before) / float64(size.Routers)
+	slope.PollBytes = float64(polled) / float64(size.Endpoints) / slopeSpan.Seconds()
+	first = readControl(ctx, f)
 	adopted, err := adoption(ctx, f)
 	if err != nil {
 		return Slope{}, err
 	}
 	slope.Adoption = adopted.Seconds()
+	change := readControl(ctx, f).since(first)
+	slope.ChangeBytes = change.rates().BytesMean * change.Span.Seconds()
 	slope.Served = len(run.Stop())
 	return slope, f.Close()
 }
@@ -99,6 +106,15 @@
 	return loads
 }
 
+// endpointBytes returns the bytes to and from all endpoints so far.
+func endpointBytes(f *fleet.Fleet) int64 {
+	var sum int64
+	for _, e := range f.Document.Endpoints {
+		sum += f.Network.Sent(e.Address)
+	}
+	return sum
+}
+
 // adoption changes one data centre and returns the time until all routers have the new generation.
 func adoption(ctx context.Context, f *fleet.Fleet) (time.Duration, error) {
 	began := time.Now()
