Keep the sum of stakes at one over lagging views of the members

Under random partitions, outages and wrong lists the first table let stakes add up to 1.5. Ruled out: voting after list_lag alone (a router cut off lately goes on for cut_off_after with its old number); forgetting a host without a fresh read, or by a router that sees no majority; voting while missing from the list; requiring every member's word before a new host votes (a dead host in the list would stop a starting fleet for good).

--- a/core/member/order.go
+++ b/core/member/order.go
@@ -17,7 +17,9 @@
 // Order returns the hosts that may dispatch the cell, first choice first: live
 // hosts in rendezvous order, then the others. The caller must not change it.
 func (t *Table) Order(now time.Time, id cell.ID) []cell.HostID {
-	t.settle(now)
+	if now.After(t.settled) {
+		t.settle(now)
+	}
 	if order, ok := t.orders[id]; ok {
 		return order
 	}
--- /dev/null
+++ b/core/member/property_test.go
@@ -0,0 +1,270 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ryelug/core/cell"
+	"ryelug/core/member"
+)
+
+const (
+	step     = 100 * time.Millisecond
+	readGap  = time.Second            // pause between two reads of the list
+	listLag  = 900 * time.Millisecond // age of a list when it is read; with the pause less than DefaultLag
+	linkLag  = time.Second            // time in which the loss of a link is noticed
+	lendTime = 2 * time.Second        // time for which a stake may be counted after the loss of a link
+)
+
+// fleet is the platform's list and routers with lagging views of it.
+type fleet struct {
+	rng     *rand.Rand
+	now     time.Time
+	history []listing // history is the list at each change.
+	nodes   []*node
+	broken  string
+}
+
+type listing struct {
+	since time.Time
+	hosts map[cell.HostID]bool
+}
+
+type node struct {
+	host   cell.HostID
+	table  *member.Table
+	alive  bool
+	blind  bool      // blind nodes can't read the list.
+	relist time.Time // relist is when a wrongly dropped node is listed again.
+	delist time.Time // delist is when a dead node is dropped.
+	read   time.Time
+	parted map[cell.HostID]time.Time // parted holds nodes that can't be reached, and since when.
+	linked map[cell.HostID]bool
+}
+
+func newFleet(seed uint64, size int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0)}
+	f.history = []listing{{since: f.now.Add(-time.Hour), hosts: make(map[cell.HostID]bool)}}
+	for range size {
+		f.add()
+	}
+	f.history = f.history[len(f.history)-1:]
+	f.history[0].since = f.now.Add(-time.Hour)
+	for range 100 {
+		f.advance()
+	}
+	return f
+}
+
+func (f *fleet) add() {
+	n := &node{host: host(len(f.nodes)), alive: true, parted: make(map[cell.HostID]time.Time), linked: make(map[cell.HostID]bool)}
+	n.table = member.New(member.Config{Self: n.host})
+	f.nodes = append(f.nodes, n)
+	f.list(n.host, true)
+}
+
+func (f *fleet) list(host cell.HostID, listed bool) {
+	hosts := make(map[cell.HostID]bool)
+	for h := range f.history[len(f.history)-1].hosts {
+		hosts[h] = true
+	}
+	if listed {
+		hosts[host] = true
+	} else {
+		delete(hosts, host)
+	}
+	f.history = append(f.history, listing{since: f.now, hosts: hosts})
+}
+
+// listAt returns the list as it was some time ago.
+func (f *fleet) listAt(ago time.Duration) []member.Member {
+	at := f.history[0]
+	for _, l := range f.history {
+		if !l.since.After(f.now.Add(-ago)) {
+			at = l
+		}
+	}
+	var list []member.Member
+	for h := range at.hosts {
+		list = append(list, member.Member{Host: h})
+	}
+	return list
+}
+
+func (f *fleet) advance() {
+	f.now = f.now.Add(step)
+	for _, n := range f.nodes {
+		if !n.delist.IsZero() && f.now.After(n.delist) {
+			n.delist = time.Time{}
+			f.list(n.host, false)
+		}
+		if n.alive && !n.relist.IsZero() && f.now.After(n.relist) && f.mayGrow() {
+			n.relist = time.Time{}
+			f.list(n.host, true)
+		}
+		if n.alive {
+			f.work(n)
+		}
+	}
+	f.check()
+}
+
+func (f *fleet) work(n *node) {
+	if !n.blind && f.now.Sub(n.read) >= readGap {
+		n.read = f.now
+		n.table.Listed(f.now, f.listAt(time.Duration(f.rng.Int64N(int64(listLag)))))
+	}
+	for _, other := range f.nodes {
+		if other == n {
+			continue
+		}
+		parted, isParted := n.parted[other.host]
+		up := other.alive && !isParted
+		switch {
+		case up && !n.linked[other.host]:
+			n.linked[other.host] = true
+			n.table.Up(f.now, other.host)
+		case !up && n.linked[other.host] && f.now.Sub(parted) > linkLag:
+			delete(n.linked, other.host)
+			n.table.Down(f.now, other.host)
+		}
+		if up {
+			n.table.Told(f.now, other.host, other.table.Signs())
+		}
+	}
+	n.table.Tick(f.now)
+}
+
+// check asserts that the stakes that could be counted now are no more than one limit's worth:
+// each running entry's stake at that dispatcher that divides by the least, among those that it
+// may have been linked to and that have an entry which still takes requests.
+func (f *fleet) check() {
+	sum := 0.0
+	for _, entry := range f.nodes {
+		best := 0.0
+		for _, d := range f.nodes {
+			voters, total := d.table.Voters()
+			if f.isNear(entry, d) && slices.Contains(voters, entry.host) && f.serves(d) {
+				best = max(best, 1/float64(total))
+			}
+		}
+		sum += best
+	}
+	if sum > 1+1e-9 && f.broken == "" {
+		f.broken = fmt.Sprintf("stakes add up to %.3f at %v", sum, f.now.Sub(time.Unix(1000, 0)))
+	}
+}
+
+// isNear tells whether two running nodes are, or lately were, linked.
+func (f *fleet) isNear(a, b *node) bool {
+	since, parted := a.parted[b.host]
+	return a.alive && b.alive && (!parted || f.now.Sub(since) < lendTime)
+}
+
+// serves tells whether a dispatcher has any entry that is not cut off.
+func (f *fleet) serves(d *node) bool {
+	return slices.ContainsFunc(f.nodes, func(entry *node) bool {
+		return f.isNear(entry, d) && !entry.table.CutOff(f.now)
+	})
+}
+
+// inflict lets one thing go wrong, or right again.
+func (f *fleet) inflict(op int) {
+	n := f.nodes[f.rng.IntN(len(f.nodes))]
+	switch op {
+	case 0:
+		if len(f.nodes) < 12 && f.mayGrow() {
+			f.add()
+		}
+	case 1:
+		if n.alive && len(f.nodes) > 3 {
+			n.alive = false
+			n.delist = f.now.Add(time.Duration(f.rng.Int64N(int64(20 * time.Second))))
+		}
+	case 2:
+		n.blind = true
+	case 3:
+		for _, n := range f.nodes {
+			n.blind = false
+		}
+	case 4:
+		f.part()
+	case 5:
+		for _, n := range f.nodes {
+			clear(n.parted)
+		}
+	case 6:
+		if n.alive && !f.isListWrong() {
+			n.relist = f.now.Add(time.Duration(f.rng.Int64N(int64(40 * time.Second))))
+			f.list(n.host, false)
+		}
+	}
+}
+
+// isListWrong tells whether a running node is missing from the list; it is assumed that no second one is then.
+func (f *fleet) isListWrong() bool {
+	return slices.ContainsFunc(f.nodes, func(n *node) bool { return n.alive && !n.relist.IsZero() })
+}
+
+// mayGrow is the assumption on which the sum rests: hosts are added only while no group of
+// running routers is linked to most of its last list, but neither reads it nor is linked to a reader.
+func (f *fleet) mayGrow() bool {
+	for _, n := range f.nodes {
+		if n.alive && n.blind && f.hasMajority(n) && !f.hasReader(n) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) hasMajority(n *node) bool {
+	members, linked := n.table.Members(), 0
+	for _, m := range members {
+		if m.Host == n.host || n.linked[m.Host] {
+			linked++
+		}
+	}
+	return 2*linked > len(members)
+}
+
+func (f *fleet) hasReader(n *node) bool {
+	return slices.ContainsFunc(f.nodes, func(other *node) bool {
+		_, parted := n.parted[other.host]
+		return other.alive && !other.blind && !parted && other != n
+	})
+}
+
+// part cuts the fleet in two halves.
+func (f *fleet) part() {
+	side := make(map[*node]bool)
+	for _, n := range f.nodes {
+		side[n] = f.rng.IntN(2) == 0
+	}
+	for _, a := range f.nodes {
+		for _, b := range f.nodes {
+			if _, already := a.parted[b.host]; side[a] != side[b] && !already {
+				a.parted[b.host] = f.now
+			}
+		}
+	}
+}
+
+func TestStakesNeverAddUpToMoreThanOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "size"))
+		for _, op := range rapid.SliceOfN(rapid.IntRange(0, 12), 10, 40).Draw(t, "faults") {
+			f.inflict(op)
+			for range f.rng.IntN(60) {
+				f.advance()
+			}
+		}
+		if f.broken != "" {
+			t.Fatal(f.broken)
+		}
+	})
+}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -28,7 +28,7 @@
 // Config sets a Table; zero durations get their defaults.
 type Config struct {
 	Self        cell.HostID
-	Lag         time.Duration // Lag bounds the age of a list, and is how long a host must be listed before it votes.
+	Lag         time.Duration // Lag bounds the age of a list, the pause between two reads included.
 	ShrinkDelay time.Duration // ShrinkDelay is how long a host counts after the last sign of it; more than CutOffAfter and Lag together.
 	Damping     time.Duration // Damping is how long a link must hold, after it was down, before its host may dispatch again.
 	CutOffAfter time.Duration // CutOffAfter is how long a router may go on without a fresh list and without most of its peers.
@@ -38,19 +38,22 @@
 type Table struct {
 	conf      Config
 	hosts     map[cell.HostID]*record
-	told      map[cell.HostID]map[cell.HostID]bool // told is what each linked host says of others.
-	listedAt  time.Time                            // listedAt is the time of the last successful read.
-	connected time.Time                            // connected is the last time at which most members were linked.
-	orders    map[cell.ID][]cell.HostID            // orders caches Order until liveness changes.
+	told      map[cell.HostID][]cell.HostID // told is what each linked host says of others.
+	listedAt  time.Time                     // listedAt is the time of the last successful read that listed this host.
+	readAt    time.Time                     // readAt is the time of the last successful read.
+	connected time.Time                     // connected is the last time at which most members were linked.
+	orders    map[cell.ID][]cell.HostID     // orders caches Order until liveness changes.
 	voters    []cell.HostID
+	settled   time.Time // settled is the time of the last settle.
 }
 
 // record is one host.
 type record struct {
 	member   Member
 	listed   bool
-	listedAt time.Time // listedAt is the start of the present stay in the list.
+	votesAt  time.Time // votesAt is when the host votes if it stays in the list until then.
 	voter    bool
+	told     int       // told is the number of linked hosts that say they have a sign of it.
 	known    bool      // known tells whether there was a sign of the host when the table was last settled.
 	lastSign time.Time // lastSign is the last time at which known was true.
 	up       bool
@@ -69,24 +72,30 @@
 	t := &Table{
 		conf:   conf,
 		hosts:  make(map[cell.HostID]*record),
-		told:   make(map[cell.HostID]map[cell.HostID]bool),
+		told:   make(map[cell.HostID][]cell.HostID),
 		orders: make(map[cell.ID][]cell.HostID),
 	}
 	t.record(conf.Self).up = true
 	return t
 }
 
-// Listed takes a successful read of the platform's list.
+// Listed takes a successful read of the platform's list. A list that lacks more
+// than half of the hosts that are linked is not believed, and counts as a failed read.
 func (t *Table) Listed(now time.Time, members []Member) {
-	t.listedAt = now
 	present := make(map[cell.HostID]bool, len(members))
 	for _, m := range members {
 		present[m.Host] = true
+	}
+	if !t.isPlausible(present) {
+		t.ListFailed(now)
+		return
+	}
+	for _, m := range members {
 		r := t.record(m.Host)
 		r.member = m
 		if !r.listed {
 			r.listed = true
-			r.listedAt = now
+			r.votesAt = now.Add(t.voteDelay(m.Host))
 		}
 	}
 	for host, r := range t.hosts {
@@ -94,9 +103,38 @@
 			r.listed = false
 		}
 	}
+	if present[t.conf.Self] {
+		t.listedAt = now
+	}
+	t.readAt = now
+	clear(t.orders)
 	t.settle(now)
 }
 
+func (t *Table) isPlausible(present map[cell.HostID]bool) bool {
+	linked, missing := 0, 0
+	for host, r := range t.hosts {
+		if !r.up || host == t.conf.Self {
+			continue
+		}
+		linked++
+		if !present[host] {
+			missing++
+		}
+	}
+	return t.readAt.IsZero() || 2*missing <= linked
+}
+
+// voteDelay returns how long a host must be listed before it votes: until every
+// router has seen it in a list or, being cut off, has stopped. Hosts of the first
+// list are taken for old ones; this host never is, as it may itself be new.
+func (t *Table) voteDelay(host cell.HostID) time.Duration {
+	if t.readAt.IsZero() && host != t.conf.Self {
+		return t.conf.Lag
+	}
+	return t.conf.Lag + t.conf.CutOffAfter
+}
+
 // ListFailed takes a failed read: the last list stays in force.
 func (t *Table) ListFailed(now time.Time) { t.settle(now) }
 
@@ -120,7 +158,7 @@
 		r.up = false
 		r.wasDown = true
 	}
-	delete(t.told, host)
+	t.say(host, nil)
 	t.settle(now)
 }
 
@@ -132,13 +170,23 @@
 
 // Told takes the hosts of which a linked host has signs of its own, as its Signs returned them.
 func (t *Table) Told(now time.Time, from cell.HostID, hosts []cell.HostID) {
-	said := make(map[cell.HostID]bool, len(hosts))
+	t.say(from, hosts)
+	t.settle(now)
+}
+
+// say replaces what a host says.
+func (t *Table) say(from cell.HostID, hosts []cell.HostID) {
+	for _, host := range t.told[from] {
+		t.record(host).told--
+	}
+	delete(t.told, from)
+	if len(hosts) == 0 {
+		return
+	}
+	t.told[from] = slices.Clone(hosts)
 	for _, host := range hosts {
-		said[host] = true
-		t.record(host)
+		t.record(host).told++
 	}
-	t.told[from] = said
-	t.settle(now)
 }
 
 // Signs returns the hosts that this router has listed or is linked to, for Told at its peers.
@@ -146,9 +194,10 @@
 	return t.collect(func(r *record) bool { return r.listed || r.up })
 }
 
-// Members returns the hosts of the last list, in order of their names.
+// Members returns the hosts that the platform has listed, in order of their
+// names: those of the last list, and those that it lacks but that still count.
 func (t *Table) Members() []Member {
-	hosts := t.collect(func(r *record) bool { return r.listed })
+	hosts := t.collect(func(r *record) bool { return r.listed || r.member.PeerAddress.IsValid() })
 	members := make([]Member, 0, len(hosts))
 	for _, host := range hosts {
 		members = append(members, t.hosts[host].member)
@@ -158,12 +207,14 @@
 
 // Voters returns the hosts whose stakes count, and the number that stakes are
 // divided by. The number grows with the first sign of a host and shrinks only
-// ShrinkDelay after the last; a host votes only after Lag in the list.
+// when a list is read ShrinkDelay after the last; a new host votes only when all
+// others know of it.
 func (t *Table) Voters() (hosts []cell.HostID, total int) {
 	return t.voters, len(t.hosts)
 }
 
-// CutOff tells whether this router has for CutOffAfter had neither a fresh list nor links to more than half of the members.
+// CutOff tells whether this router has for CutOffAfter had neither a fresh list
+// with its own host in it nor links to more than half of the members.
 func (t *Table) CutOff(now time.Time) bool {
 	latest := t.listedAt
 	if t.connected.After(latest) {
@@ -178,43 +229,39 @@
 	if majority {
 		t.connected = now
 	}
-	reordered := false
+	t.settled = now
+	reordered, revoted := false, false
 	for host, r := range t.hosts {
-		t.settleSign(now, host, r)
-		gone := !r.known && now.Sub(r.lastSign) > t.conf.ShrinkDelay
+		revoted = t.settleSign(now, r) || revoted
+		gone := !r.known && t.readAt.Sub(r.lastSign) > t.conf.ShrinkDelay
 		if gone && majority && host != t.conf.Self {
 			delete(t.hosts, host)
-			reordered = true
+			reordered, revoted = true, true
 			continue
 		}
 		live := t.isLive(now, host, r)
 		reordered = reordered || live != r.live
 		r.live = live
 	}
-	t.voters = t.collect(func(r *record) bool { return r.voter })
+	if revoted {
+		t.voters = t.collect(func(r *record) bool { return r.voter })
+	}
 	if reordered {
 		clear(t.orders)
 	}
 }
 
-func (t *Table) settleSign(now time.Time, host cell.HostID, r *record) {
-	known := r.listed || r.up || t.isTold(host)
+// settleSign notes whether there is a sign of the host, and returns true if its vote has changed.
+func (t *Table) settleSign(now time.Time, r *record) bool {
+	known := r.listed || r.up || r.told > 0
 	if known || r.known || r.lastSign.IsZero() {
 		r.lastSign = now
 	}
 	r.known = known
-	if r.listed && now.Sub(r.listedAt) >= t.conf.Lag {
-		r.voter = true
-	}
-}
-
-func (t *Table) isTold(host cell.HostID) bool {
-	for _, said := range t.told {
-		if said[host] {
-			return true
-		}
-	}
-	return false
+	votes := r.listed && !now.Before(r.votesAt)
+	changed := votes != r.voter
+	r.voter = votes
+	return changed
 }
 
 func (t *Table) isLive(now time.Time, host cell.HostID, r *record) bool {
