--- a/core/member/table.go
+++ b/core/member/table.go
@@ -15,6 +15,8 @@
 	DefaultShrinkDelay = 10 * time.Second
 	DefaultDamping     = 5 * time.Second
 	DefaultCutOffAfter = 3 * time.Second
+
+	departedKeep = 5 * time.Second // departedKeep is how long a departed host that is still listed does not count, unless it is linked again.
 )
 
 // Member is a host as the platform lists it.
@@ -44,6 +46,7 @@
 	connected time.Time                     // connected is the last time at which most members were linked.
 	orders    map[cell.ID][]cell.HostID     // orders caches Order until liveness changes.
 	voters    []cell.HostID
+	total     int
 	settled   time.Time // settled is the time of the last settle.
 }
 
@@ -60,7 +63,9 @@
 	upAt     time.Time
 	wasDown  bool // wasDown tells that a link to the host has been lost before.
 	leaving  bool // leaving is the host's own word.
-	live     bool // live is up, not leaving and past its damping.
+
+	departedAt time.Time // departedAt is when the host said that it has nothing in flight and lends no stake; zero if it did not.
+	live       bool      // live is up, not leaving and past its damping.
 }
 
 // New returns a Table that knows of its own host alone.
@@ -148,10 +153,30 @@
 		r.up = true
 		r.upAt = now
 		r.leaving = false
+		t.comeBack(now, r)
 	}
 	t.settle(now)
 }
 
+// Departed tells that the host has nothing in flight and lends no stake, by its
+// own last word. It counts no more, whatever the lagging list says.
+func (t *Table) Departed(now time.Time, host cell.HostID) {
+	r := t.record(host)
+	r.leaving = true
+	r.departedAt = now
+	t.settle(now)
+}
+
+// comeBack counts a departed host again. It votes like a new one, when all
+// others, who may not have heard of it, count it too.
+func (t *Table) comeBack(now time.Time, r *record) {
+	if r.departedAt.IsZero() {
+		return
+	}
+	r.departedAt = time.Time{}
+	r.votesAt = now.Add(t.conf.Lag + t.conf.CutOffAfter)
+}
+
 // Down tells that there is no link to the host any more.
 func (t *Table) Down(now time.Time, host cell.HostID) {
 	if r := t.hosts[host]; r != nil && host != t.conf.Self {
@@ -210,7 +235,7 @@
 // when a list is read ShrinkDelay after the last; a new host votes only when all
 // others know of it.
 func (t *Table) Voters() (hosts []cell.HostID, total int) {
-	return t.voters, len(t.hosts)
+	return t.voters, t.total
 }
 
 // CutOff tells whether this router has for CutOffAfter had neither a fresh list
@@ -230,15 +255,17 @@
 		t.connected = now
 	}
 	t.settled = now
-	reordered, revoted := false, false
+	reordered, revoted, total := false, false, 0
 	for host, r := range t.hosts {
 		revoted = t.settleSign(now, r) || revoted
-		gone := !r.known && t.readAt.Sub(r.lastSign) > t.conf.ShrinkDelay
-		if gone && majority && host != t.conf.Self {
+		if t.isGone(r, majority) && host != t.conf.Self {
 			delete(t.hosts, host)
 			reordered, revoted = true, true
 			continue
 		}
+		if r.departedAt.IsZero() {
+			total++
+		}
 		live := t.isLive(now, host, r)
 		reordered = reordered || live != r.live
 		r.live = live
@@ -246,11 +273,24 @@
 	if revoted {
 		t.voters = t.collect(func(r *record) bool { return r.voter })
 	}
+	t.total = total
 	if reordered {
 		clear(t.orders)
 	}
 }
 
+// isGone tells whether a host is to be forgotten: a departed one with the last
+// sign of it, any other by a list read ShrinkDelay later, and only while most hosts are linked.
+func (t *Table) isGone(r *record, majority bool) bool {
+	if r.known {
+		return false
+	}
+	if !r.departedAt.IsZero() {
+		return true
+	}
+	return majority && t.readAt.Sub(r.lastSign) > t.conf.ShrinkDelay
+}
+
 // settleSign notes whether there is a sign of the host, and returns true if its vote has changed.
 func (t *Table) settleSign(now time.Time, r *record) bool {
 	known := r.listed || r.up || r.told > 0
@@ -258,12 +298,21 @@
 		r.lastSign = now
 	}
 	r.known = known
-	votes := r.listed && !now.Before(r.votesAt)
+	t.settleDeparted(now, r)
+	votes := r.listed && r.departedAt.IsZero() && !now.Before(r.votesAt)
 	changed := votes != r.voter
 	r.voter = votes
 	return changed
 }
 
+// settleDeparted counts a departed host again that the list shows as staying:
+// its next process may have been seen by others only.
+func (t *Table) settleDeparted(now time.Time, r *record) {
+	if r.listed && !r.member.Leaving && now.Sub(r.departedAt) >= departedKeep {
+		t.comeBack(now, r)
+	}
+}
+
 func (t *Table) isLive(now time.Time, host cell.HostID, r *record) bool {
 	if r.leaving || r.member.Leaving {
 		return false
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -94,14 +94,24 @@
 
 func requestID(req *fasthttp.Request) string { return string(req.Header.Peek("X-Request-Id")) }
 
+// target is an endpoint that fakeGrants grants.
+type target interface {
+	address() netip.AddrPort
+	startID() cell.StartID
+}
+
+func (f *fakeEndpoint) startID() cell.StartID { return cell.StartID(f.start) }
+
 // fakeGrants grants the endpoints in turn, at once, and keeps how attempts ended.
 type fakeGrants struct {
-	endpoints []*fakeEndpoint
+	endpoints []target
 	valid     time.Duration
 
 	mu    sync.Mutex
+	late  int // late is the number of grants to come that have expired already.
 	asked int
 	ends  []cell.Outcome
+	cost  cell.Cost // cost is that of the latest end.
 }
 
 func (g *fakeGrants) Ask(_ context.Context, _ cell.ID, _ cell.TeamID, _ cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
@@ -112,7 +122,11 @@
 		g.asked++
 		id := cell.EndpointID(fmt.Sprintf("e%d", n))
 		if id != avoid || len(g.endpoints) == 1 {
-			return &fakePermit{grants: g, id: id, endpoint: g.endpoints[n], expires: time.Now().Add(g.valid)}, nil
+			expires := time.Now()
+			if g.late--; g.late < 0 {
+				expires = expires.Add(g.valid)
+			}
+			return &fakePermit{grants: g, id: id, endpoint: g.endpoints[n], start: g.endpoints[n].startID(), expires: expires}, nil
 		}
 	}
 	return nil, context.Canceled
@@ -133,19 +147,20 @@
 type fakePermit struct {
 	grants   *fakeGrants
 	id       cell.EndpointID
-	endpoint *fakeEndpoint
+	endpoint target
+	start    cell.StartID
 	expires  time.Time
 }
 
 func (p *fakePermit) Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID) {
-	return p.id, p.endpoint.address(), "s1"
+	return p.id, p.endpoint.address(), p.start
 }
 func (p *fakePermit) Expires() time.Time { return p.expires }
 func (p *fakePermit) Progress(cell.Cost) {}
-func (p *fakePermit) End(outcome cell.Outcome, _ cell.Cost, _ time.Duration) {
+func (p *fakePermit) End(outcome cell.Outcome, cost cell.Cost, _ time.Duration) {
 	p.grants.mu.Lock()
 	defer p.grants.mu.Unlock()
-	p.grants.ends = append(p.grants.ends, outcome)
+	p.grants.ends, p.grants.cost = append(p.grants.ends, outcome), cost
 }
 
 // handler serves every request on one route.
