--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -72,15 +73,24 @@
 		}
 		w.heal()
 		w.run(30 * time.Second)
-		w.engine.note()
-		before := w.engine.busy
-		w.run(10 * time.Second)
-		w.engine.note()
-		used := float64(w.engine.busy-before) / float64(10*time.Second) / float64(w.policy.Endpoints[0].WarmLimit)
-		if used < 0.8 {
+		if used := w.used(10 * time.Second); used < 0.8 {
 			rt.Fatalf("%.2f of the warm limit is used", used)
 		}
 		served += w.engine.served
 	})
 	t.Logf("%d requests served", served)
 }
+
+// With a fixed split a busy router uses its own part alone; with stakes it uses the whole limit.
+func TestFixedSplitIdles(t *testing.T) {
+	use := func(split bool) float64 {
+		w := newWorld(1, 5, 6, func(w *world) { w.split, w.onlyFirst, w.healthy = split, true, true })
+		w.run(30 * time.Second)
+		return w.used(30 * time.Second)
+	}
+	is := is.New(t)
+	stakes, split := use(false), use(true)
+	t.Logf("in use: %.2f with stakes, %.2f with a fixed split", stakes, split)
+	is.True(stakes > 0.8)
+	is.True(split < 0.3)
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -153,5 +153,8 @@
 
 // spread bounds how far apart the counters of backlogged teams stand.
 func (d *Dispatcher) spread() float64 {
+	if !d.known {
+		return math.Inf(1)
+	}
 	return fair.Spread(d.policy.LargestCost, d.flights.Slots(), d.leastShare)
 }
--- a/core/dispatch/stakes_test.go
+++ b/core/dispatch/stakes_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 )
 
@@ -63,3 +64,45 @@
 	b.load(5, b.now, true, 0)
 	b.Equal(len(b.grants), 6)
 }
+
+// What a dead entry ran keeps its slots until the endpoint or time proves that it has ended.
+func TestOrphansKeepTheirSlots(t *testing.T) {
+	dead := func(t *testing.T) *bench {
+		b := warmBench(t, 3)
+		b.want(1, "a", 2)
+		b.step(&dispatch.Leave{Router: router(1), Session: 1})
+		b.step(&dispatch.Join{Router: "h1/2", Session: 1, Stake: true})
+		b.step(&dispatch.Renew{Router: "h1/2", Session: 1, StakeUntil: b.now.Add(time.Hour)})
+		b.want(0, "b", 5)
+		b.Equal(len(b.grants), 3) // One slot was left.
+		return b
+	}
+	t.Run("a late report proves it", func(t *testing.T) {
+		b := dead(t)
+		b.load(1, b.now.Add(window), false, 100)
+		b.Equal(len(b.grants), 4) // One runs, and that may be the entry's own.
+		b.load(0, b.now.Add(2*window), false, 100)
+		b.Equal(len(b.grants), 5)
+	})
+	t.Run("the longest request time has passed", func(t *testing.T) {
+		b := dead(t)
+		b.wait(longest + window - 1)
+		b.load(3, b.now, false, 100)
+		b.want(0, "b", 5)
+		b.Equal(len(b.grants), 3)
+		b.wait(1)
+		b.Equal(len(b.grants), 5)
+	})
+	t.Run("the endpoint has restarted", func(t *testing.T) {
+		b := dead(t)
+		b.wait(window)
+		restarted := &dispatch.Load{Endpoint: "e", Start: "s2", Sampled: began.Add(-1)}
+		b.step(restarted)
+		b.step(&dispatch.Withdraw{Router: router(0), Session: 1, Attempts: []cell.AttemptID{4}})
+		b.Equal(len(b.grants), 3) // The report may be older than that of the other start.
+		restarted.Sampled = b.now
+		b.step(restarted)
+		b.Equal(len(b.grants), 4) // The cold limit of the new start.
+		b.Equal(b.grants[3].Grant.Start, cell.StartID("s2"))
+	})
+}
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	beat      = 50 * time.Millisecond
+	tick      = 50 * time.Millisecond
+	beat      = 200 * time.Millisecond
 	silent    = 750 * time.Millisecond
 	reportLag = 500 * time.Millisecond
 	worldLong = 3 * time.Second // worldLong is the longest request of a world.
@@ -20,16 +21,18 @@
 
 // world is a model of routers that lend to each other, an endpoint, and all that fails between them.
 type world struct {
-	rand    *rand.Rand
-	now     time.Time
-	queue   timeline
-	seq     int
-	nodes   []*node
-	cut     map[[2]int]bool // cut holds the directions between hosts in which nothing arrives.
-	links   map[[2]int]*link
-	policy  dispatch.Policy
-	engine  *engine
-	healthy bool // healthy is true once nothing fails any more.
+	rand      *rand.Rand
+	now       time.Time
+	queue     timeline
+	seq       int
+	nodes     []*node
+	cut       map[[2]int]bool // cut holds the directions between hosts in which nothing arrives.
+	links     map[[2]int]*link
+	policy    dispatch.Policy
+	engine    *engine
+	split     bool // split makes every router dispatch for itself.
+	onlyFirst bool // onlyFirst gives demand to the first router alone.
+	healthy   bool // healthy is true once nothing fails any more.
 }
 
 // timed is something that happens at a node; a frozen node does it after it wakes.
@@ -96,7 +99,7 @@
 	stamp, echo time.Time
 }
 
-func newWorld(seed uint64, hosts, cold int) *world {
+func newWorld(seed uint64, hosts, cold int, options ...func(*world)) *world {
 	w := &world{
 		rand: rand.New(rand.NewPCG(seed, 7)), now: began,
 		cut: map[[2]int]bool{}, links: map[[2]int]*link{}, policy: onePool(cold, cold+4),
@@ -104,6 +107,9 @@
 	w.policy.LongestRequest, w.policy.WarmUpRequests = worldLong, 6
 	w.engine = &engine{w: w}
 	w.engine.restart()
+	for _, option := range options {
+		option(w)
+	}
 	w.nodes = make([]*node, hosts)
 	for i := range hosts {
 		w.boot(i, 1)
@@ -152,16 +158,26 @@
 		}
 	}
 	n := &node{w: w, index: i, id: cell.RouterID(fmt.Sprintf("h%d/%d", i, life)), sessions: map[cell.RouterID]session{}}
-	n.lender = lend.New(lend.Config{Self: n.id, Cell: "cell", Started: w.now})
+	n.lender = lend.New(lend.Config{Self: n.id, Cell: "cell", Started: w.now, Local: w.split})
 	n.d = dispatch.New(dispatch.Config{Cell: "cell"})
 	w.nodes[i] = n
 	n.dispatch(&w.policy)
 	n.vote(len(w.nodes))
 	n.lend(&lend.Order{Hosts: w.order(false)})
 	n.tick()
+	n.beat()
 	n.poll()
 }
 
+// used lets time pass and returns the part of the warm limit that was in use.
+func (w *world) used(d time.Duration) float64 {
+	w.engine.note()
+	before := w.engine.busy
+	w.run(d)
+	w.engine.note()
+	return float64(w.engine.busy-before) / float64(d) / float64(w.policy.Endpoints[0].WarmLimit)
+}
+
 // heal ends all faults.
 func (w *world) heal() {
 	w.healthy = true
@@ -190,8 +206,12 @@
 }
 
 func (n *node) tick() {
-	n.w.after(beat, n, n.tick)
-	if n.next < 4000 {
+	n.w.after(tick, n, n.tick)
+	wants := n.w.rand.IntN(4) == 0
+	if n.w.onlyFirst {
+		wants = n.index == 0
+	}
+	if wants {
 		n.want()
 	}
 	n.lend(&lend.Tick{})
@@ -199,17 +219,20 @@
 		n.dispatch(&dispatch.Renew{Router: n.id, Session: session.number, StakeUntil: n.w.now.Add(lend.DefaultStakeLease)})
 	}
 	n.dispatch(&dispatch.Tick{})
+}
+
+// beat tends the links to all other hosts.
+func (n *node) beat() {
+	n.w.after(beat, n, n.beat)
 	for i := range n.w.nodes {
 		n.tend(i)
 	}
 }
 
 func (n *node) want() {
-	for range 2 {
-		n.next++
-		team := n.w.policy.Teams[n.w.rand.IntN(3)].Team
-		n.lend(&lend.Want{Demand: cell.Demand{Attempt: n.next, Team: team}})
-	}
+	n.next++
+	team := n.w.policy.Teams[n.w.rand.IntN(3)].Team
+	n.lend(&lend.Want{Demand: cell.Demand{Attempt: n.next, Team: team}})
 }
 
 // tend keeps the link to another host: dials, sends heartbeats, closes on silence.
