Test endpoints that turn cold in place, and hand-overs at the target size

Cause: the model had no cold start without a restart; the cap of all stakes was worked out anew for each endpoint. Ruled out: nothing else was tried. Change: a fault that turns the endpoint cold; the held stakes are kept; BenchmarkHandOver.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -100,3 +100,28 @@
 		counters = d.Counters(counters[:0])
 	}
 }
+
+// BenchmarkHandOver measures how long a new dispatcher takes to hear of the whole fleet at the target size.
+func BenchmarkHandOver(b *testing.B) {
+	const routers = 410
+	for b.Loop() {
+		d, _ := fullCell(b, 12000, 1200, dispatch.Fair{})
+		hosts := make([]cell.HostID, routers)
+		for i := range hosts {
+			hosts[i] = router(i).Host()
+		}
+		d.Step(began, &dispatch.Voters{Hosts: hosts, Total: routers})
+		start := time.Now()
+		for i := range routers {
+			join := &dispatch.Join{Router: router(i), Session: 2, Stake: true}
+			for n := range 16 {
+				join.Flights = append(join.Flights, cell.Flight{
+					Attempt: cell.AttemptID(1<<40 + n), Team: cell.TeamID(fmt.Sprint("team", i)), Endpoint: cell.EndpointID(fmt.Sprint("e", i)), Start: "s",
+				})
+			}
+			d.Step(began, join)
+			d.Step(began, &dispatch.Renew{Router: router(i), Session: 2, StakeUntil: began.Add(time.Hour)})
+		}
+		b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms/fleet")
+	}
+}
--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -15,7 +15,7 @@
 	pause time.Duration // pause is the time to the next fault.
 }
 
-const faultKinds = 8
+const faultKinds = 9
 
 // befall lets one fault happen.
 func (w *world) befall(f fault) {
@@ -41,6 +41,8 @@
 		w.prefer(w.nodes[a])
 	case 7: // A dispatcher sees more members, or again fewer.
 		w.nodes[a].vote(len(w.nodes) + f.b%3)
+	case 8: // The endpoint turns cold and goes on with what it runs.
+		w.engine.turnCold()
 	}
 }
 
--- a/core/dispatch/node_test.go
+++ b/core/dispatch/node_test.go
@@ -144,7 +144,9 @@
 type engine struct {
 	w      *world
 	start  int
-	done   int // done is the work completed since the start.
+	done   int       // done is the work completed since the start.
+	warm   int       // warm is the work after which the endpoint is no longer cold.
+	turned time.Time // turned is when the endpoint turned cold without a restart.
 	runs   []*call
 	past   []dispatch.Load // past are all reports since the beginning, Sampled being exact.
 	worst  int
@@ -161,14 +163,21 @@
 
 const warmAfter = 8
 
-func (e *engine) isCold() bool { return e.done < warmAfter }
+// learned is the time in which dispatchers learn that an endpoint has turned cold:
+// a freeze shorter than the lease, two polls of which one is lost, and a grant's way.
+const learned = 3 * time.Second
+
+func (e *engine) isCold() bool { return e.done < e.warm }
+
+// turnCold makes the endpoint cold in place.
+func (e *engine) turnCold() {
+	e.warm, e.turned = e.done+warmAfter, e.w.now
+	e.note()
+}
 
 func (e *engine) startID() cell.StartID { return cell.StartID(rune('A' + e.start)) }
 
 func (e *engine) note() {
-	if e.isCold() {
-		e.worst = max(e.worst, len(e.runs))
-	}
 	if last := len(e.past) - 1; last >= 0 {
 		e.busy += time.Duration(e.past[last].InFlight) * e.w.now.Sub(e.past[last].Sampled)
 	}
@@ -191,7 +200,7 @@
 
 func (e *engine) restart() {
 	e.start++
-	e.done = 0
+	e.done, e.warm, e.turned = 0, warmAfter, time.Time{}
 	for len(e.runs) > 0 {
 		e.finish(e.runs[0], cell.Failed)
 	}
@@ -207,6 +216,9 @@
 			return
 		}
 		e.runs = append(e.runs, c)
+		if e.isCold() && e.w.now.Sub(e.turned) > learned {
+			e.worst = max(e.worst, len(e.runs))
+		}
 		e.note()
 		if !e.w.healthy && e.w.rand.IntN(8) == 0 { // The connection breaks and the endpoint works on.
 			e.tell(c, cell.Failed)
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -27,7 +27,7 @@
 // Snapshot returns the state after the last Step.
 func (d *Dispatcher) Snapshot() Snapshot {
 	shot := Snapshot{Cell: d.cell, Entries: d.entries.Live(), Waiting: d.waiting.Len(), Endpoints: d.flights.States()}
-	shot.Held, shot.Total = d.flights.Held(d.now)
+	shot.Held, shot.Total = d.flights.Held()
 	for i := range d.teams {
 		of := &d.teams[i]
 		if queued := d.waiting.LenOf(int32(i)); queued+of.inFlight > 0 {
--- a/core/flight/cap.go
+++ b/core/flight/cap.go
@@ -27,17 +27,16 @@
 
 // Renew notes until when a router's stake may be counted on.
 func (t *Table) Renew(now time.Time, router cell.RouterID, until time.Time) {
-	before := t.stakes.Held(now)
 	t.stakes.Renew(router, until)
-	if t.stakes.Held(now) != before {
+	if held, _ := t.stakes.HeldSince(now, now); held != t.held {
 		t.refreshAll(now)
 		return
 	}
 	t.stakeExpiry = t.stakes.NextExpiry(now)
 }
 
-// Held returns the number of stakes that count now, and the number that they are divided by.
-func (t *Table) Held(now time.Time) (held, total int) { return t.stakes.HeldSince(now, now) }
+// Held returns the number of stakes that count, and the number that they are divided by.
+func (t *Table) Held() (held, total int) { return t.held, t.total }
 
 // Expire drops the stakes that no longer count; it is due before each decision.
 func (t *Table) Expire(now time.Time) {
@@ -48,6 +47,7 @@
 
 func (t *Table) refreshAll(now time.Time) {
 	t.stakeExpiry = t.stakes.NextExpiry(now)
+	t.held, t.total = t.stakes.HeldSince(now, now)
 	for i := range t.endpoints {
 		t.refresh(now, int32(i))
 	}
@@ -58,7 +58,7 @@
 	at := &t.endpoints[index]
 	size := at.gate.Limit()
 	at.warm = at.gate.State() == limit.Warm
-	at.capHeld = t.capSince(now, now, size)
+	at.capHeld = limit.Cap(size, t.held, t.total)
 	if !at.warm {
 		proven := at.proven
 		if t.longest > 0 {
--- a/core/flight/table.go
+++ b/core/flight/table.go
@@ -40,6 +40,7 @@
 
 	stakes      limit.Stakes
 	stakeExpiry time.Time
+	held, total int // held is the number of stakes that count, total what they are divided by.
 }
 
 // New returns a Table without endpoints and stakes.
--- a/core/limit/stakes.go
+++ b/core/limit/stakes.go
@@ -68,12 +68,6 @@
 	s.drop()
 }
 
-// Held returns the number of stakes that count now.
-func (s *Stakes) Held(now time.Time) int {
-	held, _ := s.HeldSince(now, now)
-	return held
-}
-
 // HeldSince returns the number of stakes that count now and joined at the given
 // time or before, and the total that they are to be divided by.
 func (s *Stakes) HeldSince(now, joined time.Time) (held, total int) {
@@ -100,9 +94,6 @@
 	return next
 }
 
-// Total returns the number that stakes are divided by.
-func (s *Stakes) Total() int { return s.total }
-
 func (l *stake) counts(now time.Time) bool {
 	return l.voter && l.lent && now.Before(l.until)
 }
