--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -38,6 +38,23 @@
 		b.step(&dispatch.Want{Router: router(0), Session: 2, Demands: []cell.Demand{{Attempt: 1, Team: "a"}}})
 		b.Equal(len(b.grants), 0)
 	})
+	t.Run("another endpoint than the one to avoid", func(t *testing.T) {
+		policy := onePool(1, 2)
+		policy.Endpoints = append(policy.Endpoints, dispatch.EndpointPolicy{Endpoint: "f", WarmLimit: 2, ColdLimit: 1})
+		b := newBench(t, 1, policy)
+		b.joinAll()
+		for _, id := range []cell.EndpointID{"e", "f"} {
+			b.step(&dispatch.Load{Endpoint: id, Start: "s1", Completed: 100, Sampled: b.now})
+		}
+		for attempt := range cell.AttemptID(4) {
+			b.step(&dispatch.Want{Router: router(0), Session: 1, Demands: []cell.Demand{{Attempt: attempt, Team: "a", Avoid: "e"}}})
+		}
+		var got []cell.EndpointID
+		for _, grant := range b.grants {
+			got = append(got, grant.Grant.Endpoint)
+		}
+		b.Equal(got, []cell.EndpointID{"f", "f", "e", "e"}) // Only with no room elsewhere is it taken all the same.
+	})
 	t.Run("by share", func(t *testing.T) {
 		b := warmBench(t, 1)
 		b.want(0, "a", 13) // The first is granted before c comes.
--- a/core/limit/cap_test.go
+++ b/core/limit/cap_test.go
@@ -1,6 +1,8 @@
 package limit_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -8,6 +10,14 @@
 	"ryelug/core/limit"
 )
 
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "4"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 // Over any disjoint sets of stakes the caps add up to the limit at most, though
 // each dispatcher has its own view of the total, which is never below the voters
 // that lend.
