Use the usual terms for functions of the dispatcher

Cause: some names were images (chill, land, pump). Ruled out: nothing else was tried. Change: resetWarmUp, addFlight, dropFlight, grantWaiting; inject in the model.

--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// fault is something that befalls a world.
+// fault is a fault that is injected into a world.
 type fault struct {
 	kind  int
 	a, b  int
@@ -17,8 +17,8 @@
 
 const faultKinds = 9
 
-// befall lets one fault happen.
-func (w *world) befall(f fault) {
+// inject lets one fault happen.
+func (w *world) inject(f fault) {
 	a, b := f.a%len(w.nodes), f.b%len(w.nodes)
 	switch f.kind {
 	case 0: // One direction is cut.
@@ -66,7 +66,7 @@
 		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 5).Draw(rt, "hosts"), cold)
 		w.run(5 * time.Second)
 		for _, f := range faults(rt) {
-			w.befall(f)
+			w.inject(f)
 			w.run(f.pause)
 		}
 		w.run(5 * time.Second)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -84,7 +84,7 @@
 	d.out.reset()
 	d.flights.Expire(now)
 	d.take(now, ev)
-	d.pump(now)
+	d.grantWaiting(now)
 	return d.out.actions
 }
 
@@ -122,7 +122,7 @@
 func (d *Dispatcher) tick(now time.Time) {
 	d.expireWaiting(now)
 	for place, ok := d.flights.Expired(now); ok; place, ok = d.flights.Expired(now) {
-		d.land(place)
+		d.dropFlight(place)
 	}
 	d.flights.Elapse(now)
 }
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -35,7 +35,7 @@
 			d.flights.Adopt(place)
 			continue
 		}
-		d.fly(flight.Flight{
+		d.addFlight(flight.Flight{
 			Entry: index, Attempt: flights[i].Attempt, Team: d.teamOf(flights[i].Team),
 			Endpoint: d.flights.Ensure(flights[i].Endpoint), Start: flights[i].Start,
 			Charged: flights[i].Charged, Granted: now,
@@ -43,7 +43,7 @@
 	}
 	for _, attempt := range slices.Sorted(maps.Keys(from.Flights)) {
 		if !listed[attempt] {
-			d.land(from.Flights[attempt])
+			d.dropFlight(from.Flights[attempt])
 		}
 	}
 }
--- a/core/dispatch/grant.go
+++ b/core/dispatch/grant.go
@@ -12,8 +12,8 @@
 // heldPart divides the charge of an attempt that did not complete.
 const heldPart = 16
 
-// pump grants while a request waits and an endpoint has room.
-func (d *Dispatcher) pump(now time.Time) {
+// grantWaiting grants while a request waits and an endpoint has room.
+func (d *Dispatcher) grantWaiting(now time.Time) {
 	for d.flights.HasRoom() {
 		place := d.next()
 		if place == slot.None {
@@ -45,22 +45,22 @@
 	of.active = now
 	endpoint := d.flights.Pick(request.Avoid)
 	id, start := d.flights.Name(endpoint)
-	d.fly(flight.Flight{
+	d.addFlight(flight.Flight{
 		Entry: request.Entry, Attempt: request.Attempt, Team: request.Team, Endpoint: endpoint, Start: start,
 		Charged: of.estimate.Of(request.Hint, d.policy.LargestCost), Granted: now,
 	})
 	d.out.grant(d.entries.At(request.Entry), cell.Grant{Attempt: request.Attempt, Endpoint: id, Start: start})
 }
 
-// fly counts a new flight at its endpoint, its entry and its team.
-func (d *Dispatcher) fly(flying flight.Flight) {
+// addFlight counts a new flight at its endpoint, its entry and its team.
+func (d *Dispatcher) addFlight(flying flight.Flight) {
 	d.entries.At(flying.Entry).Flights[flying.Attempt] = d.flights.Add(flying)
 	d.teams[flying.Team].inFlight++
 	d.ledger.Charge(int(flying.Team), flying.Charged)
 }
 
-// land counts a flight no more; what it was charged stays charged.
-func (d *Dispatcher) land(place int32) {
+// dropFlight counts a flight no more; what it was charged stays charged.
+func (d *Dispatcher) dropFlight(place int32) {
 	flying := *d.flights.At(place)
 	d.ledger.Settle(int(flying.Team), flying.Charged, flying.Charged)
 	d.flights.Remove(place)
@@ -80,8 +80,8 @@
 		return
 	}
 	for _, progress := range ev.Progress {
-		place, flies := d.entries.At(index).Flights[progress.Attempt]
-		if !flies {
+		place, running := d.entries.At(index).Flights[progress.Attempt]
+		if !running {
 			continue
 		}
 		flying := d.flights.At(place)
@@ -99,7 +99,7 @@
 		return
 	}
 	for i := range ev.Ends {
-		if place, flies := d.entries.At(index).Flights[ev.Ends[i].Attempt]; flies {
+		if place, running := d.entries.At(index).Flights[ev.Ends[i].Attempt]; running {
 			d.end(now, place, &ev.Ends[i])
 		}
 	}
--- a/core/dispatch/team.go
+++ b/core/dispatch/team.go
@@ -57,7 +57,7 @@
 	of := d.teamOf(demand.Team)
 	d.teams[of].active = now
 	if d.isFull(of) {
-		d.pump(now)
+		d.grantWaiting(now)
 	}
 	switch {
 	case d.isClosed():
@@ -116,7 +116,7 @@
 		return
 	}
 	for _, attempt := range ev.Attempts {
-		if place, waits := d.entries.At(index).Waiting[attempt]; waits {
+		if place, queued := d.entries.At(index).Waiting[attempt]; queued {
 			d.unqueue(place)
 		}
 	}
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -82,8 +82,8 @@
 	side [2]side // side 0 is the entry's.
 }
 
-// farewell is the last frame of a side that closes its link.
-type farewell struct{}
+// closing is the last frame of a side that closes its link.
+type closing struct{}
 
 type side struct {
 	heard   time.Time // heard is when a frame arrived last.
@@ -278,7 +278,7 @@
 	if l.side[own].closed {
 		return
 	}
-	w.send(l, 1-own, farewell{})
+	w.send(l, 1-own, closing{})
 	l.side[own].closed = true
 	w.after(0, l.ends[own], func() {
 		if own == 0 {
@@ -316,7 +316,7 @@
 		if at.closed {
 			return
 		}
-		if message == (farewell{}) {
+		if message == (closing{}) {
 			w.close(l, to)
 			return
 		}
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -86,7 +86,7 @@
 		g.isBased, g.base = true, 0
 	}
 	if report.Cold {
-		g.chill(now)
+		g.resetWarmUp(now)
 	}
 	g.count(report)
 	g.reported, g.saysCold = true, report.Cold
@@ -106,8 +106,8 @@
 	g.done = max(g.done, min(report.Completed-g.base, g.warmUp))
 }
 
-// chill makes the endpoint cold: only work completed from now on warms it.
-func (g *Gate) chill(now time.Time) {
+// resetWarmUp makes the endpoint cold: only work completed from now on warms it.
+func (g *Gate) resetWarmUp(now time.Time) {
 	g.done = 0
 	g.isBased, g.coldAt = false, now
 }
@@ -116,7 +116,7 @@
 func (g *Gate) Completed(now time.Time, firstToken time.Duration) {
 	g.workedAt, g.failures = now, 0
 	if g.outOfLine(firstToken) {
-		g.chill(now)
+		g.resetWarmUp(now)
 		return
 	}
 	if !g.saysCold && g.reported {
@@ -129,7 +129,7 @@
 	g.workedAt = now
 	g.failures++
 	if g.failures >= failuresToCold {
-		g.chill(now)
+		g.resetWarmUp(now)
 	}
 }
 
@@ -137,7 +137,7 @@
 func (g *Gate) PollLost(now time.Time) {
 	g.lostPolls++
 	if g.lostPolls >= pollsToUnreachable {
-		g.chill(now)
+		g.resetWarmUp(now)
 	}
 }
 
@@ -145,7 +145,7 @@
 // it gets no work until its next report.
 func (g *Gate) Outdated(now time.Time) {
 	g.reported = false
-	g.chill(now)
+	g.resetWarmUp(now)
 }
 
 // Elapse makes an endpoint cold that was idle for long and has no fresh report;
--- a/core/session/table.go
+++ b/core/session/table.go
@@ -13,9 +13,9 @@
 
 // Knows tells whether an attempt waits or runs.
 func (e *Entry) Knows(attempt cell.AttemptID) bool {
-	_, waits := e.Waiting[attempt]
-	_, flies := e.Flights[attempt]
-	return waits || flies
+	_, waiting := e.Waiting[attempt]
+	_, running := e.Flights[attempt]
+	return waiting || running
 }
 
 // Table gives each entry a dense index.
