Keep counters relative to a base, so that small charges are not lost

Cause: counters are floats that grow for years; at 10^12 a charge of 100 to a share of 1,000,000 (0.0001) is rounded away, and the team keeps the least counter for ever. Ruled out: integers: units fine enough for such shares overflow within months at the target's 580,000 tokens a second. Change: the ledger moves its base to the virtual time; outside the scale stays. Conclusion: precision no longer depends on age.

--- a/core/fair/ledger.go
+++ b/core/fair/ledger.go
@@ -2,9 +2,14 @@
 
 import "ryelug/core/cell"
 
+// rebaseAt is the virtual time at which a Ledger moves its base, so that small
+// charges are not lost beside large counters.
+const rebaseAt = 1 << 30
+
 // Ledger holds a virtual counter per team, the cost charged divided by the
 // share, and keeps the backlogged teams in the order of their counters.
 type Ledger struct {
+	base      float64 // base is what is added to all values below for the outside.
 	counters  []float64
 	shares    []float64
 	floors    []float64 // floors hold the value below which no refund takes a counter.
@@ -30,13 +35,15 @@
 }
 
 // Counter returns the virtual counter of a team.
-func (l *Ledger) Counter(team int) float64 { return l.counters[team] }
+func (l *Ledger) Counter(team int) float64 { return l.base + l.counters[team] }
 
 // Backlogged returns the number of backlogged teams.
 func (l *Ledger) Backlogged() int { return l.backlog.Len() }
 
 // Virtual returns the least counter of the backlogged teams, or the last such value while there are none.
-func (l *Ledger) Virtual() float64 {
+func (l *Ledger) Virtual() float64 { return l.base + l.virtual() }
+
+func (l *Ledger) virtual() float64 {
 	if team, ok := l.backlog.Min(); ok {
 		l.leastSeen = l.counters[team]
 	}
@@ -49,7 +56,8 @@
 	if l.backlog.Has(team) {
 		return
 	}
-	l.Virtual()
+	l.rebase()
+	floor -= l.base
 	l.counters[team] = max(l.counters[team], floor)
 	l.floors[team] = floor
 	l.backlog.Set(team, l.counters[team])
@@ -57,7 +65,7 @@
 
 // Exit marks a team as no longer backlogged.
 func (l *Ledger) Exit(team int) {
-	l.Virtual()
+	l.virtual()
 	l.backlog.Remove(team)
 }
 
@@ -82,20 +90,23 @@
 }
 
 // Settled returns a team's counter without what requests in flight are charged.
-func (l *Ledger) Settled(team int) float64 { return l.counters[team] - l.open[team] }
+func (l *Ledger) Settled(team int) float64 { return l.base + l.settled(team) }
+
+func (l *Ledger) settled(team int) float64 { return l.counters[team] - l.open[team] }
 
 // SettledVirtual returns the least settled counter of the backlogged teams, or the virtual time while there are none.
 func (l *Ledger) SettledVirtual() float64 {
-	least := l.Virtual()
+	l.rebase()
+	least := l.virtual()
 	for _, team := range l.backlog.items {
-		least = min(least, l.Settled(int(team)))
+		least = min(least, l.settled(int(team)))
 	}
-	return least
+	return l.base + least
 }
 
 // Merge raises a team's settled counter to one that another dispatcher kept.
 func (l *Ledger) Merge(team int, settled float64) {
-	if more := settled - l.Settled(team); more > 0 {
+	if more := settled - l.base - l.settled(team); more > 0 {
 		l.set(team, l.counters[team]+more)
 	}
 }
@@ -103,7 +114,25 @@
 // Advance raises the virtual time that returning teams are lifted to; it does nothing while a team is backlogged.
 func (l *Ledger) Advance(virtual float64) {
 	if l.backlog.Len() == 0 {
-		l.leastSeen = max(l.leastSeen, virtual)
+		l.leastSeen = max(l.leastSeen, virtual-l.base)
+		l.rebase()
+	}
+}
+
+// rebase moves the base to the virtual time if that has grown large.
+func (l *Ledger) rebase() {
+	by := l.virtual()
+	if by < rebaseAt {
+		return
+	}
+	l.base += by
+	l.leastSeen = 0
+	for team := range l.counters {
+		l.counters[team] -= by
+		l.floors[team] -= by
+		if l.backlog.Has(team) {
+			l.backlog.Set(team, l.counters[team])
+		}
 	}
 }
 
