--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -4,20 +4,21 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
-// fault is something that befalls a world.
+// fault is a fault that is injected into a world.
 type fault struct {
 	kind  int
 	a, b  int
 	pause time.Duration // pause is the time to the next fault.
 }
 
-const faultKinds = 8
+const faultKinds = 9
 
-// befall lets one fault happen.
-func (w *world) befall(f fault) {
+// inject lets one fault happen.
+func (w *world) inject(f fault) {
 	a, b := f.a%len(w.nodes), f.b%len(w.nodes)
 	switch f.kind {
 	case 0: // One direction is cut.
@@ -40,6 +41,8 @@
 		w.prefer(w.nodes[a])
 	case 7: // A dispatcher sees more members, or again fewer.
 		w.nodes[a].vote(len(w.nodes) + f.b%3)
+	case 8: // The endpoint turns cold and goes on with what it runs.
+		w.engine.turnCold()
 	}
 }
 
@@ -63,7 +66,7 @@
 		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 5).Draw(rt, "hosts"), cold)
 		w.run(5 * time.Second)
 		for _, f := range faults(rt) {
-			w.befall(f)
+			w.inject(f)
 			w.run(f.pause)
 		}
 		w.run(5 * time.Second)
@@ -72,15 +75,24 @@
 		}
 		w.heal()
 		w.run(30 * time.Second)
-		w.engine.note()
-		before := w.engine.busy
-		w.run(10 * time.Second)
-		w.engine.note()
-		used := float64(w.engine.busy-before) / float64(10*time.Second) / float64(w.policy.Endpoints[0].WarmLimit)
-		if used < 0.8 {
+		if used := w.used(10 * time.Second); used < 0.8 {
 			rt.Fatalf("%.2f of the warm limit is used", used)
 		}
 		served += w.engine.served
 	})
 	t.Logf("%d requests served", served)
 }
+
+// With a fixed split a busy router uses its own part alone; with stakes it uses the whole limit.
+func TestFixedSplitIdles(t *testing.T) {
+	use := func(split bool) float64 {
+		w := newWorld(1, 5, 6, func(w *world) { w.split, w.onlyFirst, w.healthy = split, true, true })
+		w.run(30 * time.Second)
+		return w.used(30 * time.Second)
+	}
+	is := is.New(t)
+	stakes, split := use(false), use(true)
+	t.Logf("in use: %.2f with stakes, %.2f with a fixed split", stakes, split)
+	is.True(stakes > 0.8)
+	is.True(split < 0.3)
+}
