Wait longer for a first event, and leave failed attempts time for another

Cause: one deadline for all events gave up engines that read long prompts; the bound on waiting for a grant counted the time that attempts had run, so an engine that died after it left the request unanswered. Ruled out: one long deadline for all events (a stalled stream is seen late). Conclusion: late failures of engines are retried within the longest request.

--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -15,6 +15,7 @@
 // Defaults of a Config.
 const (
 	defaultConnectTimeout = time.Second
+	defaultFirstTimeout   = 30 * time.Second
 	defaultEventTimeout   = 5 * time.Second
 	defaultWriteTimeout   = 5 * time.Second
 	defaultIdleReuse      = 100 * time.Millisecond
@@ -30,7 +31,8 @@
 	Dial           func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	ConnectTimeout time.Duration // ConnectTimeout bounds the dialling and the first report on a connection.
 	AnswerTimeout  time.Duration // AnswerTimeout bounds the wait for the head of an answer; zero leaves it to the context.
-	EventTimeout   time.Duration // EventTimeout bounds the wait for each event of a stream.
+	FirstTimeout   time.Duration // FirstTimeout bounds the wait for the first event of a stream.
+	EventTimeout   time.Duration // EventTimeout bounds the wait for each later event.
 	WriteTimeout   time.Duration // WriteTimeout bounds the sending of a call.
 	IdleReuse      time.Duration // IdleReuse is the idle time within which a connection counts as fresh.
 	IdleKeep       time.Duration // IdleKeep is the idle time after which a connection is closed.
@@ -58,6 +60,7 @@
 // New returns a Client.
 func New(config Config) *Client {
 	setDefault(&config.ConnectTimeout, defaultConnectTimeout)
+	setDefault(&config.FirstTimeout, defaultFirstTimeout)
 	setDefault(&config.EventTimeout, defaultEventTimeout)
 	setDefault(&config.WriteTimeout, defaultWriteTimeout)
 	setDefault(&config.IdleReuse, defaultIdleReuse)
--- a/io/endpoint/events.go
+++ b/io/endpoint/events.go
@@ -35,6 +35,7 @@
 	reader *bufio.Reader
 	answer Answer
 	data   []byte
+	begun  bool
 	done   bool
 	closed bool
 }
@@ -48,6 +49,7 @@
 		stop:   stop,
 		reader: bufio.NewReader(resp.BodyStream()),
 		answer: Answer{RequestID: string(resp.Header.Peek(headerRequestID))},
+		begun:  call.LastEvent != "",
 	}
 }
 
@@ -61,7 +63,11 @@
 	if e.done {
 		return Event{}, io.EOF
 	}
-	_ = e.link.raw.SetReadDeadline(time.Now().Add(e.client.config.EventTimeout))
+	timeout := e.client.config.EventTimeout
+	if !e.begun {
+		timeout = e.client.config.FirstTimeout
+	}
+	_ = e.link.raw.SetReadDeadline(time.Now().Add(timeout))
 	event, err := e.parse()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
@@ -69,6 +75,7 @@
 		}
 		return Event{}, unknown(e.call, err)
 	}
+	e.begun = true
 	e.done = string(event.Data) == Done
 	return event, nil
 }
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -84,7 +84,7 @@
 	if !pause(ctx, ask.After) {
 		return &entry.CallerGone{}
 	}
-	queue, cancel := context.WithDeadline(ctx, r.giveUp)
+	queue, cancel := context.WithDeadline(ctx, r.queueUntil(time.Now()))
 	defer cancel()
 	permit, err := r.runner.config.Grants.Ask(queue, r.route.Pool, r.route.Team, r.req.Hint, ask.Avoid)
 	if err != nil {
@@ -100,6 +100,15 @@
 	return &entry.Granted{}
 }
 
+// queueUntil returns the time until which a grant is waited for.
+func (r *run) queueUntil(now time.Time) time.Time {
+	until := now.Add(r.route.QueueTimeout)
+	if until.After(r.giveUp) {
+		return r.giveUp
+	}
+	return until
+}
+
 func (r *run) send(ctx context.Context, send *entry.Send) entry.Event {
 	r.count(send.Reason)
 	r.closeStream()
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -69,7 +69,7 @@
 	Pool           cell.ID
 	Service        bool // Service pools cost one unit a call; engines cost tokens.
 	Idempotent     bool
-	QueueTimeout   time.Duration // QueueTimeout bounds the wait for a grant and its retries.
+	QueueTimeout   time.Duration // QueueTimeout bounds each wait for a grant.
 	LongestRequest time.Duration // LongestRequest bounds an attempt.
 }
 
@@ -152,6 +152,9 @@
 func (r *Runner) newRun(route Route, req *caller.Request, w caller.Writer) *run {
 	nonIdempotent := !route.Idempotent || req.NonIdempotent || req.IdempotencyKey != ""
 	giveUp := time.Now().Add(route.QueueTimeout)
+	if !nonIdempotent {
+		giveUp = giveUp.Add(route.LongestRequest) // An attempt that fails late leaves time for another.
+	}
 	return &run{
 		runner: r,
 		route:  route,
