Give connections of the process test back

Cause: the test's HTTP client streams bodies, and nothing closed them, so that each read of the variables kept a connection of the 64 that the client may have. A start that took more than 64 reads failed with 'no dispatcher that holds both stakes', although there was one. Ruled out: a start without a dispatcher; the variables read by hand showed it. Change: the test closes each body.

--- a/cmd/ryelug/process_test.go
+++ b/cmd/ryelug/process_test.go
@@ -152,6 +152,7 @@
 	if err := client.DoTimeout(&req, &resp, answerLimit); err != nil {
 		return answer{err: err}
 	}
+	defer func() { _ = resp.CloseBodyStream() }() // An open one keeps its connection.
 	var text strings.Builder
 	lines := bufio.NewScanner(resp.BodyStream())
 	for lines.Scan() {
