--- a/router/configuration/fleet_test.go
+++ b/router/configuration/fleet_test.go
@@ -59,6 +59,7 @@
 	routers  []*router
 	lives    int
 	running  sync.WaitGroup
+	seen     map[uint64]map[int]bool // seen holds the shares of the first team at all routers, by generation.
 }
 
 // withFleet runs a test in a bubble with a fleet of the given size.
@@ -66,6 +67,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{T: t, I: is.New(t), settings: settings, listener: fasthttputil.NewInmemoryListener()}
+		f.seen = map[uint64]map[int]bool{}
 		f.server = standin.New(standin.Config{Environment: environment})
 		f.running.Go(func() { f.NoErr(f.server.Serve(f.listener)) })
 		f.operator = f.client(&router{})
@@ -189,6 +191,7 @@
 	r.adopted = append(r.adopted, generation)
 	r.at[generation] = time.Now()
 	r.doc = doc
+	f.note(generation, doc)
 }
 
 // cutPlatform separates a router from the platform or joins it again.
