--- a/io/endpoint/events.go
+++ b/io/endpoint/events.go
@@ -35,6 +35,7 @@
 	reader *bufio.Reader
 	answer Answer
 	data   []byte
+	begun  bool
 	done   bool
 	closed bool
 }
@@ -48,6 +49,7 @@
 		stop:   stop,
 		reader: bufio.NewReader(resp.BodyStream()),
 		answer: Answer{RequestID: string(resp.Header.Peek(headerRequestID))},
+		begun:  call.LastEvent != "",
 	}
 }
 
@@ -61,7 +63,11 @@
 	if e.done {
 		return Event{}, io.EOF
 	}
-	_ = e.link.raw.SetReadDeadline(time.Now().Add(e.client.config.EventTimeout))
+	timeout := e.client.config.EventTimeout
+	if !e.begun {
+		timeout = e.client.config.FirstTimeout
+	}
+	_ = e.link.raw.SetReadDeadline(time.Now().Add(timeout))
 	event, err := e.parse()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
@@ -69,6 +75,7 @@
 		}
 		return Event{}, unknown(e.call, err)
 	}
+	e.begun = true
 	e.done = string(event.Data) == Done
 	return event, nil
 }
@@ -110,21 +117,28 @@
 // line reads a line of at most limit bytes, without its end.
 func (e *Events) line(limit int) ([]byte, error) {
 	line, err := e.reader.ReadSlice('\n')
-	if err == nil {
-		return bytes.TrimRight(line, "\r\n"), nil
-	}
-	long := append([]byte(nil), line...)
-	for errors.Is(err, bufio.ErrBufferFull) && len(long) <= limit {
-		line, err = e.reader.ReadSlice('\n')
-		long = append(long, line...)
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = e.longLine(limit, line)
 	}
-	if len(long) > limit {
+	if len(line) > limit {
 		return nil, fmt.Errorf("event is longer than %d bytes", e.client.config.MaxEvent)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return bytes.TrimRight(long, "\r\n"), nil
+	return bytes.TrimRight(line, "\r\n"), nil
+}
+
+// longLine goes on with a line that is longer than the reader's buffer.
+func (e *Events) longLine(limit int, begun []byte) ([]byte, error) {
+	line := append([]byte(nil), begun...)
+	err := bufio.ErrBufferFull
+	for errors.Is(err, bufio.ErrBufferFull) && len(line) <= limit {
+		var more []byte
+		more, err = e.reader.ReadSlice('\n')
+		line = append(line, more...)
+	}
+	return line, err
 }
 
 // Close ends the reading. A stream read to its end gives its connection back; any
--- a/router/request/record_test.go
+++ b/router/request/record_test.go
@@ -1,9 +1,8 @@
 package request_test
 
 import (
-	"context"
+	"fmt"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -11,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ryelug/core/result"
-	"ryelug/io/platform"
+	"ryelug/router/keyed"
 	"ryelug/router/request"
 	standin "ryelug/standin/platform"
 )
@@ -21,11 +20,16 @@
 	server, clients := startPlatform(t, 1)
 	answer := "answer"
 	service := newFakeEndpoint(t, func(conn net.Conn, req *fasthttp.Request, _ int) bool {
+		if answer == "" {
+			fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", requestID(req))
+			return true
+		}
 		write(conn, "text/plain", requestID(req), answer)
 		return true
 	})
 	grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
-	config := request.Config{Records: clients[0], Grants: grants, MaxRecorded: 10, KeyTimeout: 100 * time.Millisecond}
+	keys := keyed.New(keyed.Config{Records: clients[0], MaxRecorded: 10, Timeout: 100 * time.Millisecond})
+	config := request.Config{Keys: keys, Grants: grants}
 	url := serveCallers(t, config, request.Route{Service: true})
 	settled := func(calls int64) {
 		for deadline := time.Now().Add(time.Second); server.Calls().Total() < calls && time.Now().Before(deadline); {
@@ -45,8 +49,10 @@
 		{name: "other body", key: "a", body: "[]", status: 422, code: result.KeyMismatch, reads: 1, writes: 1},
 		{name: "large", key: "b", body: "{}", answer: "longer than ten", status: 200, sends: 1, writes: 2},
 		{name: "large again", key: "b", body: "{}", status: 409, code: result.KeyOutcomeUnknown, reads: 1, writes: 1},
-		{name: "lost answer", key: "c", body: "{}", status: 200, sends: 1, reads: 1, writes: 2, faults: standin.Faults{LoseAnswers: 1}},
-		{name: "outage", key: "d", body: "{}", status: 503, code: result.PlatformUnavailable, faults: standin.Faults{Down: true}},
+		{name: "refused", key: "c", body: "{}", status: 503, code: result.EndpointRefused, sends: 1, writes: 2},
+		{name: "again after that", key: "c", body: "{}", answer: "now", status: 200, sends: 1, reads: 1, writes: 3},
+		{name: "lost answer", key: "d", body: "{}", answer: "now", status: 200, sends: 1, reads: 1, writes: 2, faults: standin.Faults{LoseAnswers: 1}},
+		{name: "outage", key: "e", body: "{}", status: 503, code: result.PlatformUnavailable, faults: standin.Faults{Down: true}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -71,36 +77,3 @@
 		})
 	}
 }
-
-// TestSweep deletes a record after its time and no other, and spares one that changed after the list.
-func TestSweep(t *testing.T) {
-	is := is.New(t)
-	_, clients := startPlatform(t, 1)
-	client, ctx, now := clients[0], t.Context(), time.Now()
-	for name, expires := range map[string]string{"old": "1000", "new": "99999999999", "unmarked": ""} {
-		_, err := client.Create(ctx, platform.Calls, platform.Object{Name: name, Annotations: map[string]string{"expires": expires}, Data: []byte("{}")})
-		is.NoErr(err)
-	}
-	racing := &racingRecords{Client: client}
-	is.Equal(request.NewSweeper(request.SweeperConfig{Records: racing}).Sweep(ctx, now), 0)
-	is.Equal(request.NewSweeper(request.SweeperConfig{Records: client}).Sweep(ctx, now), 1)
-	list, err := client.ListNames(ctx, platform.Calls)
-	is.NoErr(err)
-	var names []string
-	for _, object := range list.Items {
-		names = append(names, object.Name)
-	}
-	is.Equal(strings.Join(names, " "), "new unmarked")
-}
-
-// racingRecords has another router delete and write anew each record between the list and the delete.
-type racingRecords struct{ *platform.Client }
-
-func (r *racingRecords) ListNames(ctx context.Context, kind platform.Kind) (platform.List, error) {
-	list, err := r.Client.ListNames(ctx, kind)
-	for _, object := range list.Items {
-		_ = r.Delete(ctx, kind, object.Name, object.Version)
-		_, _ = r.Create(ctx, kind, platform.Object{Name: object.Name, Annotations: object.Annotations, Data: []byte("{}")})
-	}
-	return list, err
-}
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -10,6 +10,7 @@
 	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
+	"ryelug/router/keyed"
 )
 
 // progressEvery is the number of events after which their cost is reported.
@@ -32,7 +33,7 @@
 	sendAt     time.Time
 	firstToken time.Duration
 	meter      meter
-	key        *key            // key is nil for a request without an Idempotency-Key.
+	key        *keyed.Hold     // key is nil for a request without an Idempotency-Key.
 	attempt    context.Context // attempt ends when the caller has gone or the attempt takes too long.
 	endAttempt context.CancelFunc
 }
@@ -83,7 +84,7 @@
 	if !pause(ctx, ask.After) {
 		return &entry.CallerGone{}
 	}
-	queue, cancel := context.WithDeadline(ctx, r.giveUp)
+	queue, cancel := context.WithDeadline(ctx, r.queueUntil(time.Now()))
 	defer cancel()
 	permit, err := r.runner.config.Grants.Ask(queue, r.route.Pool, r.route.Team, r.req.Hint, ask.Avoid)
 	if err != nil {
@@ -99,6 +100,15 @@
 	return &entry.Granted{}
 }
 
+// queueUntil returns the time until which a grant is waited for.
+func (r *run) queueUntil(now time.Time) time.Time {
+	until := now.Add(r.route.QueueTimeout)
+	if until.After(r.giveUp) {
+		return r.giveUp
+	}
+	return until
+}
+
 func (r *run) send(ctx context.Context, send *entry.Send) entry.Event {
 	r.count(send.Reason)
 	r.closeStream()
@@ -196,12 +206,13 @@
 	answer := r.answer
 	r.meter.whole(answer.Body)
 	r.end(cell.Completed)
-	r.key.answered(answer)
 	if answer.Events != nil {
+		r.key.Streamed(answer.Status)
 		_ = r.writer.Event(r.outgoing()) // A caller that has gone needs no last event.
 		_ = r.writer.Close()
 		r.closeStream()
 	} else {
+		r.key.Answered(answer.Status, answer.ContentType, answer.Body)
 		_ = r.writer.Whole(caller.Answer{
 			Status:      answer.Status,
 			ContentType: answer.ContentType,
@@ -213,7 +224,7 @@
 
 func (r *run) refuse(refuse *entry.Refuse) {
 	r.closeStream()
-	r.key.unanswered(refuse.NotRun)
+	r.key.Unanswered(refuse.NotRun)
 	_ = r.writer.Refuse(caller.Refusal{
 		Code:       refuse.Code,
 		NotRun:     refuse.NotRun,
@@ -227,10 +238,10 @@
 // abandon stops the endpoint's work for a caller that has gone and settles its cost.
 func (r *run) abandon(abandon *entry.Abandon) {
 	r.closeStream()
-	r.key.unanswered(!r.life.MayHaveRun())
+	r.key.Unanswered(!r.life.MayHaveRun())
 	r.stop(abandon.End == cell.Cancelled)
 	r.end(abandon.End)
-	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown, NotRun: !r.life.MayHaveRun()})
+	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown}) // Nobody reads it, as a rule.
 	r.runner.config.Counter.Abandoned()
 }
 
