Split reading TOML and changing documents from core/config

Ruled out: moving the parts away, whose names other packages use. Change: core/toml reads TOML into structs with positions; core/change takes out, returns and promotes; core/config keeps the document, its rules and its parts.

--- a/cmd/ryelug/apply.go
+++ b/cmd/ryelug/apply.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 
+	"ryelug/core/change"
 	"ryelug/core/config"
 	"ryelug/core/result"
 	"ryelug/router/publish"
@@ -90,7 +91,7 @@
 	if c.back || base.Document == nil {
 		return nil
 	}
-	back := config.Returns(base.Document, document)
+	back := change.Returns(base.Document, document)
 	if len(back) == 0 {
 		return nil
 	}
--- a/cmd/ryelug/data_centre.go
+++ b/cmd/ryelug/data_centre.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 
+	"ryelug/core/change"
 	"ryelug/core/config"
 )
 
@@ -45,6 +46,6 @@
 	}
 	text := fmt.Sprintf("data-centre %s %s", verb, name)
 	return edit(ctx, &c.target, to, text, func(d *config.Document) error {
-		return d.SetOut(name, verb == "out")
+		return change.SetOut(d, name, verb == "out")
 	})
 }
--- a/cmd/ryelug/endpoint.go
+++ b/cmd/ryelug/endpoint.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 
+	"ryelug/core/change"
 	"ryelug/core/config"
 )
 
@@ -45,6 +46,6 @@
 	}
 	text := fmt.Sprintf("endpoint %s %s", verb, name)
 	return edit(ctx, &c.target, to, text, func(d *config.Document) error {
-		return d.SetLeaving(name, verb == "leave")
+		return change.SetLeaving(d, name, verb == "leave")
 	})
 }
--- a/cmd/ryelug/environment.go
+++ b/cmd/ryelug/environment.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"ryelug/core/change"
 	"ryelug/core/config"
 	"ryelug/core/result"
 	"ryelug/io/platform"
@@ -69,7 +70,7 @@
 	var conflict *publish.ErrConflict
 	var unknown *publish.ErrUnknown
 	var unavailable *platform.ErrUnavailable
-	var name *config.NameError
+	var name *change.NameError
 	var document config.Errors
 	switch {
 	case err == nil:
@@ -101,12 +102,12 @@
 }
 
 // put puts a change in force and tells the outcome.
-func put(ctx context.Context, publisher *publish.Publisher, change publish.Change, to streams) error {
-	if change.Above == 0 && change.Base.Document != nil && config.Same(change.Base.Document, change.Document) {
-		fmt.Fprintf(to.out, "generation %d holds this already; nothing to do\n", change.Base.Root.Generation)
+func put(ctx context.Context, publisher *publish.Publisher, next publish.Change, to streams) error {
+	if next.Above == 0 && next.Base.Document != nil && change.Same(next.Base.Document, next.Document) {
+		fmt.Fprintf(to.out, "generation %d holds this already; nothing to do\n", next.Base.Root.Generation)
 		return nil
 	}
-	root, err := publisher.Put(ctx, change)
+	root, err := publisher.Put(ctx, next)
 	if err != nil {
 		return withCode(err)
 	}
@@ -118,7 +119,7 @@
 }
 
 // edit changes the document in force.
-func edit(ctx context.Context, t *target, to streams, text string, change func(*config.Document) error) error {
+func edit(ctx context.Context, t *target, to streams, text string, alter func(*config.Document) error) error {
 	publisher, err := t.publisher(to)
 	if err != nil {
 		return err
@@ -131,7 +132,7 @@
 	if err != nil {
 		return withCode(err)
 	}
-	if err := change(document); err != nil {
+	if err := alter(document); err != nil {
 		return withCode(err)
 	}
 	return put(ctx, publisher, publish.Change{Base: base, Document: document, Text: text}, to)
--- a/cmd/ryelug/promote.go
+++ b/cmd/ryelug/promote.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 
+	"ryelug/core/change"
 	"ryelug/core/config"
 	"ryelug/router/publish"
 )
@@ -71,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	promotion, err := config.Promote(policy.Document, base.Document)
+	promotion, err := change.Promote(policy.Document, base.Document)
 	if err != nil {
 		return withCode(fmt.Errorf("the policy of %s does not fit %s: %w", c.from, c.target.environment, err))
 	}
--- a/core/config/edit.go
+++ b/core/change/edit.go
@@ -1,8 +1,10 @@
-package config
+package change
 
 import (
 	"fmt"
 	"slices"
+
+	"ryelug/core/config"
 )
 
 // NameError tells that a document has no item of a name.
@@ -18,20 +20,20 @@
 }
 
 // SetOut takes a data centre out or returns it.
-func (d *Document) SetOut(name string, out bool) error {
-	i := slices.IndexFunc(d.DataCentres, func(c DataCentre) bool { return c.Name == name })
+func SetOut(d *config.Document, name string, out bool) error {
+	i := slices.IndexFunc(d.DataCentres, func(c config.DataCentre) bool { return c.Name == name })
 	if i < 0 {
-		return &NameError{dataCentresTable, name, namesOf(d.DataCentres, func(c DataCentre) string { return c.Name })}
+		return &NameError{"data_centres", name, namesOf(d.DataCentres, func(c config.DataCentre) string { return c.Name })}
 	}
 	d.DataCentres[i].Out = out
 	return nil
 }
 
 // SetLeaving lets an endpoint leave or returns it.
-func (d *Document) SetLeaving(name string, leaving bool) error {
-	i := slices.IndexFunc(d.Endpoints, func(e Endpoint) bool { return e.Name == name })
+func SetLeaving(d *config.Document, name string, leaving bool) error {
+	i := slices.IndexFunc(d.Endpoints, func(e config.Endpoint) bool { return e.Name == name })
 	if i < 0 {
-		return &NameError{endpointsTable, name, namesOf(d.Endpoints, func(e Endpoint) string { return e.Name })}
+		return &NameError{"endpoints", name, namesOf(d.Endpoints, func(e config.Endpoint) string { return e.Name })}
 	}
 	d.Endpoints[i].Leaving = leaving
 	return nil
@@ -47,10 +49,10 @@
 
 // Returns lists what a change from one document to another would put back to work:
 // data centres that are out and endpoints that leave.
-func Returns(from, to *Document) []string {
+func Returns(from, to *config.Document) []string {
 	var back []string
 	for _, centre := range to.DataCentres {
-		was := slices.ContainsFunc(from.DataCentres, func(c DataCentre) bool { return c.Name == centre.Name && c.Out })
+		was := slices.ContainsFunc(from.DataCentres, func(c config.DataCentre) bool { return c.Name == centre.Name && c.Out })
 		if was && !centre.Out {
 			back = append(back, "data centre "+centre.Name)
 		}
@@ -68,8 +70,8 @@
 }
 
 // Same reports whether two documents declare the same state.
-func Same(a, b *Document) bool {
-	first, _ := Split(a)
-	second, _ := Split(b)
+func Same(a, b *config.Document) bool {
+	first, _ := config.Split(a)
+	second, _ := config.Split(b)
 	return slices.Equal(first.Parts, second.Parts)
 }
--- a/core/config/promote.go
+++ b/core/change/promote.go
@@ -1,10 +1,14 @@
-package config
+package change
 
-import "slices"
+import (
+	"slices"
+
+	"ryelug/core/config"
+)
 
 // Promotion is the outcome of carrying a policy to another environment.
 type Promotion struct {
-	Document *Document
+	Document *config.Document
 	Notes    []string // Notes say what an operator should look at.
 }
 
@@ -15,14 +19,14 @@
 // endpoints that both have in the same pool. Its own, kept from the second
 // document: its environment, data centres, endpoints with address, data centre
 // and leaving, key hashes, and teams that the first document lacks.
-func Promote(policy, own *Document) (Promotion, error) {
+func Promote(policy, own *config.Document) (Promotion, error) {
 	next := *own
 	next.Pools = slices.Clone(policy.Pools)
 	next.Routes = slices.Clone(policy.Routes)
 	promotion := Promotion{Document: &next}
 	promotion.teams(policy, own)
 	promotion.endpoints(policy, own)
-	checked, err := Parse(Encode(&next))
+	checked, err := config.Parse(config.Encode(&next))
 	if err != nil {
 		return Promotion{}, err
 	}
@@ -34,7 +38,7 @@
 	p.Notes = append(p.Notes, text)
 }
 
-func (p *Promotion) teams(policy, own *Document) {
+func (p *Promotion) teams(policy, own *config.Document) {
 	kept := make(map[string]int, len(own.Teams))
 	for i, team := range own.Teams {
 		kept[team.Name] = i
@@ -47,7 +51,7 @@
 			next[i].Share = team.Share
 			continue
 		}
-		next = append(next, Team{Name: team.Name, Share: team.Share})
+		next = append(next, config.Team{Name: team.Name, Share: team.Share})
 		p.note("team " + team.Name + " is new and has no key_hashes yet")
 	}
 	for _, team := range own.Teams {
@@ -58,8 +62,8 @@
 	p.Document.Teams = next
 }
 
-func (p *Promotion) endpoints(policy, own *Document) {
-	limits := make(map[string]Endpoint, len(policy.Endpoints))
+func (p *Promotion) endpoints(policy, own *config.Document) {
+	limits := make(map[string]config.Endpoint, len(policy.Endpoints))
 	for _, e := range policy.Endpoints {
 		limits[e.Name] = e
 	}
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -205,7 +205,7 @@
 			return
 		}
 		again, err := config.Parse(config.Encode(doc))
-		if err != nil || !config.Same(doc, again) {
+		if err != nil || string(config.Encode(doc)) != string(config.Encode(again)) {
 			t.Errorf("%q is read as %+v and then as %+v: %v", text, doc, again, err)
 		}
 	})
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -58,7 +58,7 @@
 	for i := range count {
 		one := text(i)
 		if one != "" && seen[one] {
-			r.failAt(table, i, key, "a "+key+" that no other of the "+table+" has")
+			r.FailAt(table, i, key, "a "+key+" that no other of the "+table+" has")
 		}
 		seen[one] = true
 	}
@@ -69,7 +69,7 @@
 	for i, team := range r.document.Teams {
 		for _, hash := range team.KeyHashes {
 			if _, used := owner[hash]; used {
-				r.failAt(teamsTable, i, "key_hashes", "hashes that stand once in the document")
+				r.FailAt(teamsTable, i, "key_hashes", "hashes that stand once in the document")
 				break
 			}
 			owner[hash] = i
@@ -81,9 +81,9 @@
 	for i, pool := range r.document.Pools {
 		switch {
 		case pool.Kind == Engine && pool.Model == "":
-			r.failAt(poolsTable, i, "model", "the model that this engine pool serves")
+			r.FailAt(poolsTable, i, "model", "the model that this engine pool serves")
 		case pool.Kind == Service && pool.Model != "":
-			r.failAt(poolsTable, i, "model", "no model in a service pool")
+			r.FailAt(poolsTable, i, "model", "no model in a service pool")
 		}
 	}
 }
@@ -96,13 +96,13 @@
 	}
 	for i, e := range r.document.Endpoints {
 		if _, found := pools[e.Pool]; !found && e.Pool != "" {
-			r.failAt(endpointsTable, i, "pool", "the name of one of the pools")
+			r.FailAt(endpointsTable, i, "pool", "the name of one of the pools")
 		}
 		if !centres[e.DataCentre] && e.DataCentre != "" {
-			r.failAt(endpointsTable, i, "data_centre", "the name of one of the data_centres")
+			r.FailAt(endpointsTable, i, "data_centre", "the name of one of the data_centres")
 		}
 		if e.ColdLimit > e.WarmLimit && e.WarmLimit > 0 {
-			r.failAt(endpointsTable, i, "cold_limit", "at most the endpoint's warm_limit")
+			r.FailAt(endpointsTable, i, "cold_limit", "at most the endpoint's warm_limit")
 		}
 	}
 }
@@ -114,7 +114,7 @@
 			continue
 		}
 		if _, found := pools[route.Pool]; !found {
-			r.failAt(routesTable, i, "pool", "the name of one of the pools, or no pool where the body names the model")
+			r.FailAt(routesTable, i, "pool", "the name of one of the pools, or no pool where the body names the model")
 		}
 	}
 }
--- a/core/config/errors.go
+++ b/core/toml/errors.go
@@ -1,13 +1,13 @@
-package config
+package toml
 
 import (
 	"fmt"
 	"strings"
 )
 
-// Error tells one thing that is wrong in a document.
+// Error tells one thing that is wrong in a text.
 type Error struct {
-	Line    int    // Line counts from 1; it is 0 for what is missing from the whole document.
+	Line    int    // Line counts from 1; it is 0 for what is missing from the whole text.
 	Key     string // Key is the full key, such as teams.share.
 	Value   string // Value is the value as written; it is empty when the key is missing.
 	Allowed string // Allowed says what may stand there.
@@ -22,7 +22,7 @@
 	return fmt.Sprintf("line %d: %s: found %s; allowed: %s", e.Line, e.Key, found, e.Allowed)
 }
 
-// Errors lists all that is wrong in a document, in the order of its lines.
+// Errors lists all that is wrong in a text, in the order of its lines.
 type Errors []*Error
 
 // Error returns one line for each error.
--- a/core/config/place.go
+++ b/core/toml/place.go
@@ -1,4 +1,4 @@
-package config
+package toml
 
 import (
 	"bytes"
@@ -12,6 +12,18 @@
 // maxExcerpt bounds a value in an error message, in bytes.
 const maxExcerpt = 80
 
+// place says where in the text a table and its keys stand.
+type place struct {
+	table string
+	start int // start is the offset of the table's name.
+	keys  map[string]span
+}
+
+// span holds the offsets of a key and its value.
+type span struct {
+	key, value int
+}
+
 // full returns the key with its table in front.
 func (p *place) full(key string) string {
 	if p.table == "" {
@@ -34,13 +46,13 @@
 }
 
 // spanOf finds the value after the key at offset.
-func (r *reader) spanOf(offset int) span {
+func (r *Reader) spanOf(offset int) span {
 	equals := bytes.IndexByte(r.data[offset:], '=')
 	return span{key: offset, value: offset + equals + 1}
 }
 
 // excerpt returns a value as it is written, at most the rest of its line.
-func (r *reader) excerpt(where span) string {
+func (r *Reader) excerpt(where span) string {
 	text := r.data[where.value:]
 	if end := bytes.IndexByte(text, '\n'); end >= 0 {
 		text = text[:end]
@@ -52,12 +64,12 @@
 	return short
 }
 
-func (r *reader) fail(offset int, key, found, allowed string) {
+func (r *Reader) fail(offset int, key, found, allowed string) {
 	r.errors = append(r.errors, fault{offset, &Error{Key: key, Value: found, Allowed: allowed}})
 }
 
-// failAt reports a key of the item with the given index of a table.
-func (r *reader) failAt(table string, index int, key, allowed string) {
+// FailAt reports a key of the item with the given index of a table.
+func (r *Reader) FailAt(table string, index int, key, allowed string) {
 	at := r.places[table][index]
 	where, found := at.keys[key]
 	if !found {
@@ -67,8 +79,11 @@
 	r.fail(where.key, at.full(key), r.excerpt(where), allowed)
 }
 
-// sortedErrors works out the lines of all faults.
-func (r *reader) sortedErrors() Errors {
+// Err returns all that is wrong as Errors, sorted by line, or nil.
+func (r *Reader) Err() error {
+	if len(r.errors) == 0 {
+		return nil
+	}
 	slices.SortStableFunc(r.errors, func(a, b fault) int { return cmp.Compare(a.offset, b.offset) })
 	sorted := make(Errors, 0, len(r.errors))
 	line, done := 1, 0
@@ -81,10 +96,10 @@
 	return sorted
 }
 
-func names[T any](fields []field[T]) string {
+func names[T any](fields []Field[T]) string {
 	all := make([]string, len(fields))
 	for i, f := range fields {
-		all[i] = f.name
+		all[i] = f.Name
 	}
 	return strings.Join(all, ", ")
 }
