--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -120,3 +120,26 @@
 	})
 	b.Equal(allocs, 0.0)
 }
+
+// A team whose grants all come back unused does not keep the least counter.
+func TestUnusedGrantsCostAPart(t *testing.T) {
+	b := warmBench(t, 1)
+	b.want(0, "b", 18)
+	unused, longest := 0, 0
+	for i := range 200 {
+		if i >= len(b.grants) {
+			break
+		}
+		if grant := b.grants[i]; grant.Grant.Attempt <= 18 {
+			b.end(grant, cell.Completed, 100)
+			unused = 0
+		} else {
+			b.end(grant, cell.Unused, 0)
+			unused++
+		}
+		longest = max(longest, unused)
+		b.next++
+		b.step(&dispatch.Want{Router: router(0), Session: 1, Demands: []cell.Demand{{Attempt: b.next, Team: "a", Estimate: 96}}})
+	}
+	b.True(longest <= 17) // Each costs 96/16, and a request of the other team 100.
+}
