--- a/router/configuration/duty_test.go
+++ b/router/configuration/duty_test.go
@@ -100,6 +100,13 @@
 	})
 }
 
+// leaf returns the name of a leaf of a generation.
+func (f *fleet) leaf(root config.Root) string {
+	index, err := f.operator.Get(f.Context(), platform.Parts, root.Parts[0])
+	f.NoErr(err)
+	return config.Leaves(platform.PartText(index))[0]
+}
+
 func TestBadRoot(t *testing.T) {
 	withFleet(t, 7, spread.Config{}, func(f *fleet) {
 		good := f.change(1)
@@ -108,7 +115,7 @@
 			`{"generation":"x"}`,
 			`{"generation":50,"environment":"trial","parts":["00000000000000000000000000000000"]}`,
 			`{"generation":51,"environment":"other","parts":["` + good.Parts[0] + `"]}`,
-			`{"generation":52,"environment":"trial","parts":["` + good.Parts[1] + `"]}`,
+			`{"generation":52,"environment":"trial","parts":["` + f.leaf(good) + `"]}`,
 		} {
 			now, err := f.operator.Get(f.Context(), platform.Roots, platform.CurrentRoot)
 			f.NoErr(err)
@@ -132,6 +139,33 @@
 	})
 }
 
+func TestPlatformSetBack(t *testing.T) {
+	withFleet(t, 6, spread.Config{}, func(f *fleet) {
+		f.everywhere(f.change(1))
+		old, err := f.operator.Get(f.Context(), platform.Roots, platform.CurrentRoot)
+		f.NoErr(err)
+		f.everywhere(f.change(2))
+		now, err := f.operator.Get(f.Context(), platform.Roots, platform.CurrentRoot)
+		f.NoErr(err)
+		now.Data = old.Data
+		_, err = f.operator.Update(f.Context(), platform.Roots, now)
+		f.NoErr(err)
+		time.Sleep(settle)
+		reports := int64(0)
+		for _, r := range f.routers {
+			f.Equal(r.adopted, []uint64{1, 2})
+			reports += r.duty.Stats().Rejected
+		}
+		f.True(reports > 0 && reports < 20)
+		base, err := f.publisher().Read(f.Context())
+		f.NoErr(err)
+		root, err := f.publisher().Put(f.Context(), publish.Change{Base: base, Document: base.Document, Text: "test", Above: 2})
+		f.NoErr(err)
+		f.Equal(root.Generation, uint64(3))
+		f.everywhere(root)
+	})
+}
+
 func TestManyTeams(t *testing.T) {
 	withFleet(t, 6, spread.Config{}, func(f *fleet) {
 		doc := &config.Document{Environment: environment}
--- a/router/publish/change.go
+++ b/router/publish/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -18,6 +19,7 @@
 	Base     Snapshot         // Base is the generation that the change was made from.
 	Document *config.Document // Document is the whole new document.
 	Text     string           // Text says in a few words what the operator does.
+	Above    uint64           // Above is a generation that the new one must exceed, for a platform that was set back.
 }
 
 const (
@@ -38,11 +40,15 @@
 	if _, err := config.Join(root, parts); err != nil {
 		return config.Root{}, err
 	}
-	root.Generation = change.Base.Root.Generation + 1
+	root.Generation = max(change.Base.Root.Generation, change.Above) + 1
 	root.ChangeID = p.config.NewID()
 	root.Change = change.Text
 	root.Changed = time.Now().UTC().Truncate(time.Second)
-	if err := p.putParts(ctx, parts, change.Base.Root); err != nil {
+	for hash := range change.Base.parts {
+		delete(parts, hash)
+	}
+	root.SetFresh(slices.Collect(maps.Keys(parts)))
+	if err := p.putParts(ctx, parts, change.Base.Root.Generation); err != nil {
 		return config.Root{}, err
 	}
 	if err := p.keepFormer(ctx, change.Base); err != nil {
@@ -52,14 +58,11 @@
 }
 
 // putParts writes the parts that the base does not name.
-func (p *Publisher) putParts(ctx context.Context, parts map[string][]byte, base config.Root) error {
+func (p *Publisher) putParts(ctx context.Context, parts map[string][]byte, base uint64) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
 	for hash, text := range parts {
-		if slices.Contains(base.Parts, hash) {
-			continue
-		}
-		group.Go(func() error { return p.putPart(ctx, hash, text, base.Generation) })
+		group.Go(func() error { return p.putPart(ctx, hash, text, base) })
 	}
 	return group.Wait()
 }
