Split roles and candidates from core/spread

Ruled out: moving the events away, which belong to the machine. Change: core/watcher decides who watches and passes on; core/candidate holds a generation on its way and the roots that were rejected; core/spread keeps the machine.

--- a/core/spread/announce.go
+++ b/core/spread/announce.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"slices"
 	"time"
 
 	"ryelug/core/cell"
@@ -26,10 +25,10 @@
 // listen notes how fresh the sender's news are.
 func (m *Machine) listen(e *News) {
 	host := e.From.Host()
-	if m.isWatcherAbroad(host) {
+	if m.roles.IsWatchingAbroad(host) {
 		m.relayed, m.heard = m.now, m.now
 	}
-	if m.isNeighbour(host) && e.Generation >= m.root.Generation {
+	if m.roles.IsNeighbour(host) && e.Generation >= m.root.Generation {
 		m.heard = m.now
 	}
 }
@@ -51,9 +50,8 @@
 
 // acknowledge tells the watchers of this data centre that they need not announce again.
 func (m *Machine) acknowledge() {
-	watchers := m.watchers(m.config.DataCentre)
 	for _, router := range m.sortedPeers() {
-		if slices.Contains(watchers, router.Host()) {
+		if m.roles.IsWatching(router.Host()) {
 			m.tell(router, m.peers[router])
 		}
 	}
@@ -70,33 +68,29 @@
 	for _, router := range m.sortedPeers() {
 		p, host := m.peers[router], router.Host()
 		behind := p.generation < m.root.Generation
-		confirms := local && m.isNeighbour(host) || abroad && m.isWatcherAbroad(host)
+		confirms := local && m.roles.IsNeighbour(host) || abroad && m.roles.IsWatchingAbroad(host)
 		if behind && m.owes(host, p) || !behind && confirms {
 			m.tell(router, p)
 		}
 	}
-	m.scheduleConfirm(confirm)
+	if confirm {
+		m.confirmAt = m.now.Add(m.config.Confirm)
+	}
+	if !m.watching {
+		m.confirmAt = time.Time{}
+	}
 }
 
 // owes reports whether this router has to tell a peer that is behind: a child at
 // once, and as a watcher all of its data centre after a while.
 func (m *Machine) owes(host cell.HostID, p *peer) bool {
-	if p.told < m.root.Generation && (m.children[host] || m.watching && m.isWatcherAbroad(host)) {
+	if p.told < m.root.Generation && (m.roles.IsChild(host) || m.watching && m.roles.IsWatchingAbroad(host)) {
 		return true
 	}
 	if !m.watching || m.age(m.adoptedAt) < m.config.Repeat || m.age(p.toldAt) < m.config.Repeat {
 		return false
 	}
-	return m.isNeighbour(host) || m.isWatcherAbroad(host)
-}
-
-func (m *Machine) scheduleConfirm(confirmed bool) {
-	switch {
-	case !m.watching:
-		m.confirmAt = time.Time{}
-	case confirmed:
-		m.confirmAt = m.now.Add(m.config.Confirm)
-	}
+	return m.roles.IsNeighbour(host) || m.roles.IsWatchingAbroad(host)
 }
 
 // hasContact reports whether the platform has answered this router lately.
--- a/core/spread/event.go
+++ b/core/spread/event.go
@@ -10,12 +10,6 @@
 // Event is an input of a Machine.
 type Event interface{ event() }
 
-// Member is a host of the fleet that does not leave.
-type Member struct {
-	Host       cell.HostID
-	DataCentre string
-}
-
 // Members replaces the list of hosts.
 type Members struct {
 	Members []Member
--- a/core/spread/fetch.go
+++ b/core/spread/fetch.go
@@ -3,31 +3,19 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
+	"ryelug/core/candidate"
 	"ryelug/core/cell"
 	"ryelug/core/config"
 )
 
-// candidate is a higher generation on its way to adoption.
-type candidate struct {
-	generation uint64
-	root       config.Root
-	raw        []byte // raw is empty until the root itself has arrived.
-	parts      map[string][]byte
-	wanted     map[string]bool // wanted holds the parts of the last request that have not arrived.
-	from       cell.RouterID   // from is the peer that is asked; it is empty for the platform.
-	tried      map[cell.RouterID]bool
-	askedAt    time.Time // askedAt is when somebody was last asked; zero if nobody is.
-}
-
 // rumour notes that a peer has a higher generation.
 func (m *Machine) rumour(from cell.RouterID, generation uint64) {
-	known := m.pending != nil && m.pending.generation >= generation
-	if generation <= m.root.Generation || m.isRejected(generation) || known {
+	known := m.pending != nil && m.pending.Generation >= generation
+	if generation <= m.root.Generation || m.rejects.HasGeneration(m.now, generation) || known {
 		return
 	}
-	m.pending = &candidate{generation: generation, from: from, tried: map[cell.RouterID]bool{}}
+	m.pending = candidate.Rumour(generation, from)
 }
 
 // consider takes in a root, from a peer or, with an empty name, from the platform.
@@ -43,29 +31,11 @@
 		m.reject(raw, root.Generation, err)
 		return
 	}
-	known := m.pending != nil && m.pending.raw != nil && m.pending.generation >= root.Generation
+	known := m.pending != nil && m.pending.HasRoot() && m.pending.Generation >= root.Generation
 	if root.Generation <= m.root.Generation || known {
 		return
 	}
-	c := &candidate{generation: root.Generation, root: root, raw: raw, from: from, tried: map[cell.RouterID]bool{}}
-	c.parts = map[string][]byte{}
-	m.pending = c
-}
-
-// find looks a part up among those of the candidate and of the generation in force.
-func (m *Machine) find(c *candidate) config.Find {
-	return func(hash string) ([]byte, bool) {
-		if part, found := c.parts[hash]; found {
-			return part, true
-		}
-		part, found := m.parts[hash]
-		return part, found
-	}
-}
-
-// missing returns the parts that have not arrived, as many as fit one request.
-func (m *Machine) missing(c *candidate) []string {
-	return config.Missing(c.root, m.find(c), hashesPerAsk)
+	m.pending = candidate.New(root, raw, from)
 }
 
 // pursue adopts the candidate or asks for what it lacks.
@@ -77,18 +47,16 @@
 	if c == nil {
 		return
 	}
-	if c.raw != nil && len(m.missing(c)) == 0 {
+	missing := c.Missing(m.parts)
+	if c.HasRoot() && len(missing) == 0 {
 		m.adopt(c)
 		return
 	}
-	if !c.askedAt.IsZero() && m.age(c.askedAt) < m.config.Answer {
+	if c.IsAsking(m.now, m.config.Answer) {
 		return
 	}
-	if !c.askedAt.IsZero() {
-		m.nextSource(c)
-	}
-	c.askedAt = m.now
-	m.ask(c)
+	c.Ask(m.now, missing, m.holders(c.Generation))
+	m.ask(c, missing)
 }
 
 // revive turns to the highest generation that a peer has, or tries once more what could not be completed.
@@ -104,17 +72,12 @@
 }
 
 // ask requests the root or the missing parts from the candidate's source.
-func (m *Machine) ask(c *candidate) {
-	hashes := m.missing(c)
-	c.wanted = make(map[string]bool, len(hashes))
-	for _, hash := range hashes {
-		c.wanted[hash] = true
-	}
+func (m *Machine) ask(c *candidate.Candidate, missing []string) {
 	switch {
-	case c.from != "":
-		m.do(&SendAsk{To: c.from, Hashes: hashes})
-	case c.raw != nil:
-		m.readParts(hashes)
+	case c.From != "":
+		m.do(&SendAsk{To: c.From, Hashes: missing})
+	case c.HasRoot():
+		m.readParts(missing)
 	default:
 		m.readSoon()
 	}
@@ -131,35 +94,11 @@
 	}
 }
 
-// nextSource turns to another peer with the generation, and to the platform after a few.
-func (m *Machine) nextSource(c *candidate) {
-	if c.from != "" {
-		c.tried[c.from] = true
-	}
-	next, found := m.holder(c)
-	switch {
-	case found && len(c.tried) < asksBeforeRead:
-		c.from = next
-	case c.from != "":
-		c.from = ""
-	default:
-		clear(c.tried)
-		c.from, _ = m.holder(c)
-	}
-}
-
-// holder returns a peer that has the candidate's generation and was not asked yet.
-func (m *Machine) holder(c *candidate) (cell.RouterID, bool) {
-	for _, router := range m.sortedPeers() {
-		if m.peers[router].generation >= c.generation && !c.tried[router] {
-			return router, true
-		}
-	}
-	return "", false
-}
-
-func (m *Machine) partFromPeer(e *Part) {
-	m.store(e.Hash, e.Data)
+// holders returns the peers that have a generation.
+func (m *Machine) holders(generation uint64) []cell.RouterID {
+	return slices.DeleteFunc(m.sortedPeers(), func(router cell.RouterID) bool {
+		return m.peers[router].generation < generation
+	})
 }
 
 func (m *Machine) partRead(e *PartRead) {
@@ -171,25 +110,25 @@
 
 func (m *Machine) partFailed(e *PartFailed) {
 	delete(m.fetching, e.Hash)
+	var err error
 	if e.Missing {
-		m.giveWay(e.Hash, &config.PartError{Hash: e.Hash, Missing: true})
-		return
+		err = &config.PartError{Hash: e.Hash, Missing: true}
 	}
-	m.giveWay(e.Hash, nil)
+	m.giveWay(e.Hash, err)
 }
 
 // giveWay puts a candidate aside that lacks a part which the platform did not
 // give, so that a lower generation may be adopted.
 func (m *Machine) giveWay(hash string, err error) {
 	c := m.pending
-	if c == nil || !c.wanted[hash] || c.from != "" {
+	if c == nil || !c.Wants(hash) || c.From != "" {
 		return
 	}
 	m.pending = nil
-	m.stuck, m.stuckAt = c.raw, m.now
-	if err != nil && m.reported != c.generation {
-		m.reported = c.generation
-		m.do(&Report{Generation: c.generation, Err: err})
+	m.stuck, m.stuckAt = c.Raw, m.now
+	if err != nil && m.reported != c.Generation {
+		m.reported = c.Generation
+		m.do(&Report{Generation: c.Generation, Err: err})
 	}
 }
 
@@ -198,15 +137,8 @@
 	if config.Hash(data) != hash {
 		return false
 	}
-	c := m.pending
-	if c == nil || !c.wanted[hash] {
-		return true
-	}
-	c.parts[hash] = data
-	delete(c.wanted, hash)
-	c.askedAt = m.now
-	if len(c.wanted) == 0 {
-		c.askedAt = time.Time{}
+	if m.pending != nil {
+		m.pending.Take(m.now, hash, data)
 	}
 	return true
 }
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -4,8 +4,10 @@
 	"math/rand/v2"
 	"time"
 
+	"ryelug/core/candidate"
 	"ryelug/core/cell"
 	"ryelug/core/config"
+	"ryelug/core/watcher"
 )
 
 // Defaults of Config.
@@ -24,12 +26,9 @@
 	jitterPerMember = 20 * time.Millisecond // jitterPerMember spreads the reads of a data centre over time.
 	minJitter       = 500 * time.Millisecond
 	maxBackoff      = 16 * time.Second
-	hashesPerAsk    = 64
 	maxReads        = 2                      // maxReads bounds the reads of the root at a time.
 	secondRead      = 400 * time.Millisecond // secondRead is when a read that hangs gets company.
-	badRetry        = 5 * time.Second        // badRetry is how often a peer is asked for a generation whose root was bad.
 	stuckRetry      = time.Second
-	asksBeforeRead  = 2 // asksBeforeRead is how many peers are asked before the platform is.
 )
 
 // Config says who the router is and how long it waits.
@@ -72,12 +71,6 @@
 	toldAt     time.Time // toldAt is when it was told.
 }
 
-// badRoot is a root that can't be adopted.
-type badRoot struct {
-	generation uint64
-	seenAt     time.Time
-}
-
 // Machine is one router's view of the configuration.
 type Machine struct {
 	config  Config
@@ -85,21 +78,19 @@
 	now     time.Time
 	actions []Action
 
-	members  map[cell.HostID]*member
 	peers    map[cell.RouterID]*peer
-	roles    map[string][]cell.HostID // roles holds the watchers of each data centre; nil if it is out of date.
-	children map[cell.HostID]bool     // children are the hosts that this router passes generations on to.
+	roles    *watcher.Table
 	watching bool
 
 	root      config.Root
 	rawRoot   []byte
 	parts     map[string][]byte
 	adoptedAt time.Time
-	pending   *candidate
+	pending   *candidate.Candidate
 	fetching  map[string]bool // fetching holds the parts that are being read from the platform.
 
-	bad      map[string]*badRoot // bad holds roots that can't be adopted, by their hashes.
-	stuck    []byte              // stuck is a root whose parts the platform did not give.
+	rejects  candidate.Rejects
+	stuck    []byte // stuck is a root whose parts the platform did not give.
 	stuckAt  time.Time
 	reported uint64 // reported is the last generation whose parts were reported.
 
@@ -121,22 +112,23 @@
 		config:   config,
 		random:   rand.New(rand.NewPCG(config.Seed, 0)),
 		now:      now,
-		members:  map[cell.HostID]*member{},
 		peers:    map[cell.RouterID]*peer{},
 		parts:    map[string][]byte{},
-		bad:      map[string]*badRoot{},
+		rejects:  candidate.Rejects{},
 		fetching: map[string]bool{},
 		heard:    now,
 	}
+	m.roles = watcher.New(watcher.Config{
+		Self:       config.Self.Host(),
+		DataCentre: config.DataCentre,
+		Watchers:   config.Watchers,
+		FanOut:     config.FanOut,
+		Grace:      config.Grace,
+	})
 	m.readAt = now.Add(m.jitter(minJitter))
 	return m
 }
 
-// Generation returns the generation in force, and 0 before the first.
-func (m *Machine) Generation() uint64 {
-	return m.root.Generation
-}
-
 // Watching reports whether this router watches the platform.
 func (m *Machine) Watching() bool {
 	return m.watching
@@ -148,7 +140,7 @@
 	m.actions = m.actions[:0]
 	switch e := event.(type) {
 	case *Members:
-		m.setMembers(e.Members)
+		m.roles.SetMembers(now, e.Members)
 	case *PeerUp:
 		m.peerUp(e.Router)
 	case *PeerDown:
@@ -158,7 +150,7 @@
 	case *Ask:
 		m.answer(e)
 	case *Part:
-		m.partFromPeer(e)
+		m.store(e.Hash, e.Data)
 	case *RootRead:
 		m.rootRead(e)
 	case *RootFailed:
@@ -168,7 +160,7 @@
 	case *PartFailed:
 		m.partFailed(e)
 	case *Tick:
-		m.roles = nil
+		m.roles.Update(now)
 	}
 	m.updateRole()
 	m.scheduleRead()
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"fmt"
-	"maps"
 	"time"
 
+	"ryelug/core/candidate"
 	"ryelug/core/config"
 )
 
@@ -50,7 +50,7 @@
 
 // spreadOut is the time over which the routers of this data centre spread their reads.
 func (m *Machine) spreadOut() time.Duration {
-	return max(minJitter, time.Duration(len(m.members))*jitterPerMember)
+	return max(minJitter, time.Duration(m.roles.Size())*jitterPerMember)
 }
 
 func (m *Machine) rootRead(e *RootRead) {
@@ -89,7 +89,7 @@
 
 // dropRumour forgets a generation that no peer gave and that the platform was asked about.
 func (m *Machine) dropRumour() {
-	if m.pending != nil && m.pending.raw == nil && m.pending.from == "" {
+	if m.pending != nil && !m.pending.HasRoot() && m.pending.From == "" {
 		m.pending = nil
 	}
 }
@@ -118,49 +118,35 @@
 }
 
 // adopt puts a complete candidate in force if it is whole, valid and higher.
-func (m *Machine) adopt(c *candidate) {
+func (m *Machine) adopt(c *candidate.Candidate) {
 	m.pending = nil
-	if c.root.Generation <= m.root.Generation {
+	if c.Root.Generation <= m.root.Generation {
 		return
 	}
-	parts := config.Reachable(c.root, m.find(c))
-	doc, err := config.Join(c.root, parts)
+	parts := c.Parts(m.parts)
+	doc, err := config.Join(c.Root, parts)
 	if err != nil {
-		m.reject(c.raw, c.root.Generation, err)
+		m.reject(c.Raw, c.Root.Generation, err)
 		return
 	}
-	m.root, m.rawRoot, m.parts = c.root, c.raw, parts
+	m.root, m.rawRoot, m.parts = c.Root, c.Raw, parts
 	m.adoptedAt = m.now
-	m.do(&Adopt{Root: c.root, Document: doc})
-	maps.DeleteFunc(m.bad, func(_ string, b *badRoot) bool { return b.generation <= c.root.Generation })
+	m.do(&Adopt{Root: c.Root, Document: doc})
+	m.rejects.Forget(c.Root.Generation)
 	m.acknowledge()
 }
 
 // reject remembers a root that can't be adopted and reports it once.
 func (m *Machine) reject(raw []byte, generation uint64, err error) {
-	m.bad[config.Hash(raw)] = &badRoot{generation: generation, seenAt: m.now}
+	m.rejects.Add(m.now, raw, generation)
 	m.do(&Report{Generation: generation, Err: err})
 }
 
 // isBad reports whether a root was rejected before, and if so drops the question for it.
 func (m *Machine) isBad(raw []byte) bool {
-	known, found := m.bad[config.Hash(raw)]
-	if !found {
-		return false
-	}
-	known.seenAt = m.now
-	if m.pending != nil && m.pending.raw == nil && m.pending.generation == known.generation {
+	generation, found := m.rejects.See(m.now, raw)
+	if found && m.pending != nil && !m.pending.HasRoot() && m.pending.Generation == generation {
 		m.pending = nil
 	}
-	return true
-}
-
-// isRejected reports whether the root of a generation was found bad a short time ago.
-func (m *Machine) isRejected(generation uint64) bool {
-	for _, b := range m.bad {
-		if b.generation == generation && m.age(b.seenAt) < badRetry {
-			return true
-		}
-	}
-	return false
+	return found
 }
