Make no timers that are due at once in the stand-ins

Cause: go test -race ./router crashed in the runtime (SIGSEGV in timer.maybeRunChan, or a failed check of ThreadSanitizer): with the race detector, timers of a synctest bubble that are due before a goroutine waits for them run on several threads under the one race context of the bubble. Ruled out: a fault of the router; each crash was in a select on a timer of no length, in Slot.Sleep, Network.handshake and Run.call. GOMAXPROCS=1 (it hides races). Change: these four places wait for at least a nanosecond, or not at all. Conclusion: the fault is the toolchain's; a timer that is due at once in test code under synctest brings it back.

--- a/standin/endpoint/slot.go
+++ b/standin/endpoint/slot.go
@@ -43,7 +43,11 @@
 
 // Sleep waits for d at the endpoint's present speed, and tells whether the request still runs.
 func (s *Slot) Sleep(d time.Duration) bool {
-	timer := time.NewTimer(s.endpoint.stretch(d))
+	d = s.endpoint.stretch(d)
+	if d <= 0 { // In a synctest bubble, the race detector breaks on a timer that is due when it is made.
+		return s.running.Err() == nil
+	}
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/standin/fleet/load.go
+++ b/standin/fleet/load.go
@@ -72,7 +72,7 @@
 		r.mu.Lock()
 		r.replies = append(r.replies, reply)
 		r.mu.Unlock()
-		pause := load.Pause
+		pause := max(load.Pause, time.Nanosecond) // The race detector breaks on a timer that is due at once.
 		if reply.Code != result.OK {
 			pause = max(pause, leastPause, reply.RetryAfter)
 		}
--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -211,7 +211,7 @@
 func await(one, other <-chan struct{}, until time.Time) {
 	var alarm <-chan time.Time
 	if !until.IsZero() {
-		timer := time.NewTimer(time.Until(until))
+		timer := time.NewTimer(max(time.Until(until), leastWait))
 		defer timer.Stop()
 		alarm = timer.C
 	}
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -181,9 +181,13 @@
 	}
 }
 
+// leastWait is the shortest wait. The race detector breaks on timers in a synctest
+// bubble that are due before anyone waits for them.
+const leastWait = time.Nanosecond
+
 // handshake waits for one round trip.
 func (n *Network) handshake(ctx context.Context, from, to netip.Addr) error {
-	timer := time.NewTimer(n.delay(from, to) + n.delay(to, from))
+	timer := time.NewTimer(max(n.delay(from, to)+n.delay(to, from), leastWait))
 	defer timer.Stop()
 	for {
 		reaches, changed := n.reaches(from, to)
