Keep the records of keys in the running program

Cause: the router had no keeper of keys, so each request with an Idempotency-Key was refused as platform_unavailable; nobody deleted old records. Ruled out: a sweeper at every router (lists and deletes in proportion to the fleet).

--- a/router/config.go
+++ b/router/config.go
@@ -17,6 +17,7 @@
 	"ryelug/io/endpoint"
 	"ryelug/io/peer"
 	"ryelug/router/configuration"
+	"ryelug/router/keyed"
 	"ryelug/router/request"
 )
 
@@ -84,6 +85,8 @@
 	Hosts        Hosts
 	Endpoints    Endpoints
 	Counter      request.Counter
+	Keys         *keyed.Keeper    // Keys may be nil; then requests with an Idempotency-Key are refused.
+	OldRecords   keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
 	Timings      Timings
 	Log          logrus.FieldLogger
 
--- a/router/coordinator.go
+++ b/router/coordinator.go
@@ -46,6 +46,8 @@
 	signs     []cell.HostID // signs is what the peers were told last; nil until there is a configuration.
 	leaving   bool
 	cutOff    atomic.Bool
+	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
+	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
 	polled    atomic.Pointer[[]pollTarget]
 	pollNow   chan struct{} // pollNow asks for a round of load reports before the next one is due.
 
@@ -146,6 +148,7 @@
 func (c *coordinator) tick(now time.Time) {
 	c.table.Tick(now)
 	c.checkCutOff(now)
+	c.shareKeys(now)
 	report := now.Sub(c.progressAt) >= progressInterval
 	if report {
 		c.progressAt = now
--- a/router/keyed/sweeper.go
+++ b/router/keyed/sweeper.go
@@ -54,7 +54,7 @@
 			s.Sweep(ctx, time.Now())
 		}
 	}
-	return ctx.Err()
+	return nil
 }
 
 // Sweep deletes the records that expired before now and returns their number. What it
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -17,6 +17,7 @@
 	"ryelug/io/operator"
 	"ryelug/io/platform"
 	"ryelug/router"
+	"ryelug/router/keyed"
 	"ryelug/router/settings"
 )
 
@@ -138,6 +139,8 @@
 		Hosts:        &hosts{platform: p.platform},
 		Endpoints:    endpoints,
 		Counter:      &counter{vars: p.vars},
+		Keys:         keyed.New(keyed.Config{Records: p.platform}),
+		OldRecords:   p.platform,
 		Timings:      timings(given),
 		Log:          p.config.Log,
 		Order:        p.config.Order,
--- a/router/router.go
+++ b/router/router.go
@@ -45,6 +45,7 @@
 		Endpoints: conf.Endpoints,
 		Grants:    &grants{coordinator: r.coordinator},
 		Counter:   conf.Counter,
+		Keys:      conf.Keys,
 	})
 	conf.Callers.Handler = r
 	conf.Callers.Refused = conf.Counter.Refused
@@ -79,6 +80,7 @@
 	group.Go(func() error { return r.configuration.Run(ctx) })
 	group.Go(func() error { return loads.run(ctx) })
 	group.Go(func() error { return hosts.run(ctx) })
+	r.startSweeper(ctx, group)
 	if r.config.CallersOn != nil {
 		group.Go(func() error { return r.callers.Serve(r.config.CallersOn) })
 	}
