Read the list of hosts once for a data centre

Ruled out: longer intervals, which the lag that stakes rest on does not allow; a watch for each router, which is a call that waits for each. Change: the routers that watch the configuration read the list for their data centre and tell the others over the links; a router that hears none reads for itself and tells it. Conclusion: calls grow with data centres.

--- a/io/peer/decode.go
+++ b/io/peer/decode.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -110,6 +111,9 @@
 	case KindConfigPart:
 		d.array(2)
 		return &ConfigPart{d.string(), d.bytes(math.MaxInt)}
+	case KindListed:
+		d.array(2)
+		return &Listed{d.bool(), decodeSlice(d, (*decoder).host)}
 	case KindMembers:
 		d.array(1)
 		return &Members{decodeSlice(d, func(d *decoder) cell.HostID { return cell.HostID(d.string()) })}
@@ -183,6 +187,17 @@
 	}
 }
 
+func (d *decoder) host() Host {
+	d.array(4)
+	h := Host{Host: cell.HostID(d.string())}
+	address, err := netip.ParseAddrPort(d.string())
+	if err != nil {
+		d.fail(ErrShape)
+	}
+	h.Address, h.DataCentre, h.Leaving = address, d.string(), d.bool()
+	return h
+}
+
 func (d *decoder) counter() cell.TeamCounter {
 	d.array(2)
 	c := cell.TeamCounter{Team: cell.TeamID(d.name()), Service: d.float()}
--- a/io/peer/decode_test.go
+++ b/io/peer/decode_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"reflect"
 	"runtime"
 	"strings"
@@ -27,6 +28,7 @@
 		&Ends{"chat", []cell.End{{Attempt: 9, Outcome: cell.Failed}}},
 		&Counters{"chat", counters}, &Leaving{}, &ConfigNews{12, []byte("{}")},
 		&ConfigAsk{[]string{"ab"}}, &ConfigPart{"ab", []byte("part")}, &Members{[]cell.HostID{"a"}}, &Departed{},
+		&Listed{true, []Host{{"a", netip.MustParseAddrPort("192.0.2.1:7000"), "dc-a", true}}},
 	}
 }
 
--- a/io/peer/encode.go
+++ b/io/peer/encode.go
@@ -88,6 +88,10 @@
 	case *Members:
 		e.array(1)
 		encodeSlice(e, m.Hosts, func(e *encoder, h *cell.HostID) { e.string(string(*h)) })
+	case *Listed:
+		e.array(2)
+		e.keep(e.enc.EncodeBool(m.Changed))
+		encodeSlice(e, m.Hosts, (*encoder).host)
 	case *ConfigPart:
 		e.array(2)
 		e.string(m.Hash)
@@ -146,6 +150,14 @@
 	e.duration(end.FirstToken)
 }
 
+func (e *encoder) host(h *Host) {
+	e.array(4)
+	e.string(string(h.Host))
+	e.string(h.Address.String())
+	e.string(h.DataCentre)
+	e.keep(e.enc.EncodeBool(h.Leaving))
+}
+
 func (e *encoder) counter(c *cell.TeamCounter) {
 	e.array(2)
 	e.name(string(c.Team))
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -1,6 +1,10 @@
 package peer
 
-import "ryelug/core/cell"
+import (
+	"net/netip"
+
+	"ryelug/core/cell"
+)
 
 // Message is what routers tell each other.
 type Message interface{ kind() Kind }
@@ -108,6 +112,21 @@
 	Hosts []cell.HostID
 }
 
+// Host is a host as the platform lists it.
+type Host struct {
+	Host       cell.HostID
+	Address    netip.AddrPort // Address is where its router listens for its peers.
+	DataCentre string
+	Leaving    bool
+}
+
+// Listed tells that the sender has just read the platform's list of hosts. It
+// names the hosts if they differ from what it told last on this link.
+type Listed struct {
+	Changed bool
+	Hosts   []Host
+}
+
 // Kind numbers a type of message on the wire; numbers are never reused.
 type Kind uint8
 
@@ -131,6 +150,7 @@
 	KindConfigPart
 	KindMembers
 	KindDeparted
+	KindListed
 
 	kindCount
 )
@@ -138,7 +158,7 @@
 var kindNames = [kindCount]string{
 	"heartbeat", "join", "accepted", "release", "released", "want", "withdraw", "grants",
 	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part", "members",
-	"departed",
+	"departed", "listed",
 }
 
 // String returns the kind's name in counters.
@@ -162,6 +182,7 @@
 func (*Counters) kind() Kind   { return KindCounters }
 func (*Leaving) kind() Kind    { return KindLeaving }
 func (*Departed) kind() Kind   { return KindDeparted }
+func (*Listed) kind() Kind     { return KindListed }
 func (*ConfigNews) kind() Kind { return KindConfigNews }
 func (*ConfigAsk) kind() Kind  { return KindConfigAsk }
 func (*ConfigPart) kind() Kind { return KindConfigPart }
--- a/router/command.go
+++ b/router/command.go
@@ -35,7 +35,7 @@
 // adopt puts a generation of the configuration in force.
 type adopt struct{ directory *directory }
 
-// listed tells of the platform's list of hosts; err tells that it could not be read.
+// listed tells that this router has read the platform's list of hosts; err tells that it could not.
 type listed struct {
 	members []member.Member
 	err     error
--- a/router/config.go
+++ b/router/config.go
@@ -51,7 +51,7 @@
 		ReportLag:       500 * time.Millisecond,
 		ListLag:         2 * time.Second,
 		CutOffAfter:     2 * time.Second,
-		HostsPoll:       time.Second,
+		HostsPoll:       500 * time.Millisecond,
 		PlatformTimeout: 2 * time.Second,
 		BalancerLag:     5 * time.Second,
 	}
--- a/router/configuration/stats.go
+++ b/router/configuration/stats.go
@@ -24,6 +24,9 @@
 	Rejected      int64  `json:"rejected"`
 }
 
+// Watching tells whether this router is one of those that read the platform for its data centre.
+func (d *Duty) Watching() bool { return d.counters.watching.Load() }
+
 // Stats returns the present counts.
 func (d *Duty) Stats() Stats {
 	c := &d.counters
--- a/router/coordinator.go
+++ b/router/coordinator.go
@@ -49,7 +49,9 @@
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
 	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
 	polled    atomic.Pointer[[]pollTarget]
-	pollNow   chan struct{} // pollNow asks for a round of load reports before the next one is due.
+	listedAt  atomic.Pointer[time.Time]  // listedAt is when a list of hosts came last, read here or by a watcher.
+	lists     map[*peer.Link][]peer.Host // lists holds the list that each link was told last, or has told last.
+	pollNow   chan struct{}              // pollNow asks for a round of load reports before the next one is due.
 
 	progressAt time.Time
 	countersAt time.Time
@@ -60,6 +62,7 @@
 	Received(from cell.RouterID, message peer.Message)
 	PeerUp(router cell.RouterID)
 	PeerDown(router cell.RouterID)
+	Watching() bool
 	SetMembers(members []spread.Member)
 }
 
@@ -71,6 +74,7 @@
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
+		lists:    make(map[*peer.Link][]peer.Host),
 		mesh:     mesh,
 		table:    member.New(config.memberConfig()),
 		cells:    make(map[cell.ID]*cellState),
@@ -213,7 +217,14 @@
 		c.table.ListFailed(now)
 		return
 	}
-	c.table.Listed(now, cmd.members)
+	c.takeList(now, cmd.members)
+	c.tellList(cmd.members)
+}
+
+// takeList takes a list of hosts that this router or a watcher has just read.
+func (c *coordinator) takeList(now time.Time, members []member.Member) {
+	c.listedAt.Store(&now)
+	c.table.Listed(now, members)
 	c.refreshVoters(now)
 	c.mesh.SetPeers(c.peerAddresses())
 	c.news.SetMembers(c.spreadMembers())
--- a/router/links.go
+++ b/router/links.go
@@ -86,6 +86,7 @@
 		return
 	}
 	router := link.Router()
+	delete(c.lists, link)
 	if c.links.dialed[router] == nil && c.links.accepted[router] == nil {
 		c.news.PeerDown(router)
 	}
@@ -110,6 +111,10 @@
 	} else {
 		c.renew(now, router, event.Echoed)
 	}
+	if list, ok := event.Message.(*peer.Listed); ok {
+		c.listHeard(now, event.Link, list)
+		return
+	}
 	if event.Message != nil {
 		c.received(now, router, event.Message, event.Echoed)
 	}
--- /dev/null
+++ b/router/list.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"ryelug/core/member"
+	"ryelug/io/peer"
+)
+
+// tellList tells the routers of this data centre the list that this one has just
+// read, so that the platform's reads do not grow with the routers.
+func (c *coordinator) tellList(members []member.Member) {
+	hosts := make([]peer.Host, 0, len(members))
+	for _, m := range members {
+		hosts = append(hosts, peer.Host{
+			Host: m.Host, Address: m.PeerAddress, DataCentre: m.DataCentre, Leaving: m.Leaving,
+		})
+	}
+	for _, link := range c.links.dialed {
+		if link.DataCentre() == c.config.DataCentre {
+			c.tellListOn(link, hosts)
+		}
+	}
+}
+
+func (c *coordinator) tellListOn(link *peer.Link, hosts []peer.Host) {
+	last, known := c.lists[link]
+	if known && slices.Equal(last, hosts) {
+		link.Send(&peer.Listed{})
+		return
+	}
+	c.lists[link] = hosts
+	link.Send(&peer.Listed{Changed: true, Hosts: hosts})
+}
+
+// listHeard takes the list of a watcher, which has read it a moment ago.
+func (c *coordinator) listHeard(now time.Time, link *peer.Link, list *peer.Listed) {
+	if list.Changed {
+		c.lists[link] = list.Hosts
+	}
+	hosts, known := c.lists[link]
+	if !known {
+		return
+	}
+	members := make([]member.Member, 0, len(hosts))
+	for _, h := range hosts {
+		members = append(members, member.Member{
+			Host: h.Host, PeerAddress: h.Address, DataCentre: h.DataCentre, Leaving: h.Leaving,
+		})
+	}
+	c.takeList(now, members)
+}
--- /dev/null
+++ b/router/list_test.go
@@ -0,0 +1,47 @@
+package router_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/standin/fleet"
+)
+
+// platformReads returns the calls of the platform that an idle fleet makes in 20 s.
+func platformReads(t *testing.T, routers int) (calls int64) {
+	withTestFleet(t, fleet.Config{Routers: routers, Engines: 1}, func(_ context.Context, _ *testing.T, fl *fleet.Fleet) {
+		time.Sleep(5 * time.Second)
+		before := fl.Platform.Calls().Total()
+		time.Sleep(20 * time.Second)
+		calls = fl.Platform.Calls().Total() - before
+	})
+	return calls
+}
+
+// The platform's calls grow with data centres, not with routers.
+func TestPlatformCallsOfRouters(t *testing.T) {
+	small, large := platformReads(t, 7), platformReads(t, 28)
+	t.Logf("%d calls of 7 routers, %d of 28, in 20 s", small, large)
+	is.New(t).True(large*2 < small*3)
+}
+
+// A list reaches routers that can't read it themselves.
+func TestListIsHeard(t *testing.T) {
+	withTestFleet(t, fleet.Config{Routers: 6, Engines: 1, DataCentres: []string{"dc-a"}}, func(_ context.Context, t *testing.T, fl *fleet.Fleet) {
+		is := is.New(t)
+		for _, m := range fl.Routers[1:] {
+			fl.CutFromPlatform(m)
+		}
+		_, err := fl.AddRouter("late", "dc-a")
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		for _, m := range fl.Routers[:6] {
+			view, _ := m.Router().View(context.Background())
+			is.Equal(view.Total, 7)
+			is.Equal(view.Links, 6)
+		}
+	})
+}
