--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -153,20 +153,6 @@
 	return link.cancel(requestID)
 }
 
-// Close closes all idle connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	idle := c.idle
-	c.idle = make(map[poolKey][]*conn)
-	c.count = 0
-	c.mu.Unlock()
-	for _, links := range idle {
-		for _, link := range links {
-			link.close()
-		}
-	}
-}
-
 // take returns a connection on which the call may be sent: of the right start, and known to be good.
 func (c *Client) take(ctx context.Context, call Call) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.ConnectTimeout)
