Tell operators that the platform does not answer, and for how long to wait

Cause: a command against a platform that was down said nothing for 30 s. Ruled out: giving up at the first failure, which a lost connection would cause. Change: one notice at the first failure; -wait sets the time; tests of promote against a missing environment and a pool that is gone.

--- a/cmd/ryelug/environment.go
+++ b/cmd/ryelug/environment.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"ryelug/core/change"
 	"ryelug/core/config"
@@ -22,11 +23,13 @@
 type target struct {
 	platform    netip.AddrPort
 	environment string
+	wait        time.Duration
 }
 
 func (t *target) setFlags(flags *flag.FlagSet) {
 	flags.Var(addressFlag{&t.platform}, "platform", "IP address and port of the platform")
 	flags.StringVar(&t.environment, "environment", "", "name of the environment")
+	flags.DurationVar(&t.wait, "wait", publish.DefaultPatience, "how long a step is tried while the platform does not answer")
 }
 
 // publisher returns a publisher for the target.
@@ -39,7 +42,7 @@
 	}
 	client := platform.New(platform.Config{Address: t.platform, Environment: t.environment})
 	notice := func(text string) { fmt.Fprintf(to.err, "ryelug: %s\n", text) }
-	return publish.New(publish.Config{Platform: client, Environment: t.environment, Notice: notice}), nil
+	return publish.New(publish.Config{Platform: client, Environment: t.environment, Notice: notice, Patience: t.wait}), nil
 }
 
 // readDocument reads and validates a document file.
--- a/cmd/ryelug/operator_test.go
+++ b/cmd/ryelug/operator_test.go
@@ -154,7 +154,11 @@
 	o.expect(0, "accepted", o.on("trial", "apply", trial)...)
 	o.expect(0, "team new is new and has no key_hashes yet", o.on("production", "promote", "-from", "trial", "-show")...)
 	o.expect(0, "generation 2 accepted", o.on("production", "promote", "-from", "trial")...)
+	o.expect(3, "no document yet", o.on("production", "promote", "-from", "none")...)
 	shown := o.expect(0, "", o.on("production", "status", "-show")...)
+	renamed := o.file("renamed.toml", `"chat"`, `"talk"`)
+	o.expect(0, "accepted", o.on("trial", "apply", renamed)...)
+	o.expect(3, `endpoints.pool: found "chat"; allowed: the name of one of the pools`, o.on("production", "promote", "-from", "trial")...)
 	for _, text := range []string{"198.51.100.7:8000", `"erongo-1"`, hash, "share = 9", "warm_limit = 16", `model = "large"`, `name = "new"`, `environment = "production"`} {
 		if !strings.Contains(shown, text) {
 			t.Errorf("%s is missing from:\n%s", text, shown)
@@ -169,6 +173,9 @@
 	o.server.SetFaults(standin.Faults{LoseAnswers: 2})
 	o.expect(0, "generation 2 accepted", o.on("trial", "data-centre", "out", "khomas-1")...)
 	o.server.SetFaults(standin.Faults{})
+	o.server.SetFaults(standin.Faults{Down: true})
+	o.expect(5, "the platform does not answer; tries again for 200ms", o.on("trial", "apply", "-wait", "200ms", o.file("3.toml", "share = 3", "share = 5"))...)
+	o.server.SetFaults(standin.Faults{})
 	if list := o.expect(0, "", o.on("trial", "history")...); strings.Count(list, "\n") != 2 {
 		t.Errorf("a lost answer led to more generations:\n%s", list)
 	}
--- a/cmd/ryelug/promote.go
+++ b/cmd/ryelug/promote.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	source := target{platform: c.target.platform, environment: c.from}
+	source := target{platform: c.target.platform, environment: c.from, wait: c.target.wait}
 	origin, err := source.publisher(to)
 	if err != nil {
 		return err
--- a/router/publish/publisher.go
+++ b/router/publish/publisher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -19,11 +20,13 @@
 	// DefaultKeep is the number of former roots that are kept.
 	DefaultKeep = 20
 
-	defaultPatience = 30 * time.Second
-	callTimeout     = 10 * time.Second
-	firstPause      = 100 * time.Millisecond
-	longestPause    = 2 * time.Second
-	parallelCalls   = 8 // parallelCalls is the number of parts read or written at a time.
+	// DefaultPatience is how long a step is tried while the platform does not answer.
+	DefaultPatience = 30 * time.Second
+
+	callTimeout   = 10 * time.Second
+	firstPause    = 100 * time.Millisecond
+	longestPause  = 2 * time.Second
+	parallelCalls = 8 // parallelCalls is the number of parts read or written at a time.
 )
 
 // Platform is what a Publisher needs of the platform; *platform.Client has it.
@@ -44,12 +47,13 @@
 	Keep        int           // Keep is the number of former roots kept; DefaultKeep by default.
 	Patience    time.Duration // Patience bounds the retries of one step; 30 s by default.
 	NewID       func() string // NewID returns change ids; random by default.
-	Notice      func(string)  // Notice is told of lost answers; nobody by default.
+	Notice      func(string)  // Notice is told of lost answers and of waiting; nobody by default.
 }
 
 // Publisher changes the configuration of one environment.
 type Publisher struct {
-	config Config
+	config  Config
+	waiting sync.Once
 }
 
 // Snapshot is a root and its document as they were read.
@@ -96,7 +100,7 @@
 		config.Keep = DefaultKeep
 	}
 	if config.Patience == 0 {
-		config.Patience = defaultPatience
+		config.Patience = DefaultPatience
 	}
 	if config.NewID == nil {
 		config.NewID = uuid.NewString
@@ -212,6 +216,10 @@
 	return platform.PartText(object), err
 }
 
+func (p *Publisher) tellWaiting() {
+	p.config.Notice(fmt.Sprintf("the platform does not answer; tries again for %v a step", p.config.Patience))
+}
+
 // retry repeats a call that may be repeated while the platform is unavailable.
 func retry[T any](ctx context.Context, p *Publisher, call func(context.Context) (T, error)) (T, error) {
 	pauses := backoff.NewExponentialBackOff()
@@ -225,6 +233,9 @@
 		if err != nil && !errors.As(err, &unavailable) {
 			return result, backoff.Permanent(err)
 		}
+		if err != nil {
+			p.waiting.Do(p.tellWaiting)
+		}
 		return result, err
 	}
 	return backoff.Retry(ctx, once, backoff.WithBackOff(pauses), backoff.WithMaxElapsedTime(p.config.Patience))
