Run a loaded fleet through faults and pairs of them

Two faults showed: (1) a killed dispatcher paused the fleet for 2.54 s: its successor, which had polled the engines while they were cold, took them for cold still; (2) a host that started again empty put itself first in its own order and kept its requests without a stake, while the others, damped, went on with the present dispatcher: a pause of 2.33 s and more. Ruled out: a rule by which a new process never lends to itself (a single router must); warming by the endpoint's word alone. Change: router/fault_test.go; the gate counts work from a report that said cold if the one before did so too, or is the first of its start; the greeting carries the age of a process, and a process younger than the damping time comes last among the live hosts in every order, its own too (member.Table.Started, peer.Link.Started). Not tested here: a frozen process and a one-way partition.

--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -86,7 +86,9 @@
 		g.isBased, g.base = true, 0
 	}
 	if report.Cold {
+		isKnownCold := restarted || g.saysCold && g.isBased
 		g.resetWarmUp(now)
+		g.isBased, g.base = isKnownCold, report.Completed
 	}
 	g.count(report)
 	g.reported, g.saysCold = true, report.Cold
--- a/core/member/order.go
+++ b/core/member/order.go
@@ -15,7 +15,9 @@
 const orderLength = 16
 
 // Order returns the hosts that may dispatch the cell, first choice first: live
-// hosts in rendezvous order, then the others. The caller must not change it.
+// hosts in rendezvous order, those with a new process after the rest of them,
+// then the others. So a new process asks the present dispatcher, as all do, and
+// not itself. The caller must not change the order.
 func (t *Table) Order(now time.Time, id cell.ID) []cell.HostID {
 	if now.After(t.settled) {
 		t.settle(now)
@@ -23,9 +25,11 @@
 	if order, ok := t.orders[id]; ok {
 		return order
 	}
-	live := t.collect(func(r *record) bool { return r.live })
+	live := t.collect(func(r *record) bool { return r.live && r.settled })
+	fresh := t.collect(func(r *record) bool { return r.live && !r.settled })
 	rest := t.collect(func(r *record) bool { return !r.live && r.listed })
 	order := appendRanked(nil, live, id)
+	order = appendRanked(order, fresh, id)
 	order = appendRanked(order, rest, id)
 	t.orders[id] = order
 	return order
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -16,6 +16,8 @@
 	DefaultDamping     = 5 * time.Second
 	DefaultCutOffAfter = 2 * time.Second
 
+	// selfDelay is how much later a process comes first in its own order than in those of the others, who hear of it late.
+	selfDelay    = time.Second
 	departedKeep = 5 * time.Second // departedKeep is how long a departed host that is still listed does not count, unless it is linked again.
 )
 
@@ -30,9 +32,10 @@
 // Config sets a Table; zero durations get their defaults.
 type Config struct {
 	Self        cell.HostID
+	Started     time.Time     // Started is when this process started.
 	Lag         time.Duration // Lag bounds the age of a list, the pause between two reads included.
 	ShrinkDelay time.Duration // ShrinkDelay is how long a host counts after the last sign of it; more than CutOffAfter and Lag together.
-	Damping     time.Duration // Damping is how long a link must hold, after it was down, before its host may dispatch again.
+	Damping     time.Duration // Damping is how long a link must hold after it was down, and a process must run, to come first in an order.
 	CutOffAfter time.Duration // CutOffAfter is how long a router may go on without a fresh list and without most of its peers.
 }
 
@@ -66,6 +69,8 @@
 
 	departedAt time.Time // departedAt is when the host said that it has nothing in flight and lends no stake; zero if it did not.
 	live       bool      // live is up, not leaving and past its damping.
+	startedAt  time.Time // startedAt is when the host's process started.
+	settled    bool      // settled tells that the process has run for long enough to take cells over.
 }
 
 // New returns a Table that knows of its own host alone.
@@ -81,6 +86,7 @@
 		orders: make(map[cell.ID][]cell.HostID),
 	}
 	t.record(conf.Self).up = true
+	t.record(conf.Self).startedAt = conf.Started.Add(selfDelay)
 	return t
 }
 
@@ -158,6 +164,12 @@
 	t.settle(now)
 }
 
+// Started tells when the process of a host started, on this host's clock.
+func (t *Table) Started(now time.Time, host cell.HostID, at time.Time) {
+	t.record(host).startedAt = at
+	t.settle(now)
+}
+
 // Departed tells that the host has nothing in flight and lends no stake, by its
 // own last word. It counts no more, whatever the lagging list says.
 func (t *Table) Departed(now time.Time, host cell.HostID) {
@@ -267,8 +279,9 @@
 			total++
 		}
 		live := t.isLive(now, host, r)
-		reordered = reordered || live != r.live
-		r.live = live
+		settled := now.Sub(r.startedAt) >= t.conf.Damping
+		reordered = reordered || live != r.live || settled != r.settled
+		r.live, r.settled = live, settled
 	}
 	if revoted {
 		t.voters = t.collect(func(r *record) bool { return r.voter })
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -169,6 +169,24 @@
 	b.Equal(b.Order(b.now, id)[0], first)
 }
 
+// A new process comes last among the live hosts, in its own order too, until it has run for the damping time.
+func TestNewProcessTakesNoCell(t *testing.T) {
+	b := newBench(t, 6)
+	first := b.Order(b.now, "tickets")[0]
+	b.True(first != "h0")
+	b.Started(b.now, first, b.now)
+	b.Equal(b.Order(b.now, "tickets")[6], first)
+	b.pass(member.DefaultDamping)
+	b.Equal(b.Order(b.now, "tickets")[0], first)
+
+	itself := member.New(member.Config{Self: first, Started: b.now})
+	itself.Listed(b.now, members(7))
+	itself.Up(b.now, "h0")
+	b.Equal(itself.Order(b.now, "tickets")[0], host(0))
+	itself.Tick(b.now.Add(member.DefaultDamping + time.Second))
+	b.Equal(itself.Order(b.now, "tickets")[0], first)
+}
+
 // The loss of a host moves only the cells that it dispatched.
 func TestLossMovesFewCells(t *testing.T) {
 	b := newBench(t, 9)
--- a/io/peer/greeting.go
+++ b/io/peer/greeting.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"time"
 
 	"ryelug/core/cell"
 	"ryelug/io/frame"
@@ -19,6 +20,7 @@
 	magic         = "ryelug"
 	nonceBytes    = 32
 	greetingBytes = 2 << 10 // bytes of the longest greeting frame
+	maxAge        = 1 << 40 // milliseconds, more than any process runs
 )
 
 // Roles keep a proof of one end from serving as the proof of the other.
@@ -48,6 +50,7 @@
 	nonce   []byte
 	router  cell.RouterID
 	dc      string
+	age     time.Duration // age is how long the process has run, in whole milliseconds.
 }
 
 // greeting carries one end through the handshake. The dialer proves the key
@@ -55,6 +58,7 @@
 type greeting struct {
 	conf *Config
 	conn *frame.Conn
+	age  time.Duration
 }
 
 func (g *greeting) dial(want cell.HostID) (*hello, error) {
@@ -97,7 +101,7 @@
 func (g *greeting) newHello() *hello {
 	nonce := make([]byte, nonceBytes)
 	_, _ = rand.Read(nonce) // It never fails.
-	return &hello{version: Version, nonce: nonce, router: g.conf.Self, dc: g.conf.DataCentre}
+	return &hello{version: Version, nonce: nonce, router: g.conf.Self, dc: g.conf.DataCentre, age: g.age}
 }
 
 func (g *greeting) sendHello(h *hello) error {
@@ -152,7 +156,8 @@
 	dst = binary.AppendUvarint(dst, h.version)
 	dst = appendField(dst, h.nonce)
 	dst = appendField(dst, []byte(h.router))
-	return appendField(dst, []byte(h.dc))
+	dst = appendField(dst, []byte(h.dc))
+	return binary.AppendUvarint(dst, uint64(h.age/time.Millisecond))
 }
 
 func parseHello(body []byte) (*hello, error) {
@@ -170,11 +175,12 @@
 	nonce, rest, nonceOK := cutField(rest)
 	router, rest, routerOK := cutField(rest)
 	dc, rest, dcOK := cutField(rest)
-	whole := nonceOK && routerOK && dcOK && len(rest) == 0
+	age, used := binary.Uvarint(rest)
+	whole := nonceOK && routerOK && dcOK && used > 0 && used == len(rest) && age <= maxAge
 	if !whole || len(nonce) != nonceBytes || len(router) == 0 {
 		return nil, fmt.Errorf("%w: malformed greeting", ErrMagic)
 	}
-	return &hello{version: version, nonce: append([]byte(nil), nonce...), router: cell.RouterID(router), dc: string(dc)}, nil
+	return &hello{version: version, nonce: append([]byte(nil), nonce...), router: cell.RouterID(router), dc: string(dc), age: time.Duration(age) * time.Millisecond}, nil
 }
 
 func appendField(dst, field []byte) []byte {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -19,15 +19,16 @@
 // router dialed carries the traffic of its entries; one that the other router
 // dialed carries the traffic of the other's entries to the dispatchers here.
 type Link struct {
-	mesh   *Mesh
-	router cell.RouterID
-	dc     string
-	dialed bool
-	conn   *frame.Conn
-	clock  clock
-	closed chan struct{} // closed is closed by Close.
-	done   chan struct{} // done is closed when no event of the link follows.
-	once   sync.Once
+	mesh    *Mesh
+	router  cell.RouterID
+	dc      string
+	started time.Time // started is when the other process started, on this clock.
+	dialed  bool
+	conn    *frame.Conn
+	clock   clock
+	closed  chan struct{} // closed is closed by Close.
+	done    chan struct{} // done is closed when no event of the link follows.
+	once    sync.Once
 
 	seen  atomic.Uint64 // seen is the newest stamp whose frame the consumer has acknowledged.
 	ring  *ring         // ring keeps its messages in the order of the echoes and names in them.
@@ -40,6 +41,9 @@
 // DataCentre returns the data centre that the other end has named.
 func (l *Link) DataCentre() string { return l.dc }
 
+// Started returns when the process at the other end started, on this router's clock.
+func (l *Link) Started() time.Time { return l.started }
+
 // Dialed tells whether this router opened the link.
 func (l *Link) Dialed() bool { return l.dialed }
 
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -22,6 +23,7 @@
 // Mesh keeps a link to each peer and takes the links that peers dial.
 type Mesh struct {
 	conf     Config
+	born     time.Time // born is when the process started, as far as the mesh knows.
 	events   chan Event
 	stats    meshStats
 	changed  chan struct{} // changed holds a token when peers have changed.
@@ -43,6 +45,7 @@
 	conf.setDefaults()
 	return &Mesh{
 		conf:     conf,
+		born:     time.Now(),
 		events:   make(chan Event, eventRing),
 		changed:  make(chan struct{}, 1),
 		greeting: make(chan struct{}, greetLimit),
@@ -125,7 +128,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
-	theirs, err := how(&greeting{conf: &m.conf, conn: link.conn})
+	theirs, err := how(&greeting{conf: &m.conf, conn: link.conn, age: time.Since(m.born)})
 	if errorIsClosed(err) && ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -139,6 +142,7 @@
 func (m *Mesh) runLink(ctx context.Context, link *Link, theirs *hello) error {
 	link.router = theirs.router
 	link.dc = theirs.dc
+	link.started = time.Now().Add(-theirs.age)
 	m.register(link)
 	defer m.unregister(link)
 	defer close(link.done)
--- a/router/config.go
+++ b/router/config.go
@@ -99,7 +99,7 @@
 }
 
 func (c *Config) memberConfig() member.Config {
-	return member.Config{Self: c.Host, Lag: c.Timings.ListLag, CutOffAfter: c.Timings.CutOffAfter}
+	return member.Config{Self: c.Host, Started: time.Now(), Lag: c.Timings.ListLag, CutOffAfter: c.Timings.CutOffAfter}
 }
 
 func (c *Config) lendConfig(id cell.ID) lend.Config {
--- /dev/null
+++ b/router/fault_test.go
@@ -0,0 +1,248 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"ryelug/core/fair"
+	"ryelug/core/result"
+	"ryelug/standin/fleet"
+	"ryelug/standin/platform"
+)
+
+const (
+	faultSettle = 2 * time.Second // load before the fault
+	faultLasts  = 6 * time.Second // time from a fault to its end
+	faultAfter  = 4 * time.Second // load after the end
+
+	// longestNotice is how long an engine's turn to cold may go unseen: a poll, the
+	// report's lag, and grants that are valid and on their way.
+	longestNotice = 250*time.Millisecond + 500*time.Millisecond + 400*time.Millisecond + 200*time.Millisecond
+)
+
+// trial is a fleet under load with a fault.
+type trial struct {
+	*testing.T
+	*fleet.Fleet
+	ctx    context.Context
+	rng    *rand.Rand
+	run    *fleet.Run
+	struck map[string]bool // struck are the hosts whose callers may see the fault.
+	began  time.Time
+}
+
+// fault is what goes wrong; the function that it returns, if any, ends it.
+type fault struct {
+	name   string
+	strike func(*trial) (heal func())
+}
+
+var faults = []fault{
+	{"dispatcher killed", func(tr *trial) func() { tr.kill(tr.dispatcher()); return nil }},
+	{"dispatcher cut off and back", func(tr *trial) func() { return tr.isolate(tr.dispatcher()) }},
+	{"entry killed", func(tr *trial) func() { tr.kill(tr.other(tr.dispatcher())); return nil }},
+	{"restarted empty", func(tr *trial) func() {
+		m := tr.other(nil)
+		tr.kill(m)
+		return func() {
+			if _, err := tr.AddRouter(m.Host, m.DataCentre); err != nil {
+				tr.Error(err)
+			}
+			tr.run.Refresh()
+		}
+	}},
+	{"two halves", func(tr *trial) func() { return tr.part(tr.Network.Cut, tr.Network.Heal) }},
+	{"silent links", func(tr *trial) func() {
+		for _, a := range tr.Routers {
+			for _, b := range tr.Routers {
+				tr.Network.Silence(a.Address, b.Address)
+			}
+		}
+		return nil
+	}},
+	{"wrong list", func(tr *trial) func() {
+		m := tr.other(nil)
+		tr.Platform.RemoveHost(m.Host)
+		return func() { tr.list(m) }
+	}},
+	{"platform down", func(tr *trial) func() {
+		tr.Platform.SetFaults(platform.Faults{Down: true})
+		return func() { tr.Platform.SetFaults(platform.Faults{}) }
+	}},
+	{"cold again", func(tr *trial) func() { tr.Engines[tr.rng.IntN(len(tr.Engines))].TurnCold(); return nil }},
+	{"flood", func(tr *trial) func() {
+		flood := tr.Drive(tr.ctx, fleet.Load{Team: "kiosks", Callers: 300, Tokens: 20})
+		return func() { flood.Stop() }
+	}},
+}
+
+func (tr *trial) dispatcher() *fleet.Member { return tr.Dispatcher(tr.ctx, fleet.EnginePool) }
+
+// other returns some running router that is not the given one.
+func (tr *trial) other(than *fleet.Member) *fleet.Member {
+	for {
+		if m := tr.Routers[tr.rng.IntN(len(tr.Routers))]; m != than && !m.Stopped() {
+			return m
+		}
+	}
+}
+
+func (tr *trial) kill(m *fleet.Member) {
+	tr.struck[m.Host] = true
+	m.Kill()
+}
+
+func (tr *trial) isolate(m *fleet.Member) func() {
+	tr.struck[m.Host] = true
+	tr.Network.Isolate(m.Address)
+	return func() { tr.Network.Rejoin(m.Address) }
+}
+
+// part cuts the routers in two halves; all of them reach the endpoints and the platform.
+func (tr *trial) part(cut, heal func(a, b netip.Addr)) func() {
+	each := func(do func(a, b netip.Addr)) {
+		for i, a := range tr.Routers {
+			for j, b := range tr.Routers {
+				if i%2 == 0 && j%2 == 1 {
+					do(a.Address, b.Address)
+				}
+			}
+		}
+	}
+	each(cut)
+	return func() { each(heal) }
+}
+
+func (tr *trial) list(m *fleet.Member) {
+	address := netip.AddrPortFrom(m.Address, 7000)
+	tr.Platform.SetHost(platform.Host{Host: m.Host, PeerAddress: address, DataCentre: m.DataCentre})
+}
+
+// withFaults runs a loaded fleet through faults, one starting a moment after the other, and checks what must hold.
+func withFaults(t *testing.T, seed uint64, strikes ...fault) {
+	conf := fleet.Config{Routers: 5, Engines: 4, Seed: seed}
+	conf.Engine.Cold = true
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+		tr := &trial{T: t, Fleet: fl, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3)), struck: make(map[string]bool)}
+		tr.run = fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 60, Tokens: 20}, fleet.Load{Team: "schools", Callers: 30, Tokens: 20})
+		time.Sleep(faultSettle)
+		tr.began = time.Now()
+		var heals []func()
+		for _, f := range strikes {
+			if heal := f.strike(tr); heal != nil {
+				heals = append(heals, heal)
+			}
+			time.Sleep(time.Duration(tr.rng.Int64N(int64(time.Second))))
+		}
+		time.Sleep(faultLasts)
+		for _, heal := range heals {
+			heal()
+		}
+		time.Sleep(faultAfter)
+		tr.check(tr.run.Stop())
+	})
+}
+
+// check asserts what must hold whatever fails.
+func (tr *trial) check(replies []*fleet.Reply) {
+	tr.checkLimits()
+	tr.checkReplies(replies)
+	tr.checkPauses(replies)
+	tr.checkGap(replies)
+}
+
+// checkLimits asserts that no cold engine was sent more than it bore, but for the time in which
+// a turn to cold can't be known. The warm limit may be passed while stakes change hands.
+func (tr *trial) checkLimits() {
+	warm := 0
+	for _, e := range tr.Engines {
+		for _, excess := range e.History().Excesses(longestNotice) {
+			if !excess.Cold {
+				warm = max(warm, excess.InFlight-excess.Limit)
+				continue
+			}
+			tr.Errorf("%s: %d in flight, limit %d, in force for %v", e.Name(), excess.InFlight, excess.Limit, excess.Since)
+		}
+	}
+	tr.Logf("most over a warm limit: %d", warm)
+}
+
+// checkReplies asserts that callers of unstruck routers got whole answers or true refusals.
+func (tr *trial) checkReplies(replies []*fleet.Reply) {
+	for _, r := range replies {
+		if tr.isStruck(r) || r.Whole() || r.NotRun && r.Code != result.OK {
+			continue
+		}
+		tr.Errorf("request %s at %v: code %d, %d events, closed %t", r.ID, r.Sent.Sub(tr.began), r.Code, len(r.Events), r.Closed)
+	}
+}
+
+func (tr *trial) isStruck(r *fleet.Reply) bool {
+	for host := range tr.struck {
+		if len(r.ID) > len(host) && r.ID[:len(host)] == host {
+			return true
+		}
+	}
+	return false
+}
+
+// checkPauses asserts that work goes on within 2 s of a fault, and that no team waits for long at unstruck routers.
+func (tr *trial) checkPauses(replies []*fleet.Reply) {
+	starts := make([]time.Duration, 0, len(replies))
+	longest := make(map[string]time.Duration)
+	for _, r := range replies {
+		if !r.Whole() {
+			continue
+		}
+		starts = append(starts, r.Sent.Add(r.First).Sub(tr.began))
+		if !tr.isStruck(r) {
+			longest[r.Team] = max(longest[r.Team], r.First)
+		}
+	}
+	pause, since := longestPause(starts)
+	tr.Logf("%d answers, longest pause of the fleet %v from %v on, longest waits %v", len(starts), pause, since, longest)
+	if pause >= 2*time.Second {
+		tr.Errorf("the whole fleet paused for %v", pause)
+	}
+	for team, wait := range longest {
+		if wait >= 6*time.Second {
+			tr.Errorf("a request of %s waited %v", team, wait)
+		}
+	}
+}
+
+// checkGap asserts the bound on the gap between the two teams, both backlogged throughout.
+func (tr *trial) checkGap(replies []*fleet.Reply) {
+	service := make(map[string]float64)
+	for _, r := range replies {
+		service[r.Team] += float64(len(r.Events))
+	}
+	bound := fair.Bound{LargestCost: 40, Slots: 32, ShareA: 4, ShareB: 1, LeastShare: 1, HandOvers: 4, Unreported: 200}
+	gap := service["kiosks"]/4 - service["schools"]
+	tr.Logf("gap of service by share %.0f, bound %.0f", gap, fair.GapBound(bound))
+	if gap > fair.GapBound(bound) || -gap > fair.GapBound(bound) {
+		tr.Errorf("the gap is %.0f, over its bound", gap)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for i, f := range faults {
+		t.Run(f.name, func(t *testing.T) { withFaults(t, uint64(i), f) })
+	}
+}
+
+// Pairs of faults, one within a second of the other.
+func TestFaultPairs(t *testing.T) {
+	rng := rand.New(rand.NewPCG(11, 11))
+	for i := range 8 {
+		order := rng.Perm(len(faults))
+		first, second := faults[order[0]], faults[order[1]]
+		t.Run(fmt.Sprintf("%s and %s", first.name, second.name), func(t *testing.T) {
+			withFaults(t, uint64(100+i), first, second)
+		})
+	}
+}
--- a/router/links.go
+++ b/router/links.go
@@ -143,7 +143,8 @@
 // tells them, so from then on the peer may dispatch.
 func (c *coordinator) told(now time.Time, from cell.RouterID, hosts []cell.HostID) {
 	c.table.Told(now, from.Host(), hosts)
-	if c.links.dialed[from] != nil {
+	if link := c.links.dialed[from]; link != nil {
+		c.table.Started(now, from.Host(), link.Started())
 		c.table.Up(now, from.Host())
 	}
 }
