Hold the thousand streams to what the engines' history says

Cause: TestThousandStreams asked for a quarter of whole streams although engines restart at fixed real times; on a busy machine the restarts hit nearly all streams (894 of 1,000) and the check failed for no fault of the code. Ruled out: a lower quarter, which would hide streams cut without a restart. Change: each stream must be whole or end in an error event, and no more may end in an error than runs were lost by a restart, by the engines' own history, or were between a break and its resume.

--- a/router/request/stream_test.go
+++ b/router/request/stream_test.go
@@ -81,6 +81,22 @@
 	return silentEnd
 }
 
+// lostRuns counts the runs that were under way when an engine restarted.
+func lostRuns(e *servedEngine) int {
+	lost, broken := 0, 0
+	for _, event := range e.History().Events {
+		switch event.Kind {
+		case standin.BrokenRun:
+			broken++
+			continue
+		case standin.Restarted:
+			lost += broken
+		}
+		broken = 0
+	}
+	return lost
+}
+
 // TestThousandStreams runs a thousand streams at once over three engines that break, cross,
 // drop, refuse and fall silent, and in the second part restart.
 func TestThousandStreams(t *testing.T) {
@@ -88,21 +104,25 @@
 	cases := []struct {
 		name     string
 		restarts bool
-		minWhole int
-	}{{"faults", false, streams}, {"restarts", true, streams / 4}}
+	}{{"faults", false}, {"restarts", true}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			grants := &fakeGrants{valid: 5 * time.Second}
+			var engines []*servedEngine
+			faults := 0
 			for n := range 3 {
 				e := startEngine(t, engine.Config{Name: fmt.Sprintf("e%d", n), Tokens: tokens, FirstToken: 20 * time.Millisecond, TokenGap: 10 * time.Millisecond})
 				grants.endpoints = append(grants.endpoints, e)
+				engines = append(engines, e)
 				for range 12 {
 					for _, fault := range []standin.Fault{&standin.Break{After: 3}, &standin.Cross{}, &standin.Drop{}, &standin.Refuse{}, &standin.Break{After: 20}, &standin.Break{}} {
 						e.Inject(fault, nil, nil, nil, nil)
+						faults++
 					}
 				}
 				e.Inject(&standin.Mute{}, &standin.Mute{})
+				faults += 2
 				if c.restarts {
 					time.AfterFunc(time.Duration(100*n+500)*time.Millisecond, e.Restart)
 				}
@@ -127,8 +147,13 @@
 			group.Wait()
 			t.Logf("ends: %v", ends)
 			is.Equal(ends[wrongContent]+ends[silentEnd], 0)
-			is.True(ends[wholeStream] >= c.minWhole)
+			is.Equal(ends[wholeStream]+ends[errorEvent], streams)
 			is.Equal(ends[errorEvent] > 0, c.restarts) // The restarts must have hit streams.
+			lost := 0
+			for _, e := range engines {
+				lost += lostRuns(e)
+			}
+			is.True(ends[errorEvent] <= lost+faults) // Only a restart ends a stream short: in its run, or between a break and its resume.
 		})
 	}
 }
