Echo request ids in the stand-ins' refusals

Cause: on a connection that had carried a call, a refusal without an id can't be told from a late answer to that call, so a non-idempotent request that the stand-in refused was answered outcome_unknown in place of endpoint_refused. Ruled out: believing refusals without an id; a late one would make not_run false. Change: the stand-ins echo the id in every answer; TestRefusedOnUsedConnection. Figures: go test -race -count=1 -run 'Refused|Drops|LateE' ./router/request: ok; without the echo the test fails with code 2001 in place of 1014. Conclusion: not_run stays true only when it is, and is said when it is.

--- a/router/request/runner_test.go
+++ b/router/request/runner_test.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// TestRefusedOnUsedConnection believes an endpoint's refusal also on a connection that has carried calls.
+func TestRefusedOnUsedConnection(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, engine.Config{Name: "e"})
+	e.Inject(nil, &standin.Refuse{})
+	url := serveCallers(t, request.Config{Grants: &fakeGrants{endpoints: []target{e}, valid: time.Second}}, request.Route{})
+	status, _ := post(t, url, `{"model":"m"}`)
+	is.Equal(status, 200)
+	_, body := post(t, url, `{"model":"m"}`)
+	got := parseRefusal(t, body).Error
+	is.Equal([]any{got.Code, got.NotRun}, []any{result.EndpointRefused, true})
+}
+
 // noGrants refuses at once, or keeps every demand waiting.
 type noGrants struct{ err error }
 
--- a/standin/endpoint/server.go
+++ b/standin/endpoint/server.go
@@ -79,6 +79,8 @@
 	})
 }
 
+const requestIDHeader = "X-Request-Id"
+
 func (e *Endpoint) handle(req *fasthttp.RequestCtx) {
 	path := string(req.Path())
 	switch {
@@ -91,6 +93,9 @@
 		life := e.life
 		e.mu.Unlock()
 		ctx := req.Conn().(*conn).watch(life)
+		if id := req.Request.Header.Peek(requestIDHeader); len(id) > 0 {
+			req.Response.Header.SetBytesV(requestIDHeader, id) // Refusals are told apart by it as well.
+		}
 		e.config.Handler(ctx, req)
 	}
 }
