--- a/router/request/runner_test.go
+++ b/router/request/runner_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ryelug/core/cell"
+	"ryelug/core/entry"
 	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
@@ -104,15 +105,25 @@
 	grants := &fakeGrants{endpoints: []target{slow, quick}, valid: time.Second}
 	client := endpoint.New(endpoint.Config{FirstTimeout: 100 * time.Millisecond, AnswerTimeout: 100 * time.Millisecond})
 	route := request.Route{Idempotent: true, QueueTimeout: 50 * time.Millisecond} // The attempt takes longer than a wait may.
-	url := serveCallers(t, request.Config{Grants: grants, Endpoints: client}, route)
+	counts := &reasons{}
+	url := serveCallers(t, request.Config{Grants: grants, Endpoints: client, Counter: counts}, route)
 	for _, body := range []string{`{"model":"m"}`, `{"model":"m","stream":true}`} {
 		status, _ := post(t, url, body)
 		is.Equal(status, 200)
 	}
 	is.Equal(grants.ended(4), []cell.Outcome{cell.Failed, cell.Completed, cell.Failed, cell.Completed})
 	is.Equal(slow.History().Count(standin.CancelledRun), 2)
+	is.Equal(counts.retried, []entry.Reason{entry.AnswerLate, entry.AnswerLate})
 }
 
+// reasons is a Counter that keeps the reasons of retries of requests that follow each other.
+type reasons struct{ retried []entry.Reason }
+
+func (r *reasons) Retried(reason entry.Reason) { r.retried = append(r.retried, reason) }
+func (*reasons) Refused(result.Code)           {}
+func (*reasons) Completed()                    {}
+func (*reasons) Abandoned()                    {}
+
 // TestLateGrant hands back grants that came too late, and sends under the next one in time.
 func TestLateGrant(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
