Tell late answers from missing ones

Cause: the library turns the deadline of a read of an answer's head into an error of its own, so a late answer was counted, and told to callers of non-idempotent requests, as a missing one (2001 in place of 2003). Ruled out: the library's error value alone; other layers have theirs. Change: any error that says it is a timeout counts as one.

--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -224,7 +224,13 @@
 }
 
 func unknown(call Call, err error) *ErrUnknown {
-	return &ErrUnknown{Endpoint: call.Endpoint, Timeout: errors.Is(err, os.ErrDeadlineExceeded), Err: err}
+	return &ErrUnknown{Endpoint: call.Endpoint, Timeout: isTimeout(err), Err: err}
+}
+
+// isTimeout looks for the method, since the library has timeout errors of its own.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 func retryAfter(resp *fasthttp.Response) time.Duration {
