--- a/io/operator/log.go
+++ b/io/operator/log.go
@@ -17,19 +17,12 @@
 	MemberPart   Prefix = "member"   // MemberPart: the list of hosts, and being cut off.
 	DispatchPart Prefix = "dispatch" // DispatchPart: sessions and cells that this router dispatches.
 	ConfigPart   Prefix = "config"   // ConfigPart: generations and their adoption.
-	PlatformPart Prefix = "platform" // PlatformPart: calls of the platform.
-	EndpointPart Prefix = "endpoint" // EndpointPart: calls of endpoints and load reports.
-	CallerPart   Prefix = "caller"   // CallerPart: callers' connections and requests.
 	OperatorPart Prefix = "operator" // OperatorPart: this package.
-	StandinPart  Prefix = "standin"  // StandinPart: stand-ins of the platform and the endpoints.
 )
 
 // Prefixes returns all prefixes.
 func Prefixes() []Prefix {
-	return []Prefix{
-		RouterPart, PeerPart, MemberPart, DispatchPart, ConfigPart,
-		PlatformPart, EndpointPart, CallerPart, OperatorPart, StandinPart,
-	}
+	return []Prefix{RouterPart, PeerPart, MemberPart, DispatchPart, ConfigPart, OperatorPart}
 }
 
 const partField = "part"
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -52,10 +52,19 @@
 	for _, reason := range retryReasons {
 		p.vars.Add(operator.Retries, string(reason), 0)
 	}
-	p.vars.Gauge("health", func() any { return p.Health() })
-	p.vars.Gauge("platform_calls", func() any { return p.platform.Calls() })
-	p.vars.Gauge("peers", func() any { return p.peers() })
-	p.vars.Gauge("cells", func() any { return p.cells() })
+	for name, read := range p.gauges() {
+		p.vars.Gauge(name, read)
+	}
+}
+
+// gauges returns the variables that are read when they are asked for.
+func (p *Process) gauges() map[string]func() any {
+	return map[string]func() any{
+		"health":         func() any { return p.Health() },
+		"platform_calls": func() any { return p.platform.Calls() },
+		"peers":          func() any { return p.peers() },
+		"cells":          func() any { return p.cells() },
+	}
 }
 
 func (p *Process) view() (router.View, bool) {
