--- a/cmd/ryelug/environment.go
+++ b/cmd/ryelug/environment.go
@@ -10,7 +10,9 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
+	"ryelug/core/change"
 	"ryelug/core/config"
 	"ryelug/core/result"
 	"ryelug/io/platform"
@@ -21,11 +23,13 @@
 type target struct {
 	platform    netip.AddrPort
 	environment string
+	wait        time.Duration
 }
 
 func (t *target) setFlags(flags *flag.FlagSet) {
 	flags.Var(addressFlag{&t.platform}, "platform", "IP address and port of the platform")
 	flags.StringVar(&t.environment, "environment", "", "name of the environment")
+	flags.DurationVar(&t.wait, "wait", publish.DefaultPatience, "how long a step is tried while the platform does not answer")
 }
 
 // publisher returns a publisher for the target.
@@ -38,7 +42,7 @@
 	}
 	client := platform.New(platform.Config{Address: t.platform, Environment: t.environment})
 	notice := func(text string) { fmt.Fprintf(to.err, "ryelug: %s\n", text) }
-	return publish.New(publish.Config{Platform: client, Environment: t.environment, Notice: notice}), nil
+	return publish.New(publish.Config{Platform: client, Environment: t.environment, Notice: notice, Patience: t.wait}), nil
 }
 
 // readDocument reads and validates a document file.
@@ -69,7 +73,7 @@
 	var conflict *publish.ErrConflict
 	var unknown *publish.ErrUnknown
 	var unavailable *platform.ErrUnavailable
-	var name *config.NameError
+	var name *change.NameError
 	var document config.Errors
 	switch {
 	case err == nil:
@@ -101,12 +105,12 @@
 }
 
 // put puts a change in force and tells the outcome.
-func put(ctx context.Context, publisher *publish.Publisher, change publish.Change, to streams) error {
-	if change.Base.Document != nil && config.Same(change.Base.Document, change.Document) {
-		fmt.Fprintf(to.out, "generation %d holds this already; nothing to do\n", change.Base.Root.Generation)
+func put(ctx context.Context, publisher *publish.Publisher, next publish.Change, to streams) error {
+	if next.Above == 0 && next.Base.Document != nil && change.Same(next.Base.Document, next.Document) {
+		fmt.Fprintf(to.out, "generation %d holds this already; nothing to do\n", next.Base.Root.Generation)
 		return nil
 	}
-	root, err := publisher.Put(ctx, change)
+	root, err := publisher.Put(ctx, next)
 	if err != nil {
 		return withCode(err)
 	}
@@ -118,7 +122,7 @@
 }
 
 // edit changes the document in force.
-func edit(ctx context.Context, t *target, to streams, text string, change func(*config.Document) error) error {
+func edit(ctx context.Context, t *target, to streams, text string, alter func(*config.Document) error) error {
 	publisher, err := t.publisher(to)
 	if err != nil {
 		return err
@@ -131,7 +135,7 @@
 	if err != nil {
 		return withCode(err)
 	}
-	if err := change(document); err != nil {
+	if err := alter(document); err != nil {
 		return withCode(err)
 	}
 	return put(ctx, publisher, publish.Change{Base: base, Document: document, Text: text}, to)
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -1,9 +1,11 @@
 package spread
 
 import (
-	"maps"
+	"bytes"
+	"fmt"
 	"time"
 
+	"ryelug/core/candidate"
 	"ryelug/core/config"
 )
 
@@ -14,15 +16,31 @@
 
 // scheduleRead reads the root when it is due: as a watcher regularly, otherwise when news are old.
 func (m *Machine) scheduleRead() {
-	if m.reading || m.now.Before(m.readAt) {
+	if m.reading > 0 {
+		m.readAgain()
+		return
+	}
+	if m.now.Before(m.readAt) {
 		return
 	}
 	if !m.watching && !m.isStale() {
 		m.readAt = m.heard.Add(m.config.Stale + m.jitter(m.spreadOut()))
 		return
 	}
-	m.reading, m.startedAt = true, m.now
-	m.do(&ReadRoot{})
+	m.readRoot()
+}
+
+func (m *Machine) readRoot() {
+	m.reading++
+	m.startedAt = m.now
+	m.do(&ReadRoot{Began: m.now})
+}
+
+// readAgain starts a second read beside one that hangs: its connection may be silent for good.
+func (m *Machine) readAgain() {
+	if m.reading < maxReads && m.age(m.startedAt) >= secondRead {
+		m.readRoot()
+	}
 }
 
 // isStale reports whether the news are so old that this router reads for itself.
@@ -32,12 +50,12 @@
 
 // spreadOut is the time over which the routers of this data centre spread their reads.
 func (m *Machine) spreadOut() time.Duration {
-	return max(minJitter, time.Duration(len(m.members))*jitterPerMember)
+	return max(minJitter, time.Duration(m.roles.Size())*jitterPerMember)
 }
 
 func (m *Machine) rootRead(e *RootRead) {
 	if !e.Watched {
-		m.reading = false
+		m.reading--
 	}
 	m.failures = 0
 	m.contact, m.heard = m.now, m.now
@@ -47,14 +65,31 @@
 		m.readAt = m.now.Add(m.config.Stale + m.jitter(m.spreadOut()))
 	}
 	m.dropRumour()
+	if !e.Same {
+		m.held = e.Root
+	}
 	if len(e.Root) > 0 {
 		m.consider(e.Root, "")
 	}
+	if !e.Watched && e.Began.After(m.adoptedAt) {
+		m.reportOlder()
+	}
+}
+
+// reportOlder reports a platform that holds another root than one above the
+// generation in force; only a read that began after the adoption shows it.
+func (m *Machine) reportOlder() {
+	root, err := config.ParseRoot(m.held)
+	if err != nil || root.Generation > m.root.Generation || bytes.Equal(m.held, m.rawRoot) || m.isBad(m.held) {
+		return
+	}
+	m.reject(m.held, root.Generation, fmt.Errorf("the platform holds generation %d, which is not above generation %d in force; apply with -above %d",
+		root.Generation, m.root.Generation, m.root.Generation))
 }
 
 // dropRumour forgets a generation that no peer gave and that the platform was asked about.
 func (m *Machine) dropRumour() {
-	if m.pending != nil && m.pending.raw == nil && m.pending.from == "" {
+	if m.pending != nil && !m.pending.HasRoot() && m.pending.From == "" {
 		m.pending = nil
 	}
 }
@@ -71,7 +106,7 @@
 }
 
 func (m *Machine) rootFailed() {
-	m.reading = false
+	m.reading--
 	m.dropRumour()
 	m.failures++
 	if m.watching {
@@ -83,47 +118,35 @@
 }
 
 // adopt puts a complete candidate in force if it is whole, valid and higher.
-func (m *Machine) adopt(c *candidate) {
+func (m *Machine) adopt(c *candidate.Candidate) {
 	m.pending = nil
-	if c.root.Generation <= m.root.Generation {
+	if c.Root.Generation <= m.root.Generation {
 		return
 	}
-	doc, err := config.Join(c.root, c.parts)
+	parts := c.Parts(m.parts)
+	doc, err := config.Join(c.Root, parts)
 	if err != nil {
-		m.reject(c.raw, c.root.Generation, err)
+		m.reject(c.Raw, c.Root.Generation, err)
 		return
 	}
-	m.root, m.rawRoot, m.parts = c.root, c.raw, c.parts
-	m.do(&Adopt{Root: c.root, Document: doc})
-	maps.DeleteFunc(m.bad, func(_ string, b *badRoot) bool { return b.generation <= c.root.Generation })
+	m.root, m.rawRoot, m.parts = c.Root, c.Raw, parts
+	m.adoptedAt = m.now
+	m.do(&Adopt{Root: c.Root, Document: doc})
+	m.rejects.Forget(c.Root.Generation)
 	m.acknowledge()
 }
 
 // reject remembers a root that can't be adopted and reports it once.
 func (m *Machine) reject(raw []byte, generation uint64, err error) {
-	m.bad[config.Hash(raw)] = &badRoot{generation: generation, seenAt: m.now}
+	m.rejects.Add(m.now, raw, generation)
 	m.do(&Report{Generation: generation, Err: err})
 }
 
 // isBad reports whether a root was rejected before, and if so drops the question for it.
 func (m *Machine) isBad(raw []byte) bool {
-	known, found := m.bad[config.Hash(raw)]
-	if !found {
-		return false
-	}
-	known.seenAt = m.now
-	if m.pending != nil && m.pending.raw == nil && m.pending.generation == known.generation {
+	generation, found := m.rejects.See(m.now, raw)
+	if found && m.pending != nil && !m.pending.HasRoot() && m.pending.Generation == generation {
 		m.pending = nil
 	}
-	return true
-}
-
-// isRejected reports whether the root of a generation was found bad a short time ago.
-func (m *Machine) isRejected(generation uint64) bool {
-	for _, b := range m.bad {
-		if b.generation == generation && m.age(b.seenAt) < badRetry {
-			return true
-		}
-	}
-	return false
+	return found
 }
--- a/router/config.go
+++ b/router/config.go
@@ -17,6 +17,7 @@
 	"ryelug/io/endpoint"
 	"ryelug/io/peer"
 	"ryelug/router/configuration"
+	"ryelug/router/keyed"
 	"ryelug/router/request"
 )
 
@@ -49,8 +50,8 @@
 		LoadTimeout:     time.Second,
 		ReportLag:       500 * time.Millisecond,
 		ListLag:         2 * time.Second,
-		CutOffAfter:     3 * time.Second,
-		HostsPoll:       time.Second,
+		CutOffAfter:     2 * time.Second,
+		HostsPoll:       500 * time.Millisecond,
 		PlatformTimeout: 2 * time.Second,
 		BalancerLag:     5 * time.Second,
 	}
@@ -84,6 +85,8 @@
 	Hosts        Hosts
 	Endpoints    Endpoints
 	Counter      request.Counter
+	Keys         *keyed.Keeper    // Keys may be nil; then requests with an Idempotency-Key are refused.
+	OldRecords   keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
 	Timings      Timings
 	Log          logrus.FieldLogger
 
--- a/router/coordinator.go
+++ b/router/coordinator.go
@@ -46,8 +46,12 @@
 	signs     []cell.HostID // signs is what the peers were told last; nil until there is a configuration.
 	leaving   bool
 	cutOff    atomic.Bool
+	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
+	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
 	polled    atomic.Pointer[[]pollTarget]
-	pollNow   chan struct{} // pollNow asks for a round of load reports before the next one is due.
+	listedAt  atomic.Pointer[time.Time]  // listedAt is when a list of hosts came last, read here or by a watcher.
+	lists     map[*peer.Link][]peer.Host // lists holds the list that each link was told last, or has told last.
+	pollNow   chan struct{}              // pollNow asks for a round of load reports before the next one is due.
 
 	progressAt time.Time
 	countersAt time.Time
@@ -58,6 +62,7 @@
 	Received(from cell.RouterID, message peer.Message)
 	PeerUp(router cell.RouterID)
 	PeerDown(router cell.RouterID)
+	Watching() bool
 	SetMembers(members []spread.Member)
 }
 
@@ -69,6 +74,7 @@
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
+		lists:    make(map[*peer.Link][]peer.Host),
 		mesh:     mesh,
 		table:    member.New(config.memberConfig()),
 		cells:    make(map[cell.ID]*cellState),
@@ -145,7 +151,8 @@
 // tick lets time pass in every cell and refreshes what follows from it.
 func (c *coordinator) tick(now time.Time) {
 	c.table.Tick(now)
-	c.cutOff.Store(c.table.CutOff(now))
+	c.checkCutOff(now)
+	c.shareKeys(now)
 	report := now.Sub(c.progressAt) >= progressInterval
 	if report {
 		c.progressAt = now
@@ -173,6 +180,22 @@
 	}
 }
 
+// checkCutOff notes whether this router may send new work at all. What waits
+// when it is cut off is refused at once, since nothing of it has run.
+func (c *coordinator) checkCutOff(now time.Time) {
+	cutOff := c.table.CutOff(now)
+	if c.cutOff.Swap(cutOff) == cutOff {
+		return
+	}
+	c.log.WithField("cut_off", cutOff).Warn("Contact with the platform and most routers has changed.")
+	if !cutOff {
+		return
+	}
+	for _, state := range c.cells {
+		c.refuseAsks(now, state)
+	}
+}
+
 // drain handles what the last event left behind: this router's messages to
 // itself and the commands that arose inside a step, until none is left.
 func (c *coordinator) drain() {
@@ -194,7 +217,14 @@
 		c.table.ListFailed(now)
 		return
 	}
-	c.table.Listed(now, cmd.members)
+	c.takeList(now, cmd.members)
+	c.tellList(cmd.members)
+}
+
+// takeList takes a list of hosts that this router or a watcher has just read.
+func (c *coordinator) takeList(now time.Time, members []member.Member) {
+	c.listedAt.Store(&now)
+	c.table.Listed(now, members)
 	c.refreshVoters(now)
 	c.mesh.SetPeers(c.peerAddresses())
 	c.news.SetMembers(c.spreadMembers())
--- a/router/publish/publisher.go
+++ b/router/publish/publisher.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -18,11 +20,13 @@
 	// DefaultKeep is the number of former roots that are kept.
 	DefaultKeep = 20
 
-	defaultPatience = 30 * time.Second
-	callTimeout     = 10 * time.Second
-	firstPause      = 100 * time.Millisecond
-	longestPause    = 2 * time.Second
-	parallelCalls   = 8 // parallelCalls is the number of parts read or written at a time.
+	// DefaultPatience is how long a step is tried while the platform does not answer.
+	DefaultPatience = 30 * time.Second
+
+	callTimeout   = 10 * time.Second
+	firstPause    = 100 * time.Millisecond
+	longestPause  = 2 * time.Second
+	parallelCalls = 8 // parallelCalls is the number of parts read or written at a time.
 )
 
 // Platform is what a Publisher needs of the platform; *platform.Client has it.
@@ -43,12 +47,13 @@
 	Keep        int           // Keep is the number of former roots kept; DefaultKeep by default.
 	Patience    time.Duration // Patience bounds the retries of one step; 30 s by default.
 	NewID       func() string // NewID returns change ids; random by default.
-	Notice      func(string)  // Notice is told of lost answers; nobody by default.
+	Notice      func(string)  // Notice is told of lost answers and of waiting; nobody by default.
 }
 
 // Publisher changes the configuration of one environment.
 type Publisher struct {
-	config Config
+	config  Config
+	waiting sync.Once
 }
 
 // Snapshot is a root and its document as they were read.
@@ -58,6 +63,7 @@
 	Broken   error            // Broken tells why the root or its document can't be read; it can be replaced as a whole.
 	version  string
 	raw      []byte
+	parts    map[string][]byte // parts are those of the document.
 }
 
 // ErrConflict tells that another change came first and nothing of this one is in force.
@@ -94,7 +100,7 @@
 		config.Keep = DefaultKeep
 	}
 	if config.Patience == 0 {
-		config.Patience = defaultPatience
+		config.Patience = DefaultPatience
 	}
 	if config.NewID == nil {
 		config.NewID = uuid.NewString
@@ -112,7 +118,7 @@
 		if err != nil || snapshot.version == "" || snapshot.Broken != nil {
 			return snapshot, err
 		}
-		snapshot.Document, err = p.document(ctx, snapshot.Root)
+		snapshot.Document, snapshot.parts, err = p.document(ctx, snapshot.Root)
 		if !isBroken(err) {
 			return snapshot, err
 		}
@@ -160,12 +166,31 @@
 	return config.Root{Generation: former[0].root.Generation + 1}, nil
 }
 
-// document reads the parts of a root and puts them together.
-func (p *Publisher) document(ctx context.Context, root config.Root) (*config.Document, error) {
-	texts := make([][]byte, len(root.Parts))
+// document reads the parts of a root, first indexes and then leaves, and puts them together.
+func (p *Publisher) document(ctx context.Context, root config.Root) (*config.Document, map[string][]byte, error) {
+	parts := map[string][]byte{}
+	find := func(hash string) ([]byte, bool) {
+		part, found := parts[hash]
+		return part, found
+	}
+	for {
+		missing := config.Missing(root, find, math.MaxInt)
+		if len(missing) == 0 {
+			document, err := config.Join(root, parts)
+			return document, parts, err
+		}
+		if err := p.readParts(ctx, missing, parts); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// readParts adds the parts of the given names to those that are there.
+func (p *Publisher) readParts(ctx context.Context, hashes []string, parts map[string][]byte) error {
+	texts := make([][]byte, len(hashes))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelCalls)
-	for i, hash := range root.Parts {
+	for i, hash := range hashes {
 		group.Go(func() error {
 			text, err := p.part(ctx, hash)
 			texts[i] = text
@@ -173,13 +198,12 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		return nil, err
+		return err
 	}
-	parts := make(map[string][]byte, len(texts))
-	for i, hash := range root.Parts {
+	for i, hash := range hashes {
 		parts[hash] = texts[i]
 	}
-	return config.Join(root, parts)
+	return nil
 }
 
 func (p *Publisher) part(ctx context.Context, hash string) ([]byte, error) {
@@ -192,6 +216,10 @@
 	return platform.PartText(object), err
 }
 
+func (p *Publisher) tellWaiting() {
+	p.config.Notice(fmt.Sprintf("the platform does not answer; tries again for %v a step", p.config.Patience))
+}
+
 // retry repeats a call that may be repeated while the platform is unavailable.
 func retry[T any](ctx context.Context, p *Publisher, call func(context.Context) (T, error)) (T, error) {
 	pauses := backoff.NewExponentialBackOff()
@@ -205,6 +233,9 @@
 		if err != nil && !errors.As(err, &unavailable) {
 			return result, backoff.Permanent(err)
 		}
+		if err != nil {
+			p.waiting.Do(p.tellWaiting)
+		}
 		return result, err
 	}
 	return backoff.Retry(ctx, once, backoff.WithBackOff(pauses), backoff.WithMaxElapsedTime(p.config.Patience))
--- a/standin/fleet/load.go
+++ b/standin/fleet/load.go
@@ -36,6 +36,7 @@
 // Drive starts callers, which go on until Stop.
 func (f *Fleet) Drive(ctx context.Context, loads ...Load) *Run {
 	run := &Run{fleet: f}
+	f.runs = append(f.runs, run)
 	run.ctx, run.cancel = context.WithCancel(ctx)
 	run.Refresh()
 	for _, load := range loads {
@@ -71,11 +72,14 @@
 		r.mu.Lock()
 		r.replies = append(r.replies, reply)
 		r.mu.Unlock()
-		pause := load.Pause
+		pause := max(load.Pause, time.Nanosecond) // The race detector breaks on a timer that is due at once.
 		if reply.Code != result.OK {
 			pause = max(pause, leastPause, reply.RetryAfter)
 		}
-		time.Sleep(pause)
+		select {
+		case <-time.After(pause):
+		case <-r.ctx.Done():
+		}
 	}
 }
 
