Give the messages between routers a package of their own

Ruled out: a split of the links, which belong together. Change: messages, their codec and its tests are io/wire; nothing else changes. Conclusion: each package has one job.

--- a/io/peer/config.go
+++ b/io/peer/config.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
+	"ryelug/io/wire"
 )
 
 // Defaults of Config.
@@ -86,7 +87,7 @@
 // Received tells of a frame; Message is nil for a heartbeat.
 type Received struct {
 	Link    *Link
-	Message Message
+	Message wire.Message
 	stamp   uint64    // stamp is the sender's.
 	Echoed  time.Time // Echoed is when this router sent the newest stamp that the sender had seen; zero when none.
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -9,11 +9,12 @@
 
 	"ryelug/core/cell"
 	"ryelug/io/frame"
+	"ryelug/io/wire"
 )
 
 const ringFrames = 2 // frames of the largest size that may wait in a link
 
-var encoders = sync.Pool{New: func() any { return newEncoder() }}
+var encoders = sync.Pool{New: func() any { return wire.NewEncoder() }}
 
 // Link is one authenticated connection to another router. A link that this
 // router dialed carries the traffic of its entries; one that the other router
@@ -32,7 +33,7 @@
 
 	seen  atomic.Uint64 // seen is the newest stamp whose frame the consumer has acknowledged.
 	ring  *ring         // ring keeps its messages in the order of the echoes and names in them.
-	names *names        // names is guarded by the ring's lock.
+	names *wire.Names   // names is guarded by the ring's lock.
 }
 
 // Router returns the router at the other end.
@@ -49,7 +50,7 @@
 
 // Send queues a message and never blocks; the message is not kept. It returns
 // false if the link is closed, or is closed now because its ring is full.
-func (l *Link) Send(msg Message) bool {
+func (l *Link) Send(msg wire.Message) bool {
 	if l.isClosed() {
 		return false
 	}
@@ -60,7 +61,7 @@
 	return false
 }
 
-func (l *Link) enqueue(msg Message) bool {
+func (l *Link) enqueue(msg wire.Message) bool {
 	made := false
 	queued := l.ring.add(func() (out outgoing, ok bool) {
 		out, made = l.make(msg)
@@ -73,15 +74,15 @@
 }
 
 // make encodes a message; a link that can't send it is of no use any more, since its names would differ.
-func (l *Link) make(msg Message) (outgoing, bool) {
-	encoder := encoders.Get().(*encoder)
+func (l *Link) make(msg wire.Message) (outgoing, bool) {
+	encoder := encoders.Get().(*wire.Encoder)
 	defer encoders.Put(encoder)
-	body, err := encoder.encode(msg, l.names)
+	body, err := encoder.Encode(msg, l.names)
 	if err != nil || len(body) > l.mesh.conf.MaxFrame {
 		l.mesh.stats.unsendable.Add(1)
 		return outgoing{}, false
 	}
-	return outgoing{kind: msg.kind(), body: bytes.Clone(body), echo: l.seen.Load()}, true
+	return outgoing{kind: wire.KindOf(msg), body: bytes.Clone(body), echo: l.seen.Load()}, true
 }
 
 // Close closes the link; Down follows.
@@ -130,7 +131,7 @@
 		clock:  clock{start: time.Now()},
 		closed: make(chan struct{}),
 		done:   make(chan struct{}),
-		names:  newNames(),
+		names:  wire.NewNames(),
 		ring:   newRing(ringFrames * m.conf.MaxFrame),
 	}
 }
--- a/io/peer/pump.go
+++ b/io/peer/pump.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"ryelug/io/wire"
 )
 
 const (
@@ -50,7 +52,7 @@
 
 // heartbeat appends an empty frame. The ring is empty and locked meanwhile, so
 // that no message with an older echo follows.
-func (w *writer) heartbeat() { w.append(KindHeartbeat, w.link.seen.Load(), nil) }
+func (w *writer) heartbeat() { w.append(wire.KindHeartbeat, w.link.seen.Load(), nil) }
 
 func (w *writer) write(items []outgoing) error {
 	for _, out := range items {
@@ -65,7 +67,7 @@
 	return w.flush()
 }
 
-func (w *writer) append(kind Kind, echo uint64, message []byte) {
+func (w *writer) append(kind wire.Kind, echo uint64, message []byte) {
 	stamp := w.link.clock.stamp()
 	w.body = append(w.body[:0], byte(kind))
 	w.body = binary.AppendUvarint(w.body, stamp-w.stamp)
@@ -94,7 +96,7 @@
 // reader turns frames into events.
 type reader struct {
 	link    *Link
-	decoder *decoder
+	decoder *wire.Decoder
 	stamp   uint64 // stamp is the newest one of the other end.
 	echo    uint64 // echo is the newest one of ours that came back.
 }
@@ -117,19 +119,19 @@
 
 func (r *reader) parse(body []byte) (*Received, error) {
 	if len(body) == 0 {
-		return nil, ErrShape
+		return nil, wire.ErrShape
 	}
-	kind := Kind(body[0])
+	kind := wire.Kind(body[0])
 	rest, err := r.stamps(body[1:])
 	if err != nil {
 		return nil, err
 	}
 	r.link.mesh.stats.in.add(kind, frameBytes(len(body)))
 	ev := &Received{Link: r.link, Echoed: r.link.clock.at(r.echo), stamp: r.stamp}
-	if kind == KindHeartbeat {
+	if kind == wire.KindHeartbeat {
 		return ev, nil
 	}
-	ev.Message, err = r.decoder.decode(kind, rest)
+	ev.Message, err = r.decoder.Decode(kind, rest)
 	return ev, err
 }
 
@@ -172,7 +174,7 @@
 		l.Close()
 		written <- err
 	}()
-	err := (&reader{link: l, decoder: newDecoder()}).run(ctx)
+	err := (&reader{link: l, decoder: wire.NewDecoder()}).run(ctx)
 	l.Close()
 	if other := <-written; other != nil && errorIsClosed(err) {
 		err = other
--- a/io/peer/ring.go
+++ b/io/peer/ring.go
@@ -1,12 +1,16 @@
 package peer
 
-import "sync"
+import (
+	"sync"
+
+	"ryelug/io/wire"
+)
 
 const ringLength = 1024 // messages that wait in a link
 
 // outgoing is an encoded message, with the echo that held when it was sent.
 type outgoing struct {
-	kind Kind
+	kind wire.Kind
 	body []byte
 	echo uint64
 }
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"ryelug/io/frame"
+	"ryelug/io/wire"
 )
 
 // Stats counts what a Mesh has done since its start.
@@ -80,12 +81,12 @@
 }
 
 type tally struct {
-	messages [kindCount]atomic.Uint64
-	bytes    [kindCount]atomic.Uint64
+	messages [wire.KindCount]atomic.Uint64
+	bytes    [wire.KindCount]atomic.Uint64
 }
 
-func (t *tally) add(kind Kind, bytes int) {
-	if kind >= kindCount {
+func (t *tally) add(kind wire.Kind, bytes int) {
+	if kind >= wire.KindCount {
 		return
 	}
 	t.messages[kind].Add(1)
@@ -94,7 +95,7 @@
 
 func (t *tally) amounts() map[string]Amount {
 	amounts := make(map[string]Amount)
-	for kind := range kindCount {
+	for kind := range wire.KindCount {
 		n := t.messages[kind].Load()
 		if n > 0 {
 			amounts[kind.String()] = Amount{Messages: n, Bytes: t.bytes[kind].Load()}
--- a/io/peer/decode.go
+++ b/io/wire/decode.go
@@ -1,4 +1,4 @@
-package peer
+package wire
 
 import (
 	"bytes"
@@ -25,23 +25,24 @@
 	ErrKind    = errors.New("message kind is unknown")
 )
 
-// decoder reads messages. All lengths are checked against the bytes that are
+// Decoder reads messages. All lengths are checked against the bytes that are
 // left before memory is taken; the first error stops it.
-type decoder struct {
+type Decoder struct {
 	src   bytes.Reader
 	dec   *msgpack.Decoder
-	names *names
+	names *Names
 	err   error
 }
 
-func newDecoder() *decoder {
-	d := &decoder{names: newNames()}
+// NewDecoder returns a Decoder of one direction of a link.
+func NewDecoder() *Decoder {
+	d := &Decoder{names: NewNames()}
 	d.dec = msgpack.NewDecoder(&d.src)
 	return d
 }
 
-// decode reads one message that must fill body exactly.
-func (d *decoder) decode(kind Kind, body []byte) (Message, error) {
+// Decode reads one message that must fill body exactly.
+func (d *Decoder) Decode(kind Kind, body []byte) (Message, error) {
 	d.src.Reset(body)
 	d.dec.Reset(&d.src)
 	d.err = nil
@@ -55,7 +56,7 @@
 	return msg, nil
 }
 
-func (d *decoder) message(kind Kind) Message {
+func (d *Decoder) message(kind Kind) Message {
 	switch kind {
 	case KindJoin:
 		return d.join()
@@ -70,32 +71,32 @@
 		return &Released{id, session}
 	case KindWant:
 		id, session := d.head(3)
-		return &Want{id, session, decodeSlice(d, (*decoder).demand)}
+		return &Want{id, session, decodeSlice(d, (*Decoder).demand)}
 	case KindWithdraw:
 		id, session := d.head(3)
-		return &Withdraw{id, session, decodeSlice(d, (*decoder).attempt)}
+		return &Withdraw{id, session, decodeSlice(d, (*Decoder).attempt)}
 	case KindGrants:
 		id, session := d.head(3)
-		return &Grants{id, session, decodeSlice(d, (*decoder).grant)}
+		return &Grants{id, session, decodeSlice(d, (*Decoder).grant)}
 	case KindRefusals:
 		id, session := d.head(3)
-		return &Refusals{id, session, decodeSlice(d, (*decoder).refusal)}
+		return &Refusals{id, session, decodeSlice(d, (*Decoder).refusal)}
 	case KindProgress:
 		id, session := d.head(3)
-		return &Progress{id, session, decodeSlice(d, (*decoder).progress)}
+		return &Progress{id, session, decodeSlice(d, (*Decoder).progress)}
 	default:
 		return d.other(kind)
 	}
 }
 
-func (d *decoder) other(kind Kind) Message {
+func (d *Decoder) other(kind Kind) Message {
 	switch kind {
 	case KindEnds:
 		d.array(2)
-		return &Ends{cell.ID(d.name()), decodeSlice(d, (*decoder).end)}
+		return &Ends{cell.ID(d.name()), decodeSlice(d, (*Decoder).end)}
 	case KindCounters:
 		d.array(2)
-		return &Counters{cell.ID(d.name()), decodeSlice(d, (*decoder).counter)}
+		return &Counters{cell.ID(d.name()), decodeSlice(d, (*Decoder).counter)}
 	case KindLeaving:
 		d.array(0)
 		return &Leaving{}
@@ -107,37 +108,37 @@
 		return &ConfigNews{d.uint(), d.bytes(math.MaxInt)}
 	case KindConfigAsk:
 		d.array(1)
-		return &ConfigAsk{decodeSlice(d, (*decoder).string)}
+		return &ConfigAsk{decodeSlice(d, (*Decoder).string)}
 	case KindConfigPart:
 		d.array(2)
 		return &ConfigPart{d.string(), d.bytes(math.MaxInt)}
 	case KindListed:
 		d.array(2)
-		return &Listed{d.bool(), decodeSlice(d, (*decoder).host)}
+		return &Listed{d.bool(), decodeSlice(d, (*Decoder).host)}
 	case KindMembers:
 		d.array(1)
-		return &Members{decodeSlice(d, func(d *decoder) cell.HostID { return cell.HostID(d.string()) })}
+		return &Members{decodeSlice(d, func(d *Decoder) cell.HostID { return cell.HostID(d.string()) })}
 	}
 	d.fail(ErrKind)
 	return nil
 }
 
-func (d *decoder) join() Message {
+func (d *Decoder) join() Message {
 	m := &Join{}
 	m.Cell, m.Session = d.head(5)
 	m.Stake = d.bool()
-	m.Flights = decodeSlice(d, (*decoder).flight)
-	m.Counters = decodeSlice(d, (*decoder).counter)
+	m.Flights = decodeSlice(d, (*Decoder).flight)
+	m.Counters = decodeSlice(d, (*Decoder).counter)
 	return m
 }
 
-func (d *decoder) head(fields int) (cell.ID, cell.Session) {
+func (d *Decoder) head(fields int) (cell.ID, cell.Session) {
 	d.array(fields)
 	id := cell.ID(d.name())
 	return id, cell.Session(d.uint())
 }
 
-func (d *decoder) demand() cell.Demand {
+func (d *Decoder) demand() cell.Demand {
 	d.array(4)
 	return cell.Demand{
 		Attempt:  d.attempt(),
@@ -147,7 +148,7 @@
 	}
 }
 
-func (d *decoder) grant() cell.Grant {
+func (d *Decoder) grant() cell.Grant {
 	d.array(3)
 	return cell.Grant{
 		Attempt:  d.attempt(),
@@ -156,7 +157,7 @@
 	}
 }
 
-func (d *decoder) flight() cell.Flight {
+func (d *Decoder) flight() cell.Flight {
 	d.array(5)
 	return cell.Flight{
 		Attempt:  d.attempt(),
@@ -167,17 +168,17 @@
 	}
 }
 
-func (d *decoder) refusal() cell.Refusal {
+func (d *Decoder) refusal() cell.Refusal {
 	d.array(3)
 	return cell.Refusal{Attempt: d.attempt(), Code: d.uint16(), RetryAfter: d.duration()}
 }
 
-func (d *decoder) progress() cell.Progress {
+func (d *Decoder) progress() cell.Progress {
 	d.array(2)
 	return cell.Progress{Attempt: d.attempt(), Cost: cell.Cost(d.int())}
 }
 
-func (d *decoder) end() cell.End {
+func (d *Decoder) end() cell.End {
 	d.array(4)
 	return cell.End{
 		Attempt:    d.attempt(),
@@ -187,7 +188,7 @@
 	}
 }
 
-func (d *decoder) host() Host {
+func (d *Decoder) host() Host {
 	d.array(4)
 	h := Host{Host: cell.HostID(d.string())}
 	address, err := netip.ParseAddrPort(d.string())
@@ -198,7 +199,7 @@
 	return h
 }
 
-func (d *decoder) counter() cell.TeamCounter {
+func (d *Decoder) counter() cell.TeamCounter {
 	d.array(2)
 	c := cell.TeamCounter{Team: cell.TeamID(d.name()), Service: d.float()}
 	if math.IsNaN(c.Service) || math.IsInf(c.Service, 0) {
@@ -207,9 +208,9 @@
 	return c
 }
 
-func (d *decoder) attempt() cell.AttemptID { return cell.AttemptID(d.uint()) }
+func (d *Decoder) attempt() cell.AttemptID { return cell.AttemptID(d.uint()) }
 
-func (d *decoder) duration() time.Duration {
+func (d *Decoder) duration() time.Duration {
 	const most = int64(math.MaxInt64 / time.Millisecond)
 	ms := d.int()
 	if ms < 0 || ms > most {
--- a/io/peer/encode.go
+++ b/io/wire/encode.go
@@ -1,4 +1,4 @@
-package peer
+package wire
 
 import (
 	"bytes"
@@ -9,23 +9,24 @@
 	"ryelug/core/cell"
 )
 
-// encoder writes messages as msgpack arrays. Its buffer can't fail, so the
+// Encoder writes messages as msgpack arrays. Its buffer can't fail, so the
 // first error of the library is a bug and is kept for the caller.
-type encoder struct {
+type Encoder struct {
 	buf   bytes.Buffer
 	enc   *msgpack.Encoder
-	names *names
+	names *Names
 	err   error
 }
 
-func newEncoder() *encoder {
-	e := &encoder{}
+// NewEncoder returns an Encoder, which several links may use in turn.
+func NewEncoder() *Encoder {
+	e := &Encoder{}
 	e.enc = msgpack.NewEncoder(&e.buf)
 	return e
 }
 
-// encode returns the message's bytes, which are valid until the next call.
-func (e *encoder) encode(msg Message, names *names) ([]byte, error) {
+// Encode returns the message's bytes, which are valid until the next call.
+func (e *Encoder) Encode(msg Message, names *Names) ([]byte, error) {
 	e.buf.Reset()
 	e.names = names
 	e.err = nil
@@ -33,13 +34,13 @@
 	return e.buf.Bytes(), e.err
 }
 
-func (e *encoder) message(msg Message) {
+func (e *Encoder) message(msg Message) {
 	switch m := msg.(type) {
 	case *Join:
 		e.head(5, m.Cell, m.Session)
 		e.keep(e.enc.EncodeBool(m.Stake))
-		encodeSlice(e, m.Flights, (*encoder).flight)
-		encodeSlice(e, m.Counters, (*encoder).counter)
+		encodeSlice(e, m.Flights, (*Encoder).flight)
+		encodeSlice(e, m.Counters, (*Encoder).counter)
 	case *Accepted:
 		e.head(2, m.Cell, m.Session)
 	case *Release:
@@ -48,33 +49,33 @@
 		e.head(2, m.Cell, m.Session)
 	case *Want:
 		e.head(3, m.Cell, m.Session)
-		encodeSlice(e, m.Demands, (*encoder).demand)
+		encodeSlice(e, m.Demands, (*Encoder).demand)
 	case *Withdraw:
 		e.head(3, m.Cell, m.Session)
-		encodeSlice(e, m.Attempts, func(e *encoder, a *cell.AttemptID) { e.uint(uint64(*a)) })
+		encodeSlice(e, m.Attempts, func(e *Encoder, a *cell.AttemptID) { e.uint(uint64(*a)) })
 	case *Grants:
 		e.head(3, m.Cell, m.Session)
-		encodeSlice(e, m.Grants, (*encoder).grant)
+		encodeSlice(e, m.Grants, (*Encoder).grant)
 	case *Refusals:
 		e.head(3, m.Cell, m.Session)
-		encodeSlice(e, m.Refusals, (*encoder).refusal)
+		encodeSlice(e, m.Refusals, (*Encoder).refusal)
 	case *Progress:
 		e.head(3, m.Cell, m.Session)
-		encodeSlice(e, m.Progress, (*encoder).progress)
+		encodeSlice(e, m.Progress, (*Encoder).progress)
 	case *Ends:
 		e.array(2)
 		e.name(string(m.Cell))
-		encodeSlice(e, m.Ends, (*encoder).end)
+		encodeSlice(e, m.Ends, (*Encoder).end)
 	case *Counters:
 		e.array(2)
 		e.name(string(m.Cell))
-		encodeSlice(e, m.Counters, (*encoder).counter)
+		encodeSlice(e, m.Counters, (*Encoder).counter)
 	default:
 		e.config(msg)
 	}
 }
 
-func (e *encoder) config(msg Message) {
+func (e *Encoder) config(msg Message) {
 	switch m := msg.(type) {
 	case *Leaving, *Departed:
 		e.array(0)
@@ -84,14 +85,14 @@
 		e.keep(e.enc.EncodeBytes(m.Root))
 	case *ConfigAsk:
 		e.array(1)
-		encodeSlice(e, m.Hashes, func(e *encoder, h *string) { e.string(*h) })
+		encodeSlice(e, m.Hashes, func(e *Encoder, h *string) { e.string(*h) })
 	case *Members:
 		e.array(1)
-		encodeSlice(e, m.Hosts, func(e *encoder, h *cell.HostID) { e.string(string(*h)) })
+		encodeSlice(e, m.Hosts, func(e *Encoder, h *cell.HostID) { e.string(string(*h)) })
 	case *Listed:
 		e.array(2)
 		e.keep(e.enc.EncodeBool(m.Changed))
-		encodeSlice(e, m.Hosts, (*encoder).host)
+		encodeSlice(e, m.Hosts, (*Encoder).host)
 	case *ConfigPart:
 		e.array(2)
 		e.string(m.Hash)
@@ -99,13 +100,13 @@
 	}
 }
 
-func (e *encoder) head(fields int, id cell.ID, session cell.Session) {
+func (e *Encoder) head(fields int, id cell.ID, session cell.Session) {
 	e.array(fields)
 	e.name(string(id))
 	e.uint(uint64(session))
 }
 
-func (e *encoder) demand(d *cell.Demand) {
+func (e *Encoder) demand(d *cell.Demand) {
 	e.array(4)
 	e.uint(uint64(d.Attempt))
 	e.name(string(d.Team))
@@ -113,14 +114,14 @@
 	e.name(string(d.Avoid))
 }
 
-func (e *encoder) grant(g *cell.Grant) {
+func (e *Encoder) grant(g *cell.Grant) {
 	e.array(3)
 	e.uint(uint64(g.Attempt))
 	e.name(string(g.Endpoint))
 	e.name(string(g.Start))
 }
 
-func (e *encoder) flight(f *cell.Flight) {
+func (e *Encoder) flight(f *cell.Flight) {
 	e.array(5)
 	e.uint(uint64(f.Attempt))
 	e.name(string(f.Team))
@@ -129,20 +130,20 @@
 	e.int(int64(f.Charged))
 }
 
-func (e *encoder) refusal(r *cell.Refusal) {
+func (e *Encoder) refusal(r *cell.Refusal) {
 	e.array(3)
 	e.uint(uint64(r.Attempt))
 	e.uint(uint64(r.Code))
 	e.duration(r.RetryAfter)
 }
 
-func (e *encoder) progress(p *cell.Progress) {
+func (e *Encoder) progress(p *cell.Progress) {
 	e.array(2)
 	e.uint(uint64(p.Attempt))
 	e.int(int64(p.Cost))
 }
 
-func (e *encoder) end(end *cell.End) {
+func (e *Encoder) end(end *cell.End) {
 	e.array(4)
 	e.uint(uint64(end.Attempt))
 	e.uint(uint64(end.Outcome))
@@ -150,7 +151,7 @@
 	e.duration(end.FirstToken)
 }
 
-func (e *encoder) host(h *Host) {
+func (e *Encoder) host(h *Host) {
 	e.array(4)
 	e.string(string(h.Host))
 	e.string(h.Address.String())
@@ -158,19 +159,19 @@
 	e.keep(e.enc.EncodeBool(h.Leaving))
 }
 
-func (e *encoder) counter(c *cell.TeamCounter) {
+func (e *Encoder) counter(c *cell.TeamCounter) {
 	e.array(2)
 	e.name(string(c.Team))
 	e.keep(e.enc.EncodeFloat64(c.Service))
 }
 
 // duration writes whole milliseconds, rounded up so that a known time never becomes zero.
-func (e *encoder) duration(d time.Duration) {
+func (e *Encoder) duration(d time.Duration) {
 	e.int(int64((d + time.Millisecond - 1) / time.Millisecond))
 }
 
 // name writes a name once, and from then on its number.
-func (e *encoder) name(name string) {
+func (e *Encoder) name(name string) {
 	if number, ok := e.names.number(name); ok {
 		e.uint(number)
 		return
@@ -179,18 +180,18 @@
 	e.names.sent(name)
 }
 
-func (e *encoder) array(n int)     { e.keep(e.enc.EncodeArrayLen(n)) }
-func (e *encoder) uint(n uint64)   { e.keep(e.enc.EncodeUint(n)) }
-func (e *encoder) int(n int64)     { e.keep(e.enc.EncodeInt(n)) }
-func (e *encoder) string(s string) { e.keep(e.enc.EncodeString(s)) }
+func (e *Encoder) array(n int)     { e.keep(e.enc.EncodeArrayLen(n)) }
+func (e *Encoder) uint(n uint64)   { e.keep(e.enc.EncodeUint(n)) }
+func (e *Encoder) int(n int64)     { e.keep(e.enc.EncodeInt(n)) }
+func (e *Encoder) string(s string) { e.keep(e.enc.EncodeString(s)) }
 
-func (e *encoder) keep(err error) {
+func (e *Encoder) keep(err error) {
 	if e.err == nil {
 		e.err = err
 	}
 }
 
-func encodeSlice[T any](e *encoder, items []T, one func(*encoder, *T)) {
+func encodeSlice[T any](e *Encoder, items []T, one func(*Encoder, *T)) {
 	e.array(len(items))
 	for i := range items {
 		one(e, &items[i])
--- a/io/peer/message.go
+++ b/io/wire/message.go
@@ -1,4 +1,4 @@
-package peer
+package wire
 
 import (
 	"net/netip"
@@ -130,6 +130,9 @@
 // Kind numbers a type of message on the wire; numbers are never reused.
 type Kind uint8
 
+// KindOf returns the kind of a message.
+func KindOf(msg Message) Kind { return msg.kind() }
+
 // Kinds of frames. KindHeartbeat has no Message.
 const (
 	KindHeartbeat Kind = iota
@@ -152,10 +155,10 @@
 	KindDeparted
 	KindListed
 
-	kindCount
+	KindCount // KindCount is the number of kinds.
 )
 
-var kindNames = [kindCount]string{
+var kindNames = [KindCount]string{
 	"heartbeat", "join", "accepted", "release", "released", "want", "withdraw", "grants",
 	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part", "members",
 	"departed", "listed",
@@ -163,7 +166,7 @@
 
 // String returns the kind's name in counters.
 func (k Kind) String() string {
-	if k >= kindCount {
+	if k >= KindCount {
 		return "unknown"
 	}
 	return kindNames[k]
--- a/router/cells.go
+++ b/router/cells.go
@@ -6,7 +6,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/lend"
-	"ryelug/io/peer"
+	"ryelug/io/wire"
 )
 
 // cellState is one cell at this router.
@@ -83,19 +83,19 @@
 }
 
 // dispatcherReceived delivers an entry's message to the dispatcher of its cell.
-func (c *coordinator) dispatcherReceived(now time.Time, from cell.RouterID, message peer.Message, echoed time.Time) {
+func (c *coordinator) dispatcherReceived(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
 	switch m := message.(type) {
-	case *peer.Join:
+	case *wire.Join:
 		c.join(now, from, m, echoed)
-	case *peer.Release:
+	case *wire.Release:
 		c.release(now, from, m)
-	case *peer.Want:
+	case *wire.Want:
 		c.dispatch(now, m.Cell, &dispatch.Want{Router: from, Session: m.Session, Demands: m.Demands})
-	case *peer.Withdraw:
+	case *wire.Withdraw:
 		c.dispatch(now, m.Cell, &dispatch.Withdraw{Router: from, Session: m.Session, Attempts: m.Attempts})
-	case *peer.Progress:
+	case *wire.Progress:
 		c.dispatch(now, m.Cell, &dispatch.Progressed{Router: from, Session: m.Session, Progress: m.Progress})
-	case *peer.Ends:
+	case *wire.Ends:
 		c.dispatch(now, m.Cell, &dispatch.Ended{Router: from, Ends: m.Ends})
 	}
 }
@@ -108,10 +108,10 @@
 }
 
 // join takes an entry in. A router that leaves or does not know the cell sends it on.
-func (c *coordinator) join(now time.Time, from cell.RouterID, m *peer.Join, echoed time.Time) {
+func (c *coordinator) join(now time.Time, from cell.RouterID, m *wire.Join, echoed time.Time) {
 	state, ok := c.cells[m.Cell]
 	if !ok || c.leaving {
-		c.toEntry(from, &peer.Released{Cell: m.Cell, Session: m.Session})
+		c.toEntry(from, &wire.Released{Cell: m.Cell, Session: m.Session})
 		return
 	}
 	if last, joined := state.entries[from]; joined && last >= m.Session {
@@ -127,21 +127,21 @@
 	if !echoed.IsZero() {
 		c.renewSession(now, state, from, m.Session, echoed)
 	}
-	c.toEntry(from, &peer.Accepted{Cell: m.Cell, Session: m.Session})
+	c.toEntry(from, &wire.Accepted{Cell: m.Cell, Session: m.Session})
 }
 
-func (c *coordinator) release(now time.Time, from cell.RouterID, m *peer.Release) {
+func (c *coordinator) release(now time.Time, from cell.RouterID, m *wire.Release) {
 	state, ok := c.cells[m.Cell]
 	if ok && state.entries[from] == m.Session {
 		delete(state.entries, from)
 		c.dispatcherStep(now, state, &dispatch.Leave{Router: from, Session: m.Session})
 	}
-	c.toEntry(from, &peer.Released{Cell: m.Cell, Session: m.Session})
+	c.toEntry(from, &wire.Released{Cell: m.Cell, Session: m.Session})
 }
 
 // dispatcherStep steps a dispatcher and sends what it decided, one message for each run of a router's grants.
 func (c *coordinator) dispatcherStep(now time.Time, state *cellState, event dispatch.Event) {
-	var grants *peer.Grants
+	var grants *wire.Grants
 	var to cell.RouterID
 	for _, action := range state.dispatcher.Step(now, event) {
 		switch action := action.(type) {
@@ -161,16 +161,16 @@
 }
 
 // startGrants sends the run of grants that is complete and starts the next one.
-func (c *coordinator) startGrants(state *cellState, to cell.RouterID, done *peer.Grants, next *dispatch.GrantTo) *peer.Grants {
+func (c *coordinator) startGrants(state *cellState, to cell.RouterID, done *wire.Grants, next *dispatch.GrantTo) *wire.Grants {
 	if done != nil {
 		c.toEntry(to, done)
 	}
-	return &peer.Grants{Cell: state.id, Session: next.Session}
+	return &wire.Grants{Cell: state.id, Session: next.Session}
 }
 
-func refusals(state *cellState, action *dispatch.RefuseTo) *peer.Refusals {
+func refusals(state *cellState, action *dispatch.RefuseTo) *wire.Refusals {
 	refusal := cell.Refusal{Attempt: action.Attempt, Code: uint16(action.Code), RetryAfter: action.RetryAfter}
-	return &peer.Refusals{Cell: state.id, Session: action.Session, Refusals: []cell.Refusal{refusal}}
+	return &wire.Refusals{Cell: state.id, Session: action.Session, Refusals: []cell.Refusal{refusal}}
 }
 
 // tellCounters sends each entry the next slice of the teams' counters, so that
@@ -185,7 +185,7 @@
 	}
 	for router := range state.entries {
 		slice := state.nextCounters()
-		c.toEntry(router, &peer.Counters{Cell: state.id, Counters: slice})
+		c.toEntry(router, &wire.Counters{Cell: state.id, Counters: slice})
 	}
 }
 
--- a/router/command.go
+++ b/router/command.go
@@ -7,7 +7,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/member"
 	"ryelug/io/endpoint"
-	"ryelug/io/peer"
+	"ryelug/io/wire"
 )
 
 // command is what another duty asks of the coordination duty.
@@ -53,7 +53,7 @@
 // tell sends a message to a router, or to all linked ones if to is empty.
 type tell struct {
 	to      cell.RouterID
-	message peer.Message
+	message wire.Message
 }
 
 // depart gives the dispatcher role away.
--- a/router/configuration/duty.go
+++ b/router/configuration/duty.go
@@ -12,8 +12,8 @@
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/spread"
-	"ryelug/io/peer"
 	"ryelug/io/platform"
+	"ryelug/io/wire"
 )
 
 const (
@@ -39,7 +39,7 @@
 type Config struct {
 	Spread   spread.Config // Spread names the router and its waiting times.
 	Platform Platform
-	Send     func(to cell.RouterID, message peer.Message)       // Send must not block.
+	Send     func(to cell.RouterID, message wire.Message)       // Send must not block.
 	Adopt    func(generation uint64, document *config.Document) // Adopt is called with rising generations, one at a time.
 	Report   func(generation uint64, err error)                 // Report is told of generations that can't be adopted; it may be nil.
 	Log      logrus.FieldLogger
@@ -100,13 +100,13 @@
 }
 
 // Received takes a message of a peer; messages that are not about configuration are ignored.
-func (d *Duty) Received(from cell.RouterID, message peer.Message) {
+func (d *Duty) Received(from cell.RouterID, message wire.Message) {
 	switch m := message.(type) {
-	case *peer.ConfigNews:
+	case *wire.ConfigNews:
 		d.inbox.put(&spread.News{From: from, Generation: m.Generation, Root: m.Root})
-	case *peer.ConfigAsk:
+	case *wire.ConfigAsk:
 		d.inbox.put(&spread.Ask{From: from, Hashes: m.Hashes})
-	case *peer.ConfigPart:
+	case *wire.ConfigPart:
 		d.inbox.put(&spread.Part{From: from, Hash: m.Hash, Data: m.Data})
 	}
 }
@@ -147,11 +147,11 @@
 			enqueue(d, d.parts, readPart{hash})
 		}
 	case *spread.SendNews:
-		d.config.Send(a.To, &peer.ConfigNews{Generation: a.Generation, Root: a.Root})
+		d.config.Send(a.To, &wire.ConfigNews{Generation: a.Generation, Root: a.Root})
 	case *spread.SendAsk:
-		d.config.Send(a.To, &peer.ConfigAsk{Hashes: a.Hashes})
+		d.config.Send(a.To, &wire.ConfigAsk{Hashes: a.Hashes})
 	case *spread.SendPart:
-		d.config.Send(a.To, &peer.ConfigPart{Hash: a.Hash, Data: a.Data})
+		d.config.Send(a.To, &wire.ConfigPart{Hash: a.Hash, Data: a.Data})
 	case *spread.Adopt:
 		d.adopt(a)
 	case *spread.Report:
--- a/router/coordinator.go
+++ b/router/coordinator.go
@@ -14,6 +14,7 @@
 	"ryelug/core/member"
 	"ryelug/core/spread"
 	"ryelug/io/peer"
+	"ryelug/io/wire"
 )
 
 // Sizes of the coordinator's rings and the pace of its duties.
@@ -38,7 +39,7 @@
 	table     *member.Table
 	cells     map[cell.ID]*cellState
 	links     linkSet
-	loopback  []peer.Message // loopback holds this router's messages to itself.
+	loopback  []wire.Message // loopback holds this router's messages to itself.
 	deferred  []command      // deferred holds commands that arise inside a step.
 	directory *directory
 	voters    []cell.HostID // voters and total are what the dispatchers were told last.
@@ -50,7 +51,7 @@
 	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
 	polled    atomic.Pointer[[]pollTarget]
 	listedAt  atomic.Pointer[time.Time]  // listedAt is when a list of hosts came last, read here or by a watcher.
-	lists     map[*peer.Link][]peer.Host // lists holds the list that each link was told last, or has told last.
+	lists     map[*peer.Link][]wire.Host // lists holds the list that each link was told last, or has told last.
 	pollNow   chan struct{}              // pollNow asks for a round of load reports before the next one is due.
 
 	progressAt time.Time
@@ -59,7 +60,7 @@
 
 // newsReceiver takes the messages that spread the configuration.
 type newsReceiver interface {
-	Received(from cell.RouterID, message peer.Message)
+	Received(from cell.RouterID, message wire.Message)
 	PeerUp(router cell.RouterID)
 	PeerDown(router cell.RouterID)
 	Watching() bool
@@ -74,7 +75,7 @@
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
-		lists:    make(map[*peer.Link][]peer.Host),
+		lists:    make(map[*peer.Link][]wire.Host),
 		mesh:     mesh,
 		table:    member.New(config.memberConfig()),
 		cells:    make(map[cell.ID]*cellState),
@@ -142,7 +143,7 @@
 	case depart:
 		c.depart(now)
 	case farewell:
-		c.links.each(func(link *peer.Link) { link.Send(&peer.Departed{}) })
+		c.links.each(func(link *peer.Link) { link.Send(&wire.Departed{}) })
 	case inspect:
 		cmd.reply <- c.view(now)
 	}
@@ -239,7 +240,7 @@
 		return
 	}
 	c.signs = slices.Clone(signs)
-	c.links.each(func(link *peer.Link) { link.Send(&peer.Members{Hosts: c.signs}) })
+	c.links.each(func(link *peer.Link) { link.Send(&wire.Members{Hosts: c.signs}) })
 }
 
 // refreshVoters tells the dispatchers whose stakes count, if that has changed.
@@ -302,7 +303,7 @@
 func (c *coordinator) depart(now time.Time) {
 	c.leaving = true
 	c.table.Leaving(now, c.config.Host)
-	c.links.each(func(link *peer.Link) { link.Send(&peer.Leaving{}) })
+	c.links.each(func(link *peer.Link) { link.Send(&wire.Leaving{}) })
 	for _, state := range c.cells {
 		c.lenderStep(now, state, &lend.PeerLeaving{Router: c.self})
 		c.refreshOrder(now, state)
--- a/router/entry.go
+++ b/router/entry.go
@@ -9,7 +9,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/lend"
 	"ryelug/core/result"
-	"ryelug/io/peer"
+	"ryelug/io/wire"
 )
 
 // costTable holds the costs so far of the running attempts of a cell. The
@@ -99,17 +99,17 @@
 }
 
 // lenderReceived delivers a dispatcher's message to the lender of its cell.
-func (c *coordinator) lenderReceived(now time.Time, from cell.RouterID, message peer.Message, echoed time.Time) {
+func (c *coordinator) lenderReceived(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
 	switch m := message.(type) {
-	case *peer.Accepted:
+	case *wire.Accepted:
 		c.lend(now, m.Cell, &lend.Accepted{Router: from, Session: m.Session})
-	case *peer.Released:
+	case *wire.Released:
 		c.lend(now, m.Cell, &lend.Released{Router: from, Session: m.Session})
-	case *peer.Grants:
+	case *wire.Grants:
 		c.lend(now, m.Cell, &lend.Grants{Router: from, Session: m.Session, Echoed: echoed, Grants: m.Grants})
-	case *peer.Refusals:
+	case *wire.Refusals:
 		c.lend(now, m.Cell, &lend.Refusals{Router: from, Session: m.Session, Refusals: m.Refusals})
-	case *peer.Counters:
+	case *wire.Counters:
 		c.lend(now, m.Cell, &lend.Counters{Router: from, Counters: m.Counters})
 	}
 }
@@ -127,21 +127,21 @@
 	for _, action := range state.lender.Step(now, event) {
 		switch a := action.(type) {
 		case *lend.Join:
-			c.toDispatcher(a.Router, &peer.Join{
+			c.toDispatcher(a.Router, &wire.Join{
 				Cell: state.id, Session: a.Session, Stake: a.Stake, Flights: slices.Clone(a.Flights), Counters: slices.Clone(a.Counters),
 			})
 		case *lend.Release:
-			c.toDispatcher(a.Router, &peer.Release{Cell: state.id, Session: a.Session})
+			c.toDispatcher(a.Router, &wire.Release{Cell: state.id, Session: a.Session})
 		case *lend.Disconnect:
 			c.disconnect(a.Router)
 		case *lend.SendWant:
-			c.toDispatcher(a.Router, &peer.Want{Cell: state.id, Session: a.Session, Demands: slices.Clone(a.Demands)})
+			c.toDispatcher(a.Router, &wire.Want{Cell: state.id, Session: a.Session, Demands: slices.Clone(a.Demands)})
 		case *lend.SendWithdraw:
-			c.toDispatcher(a.Router, &peer.Withdraw{Cell: state.id, Session: a.Session, Attempts: slices.Clone(a.Attempts)})
+			c.toDispatcher(a.Router, &wire.Withdraw{Cell: state.id, Session: a.Session, Attempts: slices.Clone(a.Attempts)})
 		case *lend.SendProgress:
-			c.toDispatcher(a.Router, &peer.Progress{Cell: state.id, Session: a.Session, Progress: slices.Clone(a.Progress)})
+			c.toDispatcher(a.Router, &wire.Progress{Cell: state.id, Session: a.Session, Progress: slices.Clone(a.Progress)})
 		case *lend.SendEnds:
-			c.toDispatcher(a.Router, &peer.Ends{Cell: state.id, Ends: slices.Clone(a.Ends)})
+			c.toDispatcher(a.Router, &wire.Ends{Cell: state.id, Ends: slices.Clone(a.Ends)})
 		case *lend.Granted:
 			c.granted(state, a)
 		case *lend.Refused:
--- a/router/links.go
+++ b/router/links.go
@@ -6,6 +6,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/lend"
 	"ryelug/io/peer"
+	"ryelug/io/wire"
 )
 
 // linkSet holds the newest link to each router in each direction.
@@ -68,10 +69,10 @@
 	c.links.side(link)[link.Router()] = link
 	c.news.PeerUp(link.Router())
 	if c.leaving {
-		link.Send(&peer.Leaving{})
+		link.Send(&wire.Leaving{})
 	}
 	if c.signs != nil && !c.leaving {
-		link.Send(&peer.Members{Hosts: c.signs})
+		link.Send(&wire.Members{Hosts: c.signs})
 	}
 	if !link.Dialed() {
 		return
@@ -111,7 +112,7 @@
 	} else {
 		c.renew(now, router, event.Echoed)
 	}
-	if list, ok := event.Message.(*peer.Listed); ok {
+	if list, ok := event.Message.(*wire.Listed); ok {
 		c.listHeard(now, event.Link, list)
 		return
 	}
@@ -121,20 +122,20 @@
 }
 
 // received delivers a message of a router, which may be this one.
-func (c *coordinator) received(now time.Time, from cell.RouterID, message peer.Message, echoed time.Time) {
+func (c *coordinator) received(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
 	switch message := message.(type) {
-	case *peer.Join, *peer.Release, *peer.Want, *peer.Withdraw, *peer.Progress, *peer.Ends:
+	case *wire.Join, *wire.Release, *wire.Want, *wire.Withdraw, *wire.Progress, *wire.Ends:
 		c.dispatcherReceived(now, from, message, echoed)
-	case *peer.Accepted, *peer.Released, *peer.Grants, *peer.Refusals, *peer.Counters:
+	case *wire.Accepted, *wire.Released, *wire.Grants, *wire.Refusals, *wire.Counters:
 		c.lenderReceived(now, from, message, echoed)
-	case *peer.Leaving:
+	case *wire.Leaving:
 		c.peerLeaving(now, from)
-	case *peer.Departed:
+	case *wire.Departed:
 		c.table.Departed(now, from.Host())
 		c.refreshVoters(now)
-	case *peer.Members:
+	case *wire.Members:
 		c.told(now, from, message.Hosts)
-	case *peer.ConfigNews, *peer.ConfigAsk, *peer.ConfigPart:
+	case *wire.ConfigNews, *wire.ConfigAsk, *wire.ConfigPart:
 		c.news.Received(from, message)
 	}
 }
@@ -158,16 +159,16 @@
 }
 
 // toDispatcher sends a message of this router's entry role.
-func (c *coordinator) toDispatcher(router cell.RouterID, message peer.Message) {
+func (c *coordinator) toDispatcher(router cell.RouterID, message wire.Message) {
 	c.send(c.links.dialed[router], router, message)
 }
 
 // toEntry sends a message of this router's dispatcher role.
-func (c *coordinator) toEntry(router cell.RouterID, message peer.Message) {
+func (c *coordinator) toEntry(router cell.RouterID, message wire.Message) {
 	c.send(c.links.accepted[router], router, message)
 }
 
-func (c *coordinator) send(link *peer.Link, router cell.RouterID, message peer.Message) {
+func (c *coordinator) send(link *peer.Link, router cell.RouterID, message wire.Message) {
 	if router == c.self {
 		c.loopback = append(c.loopback, message)
 		return
@@ -192,7 +193,7 @@
 	})
 }
 
-func (c *coordinator) tellOne(to cell.RouterID, message peer.Message) {
+func (c *coordinator) tellOne(to cell.RouterID, message wire.Message) {
 	link := c.links.dialed[to]
 	if link == nil {
 		link = c.links.accepted[to]
--- a/router/list.go
+++ b/router/list.go
@@ -6,14 +6,15 @@
 
 	"ryelug/core/member"
 	"ryelug/io/peer"
+	"ryelug/io/wire"
 )
 
 // tellList tells the routers of this data centre the list that this one has just
 // read, so that the platform's reads do not grow with the routers.
 func (c *coordinator) tellList(members []member.Member) {
-	hosts := make([]peer.Host, 0, len(members))
+	hosts := make([]wire.Host, 0, len(members))
 	for _, m := range members {
-		hosts = append(hosts, peer.Host{
+		hosts = append(hosts, wire.Host{
 			Host: m.Host, Address: m.PeerAddress, DataCentre: m.DataCentre, Leaving: m.Leaving,
 		})
 	}
@@ -24,18 +25,18 @@
 	}
 }
 
-func (c *coordinator) tellListOn(link *peer.Link, hosts []peer.Host) {
+func (c *coordinator) tellListOn(link *peer.Link, hosts []wire.Host) {
 	last, known := c.lists[link]
 	if known && slices.Equal(last, hosts) {
-		link.Send(&peer.Listed{})
+		link.Send(&wire.Listed{})
 		return
 	}
 	c.lists[link] = hosts
-	link.Send(&peer.Listed{Changed: true, Hosts: hosts})
+	link.Send(&wire.Listed{Changed: true, Hosts: hosts})
 }
 
 // listHeard takes the list of a watcher, which has read it a moment ago.
-func (c *coordinator) listHeard(now time.Time, link *peer.Link, list *peer.Listed) {
+func (c *coordinator) listHeard(now time.Time, link *peer.Link, list *wire.Listed) {
 	if list.Changed {
 		c.lists[link] = list.Hosts
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"ryelug/core/config"
 	"ryelug/io/caller"
 	"ryelug/io/peer"
+	"ryelug/io/wire"
 	"ryelug/router/configuration"
 	"ryelug/router/request"
 )
@@ -130,7 +131,7 @@
 }
 
 // send hands a message of the configuration duty to the links.
-func (r *Router) send(to cell.RouterID, message peer.Message) {
+func (r *Router) send(to cell.RouterID, message wire.Message) {
 	r.coordinator.postAlways(tell{to: to, message: message})
 }
 
