--- a/router/coordinator.go
+++ b/router/coordinator.go
@@ -39,6 +39,7 @@
 	cells     map[cell.ID]*cellState
 	links     linkSet
 	loopback  []peer.Message // loopback holds this router's messages to itself.
+	began     time.Time      // began is when the present step began; what it decides is no younger.
 	deferred  []command      // deferred holds commands that arise inside a step.
 	directory *directory
 	voters    []cell.HostID // voters and total are what the dispatchers were told last.
@@ -95,11 +96,14 @@
 			if !ok {
 				return nil
 			}
+			c.began = time.Now()
 			c.peerEvent(event)
 		case cmd := <-c.commands:
-			c.handle(time.Now(), cmd)
+			c.began = time.Now()
+			c.handle(c.began, cmd)
 		case <-ticker.C:
-			c.tick(time.Now())
+			c.began = time.Now()
+			c.tick(c.began)
 		}
 		c.drain()
 	}
@@ -202,9 +206,10 @@
 	for len(c.loopback) > 0 || len(c.deferred) > 0 {
 		loopback, deferred := c.loopback, c.deferred
 		c.loopback, c.deferred = nil, nil
-		now := time.Now()
+		decided, now := c.began, time.Now()
+		c.began = now
 		for _, message := range loopback {
-			c.received(now, c.self, message, now)
+			c.received(now, c.self, message, decided)
 		}
 		for _, cmd := range deferred {
 			c.handle(now, cmd)
