--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -1,5 +1,3 @@
-//go:build !race
-
 package bench_test
 
 import (
@@ -32,9 +30,6 @@
 	return measured
 }
 
-// The race detector's own runtime fails on runs of this length (a CHECK of
-// tsan_rtl.cpp), so .ci/run runs these tests a second time without it.
-
 // TestMeasures runs the router code and the baselines, and holds the router code to the derived bounds.
 func TestMeasures(t *testing.T) {
 	deployments := bench.Deployments()
--- a/bench/slope_test.go
+++ b/bench/slope_test.go
@@ -1,5 +1,3 @@
-//go:build !race
-
 package bench_test
 
 import (
--- a/cmd/ryelug/sample.go
+++ b/cmd/ryelug/sample.go
@@ -9,6 +9,7 @@
 
 	"ryelug/core/config"
 	"ryelug/io/platform"
+	"ryelug/router/publish"
 )
 
 // The sample environment of the dev command.
@@ -103,13 +104,11 @@
 func publishSample(ctx context.Context, address netip.AddrPort, endpoints []sampleEndpoint) error {
 	client := platform.New(platform.Config{Address: address, Environment: sampleEnvironment})
 	defer client.Close()
-	root, parts := config.Split(sampleDocument(endpoints))
-	for hash, part := range parts {
-		if _, err := client.Create(ctx, platform.Parts, platform.PartObject(hash, part)); err != nil {
-			return err
-		}
+	publisher := publish.New(publish.Config{Platform: client, Environment: sampleEnvironment})
+	base, err := publisher.Read(ctx)
+	if err != nil {
+		return err
 	}
-	root.Generation, root.ChangeID, root.Changed = 1, "sample", time.Now()
-	_, err := client.Create(ctx, platform.Roots, platform.Object{Name: platform.CurrentRoot, Data: root.Encode()})
+	_, err = publisher.Put(ctx, publish.Change{Base: base, Document: sampleDocument(endpoints), Text: "sample"})
 	return err
 }
