Tell the dispatcher of endpoints that can't be reached

Cause: an entry that got no connection handed its grant back as unused, which the dispatcher takes for a late grant; a dead endpoint went on to get grants until two polls were lost. And the dispatcher took the default for grant_valid whatever the settings said, so with a longer one its wait for a report was too short. Ruled out: Refused for it, which means that the endpoint answered. Change: the outcome Unreached, which counts as a failure of the endpoint; the dispatcher gets grant_valid from the timings. Conclusion: two failed connects in a row make an endpoint cold.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -73,6 +73,7 @@
 	Unused                          // Unused: the grant was handed back and nothing was sent.
 	Refused                         // Refused: the endpoint refused before running.
 	StartChanged                    // StartChanged: the endpoint has restarted and nothing was sent.
+	Unreached                       // Unreached: there was no connection to the endpoint and nothing was sent.
 )
 
 // Progress reports the cost of an attempt so far.
--- a/core/dispatch/dispatcher_test.go
+++ b/core/dispatch/dispatcher_test.go
@@ -33,6 +33,14 @@
 		b.end(b.grants[0], cell.Completed, 10)
 		b.Equal(b.grants[1].Grant.Attempt, cell.AttemptID(3))
 	})
+	t.Run("unreached endpoints turn cold", func(t *testing.T) {
+		b := warmBench(t, 3)
+		b.want(0, "a", 9)
+		for _, grant := range b.grants[:2] {
+			b.end(grant, cell.Unreached, 0)
+		}
+		b.Equal(b.d.Snapshot().Endpoints[0].Limit, 1)
+	})
 	t.Run("another session is ignored", func(t *testing.T) {
 		b := warmBench(t, 1)
 		b.step(&dispatch.Want{Router: router(0), Session: 2, Demands: []cell.Demand{{Attempt: 1, Team: "a"}}})
--- a/core/entry/life.go
+++ b/core/entry/life.go
@@ -104,7 +104,7 @@
 	if ev.Expired {
 		return l.askAgain(now, cell.Unused, GrantExpired)
 	}
-	return l.retry(now, &Ask{End: cell.Unused, Avoid: ev.Endpoint, Reason: EndpointUnreachable}, result.EndpointUnreachable, 0)
+	return l.retry(now, &Ask{End: cell.Unreached, Avoid: ev.Endpoint, Reason: EndpointUnreachable}, result.EndpointUnreachable, 0)
 }
 
 func (l *Life) startChanged(now time.Time) Action {
--- a/core/flight/endpoint.go
+++ b/core/flight/endpoint.go
@@ -130,7 +130,7 @@
 	switch end.Outcome {
 	case cell.Completed:
 		gate.Completed(now, end.FirstToken)
-	case cell.Failed, cell.Refused:
+	case cell.Failed, cell.Refused, cell.Unreached:
 		gate.Failed(now)
 	case cell.StartChanged:
 		gate.Outdated(now)
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -16,6 +16,10 @@
 	DefaultDamping     = 5 * time.Second
 	DefaultCutOffAfter = 2 * time.Second
 
+	// downGrace is how long a host keeps its place in the order without a link. An entry skips it for as long,
+	// and goes back to it at once if the link is soon there again.
+	downGrace = time.Second
+
 	// selfDelay is how much later a process comes first in its own order than in those of the others, who hear of it late.
 	selfDelay    = time.Second
 	departedKeep = 5 * time.Second // departedKeep is how long a departed host that is still listed does not count, unless it is linked again.
@@ -35,7 +39,7 @@
 	Started     time.Time     // Started is when this process started.
 	Lag         time.Duration // Lag bounds the age of a list, the pause between two reads included.
 	ShrinkDelay time.Duration // ShrinkDelay is how long a host counts after the last sign of it; more than CutOffAfter and Lag together.
-	Damping     time.Duration // Damping is how long a link must hold after it was down, and a process must run, to come first in an order.
+	Damping     time.Duration // Damping is how long a link must hold after repeated losses, and a process must run, to come first in an order.
 	CutOffAfter time.Duration // CutOffAfter is how long a router may go on without a fresh list and without most of its peers.
 }
 
@@ -64,8 +68,9 @@
 	lastSign time.Time // lastSign is the last time at which known was true.
 	up       bool
 	upAt     time.Time
-	wasDown  bool // wasDown tells that a link to the host has been lost before.
-	leaving  bool // leaving is the host's own word.
+	downAt   time.Time // downAt is when the link was lost last.
+	damped   bool      // damped tells that it was lost repeatedly, and has not held for long enough since.
+	leaving  bool      // leaving is the host's own word.
 
 	departedAt time.Time // departedAt is when the host said that it has nothing in flight and lends no stake; zero if it did not.
 	live       bool      // live is up, not leaving and past its damping.
@@ -192,8 +197,9 @@
 // Down tells that there is no link to the host any more.
 func (t *Table) Down(now time.Time, host cell.HostID) {
 	if r := t.hosts[host]; r != nil && host != t.conf.Self {
+		r.damped = r.damped || !r.downAt.IsZero() && now.Sub(r.downAt) < 2*t.conf.Damping
 		r.up = false
-		r.wasDown = true
+		r.downAt = now
 	}
 	t.say(host, nil)
 	t.settle(now)
@@ -333,8 +339,11 @@
 	if host == t.conf.Self {
 		return true
 	}
-	damped := r.wasDown && now.Sub(r.upAt) < t.conf.Damping
-	return r.up && !damped
+	if r.up && now.Sub(r.upAt) >= t.conf.Damping {
+		r.damped = false
+	}
+	isGrace := !r.downAt.IsZero() && now.Sub(r.downAt) < downGrace
+	return (r.up || isGrace) && !r.damped
 }
 
 // majority tells whether this router is linked to more than half of the listed hosts, itself among them.
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -169,6 +169,19 @@
 	b.Equal(b.Order(b.now, id)[0], first)
 }
 
+// A link that is lost once and soon back moves no cell; a host that stays away moves its own.
+func TestShortLossMovesNothing(t *testing.T) {
+	b := newBench(t, 6)
+	first := b.Order(b.now, "tickets")[0]
+	b.Down(b.now, first)
+	b.pass(900 * time.Millisecond)
+	b.Equal(b.Order(b.now, "tickets")[0], first)
+	b.pass(100 * time.Millisecond)
+	b.True(b.Order(b.now, "tickets")[0] != first)
+	b.Up(b.now, first)
+	b.Equal(b.Order(b.now, "tickets")[0], first)
+}
+
 // A new process comes last among the live hosts, in its own order too, until it has run for the damping time.
 func TestNewProcessTakesNoCell(t *testing.T) {
 	b := newBench(t, 6)
@@ -197,6 +210,7 @@
 		before[id] = b.Order(b.now, id)[0]
 	}
 	b.Down(b.now, "h1")
+	b.pass(time.Second) // Until then it keeps its place, should its link come back.
 	moved := 0
 	for id, first := range before {
 		now := b.Order(b.now, id)[0]
--- a/router/config.go
+++ b/router/config.go
@@ -114,7 +114,7 @@
 }
 
 func (c *Config) dispatchConfig(id cell.ID) dispatch.Config {
-	return dispatch.Config{Cell: id, Order: c.Order}
+	return dispatch.Config{Cell: id, GrantValid: c.Timings.GrantValid, Order: c.Order}
 }
 
 func (c *Config) peerConfig() peer.Config {
