--- a/router/process/operating_test.go
+++ b/router/process/operating_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -39,3 +41,39 @@
 		}
 	}
 }
+
+// Every test that docs/PROOFS.md names must be in one of the packages of its row.
+func TestProofsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/PROOFS.md")
+	is.NoErr(err)
+	name := regexp.MustCompile("`(Test[A-Za-z]+)`")
+	for row := range strings.Lines(string(page)) {
+		cells := strings.Split(row, "|")
+		if len(cells) < 6 {
+			continue
+		}
+		code := testCode(t, strings.Split(cells[4], ","))
+		for _, found := range name.FindAllStringSubmatch(cells[3], -1) {
+			if !strings.Contains(code, "func "+found[1]+"(t *testing.T)") {
+				t.Errorf("no test %s in%s", found[1], cells[4])
+			}
+		}
+	}
+}
+
+// testCode returns the text of all test files of some packages.
+func testCode(t *testing.T, packages []string) string {
+	t.Helper()
+	var code strings.Builder
+	for _, one := range packages {
+		files, err := filepath.Glob(filepath.Join("../..", strings.TrimSpace(one), "*_test.go"))
+		is.New(t).NoErr(err)
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			is.New(t).NoErr(err)
+			code.Write(text)
+		}
+	}
+	return code.String()
+}
