Keep a panic of one request from ending the router

Cause: the goroutine that runs Handler.Serve did not recover, so a panic in the handler of one request ended the process and cut all its streams. Ruled out: recovering in the router's Serve, since then the server of callers would still fall with any other handler, and the exchange ends in that goroutine. Change: io/caller recovers there, the request gets InternalFailure with not_run false (an error event in a stream), and Panicked is told; the router logs the stack and counts 3999. router/request ends an open permit as Failed, stops the engine's work and settles the key's record as unknown, so that a repeat is told so at once. Figures: seen failing first. With the recovery but without the deferred end, TestPanicEndsPermit and TestPanicWithKey fail: no end of the permit within 2 s. Now `go test -race -count=1 -timeout 60s -run TestPanic ./io/caller ./router ./router/request` passes: 1.0 s, 1.4 s, 2.3 s. Conclusion: a panic costs its own request only.

--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -14,6 +14,13 @@
 	Serve(ctx context.Context, req *Request, w Writer)
 }
 
+// Panic is what is known of a handler's panic; the request ends with InternalFailure.
+type Panic struct {
+	Request string // Request is the request's ID.
+	Cause   any    // Cause is the value of the panic.
+	Stack   []byte
+}
+
 // Request is one request of a caller; the handler may keep it.
 type Request struct {
 	ID             string // ID is unique in the fleet and made by the server.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 	Buffer       int               // Buffer bounds the events that wait for a slow caller.
 	MaxConns     int               // MaxConns bounds the callers' connections.
 	Refused      func(result.Code) // Refused is told of requests that never reach the handler.
+	Panicked     func(Panic)       // Panicked is told of handlers that panic.
 }
 
 // Server answers callers.
@@ -71,6 +73,9 @@
 	if config.Refused == nil {
 		config.Refused = func(result.Code) {}
 	}
+	if config.Panicked == nil {
+		config.Panicked = func(Panic) {}
+	}
 	s := &Server{config: config, prefix: uuid.NewString()}
 	s.closing, s.close = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
@@ -128,10 +133,7 @@
 	if link, ok := rc.Conn().(*conn); ok {
 		stop = link.watch(cancel)
 	}
-	go func() {
-		defer ex.end()
-		s.config.Handler.Serve(ctx, req, ex)
-	}()
+	go s.handle(ctx, req, ex)
 	if head := <-ex.head; !head.stream {
 		stop()
 		cancel()
@@ -147,6 +149,17 @@
 	}))
 }
 
+// handle runs the handler. A handler that panics ends its own request and no other.
+func (s *Server) handle(ctx context.Context, req *Request, ex *exchange) {
+	defer ex.end()
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.config.Panicked(Panic{Request: req.ID, Cause: cause, Stack: debug.Stack()})
+		}
+	}()
+	s.config.Handler.Serve(ctx, req, ex)
+}
+
 // fields are what the router reads of a body.
 type fields struct {
 	Model  string `json:"model"`
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -22,8 +22,9 @@
 
 // handlerFunc is a Handler that counts its calls.
 type handlerFunc struct {
-	calls atomic.Int64
-	serve func(ctx context.Context, req *caller.Request, w caller.Writer)
+	calls  atomic.Int64
+	panics chan caller.Panic
+	serve  func(ctx context.Context, req *caller.Request, w caller.Writer)
 }
 
 func (h *handlerFunc) Serve(ctx context.Context, req *caller.Request, w caller.Writer) {
@@ -33,8 +34,8 @@
 
 // startServer serves callers with small limits and returns its address.
 func startServer(t *testing.T, serve func(context.Context, *caller.Request, caller.Writer)) (string, *handlerFunc) {
-	handler := &handlerFunc{serve: serve}
-	server := caller.New(caller.Config{Handler: handler, ReadTimeout: 300 * time.Millisecond, WriteTimeout: 500 * time.Millisecond,
+	handler := &handlerFunc{serve: serve, panics: make(chan caller.Panic, 1)}
+	server := caller.New(caller.Config{Handler: handler, Panicked: func(p caller.Panic) { handler.panics <- p }, ReadTimeout: 300 * time.Millisecond, WriteTimeout: 500 * time.Millisecond,
 		MaxHeader: 2 << 10, MaxBody: 4 << 10, Buffer: 8})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/router/request/key.go
+++ b/router/request/key.go
@@ -25,18 +25,19 @@
 		Fingerprint: idempotency.Fingerprint(r.req.Method, r.req.Path, r.req.ContentType, r.req.Body),
 		Longest:     r.route.QueueTimeout + r.route.LongestRequest,
 	})
+	if hold != nil {
+		defer hold.Settle(ctx)
+	}
 	switch claimed := claimed.(type) {
 	case *idempotency.Own:
 		r.key = hold
+		hold.Unanswered(false) // This stays if a panic ends the request.
 		r.loop(ctx)
 	case *idempotency.Replay:
 		r.replay(claimed.Answer)
 	case *idempotency.Refuse:
 		r.final(claimed)
 	}
-	if hold != nil {
-		hold.Settle(ctx)
-	}
 }
 
 // replay answers a repeat with what the first request was answered.
--- /dev/null
+++ b/router/request/panic_test.go
@@ -0,0 +1,106 @@
+package request_test
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/core/result"
+	"ryelug/io/endpoint"
+	"ryelug/router/keyed"
+	"ryelug/router/request"
+	"ryelug/standin/engine"
+)
+
+// brokenEndpoints panics in the sends of the requests that say so.
+type brokenEndpoints struct{ request.Endpoints }
+
+func (b *brokenEndpoints) Send(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error) {
+	answer, err := b.Endpoints.Send(ctx, call)
+	if strings.Contains(string(call.Body), "panic") {
+		panic("a broken client")
+	}
+	return answer, err
+}
+
+// brokenPermit panics at the first report of progress, in the middle of a stream.
+type brokenPermit struct{ request.Permit }
+
+func (*brokenPermit) Progress(cell.Cost) { panic("a broken report") }
+
+// brokenGrants gives brokenPermits.
+type brokenGrants struct{ request.Grants }
+
+func (b *brokenGrants) Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
+	permit, err := b.Grants.Ask(ctx, pool, team, hint, avoid)
+	return &brokenPermit{permit}, err
+}
+
+// TestPanicEndsPermit ends the permit of a request that panics, once, and stops the engine's work.
+func TestPanicEndsPermit(t *testing.T) {
+	start := func(t *testing.T, broken bool) (*servedEngine, *fakeGrants, string) {
+		e := startEngine(t, engine.Config{Name: "e", Tokens: 200, TokenGap: 5 * time.Millisecond})
+		grants := &fakeGrants{endpoints: []target{e}, valid: time.Second}
+		config := request.Config{Grants: grants, Endpoints: &brokenEndpoints{endpoint.New(endpoint.Config{})}}
+		if broken {
+			config.Grants = &brokenGrants{grants}
+		}
+		return e, grants, serveCallers(t, config, request.Route{Idempotent: true})
+	}
+	check := func(t *testing.T, e *servedEngine, grants *fakeGrants) {
+		t.Helper()
+		is := is.New(t)
+		is.Equal(grants.ended(1), []cell.Outcome{cell.Failed})
+		for deadline := time.Now().Add(2 * time.Second); e.Load().InFlight > 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(e.Load().InFlight, 0)
+	}
+	t.Run("in a send", func(t *testing.T) {
+		e, grants, url := start(t, false)
+		_, body := post(t, url, `{"model":"panic","stream":true}`)
+		got := parseRefusal(t, body)
+		is.New(t).Equal([]any{got.Error.Code, got.Error.NotRun}, []any{result.InternalFailure, false})
+		check(t, e, grants)
+		status, _ := post(t, url, `{"model":"m"}`)
+		is.New(t).Equal(status, 200)
+	})
+	t.Run("in a stream", func(t *testing.T) {
+		e, grants, url := start(t, true)
+		status, body := post(t, url, `{"model":"m","stream":true}`)
+		is := is.New(t)
+		is.Equal(status, 200)
+		is.True(strings.Contains(body, "event: error\ndata: {\"error\":{\"code\":3999,"))
+		is.True(strings.Count(body, "data: ") > 10)
+		check(t, e, grants)
+	})
+}
+
+// TestPanicWithKey leaves a record that tells repeats at once that the outcome is unknown.
+func TestPanicWithKey(t *testing.T) {
+	is := is.New(t)
+	_, clients := startPlatform(t, 1)
+	grants := &fakeGrants{endpoints: []target{noAddress{}}, valid: time.Second}
+	keys := keyed.New(keyed.Config{Records: clients[0]})
+	url := serveCallers(t, request.Config{Keys: keys, Grants: grants, Endpoints: panicking{}}, request.Route{Service: true})
+	var codes []result.Code
+	for range 2 {
+		_, body := post(t, url, `{}`, "Idempotency-Key", "k")
+		got := parseRefusal(t, body)
+		is.True(!got.Error.NotRun)
+		codes = append(codes, got.Error.Code)
+		is.Equal(grants.ended(1), []cell.Outcome{cell.Failed})
+	}
+	is.Equal(codes, []result.Code{result.InternalFailure, result.KeyOutcomeUnknown})
+}
+
+// panicking panics at every call.
+type panicking struct{}
+
+func (panicking) Send(context.Context, endpoint.Call) (*endpoint.Answer, error) { panic("send") }
+func (panicking) Cancel(context.Context, netip.AddrPort, string) error          { panic("cancel") }
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -41,6 +41,7 @@
 // loop lets the life decide and does what it wants until the final answer.
 func (r *run) loop(ctx context.Context) {
 	r.endAttempt = func() {}
+	defer r.abort()
 	var ev entry.Event = &entry.Begin{}
 	for ev != nil {
 		if ctx.Err() != nil && !r.detached() {
@@ -50,6 +51,16 @@
 	}
 }
 
+// abort ends what a panic has left open; after a final answer nothing is.
+func (r *run) abort() {
+	if r.permit == nil {
+		return
+	}
+	defer r.end(cell.Failed)
+	r.closeStream()
+	r.stop(true)
+}
+
 // detached tells that the request goes on without its caller, who will ask for the outcome by its key.
 func (r *run) detached() bool { return r.key != nil && r.sent }
 
@@ -266,8 +277,9 @@
 		cost = r.meter.cost()
 	}
 	r.endAttempt()
-	r.permit.End(outcome, cost, r.firstToken)
+	permit := r.permit
 	r.permit = nil
+	permit.End(outcome, cost, r.firstToken)
 	r.firstToken = 0
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -49,6 +49,7 @@
 	})
 	conf.Callers.Handler = r
 	conf.Callers.Refused = conf.Counter.Refused
+	conf.Callers.Panicked = r.panicked
 	r.callers = caller.New(conf.Callers)
 	return r
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/result"
@@ -57,6 +59,12 @@
 	}
 }
 
+// panicked logs and counts a request that ended by a panic.
+func (r *Router) panicked(p caller.Panic) {
+	r.log.WithFields(logrus.Fields{"request": p.Request, "cause": p.Cause, "stack": string(p.Stack)}).Error("A request panicked.")
+	r.config.Counter.Refused(result.InternalFailure)
+}
+
 // resolve finds the team and the route of a request.
 func (r *Router) resolve(req *caller.Request) (request.Route, result.Code) {
 	d := r.directory.Load()
