Set the rate and retention of keyed requests

Cause: the fleet's bound on requests with an Idempotency-Key (100 a second) and the time that their records stay (6 h) stood in the code, though the platforms and the callers' habits of repeating differ. Ruled out: keys of the document: the bound is of the platform before which the routers run, and the record of a key is no matter of a team or route. The sweeper deletes at keyed_rate in place of 20 a second, since records would pile up above that; decisions/at_most_once.md counts these writes already. Conclusion: both are settings; a short retention does not break at most once while a request runs.

--- a/router/config.go
+++ b/router/config.go
@@ -86,6 +86,7 @@
 	Endpoints    Endpoints
 	Counter      request.Counter
 	Keys         *keyed.Keeper    // Keys may be nil; then requests with an Idempotency-Key are refused.
+	KeyedRate    float64          // KeyedRate bounds the fleet's requests with a key, a second.
 	OldRecords   keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
 	Timings      Timings
 	Log          logrus.FieldLogger
--- a/router/keyed/keeper.go
+++ b/router/keyed/keeper.go
@@ -34,7 +34,7 @@
 	Records     Records
 	Rate        float64       // Rate bounds the requests with a key at this router, a second.
 	Timeout     time.Duration // Timeout bounds the platform's part before the send.
-	Retention   time.Duration // Retention is how long a record is kept.
+	Retention   time.Duration // Retention is how long a record is kept, and longer if its request may run longer.
 	MaxRecorded int           // MaxRecorded bounds the recorded answer, in bytes.
 }
 
@@ -107,7 +107,7 @@
 			Fingerprint: req.Fingerprint,
 			Deadline:    now.Add(req.Longest + deadlineMargin),
 		},
-		expires:     now.Add(k.config.Retention),
+		expires:     now.Add(max(k.config.Retention, req.Longest+deadlineMargin)),
 		maxRecorded: k.config.MaxRecorded,
 	}
 }
--- a/router/keys.go
+++ b/router/keys.go
@@ -10,10 +10,8 @@
 	"ryelug/router/keyed"
 )
 
-const (
-	sweepOrder   cell.ID = "calls" // sweepOrder stands for a cell in the order that names the sweeping router.
-	fleetKeyRate         = 100.0   // fleetKeyRate bounds the keyed requests of the fleet, a second.
-)
+// sweepOrder stands for a cell in the order that names the sweeping router.
+const sweepOrder cell.ID = "calls"
 
 // shareKeys notes this router's part of the work on the records of keys.
 func (c *coordinator) shareKeys(now time.Time) {
@@ -24,7 +22,7 @@
 	c.sweeps.Store(len(order) > 0 && order[0] == c.config.Host)
 	if _, total := c.table.Voters(); total > 0 && total != c.keyShares {
 		c.keyShares = total
-		c.config.Keys.SetRate(fleetKeyRate / float64(total))
+		c.config.Keys.SetRate(c.config.KeyedRate / float64(total))
 	}
 }
 
@@ -33,6 +31,10 @@
 	if r.config.OldRecords == nil {
 		return
 	}
-	sweeper := keyed.NewSweeper(keyed.SweeperConfig{Records: r.config.OldRecords, Turn: r.coordinator.sweeps.Load})
+	sweeper := keyed.NewSweeper(keyed.SweeperConfig{
+		Records: r.config.OldRecords,
+		Turn:    r.coordinator.sweeps.Load,
+		Rate:    r.config.KeyedRate, // A lower one would let records pile up.
+	})
 	group.Go(func() error { return sweeper.Run(ctx) })
 }
--- a/router/keys_test.go
+++ b/router/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"ryelug/core/result"
+	platformclient "ryelug/io/platform"
 	"ryelug/standin/fleet"
 	"ryelug/standin/platform"
 	"ryelug/standin/service"
@@ -73,3 +75,37 @@
 		is.Equal(second.Call(ctx, "kiosks", "killed").Code, result.KeyOutcomeUnknown)
 	})
 }
+
+// The settings bound what the keyed requests of the fleet cost the platform and how long their records stay.
+func TestKeyedSettings(t *testing.T) {
+	const burst = 10 // A router lets as many through at once, however low its rate.
+	conf := fleet.Config{Routers: 3, Engines: 1, Services: 1, LongestRequest: 5 * time.Second, Settings: "keyed_rate = 3\nkeyed_retention = \"10m\"\n"}
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+		is := is.New(t)
+		taken := func(calls int) (count int) {
+			for n := range calls {
+				reply := fl.Routers[0].Call(ctx, "kiosks", time.Now().String()+strconv.Itoa(n))
+				if reply.Whole() {
+					count++
+					continue
+				}
+				is.Equal([]any{reply.Code, reply.NotRun}, []any{result.PlatformUnavailable, true})
+			}
+			return count
+		}
+		const calls = 40
+		began := time.Now()
+		count := taken(calls)
+		passed := time.Since(began).Seconds() // Its part of three a second is one.
+		is.True(count >= burst && float64(count) <= burst+passed+1)
+		list, err := fl.List(ctx, platformclient.Calls)
+		is.NoErr(err)
+		is.Equal(len(list.Items), count)
+		for _, object := range list.Items {
+			seconds, err := strconv.ParseInt(object.Annotations["expires"], 10, 64)
+			is.NoErr(err)
+			left := time.Unix(seconds, 0).Sub(began)
+			is.True(left >= 10*time.Minute-time.Second && left <= 11*time.Minute)
+		}
+	})
+}
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -39,6 +39,9 @@
 	ListLag     time.Duration
 	CutOffAfter time.Duration
 
+	KeyedRate      int // KeyedRate bounds the keyed requests of the fleet, a second.
+	KeyedRetention time.Duration
+
 	ConnectTimeout time.Duration
 	AnswerTimeout  time.Duration
 	EventTimeout   time.Duration
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -27,11 +27,13 @@
 
 func TestGood(t *testing.T) {
 	is := is.New(t)
-	parsed, err := settings.Parse("f.toml", []byte(good+"heartbeat = \"100ms\"\nlog_format = \"json\"\nmax_body = 2048"))
+	parsed, err := settings.Parse("f.toml", []byte(good+"heartbeat = \"100ms\"\nlog_format = \"json\"\nmax_body = 2048\nkeyed_rate = 7"))
 	is.NoErr(err)
 	is.Equal(parsed.Heartbeat, 100*time.Millisecond)
 	is.Equal(parsed.StakeLease, 900*time.Millisecond)
 	is.Equal(parsed.MaxBody, 2048)
+	is.Equal(parsed.KeyedRate, 7)
+	is.Equal(parsed.KeyedRetention, 6*time.Hour)
 	is.Equal(parsed.PeerAddress.String(), "10.0.0.1:8082")
 	is.Equal(string(parsed.PeerKey), "sixteen bytes or more")
 }
@@ -52,6 +54,10 @@
 		{"duration as number", "heartbeat = 5", "", "heartbeat = 5 is wrong"},
 		{"size as text", "max_body = \"1MB\"", "", "a whole number from 1024 to"},
 		{"huge", "max_body = 99999999999", "", "max_body = 99999999999 is wrong"},
+		{"no keyed requests", "keyed_rate = 0", "", "keyed_rate = 0 is wrong; allowed: a whole number from 1 to 10000"},
+		{"too many keyed requests", "keyed_rate = 10001", "", "keyed_rate = 10001 is wrong"},
+		{"short retention", "keyed_retention = \"9m\"", "", `keyed_retention = "9m" is wrong; allowed: a duration from "10m" to "168h0m"`},
+		{"long retention", "keyed_retention = \"169h\"", "", `keyed_retention = "169h" is wrong`},
 		{"level", "log_level = \"loud\"", "", `"debug", "info", "warning" or "error"`},
 		{"format", "log_format = \"xml\"", "", `allowed: "text" or "json"`},
 		{"secret stays hidden", "peer_key = \"short\"", "peer_key = \"sixteen bytes or more\"", "peer_key = (hidden) is wrong"},
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -50,6 +50,7 @@
 
 	BalancerLag time.Duration
 	ListLag     time.Duration
+	Settings    string         // Settings are further lines of each router's settings.
 	Order       dispatch.Order // Order is nil for fair service.
 	LocalQueues bool           // LocalQueues makes each router dispatch for itself.
 	Log         io.Writer      // Log is nil for none.
@@ -125,6 +126,11 @@
 	return trace.Wrap(err)
 }
 
+// List lists the names of a kind of object in the platform.
+func (f *Fleet) List(ctx context.Context, kind platformclient.Kind) (platformclient.List, error) {
+	return f.operator.ListNames(ctx, kind)
+}
+
 // TakeOut takes a data centre out, or returns it.
 func (f *Fleet) TakeOut(ctx context.Context, dataCentre string, out bool) error {
 	doc := *f.Document
--- a/standin/fleet/member.go
+++ b/standin/fleet/member.go
@@ -92,7 +92,7 @@
 		netip.AddrPortFrom(m.Address, peerPort), netip.AddrPortFrom(m.Address, callersPort),
 		netip.AddrPortFrom(m.Address, operatorPort), f.platform, peerKey,
 		f.config.BalancerLag, orDefault(f.config.ListLag, defaultListLag))
-	return settings.Parse(m.Host, []byte(text))
+	return settings.Parse(m.Host, []byte(text+f.config.Settings))
 }
 
 // Router returns the router.
