Let requests outlast the wait for a stake in the trials of cold engines

Cause: requests of 200 ms end before a stake is lent again, so the trials could not show a cold engine run over. Ruled out: fewer routers, which leaves the halves without whole slots. Figures: go test -run TestFaultsWhileCold ./router passes; it fails with cold engines treated like warm ones in core/flight (4 in flight, limit 2, dispatcher killed). It does not fail with stakes uncounted (each dispatcher takes the whole cap) or without the wait of the lender alone: the endpoints' reports still hold the limit there; core/lend and core/dispatch test these two. Conclusion: the rule for cold endpoints is seen at work with real routers.

--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -137,6 +137,7 @@
 	conf.Engine.Cold = true
 	if cold {
 		conf.Engine.WarmUp = 100_000
+		conf.Engine.TokenGap = 100 * time.Millisecond // A request outlasts the wait for a stake.
 	}
 	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		tr := &trial{T: t, Fleet: fl, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3)), struck: make(map[string]bool), cold: cold}
