Split the router's roles and its directory into packages

Ruled out: a split by file size alone, which would part the state of a cell. Change: router/dispatching, router/lending and router/directory, each with one job; the coordinator keeps the links and the member table.

--- a/router/command.go
+++ b/router/command.go
@@ -1,9 +1,11 @@
 package router
 
 import (
-	"net/netip"
 	"time"
 
+	"ryelug/router/directory"
+	"ryelug/router/lending"
+
 	"ryelug/core/cell"
 	"ryelug/core/member"
 	"ryelug/io/endpoint"
@@ -14,11 +16,7 @@
 type command interface{ command() }
 
 // ask asks for a grant.
-type ask struct {
-	cell   cell.ID
-	demand cell.Demand
-	reply  chan decision // reply has room for one decision, so that answering never blocks.
-}
+type ask struct{ lending.Ask }
 
 // withdraw tells that an ask is given up.
 type withdraw struct {
@@ -33,7 +31,7 @@
 }
 
 // adopt puts a generation of the configuration in force.
-type adopt struct{ directory *directory }
+type adopt struct{ directory *directory.Directory }
 
 // listed tells that this router has read the platform's list of hosts; err tells that it could not.
 type listed struct {
@@ -75,13 +73,3 @@
 func (depart) command()   {}
 func (farewell) command() {}
 func (inspect) command()  {}
-
-// decision answers an ask: a granted permit or a refusal.
-type decision struct {
-	endpoint cell.EndpointID
-	address  netip.AddrPort
-	start    cell.StartID
-	expires  time.Time
-	cost     *runningCost
-	refusal  *cell.Refusal
-}
--- a/router/config.go
+++ b/router/config.go
@@ -6,11 +6,14 @@
 	"net/netip"
 	"time"
 
+	"ryelug/io/wire"
+	"ryelug/router/dispatching"
+	"ryelug/router/lending"
+
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
-	"ryelug/core/lend"
 	"ryelug/core/member"
 	"ryelug/core/spread"
 	"ryelug/io/caller"
@@ -103,19 +106,26 @@
 	return member.Config{Self: c.Host, Started: time.Now(), Lag: c.Timings.ListLag, CutOffAfter: c.Timings.CutOffAfter}
 }
 
-func (c *Config) lendConfig(id cell.ID) lend.Config {
-	return lend.Config{
+func (c *Config) lendingConfig(send func(cell.RouterID, wire.Message), disconnect func(cell.RouterID)) lending.Config {
+	return lending.Config{
 		Self:       c.routerID(),
-		Cell:       id,
+		Started:    time.Now(),
 		StakeLease: c.Timings.StakeLease,
 		GrantValid: c.Timings.GrantValid,
-		Started:    time.Now(),
 		Local:      c.LocalQueues,
+		Send:       send,
+		Disconnect: disconnect,
 	}
 }
 
-func (c *Config) dispatchConfig(id cell.ID) dispatch.Config {
-	return dispatch.Config{Cell: id, GrantValid: c.Timings.GrantValid, Order: c.Order}
+func (c *Config) dispatchingConfig(send func(cell.RouterID, wire.Message)) dispatching.Config {
+	return dispatching.Config{
+		Self:       c.routerID(),
+		StakeLease: c.Timings.StakeLease,
+		GrantValid: c.Timings.GrantValid,
+		Order:      c.Order,
+		Send:       send,
+	}
 }
 
 func (c *Config) peerConfig() peer.Config {
--- a/router/coordinator.go
+++ b/router/coordinator.go
@@ -6,11 +6,14 @@
 	"sync/atomic"
 	"time"
 
+	"ryelug/core/result"
+	"ryelug/router/directory"
+	"ryelug/router/dispatching"
+	"ryelug/router/lending"
+
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
-	"ryelug/core/dispatch"
-	"ryelug/core/lend"
 	"ryelug/core/member"
 	"ryelug/core/spread"
 	"ryelug/io/peer"
@@ -23,7 +26,6 @@
 	tickInterval     = 50 * time.Millisecond  // between two passes over all cells
 	progressInterval = time.Second            // between two reports of the cost of running attempts
 	countersInterval = time.Second            // between two rounds of counters to entries
-	countersPerEntry = 16                     // counters told to an entry in one round
 	slowStep         = 200 * time.Millisecond // a pass that takes longer is logged
 )
 
@@ -37,12 +39,12 @@
 	mesh      *peer.Mesh
 	news      newsReceiver
 	table     *member.Table
-	cells     map[cell.ID]*cellState
+	dispatch  *dispatching.Role
+	lend      *lending.Role
 	links     linkSet
 	loopback  []wire.Message // loopback holds this router's messages to itself.
 	began     time.Time      // began is when the present step began; what it decides is no younger.
-	deferred  []command      // deferred holds commands that arise inside a step.
-	directory *directory
+	directory *directory.Directory
 	voters    []cell.HostID // voters and total are what the dispatchers were told last.
 	total     int
 	signs     []cell.HostID // signs is what the peers were told last; nil until there is a configuration.
@@ -50,7 +52,7 @@
 	cutOff    atomic.Bool
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
 	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
-	polled    atomic.Pointer[[]pollTarget]
+	polled    atomic.Pointer[[]dispatching.Target]
 	listedAt  atomic.Pointer[time.Time]  // listedAt is when a list of hosts came last, read here or by a watcher.
 	lists     map[*peer.Link][]wire.Host // lists holds the list that each link was told last, or has told last.
 	pollNow   chan struct{}              // pollNow asks for a round of load reports before the next one is due.
@@ -69,7 +71,7 @@
 }
 
 func newCoordinator(config *Config, mesh *peer.Mesh) *coordinator {
-	return &coordinator{
+	c := &coordinator{
 		config:   config,
 		self:     config.routerID(),
 		log:      config.Log.WithField("part", "dispatch"),
@@ -79,9 +81,11 @@
 		lists:    make(map[*peer.Link][]wire.Host),
 		mesh:     mesh,
 		table:    member.New(config.memberConfig()),
-		cells:    make(map[cell.ID]*cellState),
 		links:    newLinkSet(),
 	}
+	c.dispatch = dispatching.New(config.dispatchingConfig(c.toEntry))
+	c.lend = lending.New(config.lendingConfig(c.toDispatcher, c.disconnect))
+	return c
 }
 
 // run owns the state until ctx ends.
@@ -131,11 +135,11 @@
 func (c *coordinator) handle(now time.Time, cmd command) {
 	switch cmd := cmd.(type) {
 	case ask:
-		c.handleAsk(now, cmd)
+		c.ask(now, cmd)
 	case withdraw:
-		c.handleWithdraw(now, cmd)
+		c.lend.Withdraw(now, cmd.cell, cmd.attempt)
 	case finish:
-		c.handleFinish(now, cmd)
+		c.lend.Finish(now, cmd.cell, cmd.end)
 	case adopt:
 		c.adopt(now, cmd.directory)
 	case listed:
@@ -158,26 +162,16 @@
 	c.table.Tick(now)
 	c.checkCutOff(now)
 	c.shareKeys(now)
-	report := now.Sub(c.progressAt) >= progressInterval
-	if report {
+	c.refreshVoters(now)
+	c.lend.Tick(now, c.order(now))
+	c.dispatch.Tick(now)
+	if now.Sub(c.progressAt) >= progressInterval {
 		c.progressAt = now
+		c.lend.ReportProgress(now)
 	}
-	counters := now.Sub(c.countersAt) >= countersInterval
-	if counters {
+	if now.Sub(c.countersAt) >= countersInterval {
 		c.countersAt = now
-	}
-	c.refreshVoters(now)
-	for _, state := range c.cells {
-		c.refreshOrder(now, state)
-		if report {
-			c.reportProgress(now, state)
-		}
-		c.renewSelf(now, state)
-		c.lenderStep(now, state, &lend.Tick{})
-		c.dispatcherStep(now, state, &dispatch.Tick{})
-		if counters {
-			c.tellCounters(state)
-		}
+		c.dispatch.TellCounters()
 	}
 	c.choosePolled()
 	if took := time.Since(now); took > slowStep {
@@ -193,27 +187,38 @@
 		return
 	}
 	c.log.WithField("cut_off", cutOff).Warn("Contact with the platform and most routers has changed.")
-	if !cutOff {
-		return
+	if cutOff {
+		c.lend.RefuseAll(now, result.CutOff)
 	}
-	for _, state := range c.cells {
-		c.refuseAsks(now, state)
+}
+
+// ask passes a request's ask on, unless this router may send no new work.
+func (c *coordinator) ask(now time.Time, cmd ask) {
+	if c.cutOff.Load() {
+		cmd.Refuse(result.CutOff)
+		return
 	}
+	c.lend.Ask(now, cmd.Ask)
+}
+
+// order returns the function that gives the order of a cell's dispatchers.
+func (c *coordinator) order(now time.Time) func(cell.ID) []cell.HostID {
+	return func(id cell.ID) []cell.HostID { return c.table.Order(now, id) }
 }
 
 // drain handles what the last event left behind: this router's messages to
-// itself and the commands that arose inside a step, until none is left.
+// itself and grants that nobody waits for, until nothing is left.
 func (c *coordinator) drain() {
-	for len(c.loopback) > 0 || len(c.deferred) > 0 {
-		loopback, deferred := c.loopback, c.deferred
-		c.loopback, c.deferred = nil, nil
+	for {
+		loopback := c.loopback
+		c.loopback = nil
 		decided, now := c.began, time.Now()
 		c.began = now
 		for _, message := range loopback {
 			c.received(now, c.self, message, decided)
 		}
-		for _, cmd := range deferred {
-			c.handle(now, cmd)
+		if !c.lend.HandBack(now) && len(c.loopback) == 0 {
+			return
 		}
 	}
 }
@@ -256,9 +261,7 @@
 	}
 	c.voters = slices.Clone(hosts)
 	c.total = total
-	for _, state := range c.cells {
-		c.dispatcherStep(now, state, &dispatch.Voters{Hosts: c.voters, Total: total})
-	}
+	c.dispatch.SetVoters(now, c.voters, total)
 }
 
 func (c *coordinator) peerAddresses() []peer.Address {
@@ -283,22 +286,12 @@
 }
 
 // adopt puts a generation in force in all cells.
-func (c *coordinator) adopt(now time.Time, next *directory) {
+func (c *coordinator) adopt(now time.Time, next *directory.Directory) {
 	first := c.directory == nil
 	c.directory = next
-	for id := range next.pools {
-		if c.cells[id] == nil {
-			c.openCell(id)
-		}
-	}
-	for id, state := range c.cells {
-		policy, ok := next.policies[id]
-		if !ok {
-			policy = &dispatch.Policy{} // A pool that is gone takes no work.
-		}
-		c.dispatcherStep(now, state, policy)
-		c.refreshOrder(now, state)
-	}
+	c.lend.Adopt(now, next)
+	c.dispatch.Adopt(now, next)
+	c.lend.Reorder(now, c.order(now))
 	if first {
 		c.tellSigns()
 	}
@@ -309,8 +302,7 @@
 	c.leaving = true
 	c.table.Leaving(now, c.config.Host)
 	c.links.each(func(link *peer.Link) { link.Send(&wire.Leaving{}) })
-	for _, state := range c.cells {
-		c.lenderStep(now, state, &lend.PeerLeaving{Router: c.self})
-		c.refreshOrder(now, state)
-	}
+	c.dispatch.Leave()
+	c.lend.PeerLeaving(now, c.self)
+	c.lend.Reorder(now, c.order(now))
 }
--- a/router/directory.go
+++ b/router/directory/directory.go
@@ -1,19 +1,26 @@
-package router
+package directory
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"net/http"
 	"net/netip"
+	"strings"
+
+	"ryelug/core/result"
 
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/dispatch"
 )
 
-// directory answers look-ups in one adopted generation of the configuration.
-// It is never changed once it is published.
-type directory struct {
-	generation uint64
+// chatPath is the route whose body names a model.
+const chatPath = "/v1/chat/completions"
+
+// Directory answers look-ups in one adopted generation of the configuration.
+// It is never changed, so many goroutines may use it.
+type Directory struct {
+	Generation uint64
 	teams      map[string]cell.TeamID // Teams by the hash of a key.
 	models     map[string]*config.Pool
 	pools      map[cell.ID]*config.Pool
@@ -23,10 +30,10 @@
 	policies   map[cell.ID]*dispatch.Policy
 }
 
-// newDirectory indexes doc.
-func newDirectory(generation uint64, doc *config.Document) *directory {
-	d := &directory{
-		generation: generation,
+// New indexes a document.
+func New(generation uint64, doc *config.Document) *Directory {
+	d := &Directory{
+		Generation: generation,
 		teams:      make(map[string]cell.TeamID, len(doc.Teams)),
 		models:     make(map[string]*config.Pool, len(doc.Pools)),
 		pools:      make(map[cell.ID]*config.Pool, len(doc.Pools)),
@@ -41,7 +48,7 @@
 	return d
 }
 
-func (d *directory) indexTeams(doc *config.Document) {
+func (d *Directory) indexTeams(doc *config.Document) {
 	for _, team := range doc.Teams {
 		for _, hash := range team.KeyHashes {
 			d.teams[hash] = cell.TeamID(team.Name)
@@ -49,7 +56,7 @@
 	}
 }
 
-func (d *directory) indexPools(doc *config.Document) {
+func (d *Directory) indexPools(doc *config.Document) {
 	teams := teamPolicies(doc)
 	for i := range doc.Pools {
 		pool := &doc.Pools[i]
@@ -73,7 +80,7 @@
 	}
 }
 
-func (d *directory) indexEndpoints(doc *config.Document) {
+func (d *Directory) indexEndpoints(doc *config.Document) {
 	out := make(map[string]bool, len(doc.DataCentres))
 	for _, dc := range doc.DataCentres {
 		out[dc.Name] = dc.Out
@@ -104,9 +111,63 @@
 	return teams
 }
 
-// team returns the team that the key belongs to.
-func (d *directory) team(key string) (cell.TeamID, bool) {
+// Team returns the team that the key belongs to.
+func (d *Directory) Team(key string) (cell.TeamID, bool) {
 	sum := sha256.Sum256([]byte(key))
 	team, ok := d.teams[hex.EncodeToString(sum[:])]
 	return team, ok
 }
+
+// Lookup is what decides the route of a request.
+type Lookup struct {
+	Method    string
+	Path      string // Path may hold a query.
+	Model     string // Model is what the body names.
+	Malformed bool   // Malformed tells that the body can't be read.
+}
+
+// Find returns the pool of a request and whether the route is idempotent, or the code of its refusal.
+func (d *Directory) Find(req Lookup) (pool *config.Pool, idempotent bool, code result.Code) {
+	path, _, _ := strings.Cut(req.Path, "?")
+	route, declared := d.routes[path]
+	if declared && route.Pool != "" {
+		return d.pools[cell.ID(route.Pool)], route.Idempotent, result.OK
+	}
+	if !declared && path != chatPath {
+		return nil, false, result.UnknownRoute
+	}
+	if req.Method != http.MethodPost {
+		return nil, false, result.UnknownRoute
+	}
+	if req.Malformed {
+		return nil, false, result.BadRequest
+	}
+	pool, ok := d.models[req.Model]
+	if !ok {
+		return nil, false, result.UnknownModel
+	}
+	return pool, !declared || route.Idempotent, result.OK
+}
+
+// Address returns where an endpoint listens.
+func (d *Directory) Address(endpoint cell.EndpointID) netip.AddrPort { return d.addresses[endpoint] }
+
+// Endpoints returns the endpoints of a cell.
+func (d *Directory) Endpoints(id cell.ID) []cell.EndpointID { return d.members[id] }
+
+// Policy returns what the dispatcher of a cell must know; that of a cell that is gone takes no work.
+func (d *Directory) Policy(id cell.ID) *dispatch.Policy {
+	if policy, ok := d.policies[id]; ok {
+		return policy
+	}
+	return &dispatch.Policy{}
+}
+
+// Cells returns the cells, in no particular order.
+func (d *Directory) Cells() []cell.ID {
+	cells := make([]cell.ID, 0, len(d.pools))
+	for id := range d.pools {
+		cells = append(cells, id)
+	}
+	return cells
+}
--- /dev/null
+++ b/router/dispatching/role.go
@@ -0,0 +1,278 @@
+package dispatching
+
+import (
+	"net/netip"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/io/wire"
+	"ryelug/router/directory"
+)
+
+// countersPerEntry is the number of counters told to an entry in one round.
+const countersPerEntry = 16
+
+// Config sets up a Role.
+type Config struct {
+	Self       cell.RouterID
+	StakeLease time.Duration // StakeLease is how long a stake counts after the stamp that its entry has echoed.
+	GrantValid time.Duration // GrantValid is how long entries may use a grant.
+	Order      dispatch.Order
+	Send       func(to cell.RouterID, message wire.Message) // Send must not block.
+}
+
+// Role is a router's part as dispatcher; one goroutine may use it.
+type Role struct {
+	config    Config
+	cells     map[cell.ID]*state
+	directory *directory.Directory
+	voters    []cell.HostID
+	total     int
+	leaving   bool
+}
+
+// state is one cell that this router may dispatch.
+type state struct {
+	id         cell.ID
+	dispatcher *dispatch.Dispatcher
+	entries    map[cell.RouterID]cell.Session // entries are those that have joined.
+	counters   []cell.TeamCounter
+	counterAt  int // counterAt is where the next round of counters starts.
+}
+
+// New returns a Role without cells.
+func New(config Config) *Role {
+	return &Role{config: config, cells: make(map[cell.ID]*state)}
+}
+
+// Adopt puts a generation of the configuration in force.
+func (r *Role) Adopt(now time.Time, next *directory.Directory) {
+	r.directory = next
+	for _, id := range next.Cells() {
+		if r.cells[id] == nil {
+			r.open(now, id)
+		}
+	}
+	for id, at := range r.cells {
+		r.step(now, at, next.Policy(id))
+	}
+}
+
+func (r *Role) open(now time.Time, id cell.ID) {
+	at := &state{
+		id: id,
+		dispatcher: dispatch.New(dispatch.Config{
+			Cell: id, GrantValid: r.config.GrantValid, Order: r.config.Order,
+		}),
+		entries: make(map[cell.RouterID]cell.Session),
+	}
+	r.cells[id] = at
+	r.step(now, at, &dispatch.Voters{Hosts: r.voters, Total: r.total})
+}
+
+// SetVoters notes whose stakes count, and the number that they are divided by.
+func (r *Role) SetVoters(now time.Time, hosts []cell.HostID, total int) {
+	r.voters, r.total = hosts, total
+	for _, at := range r.cells {
+		r.step(now, at, &dispatch.Voters{Hosts: hosts, Total: total})
+	}
+}
+
+// Leave makes the role take no entry in any more.
+func (r *Role) Leave() { r.leaving = true }
+
+// Tick lets time pass.
+func (r *Role) Tick(now time.Time) {
+	r.Renew(now, r.config.Self, now)
+	for _, at := range r.cells {
+		r.step(now, at, &dispatch.Tick{})
+	}
+}
+
+// Target is an endpoint whose report is needed here.
+type Target struct {
+	Cell     cell.ID
+	Endpoint cell.EndpointID
+	Address  netip.AddrPort
+}
+
+// Targets returns the endpoints of the cells that entries have joined.
+func (r *Role) Targets() []Target {
+	var targets []Target
+	for id, at := range r.cells {
+		if len(at.entries) == 0 {
+			continue
+		}
+		for _, endpoint := range r.directory.Endpoints(id) {
+			targets = append(targets, Target{Cell: id, Endpoint: endpoint, Address: r.directory.Address(endpoint)})
+		}
+	}
+	return targets
+}
+
+// Report takes an endpoint's report, or that there was none.
+func (r *Role) Report(now time.Time, id cell.ID, event dispatch.Event) { r.dispatch(now, id, event) }
+
+// Snapshots returns the state of the cells that entries have joined.
+func (r *Role) Snapshots() []dispatch.Snapshot {
+	var shots []dispatch.Snapshot
+	for _, at := range r.cells {
+		if len(at.entries) > 0 {
+			shots = append(shots, at.dispatcher.Snapshot())
+		}
+	}
+	return shots
+}
+
+// TellCounters tells every entry some of the teams' counters.
+func (r *Role) TellCounters() {
+	for _, at := range r.cells {
+		r.tellCounters(at)
+	}
+}
+
+// Renew prolongs the stakes that an entry lends here.
+func (r *Role) Renew(now time.Time, router cell.RouterID, echoed time.Time) {
+	if echoed.IsZero() {
+		return
+	}
+	for _, at := range r.cells {
+		if session, ok := at.entries[router]; ok {
+			r.renewSession(now, at, router, session, echoed)
+		}
+	}
+}
+
+func (r *Role) renewSession(now time.Time, at *state, router cell.RouterID, session cell.Session, echoed time.Time) {
+	until := echoed.Add(r.config.StakeLease)
+	r.step(now, at, &dispatch.Renew{Router: router, Session: session, StakeUntil: until})
+}
+
+// Lost ends the sessions of an entry whose link has closed; its flights stay counted.
+func (r *Role) Lost(now time.Time, router cell.RouterID) {
+	for _, at := range r.cells {
+		session, ok := at.entries[router]
+		if !ok {
+			continue
+		}
+		delete(at.entries, router)
+		r.step(now, at, &dispatch.Leave{Router: router, Session: session})
+	}
+}
+
+// Received delivers an entry's message to the dispatcher of its cell.
+func (r *Role) Received(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
+	switch m := message.(type) {
+	case *wire.Join:
+		r.join(now, from, m, echoed)
+	case *wire.Release:
+		r.release(now, from, m)
+	case *wire.Want:
+		r.dispatch(now, m.Cell, &dispatch.Want{Router: from, Session: m.Session, Demands: m.Demands})
+	case *wire.Withdraw:
+		r.dispatch(now, m.Cell, &dispatch.Withdraw{Router: from, Session: m.Session, Attempts: m.Attempts})
+	case *wire.Progress:
+		r.dispatch(now, m.Cell, &dispatch.Progressed{Router: from, Session: m.Session, Progress: m.Progress})
+	case *wire.Ends:
+		r.dispatch(now, m.Cell, &dispatch.Ended{Router: from, Ends: m.Ends})
+	}
+}
+
+// dispatch steps the dispatcher of a cell, if this router knows the cell.
+func (r *Role) dispatch(now time.Time, id cell.ID, event dispatch.Event) {
+	if at, ok := r.cells[id]; ok {
+		r.step(now, at, event)
+	}
+}
+
+// join takes an entry in. A router that leaves or does not know the cell sends it on.
+func (r *Role) join(now time.Time, from cell.RouterID, m *wire.Join, echoed time.Time) {
+	at, ok := r.cells[m.Cell]
+	if !ok || r.leaving {
+		r.config.Send(from, &wire.Released{Cell: m.Cell, Session: m.Session})
+		return
+	}
+	if last, joined := at.entries[from]; joined && last >= m.Session {
+		return
+	}
+	at.entries[from] = m.Session
+	r.step(now, at, &dispatch.Join{
+		Router: from, Session: m.Session, Stake: m.Stake, Flights: m.Flights, Counters: m.Counters,
+	})
+	if !echoed.IsZero() {
+		r.renewSession(now, at, from, m.Session, echoed)
+	}
+	r.config.Send(from, &wire.Accepted{Cell: m.Cell, Session: m.Session})
+}
+
+func (r *Role) release(now time.Time, from cell.RouterID, m *wire.Release) {
+	at, ok := r.cells[m.Cell]
+	if ok && at.entries[from] == m.Session {
+		delete(at.entries, from)
+		r.step(now, at, &dispatch.Leave{Router: from, Session: m.Session})
+	}
+	r.config.Send(from, &wire.Released{Cell: m.Cell, Session: m.Session})
+}
+
+// step steps a dispatcher and sends what it decided, one message for each run of a router's grants.
+func (r *Role) step(now time.Time, at *state, event dispatch.Event) {
+	var grants *wire.Grants
+	var to cell.RouterID
+	for _, action := range at.dispatcher.Step(now, event) {
+		switch action := action.(type) {
+		case *dispatch.GrantTo:
+			if grants == nil || to != action.Router || grants.Session != action.Session {
+				grants = r.startGrants(at, to, grants, action)
+				to = action.Router
+			}
+			grants.Grants = append(grants.Grants, action.Grant)
+		case *dispatch.RefuseTo:
+			r.config.Send(action.Router, refusals(at, action))
+		}
+	}
+	if grants != nil {
+		r.config.Send(to, grants)
+	}
+}
+
+// startGrants sends the run of grants that is complete and starts the next one.
+func (r *Role) startGrants(at *state, to cell.RouterID, done *wire.Grants, next *dispatch.GrantTo) *wire.Grants {
+	if done != nil {
+		r.config.Send(to, done)
+	}
+	return &wire.Grants{Cell: at.id, Session: next.Session}
+}
+
+func refusals(at *state, action *dispatch.RefuseTo) *wire.Refusals {
+	refusal := cell.Refusal{Attempt: action.Attempt, Code: uint16(action.Code), RetryAfter: action.RetryAfter}
+	return &wire.Refusals{Cell: at.id, Session: action.Session, Refusals: []cell.Refusal{refusal}}
+}
+
+// tellCounters sends each entry the next slice of the teams' counters, so that
+// the entries together can restore them at the next dispatcher.
+func (r *Role) tellCounters(at *state) {
+	if len(at.entries) == 0 {
+		return
+	}
+	at.counters = at.dispatcher.Counters(at.counters[:0])
+	if len(at.counters) == 0 {
+		return
+	}
+	for router := range at.entries {
+		slice := at.nextCounters()
+		r.config.Send(router, &wire.Counters{Cell: at.id, Counters: slice})
+	}
+}
+
+// nextCounters returns the next few counters, round and round; the slice is the receiver's own.
+func (s *state) nextCounters() []cell.TeamCounter {
+	count := min(countersPerEntry, len(s.counters))
+	slice := make([]cell.TeamCounter, 0, count)
+	for range count {
+		s.counterAt %= len(s.counters)
+		slice = append(slice, s.counters[s.counterAt])
+		s.counterAt++
+	}
+	return slice
+}
--- a/router/grants.go
+++ b/router/grants.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"ryelug/router/lending"
+
 	"ryelug/core/cell"
 	"ryelug/core/result"
 	"ryelug/router/request"
@@ -20,16 +22,16 @@
 // Ask implements request.Grants.
 func (g *grants) Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
 	attempt := cell.AttemptID(g.last.Add(1))
-	cmd := ask{
-		cell:   pool,
-		demand: cell.Demand{Attempt: attempt, Team: team, Estimate: hint, Avoid: avoid},
-		reply:  make(chan decision, 1),
-	}
+	cmd := ask{lending.Ask{
+		Cell:   pool,
+		Demand: cell.Demand{Attempt: attempt, Team: team, Estimate: hint, Avoid: avoid},
+		Reply:  make(chan lending.Decision, 1),
+	}}
 	if !g.coordinator.post(ctx, cmd) {
 		return nil, ctx.Err()
 	}
 	select {
-	case decided := <-cmd.reply:
+	case decided := <-cmd.Reply:
 		return g.permit(cmd, decided)
 	case <-ctx.Done():
 		return g.giveUp(ctx, cmd)
@@ -38,27 +40,27 @@
 
 // giveUp withdraws the demand. A grant that has come all the same is handed back.
 func (g *grants) giveUp(ctx context.Context, cmd ask) (request.Permit, error) {
-	attempt := cmd.demand.Attempt
-	g.coordinator.postAlways(withdraw{cell: cmd.cell, attempt: attempt})
+	attempt := cmd.Demand.Attempt
+	g.coordinator.postAlways(withdraw{cell: cmd.Cell, attempt: attempt})
 	select {
-	case decided := <-cmd.reply:
-		if decided.refusal == nil {
+	case decided := <-cmd.Reply:
+		if decided.Refusal == nil {
 			end := cell.End{Attempt: attempt, Outcome: cell.Unused}
-			g.coordinator.postAlways(finish{cell: cmd.cell, end: end})
+			g.coordinator.postAlways(finish{cell: cmd.Cell, end: end})
 		}
 	default: // The coordinator hands back a grant that comes after the withdrawal.
 	}
 	return nil, ctx.Err()
 }
 
-func (g *grants) permit(cmd ask, decided decision) (request.Permit, error) {
-	if refusal := decided.refusal; refusal != nil {
+func (g *grants) permit(cmd ask, decided lending.Decision) (request.Permit, error) {
+	if refusal := decided.Refusal; refusal != nil {
 		return nil, &request.RefusedError{Code: result.Code(refusal.Code), RetryAfter: refusal.RetryAfter}
 	}
 	return &permit{
 		coordinator: g.coordinator,
-		cell:        cmd.cell,
-		attempt:     cmd.demand.Attempt,
+		cell:        cmd.Cell,
+		attempt:     cmd.Demand.Attempt,
 		decided:     decided,
 	}, nil
 }
@@ -68,19 +70,19 @@
 	coordinator *coordinator
 	cell        cell.ID
 	attempt     cell.AttemptID
-	decided     decision
+	decided     lending.Decision
 }
 
 // Endpoint implements request.Permit.
 func (p *permit) Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID) {
-	return p.decided.endpoint, p.decided.address, p.decided.start
+	return p.decided.Endpoint, p.decided.Address, p.decided.Start
 }
 
 // Expires implements request.Permit.
-func (p *permit) Expires() time.Time { return p.decided.expires }
+func (p *permit) Expires() time.Time { return p.decided.Expires }
 
 // Progress implements request.Permit; the coordinator reads the cost when it reports next.
-func (p *permit) Progress(cost cell.Cost) { p.decided.cost.now.Store(int64(cost)) }
+func (p *permit) Progress(cost cell.Cost) { p.decided.Cost.Set(cost) }
 
 // End implements request.Permit.
 func (p *permit) End(outcome cell.Outcome, cost cell.Cost, firstToken time.Duration) {
--- /dev/null
+++ b/router/lending/role.go
@@ -0,0 +1,271 @@
+package lending
+
+import (
+	"slices"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/lend"
+	"ryelug/core/result"
+	"ryelug/io/wire"
+	"ryelug/router/directory"
+)
+
+// Config sets up a Role.
+type Config struct {
+	Self       cell.RouterID
+	Started    time.Time
+	StakeLease time.Duration
+	GrantValid time.Duration
+	Local      bool                                         // Local makes this router dispatch for itself, a baseline.
+	Send       func(to cell.RouterID, message wire.Message) // Send must not block.
+	Disconnect func(router cell.RouterID)                   // Disconnect closes the link to a dispatcher that does not answer.
+}
+
+// Role is a router's part as entry; one goroutine may use it.
+type Role struct {
+	config    Config
+	cells     map[cell.ID]*state
+	directory *directory.Directory
+	linked    map[cell.RouterID]bool
+	unused    []unused
+}
+
+// state is one cell that requests of this router may wait for.
+type state struct {
+	id     cell.ID
+	lender *lend.Lender
+	asks   map[cell.AttemptID]Ask
+	costs  *costTable
+}
+
+// unused is a grant that nobody waits for any more.
+type unused struct {
+	cell cell.ID
+	end  cell.End
+}
+
+// New returns a Role without cells.
+func New(config Config) *Role {
+	return &Role{config: config, cells: make(map[cell.ID]*state), linked: map[cell.RouterID]bool{config.Self: true}}
+}
+
+// Adopt puts a generation of the configuration in force.
+func (r *Role) Adopt(now time.Time, next *directory.Directory) {
+	r.directory = next
+	for _, id := range next.Cells() {
+		if r.cells[id] == nil {
+			r.open(now, id)
+		}
+	}
+}
+
+func (r *Role) open(now time.Time, id cell.ID) {
+	at := &state{
+		id: id,
+		lender: lend.New(lend.Config{
+			Self:       r.config.Self,
+			Cell:       id,
+			StakeLease: r.config.StakeLease,
+			GrantValid: r.config.GrantValid,
+			Started:    r.config.Started,
+			Local:      r.config.Local,
+		}),
+		asks:  make(map[cell.AttemptID]Ask),
+		costs: newCostTable(),
+	}
+	r.cells[id] = at
+	for router := range r.linked {
+		r.step(now, at, &lend.LinkUp{Router: router})
+	}
+}
+
+// LinkUp notes that a dispatcher can be reached.
+func (r *Role) LinkUp(now time.Time, router cell.RouterID) {
+	r.linked[router] = true
+	r.stepAll(now, &lend.LinkUp{Router: router})
+}
+
+// LinkDown notes that a dispatcher can be reached no more.
+func (r *Role) LinkDown(now time.Time, router cell.RouterID) {
+	delete(r.linked, router)
+	r.stepAll(now, &lend.LinkDown{Router: router})
+}
+
+// Heard notes a frame of a dispatcher.
+func (r *Role) Heard(now time.Time, router cell.RouterID) {
+	r.stepAll(now, &lend.Heard{Router: router})
+}
+
+// PeerLeaving notes that a dispatcher leaves; it may be this router.
+func (r *Role) PeerLeaving(now time.Time, router cell.RouterID) {
+	r.stepAll(now, &lend.PeerLeaving{Router: router})
+}
+
+// Tick lets time pass. The order gives, for each cell, the hosts that should dispatch it, the first choice first.
+func (r *Role) Tick(now time.Time, order func(cell.ID) []cell.HostID) {
+	r.Reorder(now, order)
+	r.Heard(now, r.config.Self)
+	r.stepAll(now, &lend.Tick{})
+}
+
+// Reorder notes which hosts should dispatch each cell.
+func (r *Role) Reorder(now time.Time, order func(cell.ID) []cell.HostID) {
+	for id, at := range r.cells {
+		r.step(now, at, &lend.Order{Hosts: order(id)})
+	}
+}
+
+// HandBack hands back the grants that came and that nobody waits for, and tells whether there were any.
+func (r *Role) HandBack(now time.Time) bool {
+	waste := r.unused
+	r.unused = nil
+	for _, one := range waste {
+		r.Finish(now, one.cell, one.end)
+	}
+	return len(waste) > 0
+}
+
+func (r *Role) stepAll(now time.Time, event lend.Event) {
+	for _, at := range r.cells {
+		r.step(now, at, event)
+	}
+}
+
+// ReportProgress tells the dispatchers what running attempts have cost so far.
+func (r *Role) ReportProgress(now time.Time) {
+	for _, at := range r.cells {
+		r.reportProgress(now, at)
+	}
+}
+
+func (r *Role) reportProgress(now time.Time, at *state) {
+	at.costs.changed(func(attempt cell.AttemptID, cost cell.Cost) {
+		r.step(now, at, &lend.Progress{Progress: cell.Progress{Attempt: attempt, Cost: cost}})
+	})
+}
+
+// Ask notes a request that waits for a grant.
+func (r *Role) Ask(now time.Time, request Ask) {
+	at, ok := r.cells[request.Cell]
+	if !ok {
+		request.Refuse(result.NoCapacity)
+		return
+	}
+	at.asks[request.Demand.Attempt] = request
+	r.step(now, at, &lend.Want{Demand: request.Demand})
+}
+
+// Withdraw notes that an ask is given up.
+func (r *Role) Withdraw(now time.Time, id cell.ID, attempt cell.AttemptID) {
+	at, ok := r.cells[id]
+	if !ok {
+		return
+	}
+	if _, waiting := at.asks[attempt]; !waiting {
+		return
+	}
+	delete(at.asks, attempt)
+	r.step(now, at, &lend.Withdraw{Attempt: attempt})
+}
+
+// Finish notes that a granted attempt has ended.
+func (r *Role) Finish(now time.Time, id cell.ID, end cell.End) {
+	at, ok := r.cells[id]
+	if !ok {
+		return
+	}
+	at.costs.close(end.Attempt)
+	r.step(now, at, &lend.End{End: end})
+}
+
+// Received delivers a dispatcher's message to the lender of its cell.
+func (r *Role) Received(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
+	switch m := message.(type) {
+	case *wire.Accepted:
+		r.lend(now, m.Cell, &lend.Accepted{Router: from, Session: m.Session})
+	case *wire.Released:
+		r.lend(now, m.Cell, &lend.Released{Router: from, Session: m.Session})
+	case *wire.Grants:
+		r.lend(now, m.Cell, &lend.Grants{Router: from, Session: m.Session, Echoed: echoed, Grants: m.Grants})
+	case *wire.Refusals:
+		r.lend(now, m.Cell, &lend.Refusals{Router: from, Session: m.Session, Refusals: m.Refusals})
+	case *wire.Counters:
+		r.lend(now, m.Cell, &lend.Counters{Router: from, Counters: m.Counters})
+	}
+}
+
+// lend steps the lender of a cell, if this router knows the cell.
+func (r *Role) lend(now time.Time, id cell.ID, event lend.Event) {
+	if at, ok := r.cells[id]; ok {
+		r.step(now, at, event)
+	}
+}
+
+// step steps a lender and carries its actions out. The actions are valid
+// until the next step, and messages outlive it, so their slices are copied.
+func (r *Role) step(now time.Time, at *state, event lend.Event) {
+	for _, action := range at.lender.Step(now, event) {
+		switch a := action.(type) {
+		case *lend.Join:
+			r.config.Send(a.Router, &wire.Join{
+				Cell: at.id, Session: a.Session, Stake: a.Stake, Flights: slices.Clone(a.Flights), Counters: slices.Clone(a.Counters),
+			})
+		case *lend.Release:
+			r.config.Send(a.Router, &wire.Release{Cell: at.id, Session: a.Session})
+		case *lend.Disconnect:
+			r.config.Disconnect(a.Router)
+		case *lend.SendWant:
+			r.config.Send(a.Router, &wire.Want{Cell: at.id, Session: a.Session, Demands: slices.Clone(a.Demands)})
+		case *lend.SendWithdraw:
+			r.config.Send(a.Router, &wire.Withdraw{Cell: at.id, Session: a.Session, Attempts: slices.Clone(a.Attempts)})
+		case *lend.SendProgress:
+			r.config.Send(a.Router, &wire.Progress{Cell: at.id, Session: a.Session, Progress: slices.Clone(a.Progress)})
+		case *lend.SendEnds:
+			r.config.Send(a.Router, &wire.Ends{Cell: at.id, Ends: slices.Clone(a.Ends)})
+		case *lend.Granted:
+			r.granted(at, a)
+		case *lend.Refused:
+			r.refused(at, a)
+		}
+	}
+}
+
+// granted answers the ask; a grant that nobody waits for any more is handed back.
+func (r *Role) granted(at *state, a *lend.Granted) {
+	waiting, ok := at.asks[a.Attempt]
+	if !ok {
+		end := cell.End{Attempt: a.Attempt, Outcome: cell.Unused}
+		r.unused = append(r.unused, unused{at.id, end})
+		return
+	}
+	delete(at.asks, a.Attempt)
+	waiting.Reply <- Decision{
+		Endpoint: a.Endpoint,
+		Address:  r.directory.Address(a.Endpoint),
+		Start:    a.Start,
+		Expires:  a.Expires,
+		Cost:     at.costs.open(a.Attempt),
+	}
+}
+
+func (r *Role) refused(at *state, a *lend.Refused) {
+	waiting, ok := at.asks[a.Attempt]
+	if !ok {
+		return
+	}
+	delete(at.asks, a.Attempt)
+	refusal := cell.Refusal{Attempt: a.Attempt, Code: a.Code, RetryAfter: a.RetryAfter}
+	waiting.Reply <- Decision{Refusal: &refusal}
+}
+
+// RefuseAll gives up all that waits for a grant.
+func (r *Role) RefuseAll(now time.Time, code result.Code) {
+	for _, at := range r.cells {
+		for attempt, waiting := range at.asks {
+			delete(at.asks, attempt)
+			r.step(now, at, &lend.Withdraw{Attempt: attempt})
+			waiting.Refuse(code)
+		}
+	}
+}
--- a/router/links.go
+++ b/router/links.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"ryelug/core/cell"
-	"ryelug/core/lend"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
 )
@@ -77,9 +76,7 @@
 	if !link.Dialed() {
 		return
 	}
-	for _, state := range c.cells {
-		c.lenderStep(now, state, &lend.LinkUp{Router: link.Router()})
-	}
+	c.lend.LinkUp(now, link.Router())
 }
 
 func (c *coordinator) linkDown(now time.Time, link *peer.Link) {
@@ -92,25 +89,21 @@
 		c.news.PeerDown(router)
 	}
 	if !link.Dialed() {
-		c.entryLost(now, router)
+		c.dispatch.Lost(now, router)
 		return
 	}
 	c.table.Down(now, router.Host())
-	for _, state := range c.cells {
-		c.lenderStep(now, state, &lend.LinkDown{Router: router})
-		c.refreshOrder(now, state)
-	}
+	c.lend.LinkDown(now, router)
+	c.lend.Reorder(now, c.order(now))
 }
 
 // frame takes one frame: it renews the leases that rest on the link, then delivers the message.
 func (c *coordinator) frame(now time.Time, event *peer.Received) {
 	router := event.Link.Router()
 	if event.Link.Dialed() {
-		for _, state := range c.cells {
-			c.lenderStep(now, state, &lend.Heard{Router: router})
-		}
+		c.lend.Heard(now, router)
 	} else {
-		c.renew(now, router, event.Echoed)
+		c.dispatch.Renew(now, router, event.Echoed)
 	}
 	if list, ok := event.Message.(*wire.Listed); ok {
 		c.listHeard(now, event.Link, list)
@@ -125,9 +118,9 @@
 func (c *coordinator) received(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
 	switch message := message.(type) {
 	case *wire.Join, *wire.Release, *wire.Want, *wire.Withdraw, *wire.Progress, *wire.Ends:
-		c.dispatcherReceived(now, from, message, echoed)
+		c.dispatch.Received(now, from, message, echoed)
 	case *wire.Accepted, *wire.Released, *wire.Grants, *wire.Refusals, *wire.Counters:
-		c.lenderReceived(now, from, message, echoed)
+		c.lend.Received(now, from, message, echoed)
 	case *wire.Leaving:
 		c.peerLeaving(now, from)
 	case *wire.Departed:
@@ -152,10 +145,8 @@
 
 func (c *coordinator) peerLeaving(now time.Time, from cell.RouterID) {
 	c.table.Leaving(now, from.Host())
-	for _, state := range c.cells {
-		c.refreshOrder(now, state)
-		c.lenderStep(now, state, &lend.PeerLeaving{Router: from})
-	}
+	c.lend.Reorder(now, c.order(now))
+	c.lend.PeerLeaving(now, from)
 }
 
 // toDispatcher sends a message of this router's entry role.
@@ -168,6 +159,13 @@
 	c.send(c.links.accepted[router], router, message)
 }
 
+// disconnect closes the link to a dispatcher that does not answer.
+func (c *coordinator) disconnect(router cell.RouterID) {
+	if link := c.links.dialed[router]; link != nil {
+		link.Close()
+	}
+}
+
 func (c *coordinator) send(link *peer.Link, router cell.RouterID, message wire.Message) {
 	if router == c.self {
 		c.loopback = append(c.loopback, message)
--- a/router/loads.go
+++ b/router/loads.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
+	"ryelug/router/dispatching"
+
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 )
@@ -13,27 +14,11 @@
 // loadPollers bounds the endpoints that are asked for their report at the same time.
 const loadPollers = 64
 
-// pollTarget is an endpoint of a cell that this router dispatches.
-type pollTarget struct {
-	cell     cell.ID
-	endpoint cell.EndpointID
-	address  netip.AddrPort
-}
-
 // choosePolled publishes the endpoints whose reports the dispatchers here need.
 // Those of a cell that is new here are asked at once, since without a report
 // its endpoints get no work.
 func (c *coordinator) choosePolled() {
-	var targets []pollTarget
-	for id, state := range c.cells {
-		if len(state.entries) == 0 || c.directory == nil {
-			continue
-		}
-		for _, endpoint := range c.directory.members[id] {
-			address := c.directory.addresses[endpoint]
-			targets = append(targets, pollTarget{cell: id, endpoint: endpoint, address: address})
-		}
-	}
+	targets := c.dispatch.Targets()
 	before := c.polled.Swap(&targets)
 	if before == nil || len(*before) < len(targets) {
 		select {
@@ -45,10 +30,10 @@
 
 func (c *coordinator) handleMeasured(now time.Time, cmd measured) {
 	if cmd.err != nil {
-		c.dispatch(now, cmd.cell, &dispatch.Unreachable{Endpoint: cmd.endpoint})
+		c.dispatch.Report(now, cmd.cell, &dispatch.Unreachable{Endpoint: cmd.endpoint})
 		return
 	}
-	c.dispatch(now, cmd.cell, &dispatch.Load{
+	c.dispatch.Report(now, cmd.cell, &dispatch.Load{
 		Endpoint:  cmd.endpoint,
 		Start:     cmd.load.Start,
 		Cold:      cmd.load.Cold,
@@ -96,18 +81,18 @@
 		return
 	}
 	for _, target := range *targets {
-		if !p.begin(target.endpoint) {
+		if !p.begin(target.Endpoint) {
 			continue
 		}
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
-			p.end(target.endpoint)
+			p.end(target.Endpoint)
 			return
 		}
 		group.Go(func() {
 			p.poll(ctx, target)
-			p.end(target.endpoint)
+			p.end(target.Endpoint)
 			<-slots
 		})
 	}
@@ -130,12 +115,12 @@
 }
 
 // poll asks one endpoint. The report can be as old as the report lag when it is written.
-func (p *loadPoller) poll(ctx context.Context, target pollTarget) {
+func (p *loadPoller) poll(ctx context.Context, target dispatching.Target) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.Timings.LoadTimeout)
 	defer cancel()
 	sampled := time.Now().Add(-p.config.Timings.ReportLag)
-	load, err := p.config.Endpoints.Load(ctx, target.address)
+	load, err := p.config.Endpoints.Load(ctx, target.Address)
 	p.coordinator.post(ctx, measured{
-		cell: target.cell, endpoint: target.endpoint, load: load, sampled: sampled, err: err,
+		cell: target.Cell, endpoint: target.Endpoint, load: load, sampled: sampled, err: err,
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"ryelug/router/directory"
+
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -27,7 +29,7 @@
 	configuration *configuration.Duty
 	runner        *request.Runner
 	callers       *caller.Server
-	directory     atomic.Pointer[directory]
+	directory     atomic.Pointer[directory.Directory]
 	leaving       atomic.Bool
 
 	gate     sync.Mutex
@@ -126,7 +128,7 @@
 
 // adopt puts a generation of the configuration in force.
 func (r *Router) adopt(generation uint64, doc *config.Document) {
-	next := newDirectory(generation, doc)
+	next := directory.New(generation, doc)
 	r.directory.Store(next)
 	r.coordinator.postAlways(adopt{directory: next})
 }
@@ -161,7 +163,7 @@
 
 func (r *Router) generation() uint64 {
 	if d := r.directory.Load(); d != nil {
-		return d.generation
+		return d.Generation
 	}
 	return 0
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
+	"ryelug/router/directory"
+
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
@@ -15,9 +16,6 @@
 	"ryelug/router/request"
 )
 
-// chatPath is the route whose body names a model.
-const chatPath = "/v1/chat/completions"
-
 // comeBack is when a caller that this router can't serve should try again.
 const comeBack = time.Second
 
@@ -74,11 +72,13 @@
 	if r.coordinator.cutOff.Load() {
 		return request.Route{}, result.CutOff
 	}
-	team, ok := d.team(req.Key)
+	team, ok := d.Team(req.Key)
 	if !ok {
 		return request.Route{}, result.Unauthorized
 	}
-	pool, idempotent, code := d.find(req)
+	pool, idempotent, code := d.Find(directory.Lookup{
+		Method: req.Method, Path: req.Path, Model: req.Model, Malformed: req.Malformed,
+	})
 	if code != result.OK {
 		return request.Route{}, code
 	}
@@ -91,26 +91,3 @@
 		LongestRequest: pool.LongestRequest,
 	}, result.OK
 }
-
-// find returns the pool of a request and whether the route is idempotent.
-func (d *directory) find(req *caller.Request) (*config.Pool, bool, result.Code) {
-	path, _, _ := strings.Cut(req.Path, "?")
-	route, declared := d.routes[path]
-	if declared && route.Pool != "" {
-		return d.pools[cell.ID(route.Pool)], route.Idempotent, result.OK
-	}
-	if !declared && path != chatPath {
-		return nil, false, result.UnknownRoute
-	}
-	if req.Method != http.MethodPost {
-		return nil, false, result.UnknownRoute
-	}
-	if req.Malformed {
-		return nil, false, result.BadRequest
-	}
-	pool, ok := d.models[req.Model]
-	if !ok {
-		return nil, false, result.UnknownModel
-	}
-	return pool, !declared || route.Idempotent, result.OK
-}
--- a/router/view.go
+++ b/router/view.go
@@ -41,12 +41,8 @@
 		Links:  len(c.links.dialed),
 		Total:  c.total,
 		CutOff: c.table.CutOff(now),
+		Cells:  c.dispatch.Snapshots(),
 		Peers:  c.mesh.Stats(),
 	}
-	for _, state := range c.cells {
-		if len(state.entries) > 0 {
-			view.Cells = append(view.Cells, state.dispatcher.Snapshot())
-		}
-	}
 	return view
 }
