Split coordination and polling from the router

Ruled out: exported fields of the coordinator; its duties are methods now. A first join asks for reports at once again.

--- a/router/config.go
+++ b/router/config.go
@@ -6,70 +6,24 @@
 	"net/netip"
 	"time"
 
-	"ryelug/io/wire"
-	"ryelug/router/dispatching"
-	"ryelug/router/lending"
-
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
-	"ryelug/core/member"
 	"ryelug/core/spread"
 	"ryelug/io/caller"
-	"ryelug/io/endpoint"
 	"ryelug/io/peer"
 	"ryelug/router/configuration"
+	"ryelug/router/coordination"
 	"ryelug/router/keyed"
+	"ryelug/router/poll"
 	"ryelug/router/request"
 )
 
-// Timings are the intervals and limits of a router; all routers of an environment must have the same.
-type Timings struct {
-	Heartbeat       time.Duration
-	LinkSilent      time.Duration
-	DialTimeout     time.Duration
-	StakeLease      time.Duration
-	GrantValid      time.Duration
-	LoadPoll        time.Duration
-	LoadTimeout     time.Duration
-	ReportLag       time.Duration
-	ListLag         time.Duration
-	CutOffAfter     time.Duration
-	HostsPoll       time.Duration
-	PlatformTimeout time.Duration
-	BalancerLag     time.Duration
-}
-
-// DefaultTimings returns the timings of a router whose settings name none.
-func DefaultTimings() Timings {
-	return Timings{
-		Heartbeat:       250 * time.Millisecond,
-		LinkSilent:      750 * time.Millisecond,
-		DialTimeout:     time.Second,
-		StakeLease:      900 * time.Millisecond,
-		GrantValid:      400 * time.Millisecond,
-		LoadPoll:        250 * time.Millisecond,
-		LoadTimeout:     time.Second,
-		ReportLag:       500 * time.Millisecond,
-		ListLag:         2 * time.Second,
-		CutOffAfter:     2 * time.Second,
-		HostsPoll:       500 * time.Millisecond,
-		PlatformTimeout: 2 * time.Second,
-		BalancerLag:     5 * time.Second,
-	}
-}
-
 // Endpoints speaks to endpoints.
 type Endpoints interface {
 	request.Endpoints
-	// Load asks an endpoint for its report.
-	Load(ctx context.Context, address netip.AddrPort) (endpoint.Load, error)
-}
-
-// Hosts reads the platform's list of hosts.
-type Hosts interface {
-	Hosts(ctx context.Context) ([]member.Member, error)
+	poll.Endpoints
 }
 
 // Config sets up a Router.
@@ -85,13 +39,14 @@
 	Callers      caller.Config // Callers lacks its handler, which is the Router.
 	CallersOn    net.Listener  // CallersOn may be nil in tests that call Serve.
 	Platform     configuration.Platform
-	Hosts        Hosts
+	Hosts        poll.Lister
 	Endpoints    Endpoints
 	Counter      request.Counter
 	Keys         *keyed.Keeper    // Keys may be nil; then requests with an Idempotency-Key are refused.
 	KeyedRate    float64          // KeyedRate bounds the fleet's requests with a key, a second.
 	OldRecords   keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
-	Timings      Timings
+	Timings      coordination.Timings
+	BalancerLag  time.Duration // BalancerLag is the time in which the balancer notices that this router leaves.
 	Log          logrus.FieldLogger
 
 	Order       dispatch.Order // Order is nil for fair service; another one is a baseline for measurements.
@@ -102,32 +57,6 @@
 	return cell.RouterID(string(c.Host) + "/" + c.Incarnation)
 }
 
-func (c *Config) memberConfig() member.Config {
-	return member.Config{Self: c.Host, Started: time.Now(), Lag: c.Timings.ListLag, CutOffAfter: c.Timings.CutOffAfter}
-}
-
-func (c *Config) lendingConfig(send func(cell.RouterID, wire.Message), disconnect func(cell.RouterID)) lending.Config {
-	return lending.Config{
-		Self:       c.routerID(),
-		Started:    time.Now(),
-		StakeLease: c.Timings.StakeLease,
-		GrantValid: c.Timings.GrantValid,
-		Local:      c.LocalQueues,
-		Send:       send,
-		Disconnect: disconnect,
-	}
-}
-
-func (c *Config) dispatchingConfig(send func(cell.RouterID, wire.Message)) dispatching.Config {
-	return dispatching.Config{
-		Self:       c.routerID(),
-		StakeLease: c.Timings.StakeLease,
-		GrantValid: c.Timings.GrantValid,
-		Order:      c.Order,
-		Send:       send,
-	}
-}
-
 func (c *Config) peerConfig() peer.Config {
 	return peer.Config{
 		Self:        c.routerID(),
@@ -142,6 +71,19 @@
 	}
 }
 
+func (r *Router) coordinationConfig() coordination.Config {
+	return coordination.Config{
+		Self:        r.config.routerID(),
+		DataCentre:  r.config.DataCentre,
+		Peer:        r.config.peerConfig(),
+		Timings:     r.config.Timings,
+		ShareKeys:   r.shareKeyedRate,
+		Log:         r.config.Log.WithField("part", "dispatch"),
+		Order:       r.config.Order,
+		LocalQueues: r.config.LocalQueues,
+	}
+}
+
 func (r *Router) configurationConfig() configuration.Config {
 	return configuration.Config{
 		Spread: spread.Config{
@@ -151,7 +93,7 @@
 			Seed:        r.config.Seed,
 		},
 		Platform: r.config.Platform,
-		Send:     r.send,
+		Send:     r.coordinator.Tell,
 		Adopt:    r.adopt,
 		Report:   r.report,
 		Log:      r.config.Log.WithField("part", "config"),
--- a/router/command.go
+++ b/router/coordination/command.go
@@ -1,15 +1,14 @@
-package router
+package coordination
 
 import (
 	"time"
 
-	"ryelug/router/directory"
-	"ryelug/router/lending"
-
 	"ryelug/core/cell"
 	"ryelug/core/member"
 	"ryelug/io/endpoint"
 	"ryelug/io/wire"
+	"ryelug/router/directory"
+	"ryelug/router/lending"
 )
 
 // command is what another duty asks of the coordination duty.
--- /dev/null
+++ b/router/coordination/config.go
@@ -0,0 +1,32 @@
+package coordination
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/spread"
+	"ryelug/io/peer"
+	"ryelug/io/wire"
+)
+
+// News takes what the duty that keeps the configuration must know of other routers.
+type News interface {
+	Received(from cell.RouterID, message wire.Message)
+	PeerUp(router cell.RouterID)
+	PeerDown(router cell.RouterID)
+	SetMembers(members []spread.Member)
+}
+
+// Config sets up a Coordinator.
+type Config struct {
+	Self       cell.RouterID
+	DataCentre string
+	Peer       peer.Config
+	Timings    Timings
+	ShareKeys  func(routers int) // ShareKeys is told among how many routers the rate of keyed requests is shared; it may be nil.
+	Log        logrus.FieldLogger
+
+	Order       dispatch.Order // Order is nil for fair service.
+	LocalQueues bool           // LocalQueues makes this router dispatch for itself, a baseline.
+}
--- a/router/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -1,4 +1,4 @@
-package router
+package coordination
 
 import (
 	"context"
@@ -6,18 +6,18 @@
 	"sync/atomic"
 	"time"
 
-	"ryelug/core/result"
-	"ryelug/router/directory"
-	"ryelug/router/dispatching"
-	"ryelug/router/lending"
-
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"ryelug/core/cell"
 	"ryelug/core/member"
+	"ryelug/core/result"
 	"ryelug/core/spread"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
+	"ryelug/router/directory"
+	"ryelug/router/dispatching"
+	"ryelug/router/lending"
 )
 
 // Sizes of the coordinator's rings and the pace of its duties.
@@ -29,15 +29,15 @@
 	slowStep         = 200 * time.Millisecond // a pass that takes longer is logged
 )
 
-// coordinator is the duty that owns the member table and the state of all cells.
-type coordinator struct {
-	config    *Config
+// Coordinator is the duty that owns the member table and the state of all cells.
+type Coordinator struct {
+	config    Config
 	self      cell.RouterID
 	log       logrus.FieldLogger
 	commands  chan command
 	done      chan struct{} // done is closed when run has returned.
 	mesh      *peer.Mesh
-	news      newsReceiver
+	news      News
 	table     *member.Table
 	dispatch  *dispatching.Role
 	lend      *lending.Role
@@ -61,35 +61,54 @@
 	countersAt time.Time
 }
 
-// newsReceiver takes the messages that spread the configuration.
-type newsReceiver interface {
-	Received(from cell.RouterID, message wire.Message)
-	PeerUp(router cell.RouterID)
-	PeerDown(router cell.RouterID)
-	Watching() bool
-	SetMembers(members []spread.Member)
-}
-
-func newCoordinator(config *Config, mesh *peer.Mesh) *coordinator {
-	c := &coordinator{
+// New returns a Coordinator that Run starts.
+func New(config Config) *Coordinator {
+	c := &Coordinator{
 		config:   config,
-		self:     config.routerID(),
+		self:     config.Self,
 		log:      config.Log.WithField("part", "dispatch"),
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
 		lists:    make(map[*peer.Link][]wire.Host),
-		mesh:     mesh,
-		table:    member.New(config.memberConfig()),
-		links:    newLinkSet(),
+		mesh:     peer.New(config.Peer),
+		table: member.New(member.Config{
+			Self:        config.Self.Host(),
+			Started:     time.Now(),
+			Lag:         config.Timings.ListLag,
+			CutOffAfter: config.Timings.CutOffAfter,
+		}),
+		links: newLinkSet(),
 	}
-	c.dispatch = dispatching.New(config.dispatchingConfig(c.toEntry))
-	c.lend = lending.New(config.lendingConfig(c.toDispatcher, c.disconnect))
+	c.dispatch = dispatching.New(dispatching.Config{
+		Self:       config.Self,
+		StakeLease: config.Timings.StakeLease,
+		GrantValid: config.Timings.GrantValid,
+		Order:      config.Order,
+		Send:       c.toEntry,
+	})
+	c.lend = lending.New(lending.Config{
+		Self:       config.Self,
+		Started:    time.Now(),
+		StakeLease: config.Timings.StakeLease,
+		GrantValid: config.Timings.GrantValid,
+		Local:      config.LocalQueues,
+		Send:       c.toDispatcher,
+		Disconnect: c.disconnect,
+	})
 	return c
 }
 
-// run owns the state until ctx ends.
-func (c *coordinator) run(ctx context.Context) error {
+// Run owns the state and the links until ctx ends.
+func (c *Coordinator) Run(ctx context.Context, news News) error {
+	c.news = news
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.mesh.Run(ctx) })
+	group.Go(func() error { return c.loop(ctx) })
+	return group.Wait()
+}
+
+func (c *Coordinator) loop(ctx context.Context) error {
 	defer close(c.done)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -115,7 +134,7 @@
 }
 
 // postAlways hands a command to the coordinator, unless that has ended.
-func (c *coordinator) postAlways(cmd command) {
+func (c *Coordinator) postAlways(cmd command) {
 	select {
 	case c.commands <- cmd:
 	case <-c.done:
@@ -123,7 +142,7 @@
 }
 
 // post hands a command to the coordinator, or gives up when ctx ends.
-func (c *coordinator) post(ctx context.Context, cmd command) bool {
+func (c *Coordinator) post(ctx context.Context, cmd command) bool {
 	select {
 	case c.commands <- cmd:
 		return true
@@ -132,7 +151,7 @@
 	}
 }
 
-func (c *coordinator) handle(now time.Time, cmd command) {
+func (c *Coordinator) handle(now time.Time, cmd command) {
 	switch cmd := cmd.(type) {
 	case ask:
 		c.ask(now, cmd)
@@ -158,7 +177,7 @@
 }
 
 // tick lets time pass in every cell and refreshes what follows from it.
-func (c *coordinator) tick(now time.Time) {
+func (c *Coordinator) tick(now time.Time) {
 	c.table.Tick(now)
 	c.checkCutOff(now)
 	c.shareKeys(now)
@@ -181,7 +200,7 @@
 
 // checkCutOff notes whether this router may send new work at all. What waits
 // when it is cut off is refused at once, since nothing of it has run.
-func (c *coordinator) checkCutOff(now time.Time) {
+func (c *Coordinator) checkCutOff(now time.Time) {
 	cutOff := c.table.CutOff(now)
 	if c.cutOff.Swap(cutOff) == cutOff {
 		return
@@ -193,7 +212,7 @@
 }
 
 // ask passes a request's ask on, unless this router may send no new work.
-func (c *coordinator) ask(now time.Time, cmd ask) {
+func (c *Coordinator) ask(now time.Time, cmd ask) {
 	if c.cutOff.Load() {
 		cmd.Refuse(result.CutOff)
 		return
@@ -202,13 +221,13 @@
 }
 
 // order returns the function that gives the order of a cell's dispatchers.
-func (c *coordinator) order(now time.Time) func(cell.ID) []cell.HostID {
+func (c *Coordinator) order(now time.Time) func(cell.ID) []cell.HostID {
 	return func(id cell.ID) []cell.HostID { return c.table.Order(now, id) }
 }
 
 // drain handles what the last event left behind: this router's messages to
 // itself and grants that nobody waits for, until nothing is left.
-func (c *coordinator) drain() {
+func (c *Coordinator) drain() {
 	for {
 		loopback := c.loopback
 		c.loopback = nil
@@ -223,7 +242,7 @@
 	}
 }
 
-func (c *coordinator) handleListed(now time.Time, cmd listed) {
+func (c *Coordinator) handleListed(now time.Time, cmd listed) {
 	if cmd.err != nil {
 		c.table.ListFailed(now)
 		return
@@ -233,7 +252,7 @@
 }
 
 // takeList takes a list of hosts that this router or a watcher has just read.
-func (c *coordinator) takeList(now time.Time, members []member.Member) {
+func (c *Coordinator) takeList(now time.Time, members []member.Member) {
 	c.listedAt.Store(&now)
 	c.table.Listed(now, members)
 	c.refreshVoters(now)
@@ -244,7 +263,7 @@
 
 // tellSigns tells all peers which hosts this router has signs of, if that has
 // changed. The first such message also tells that this router has a configuration.
-func (c *coordinator) tellSigns() {
+func (c *Coordinator) tellSigns() {
 	signs := c.table.Signs()
 	if c.directory == nil || c.leaving || slices.Equal(signs, c.signs) {
 		return
@@ -254,7 +273,7 @@
 }
 
 // refreshVoters tells the dispatchers whose stakes count, if that has changed.
-func (c *coordinator) refreshVoters(now time.Time) {
+func (c *Coordinator) refreshVoters(now time.Time) {
 	hosts, total := c.table.Voters()
 	if total == c.total && slices.Equal(hosts, c.voters) {
 		return
@@ -264,18 +283,18 @@
 	c.dispatch.SetVoters(now, c.voters, total)
 }
 
-func (c *coordinator) peerAddresses() []peer.Address {
+func (c *Coordinator) peerAddresses() []peer.Address {
 	members := c.table.Members()
 	addresses := make([]peer.Address, 0, len(members))
 	for _, m := range members {
-		if m.Host != c.config.Host {
+		if m.Host != c.self.Host() {
 			addresses = append(addresses, peer.Address{Host: m.Host, Addr: m.PeerAddress})
 		}
 	}
 	return addresses
 }
 
-func (c *coordinator) spreadMembers() []spread.Member {
+func (c *Coordinator) spreadMembers() []spread.Member {
 	var members []spread.Member
 	for _, m := range c.table.Members() {
 		if !m.Leaving {
@@ -286,7 +305,7 @@
 }
 
 // adopt puts a generation in force in all cells.
-func (c *coordinator) adopt(now time.Time, next *directory.Directory) {
+func (c *Coordinator) adopt(now time.Time, next *directory.Directory) {
 	first := c.directory == nil
 	c.directory = next
 	c.lend.Adopt(now, next)
@@ -298,9 +317,9 @@
 }
 
 // depart tells all routers that this one leaves and takes itself out of the order.
-func (c *coordinator) depart(now time.Time) {
+func (c *Coordinator) depart(now time.Time) {
 	c.leaving = true
-	c.table.Leaving(now, c.config.Host)
+	c.table.Leaving(now, c.self.Host())
 	c.links.each(func(link *peer.Link) { link.Send(&wire.Leaving{}) })
 	c.dispatch.Leave()
 	c.lend.PeerLeaving(now, c.self)
--- /dev/null
+++ b/router/coordination/duty.go
@@ -0,0 +1,107 @@
+package coordination
+
+import (
+	"context"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/member"
+	"ryelug/io/endpoint"
+	"ryelug/io/wire"
+	"ryelug/router/directory"
+	"ryelug/router/dispatching"
+)
+
+// sweepOrder stands for a cell in the order that names the router that deletes old records.
+const sweepOrder cell.ID = "calls"
+
+// Adopt puts a generation of the configuration in force.
+func (c *Coordinator) Adopt(next *directory.Directory) { c.postAlways(adopt{directory: next}) }
+
+// Tell sends a message to a router, or to all linked ones if to is empty.
+func (c *Coordinator) Tell(to cell.RouterID, message wire.Message) {
+	c.postAlways(tell{to: to, message: message})
+}
+
+// Depart gives the dispatcher role away and tells all routers that this one leaves.
+func (c *Coordinator) Depart(ctx context.Context) { c.post(ctx, depart{}) }
+
+// Farewell tells all routers that nothing of this one is left.
+func (c *Coordinator) Farewell(ctx context.Context) { c.post(ctx, farewell{}) }
+
+// CutOff tells whether this router must send no new work.
+func (c *Coordinator) CutOff() bool { return c.cutOff.Load() }
+
+// Sweeps tells whether it is this router's turn to delete old records of keys.
+func (c *Coordinator) Sweeps() bool { return c.sweeps.Load() }
+
+// Listed takes the platform's list of hosts, or why it could not be read.
+func (c *Coordinator) Listed(ctx context.Context, members []member.Member, err error) {
+	c.post(ctx, listed{members: members, err: err})
+}
+
+// ListedAt returns when a list of hosts came last, read here or by a watcher; zero if none did.
+func (c *Coordinator) ListedAt() time.Time {
+	if at := c.listedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Targets returns the endpoints whose reports are needed here.
+func (c *Coordinator) Targets() []dispatching.Target {
+	if targets := c.polled.Load(); targets != nil {
+		return *targets
+	}
+	return nil
+}
+
+// TargetsGrew receives a value when reports are needed before the next round.
+func (c *Coordinator) TargetsGrew() <-chan struct{} { return c.pollNow }
+
+// Measured takes an endpoint's report, or why there is none. The report stems from sampled or later.
+func (c *Coordinator) Measured(ctx context.Context, target dispatching.Target, sampled time.Time, load endpoint.Load, err error) {
+	c.post(ctx, measured{cell: target.Cell, endpoint: target.Endpoint, load: load, sampled: sampled, err: err})
+}
+
+// choosePolled publishes the endpoints whose reports the dispatchers here need.
+// Those of a cell that is new here are asked at once, since without a report
+// its endpoints get no work.
+func (c *Coordinator) choosePolled() {
+	targets := c.dispatch.Targets()
+	before := c.polled.Swap(&targets)
+	if before == nil || len(*before) < len(targets) {
+		select {
+		case c.pollNow <- struct{}{}:
+		default: // A round is due already.
+		}
+	}
+}
+
+func (c *Coordinator) handleMeasured(now time.Time, cmd measured) {
+	if cmd.err != nil {
+		c.dispatch.Report(now, cmd.cell, &dispatch.Unreachable{Endpoint: cmd.endpoint})
+		return
+	}
+	c.dispatch.Report(now, cmd.cell, &dispatch.Load{
+		Endpoint:  cmd.endpoint,
+		Start:     cmd.load.Start,
+		Cold:      cmd.load.Cold,
+		InFlight:  cmd.load.InFlight,
+		Completed: int(cmd.load.Completed),
+		Sampled:   cmd.sampled,
+	})
+}
+
+// shareKeys notes this router's part of the work on the records of keys.
+func (c *Coordinator) shareKeys(now time.Time) {
+	order := c.table.Order(now, sweepOrder)
+	c.sweeps.Store(len(order) > 0 && order[0] == c.self.Host())
+	_, total := c.table.Voters()
+	if c.config.ShareKeys == nil || total == 0 || total == c.keyShares {
+		return
+	}
+	c.keyShares = total
+	c.config.ShareKeys(total)
+}
--- a/router/grants.go
+++ b/router/coordination/grants.go
@@ -1,4 +1,4 @@
-package router
+package coordination
 
 import (
 	"context"
@@ -6,21 +6,23 @@
 	"sync/atomic"
 	"time"
 
-	"ryelug/router/lending"
-
 	"ryelug/core/cell"
 	"ryelug/core/result"
+	"ryelug/router/lending"
 	"ryelug/router/request"
 )
 
-// grants asks the coordinator for permits on behalf of requests.
-type grants struct {
-	coordinator *coordinator
+// Grants asks the coordinator for permits on behalf of requests.
+type Grants struct {
+	coordinator *Coordinator
 	last        atomic.Uint64 // last is the attempt numbered last.
 }
 
+// NewGrants returns the Grants of a coordinator.
+func NewGrants(coordinator *Coordinator) *Grants { return &Grants{coordinator: coordinator} }
+
 // Ask implements request.Grants.
-func (g *grants) Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
+func (g *Grants) Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
 	attempt := cell.AttemptID(g.last.Add(1))
 	cmd := ask{lending.Ask{
 		Cell:   pool,
@@ -39,7 +41,7 @@
 }
 
 // giveUp withdraws the demand. A grant that has come all the same is handed back.
-func (g *grants) giveUp(ctx context.Context, cmd ask) (request.Permit, error) {
+func (g *Grants) giveUp(ctx context.Context, cmd ask) (request.Permit, error) {
 	attempt := cmd.Demand.Attempt
 	g.coordinator.postAlways(withdraw{cell: cmd.Cell, attempt: attempt})
 	select {
@@ -53,7 +55,7 @@
 	return nil, ctx.Err()
 }
 
-func (g *grants) permit(cmd ask, decided lending.Decision) (request.Permit, error) {
+func (g *Grants) permit(cmd ask, decided lending.Decision) (request.Permit, error) {
 	if refusal := decided.Refusal; refusal != nil {
 		return nil, &request.RefusedError{Code: result.Code(refusal.Code), RetryAfter: refusal.RetryAfter}
 	}
@@ -67,7 +69,7 @@
 
 // permit is one grant in the hands of a request.
 type permit struct {
-	coordinator *coordinator
+	coordinator *Coordinator
 	cell        cell.ID
 	attempt     cell.AttemptID
 	decided     lending.Decision
--- a/router/links.go
+++ b/router/coordination/links.go
@@ -1,4 +1,4 @@
-package router
+package coordination
 
 import (
 	"time"
@@ -50,7 +50,7 @@
 
 // peerEvent takes an event of the mesh. A frame is acknowledged before the clock
 // is read, so that an echo never claims more than the decisions knew.
-func (c *coordinator) peerEvent(event peer.Event) {
+func (c *Coordinator) peerEvent(event peer.Event) {
 	switch event := event.(type) {
 	case *peer.Up:
 		c.linkUp(time.Now(), event.Link)
@@ -64,7 +64,7 @@
 	}
 }
 
-func (c *coordinator) linkUp(now time.Time, link *peer.Link) {
+func (c *Coordinator) linkUp(now time.Time, link *peer.Link) {
 	c.links.side(link)[link.Router()] = link
 	c.news.PeerUp(link.Router())
 	if c.leaving {
@@ -79,7 +79,7 @@
 	c.lend.LinkUp(now, link.Router())
 }
 
-func (c *coordinator) linkDown(now time.Time, link *peer.Link) {
+func (c *Coordinator) linkDown(now time.Time, link *peer.Link) {
 	if !c.links.remove(link) {
 		return
 	}
@@ -98,7 +98,7 @@
 }
 
 // frame takes one frame: it renews the leases that rest on the link, then delivers the message.
-func (c *coordinator) frame(now time.Time, event *peer.Received) {
+func (c *Coordinator) frame(now time.Time, event *peer.Received) {
 	router := event.Link.Router()
 	if event.Link.Dialed() {
 		c.lend.Heard(now, router)
@@ -115,9 +115,12 @@
 }
 
 // received delivers a message of a router, which may be this one.
-func (c *coordinator) received(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
+func (c *Coordinator) received(now time.Time, from cell.RouterID, message wire.Message, echoed time.Time) {
 	switch message := message.(type) {
-	case *wire.Join, *wire.Release, *wire.Want, *wire.Withdraw, *wire.Progress, *wire.Ends:
+	case *wire.Join:
+		c.dispatch.Received(now, from, message, echoed)
+		c.choosePolled()
+	case *wire.Release, *wire.Want, *wire.Withdraw, *wire.Progress, *wire.Ends:
 		c.dispatch.Received(now, from, message, echoed)
 	case *wire.Accepted, *wire.Released, *wire.Grants, *wire.Refusals, *wire.Counters:
 		c.lend.Received(now, from, message, echoed)
@@ -135,7 +138,7 @@
 
 // told takes a peer's signs of hosts. Only a router that has a configuration
 // tells them, so from then on the peer may dispatch.
-func (c *coordinator) told(now time.Time, from cell.RouterID, hosts []cell.HostID) {
+func (c *Coordinator) told(now time.Time, from cell.RouterID, hosts []cell.HostID) {
 	c.table.Told(now, from.Host(), hosts)
 	if link := c.links.dialed[from]; link != nil {
 		c.table.Started(now, from.Host(), link.Started())
@@ -143,30 +146,30 @@
 	}
 }
 
-func (c *coordinator) peerLeaving(now time.Time, from cell.RouterID) {
+func (c *Coordinator) peerLeaving(now time.Time, from cell.RouterID) {
 	c.table.Leaving(now, from.Host())
 	c.lend.Reorder(now, c.order(now))
 	c.lend.PeerLeaving(now, from)
 }
 
 // toDispatcher sends a message of this router's entry role.
-func (c *coordinator) toDispatcher(router cell.RouterID, message wire.Message) {
+func (c *Coordinator) toDispatcher(router cell.RouterID, message wire.Message) {
 	c.send(c.links.dialed[router], router, message)
 }
 
 // toEntry sends a message of this router's dispatcher role.
-func (c *coordinator) toEntry(router cell.RouterID, message wire.Message) {
+func (c *Coordinator) toEntry(router cell.RouterID, message wire.Message) {
 	c.send(c.links.accepted[router], router, message)
 }
 
 // disconnect closes the link to a dispatcher that does not answer.
-func (c *coordinator) disconnect(router cell.RouterID) {
+func (c *Coordinator) disconnect(router cell.RouterID) {
 	if link := c.links.dialed[router]; link != nil {
 		link.Close()
 	}
 }
 
-func (c *coordinator) send(link *peer.Link, router cell.RouterID, message wire.Message) {
+func (c *Coordinator) send(link *peer.Link, router cell.RouterID, message wire.Message) {
 	if router == c.self {
 		c.loopback = append(c.loopback, message)
 		return
@@ -177,7 +180,7 @@
 }
 
 // tell sends a message of the configuration duty, over whichever link there is.
-func (c *coordinator) tell(cmd tell) {
+func (c *Coordinator) tell(cmd tell) {
 	if cmd.to != "" {
 		c.tellOne(cmd.to, cmd.message)
 		return
@@ -191,7 +194,7 @@
 	})
 }
 
-func (c *coordinator) tellOne(to cell.RouterID, message wire.Message) {
+func (c *Coordinator) tellOne(to cell.RouterID, message wire.Message) {
 	link := c.links.dialed[to]
 	if link == nil {
 		link = c.links.accepted[to]
--- a/router/list.go
+++ b/router/coordination/list.go
@@ -1,4 +1,4 @@
-package router
+package coordination
 
 import (
 	"slices"
@@ -11,7 +11,7 @@
 
 // tellList tells the routers of this data centre the list that this one has just
 // read, so that the platform's reads do not grow with the routers.
-func (c *coordinator) tellList(members []member.Member) {
+func (c *Coordinator) tellList(members []member.Member) {
 	hosts := make([]wire.Host, 0, len(members))
 	for _, m := range members {
 		hosts = append(hosts, wire.Host{
@@ -25,7 +25,7 @@
 	}
 }
 
-func (c *coordinator) tellListOn(link *peer.Link, hosts []wire.Host) {
+func (c *Coordinator) tellListOn(link *peer.Link, hosts []wire.Host) {
 	last, known := c.lists[link]
 	if known && slices.Equal(last, hosts) {
 		link.Send(&wire.Listed{})
@@ -36,7 +36,7 @@
 }
 
 // listHeard takes the list of a watcher, which has read it a moment ago.
-func (c *coordinator) listHeard(now time.Time, link *peer.Link, list *wire.Listed) {
+func (c *Coordinator) listHeard(now time.Time, link *peer.Link, list *wire.Listed) {
 	if list.Changed {
 		c.lists[link] = list.Hosts
 	}
--- a/router/view.go
+++ b/router/coordination/view.go
@@ -1,4 +1,4 @@
-package router
+package coordination
 
 import (
 	"context"
@@ -20,22 +20,22 @@
 }
 
 // View returns the coordination state, and false if ctx ends first.
-func (r *Router) View(ctx context.Context) (View, bool) {
+func (c *Coordinator) View(ctx context.Context) (View, bool) {
 	reply := make(chan View, 1)
-	if !r.coordinator.post(ctx, inspect{reply: reply}) {
+	if !c.post(ctx, inspect{reply: reply}) {
 		return View{}, false
 	}
 	select {
 	case view := <-reply:
 		return view, true
-	case <-r.coordinator.done:
+	case <-c.done:
 		return View{}, false
 	case <-ctx.Done():
 		return View{}, false
 	}
 }
 
-func (c *coordinator) view(now time.Time) View {
+func (c *Coordinator) view(now time.Time) View {
 	view := View{
 		Router: c.self,
 		Links:  len(c.links.dialed),
--- a/router/directory/directory.go
+++ b/router/directory/directory.go
@@ -7,11 +7,10 @@
 	"net/netip"
 	"strings"
 
-	"ryelug/core/result"
-
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/dispatch"
+	"ryelug/core/result"
 )
 
 // chatPath is the route whose body names a model.
--- a/router/keys.go
+++ b/router/keys.go
@@ -2,27 +2,16 @@
 
 import (
 	"context"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"ryelug/core/cell"
 	"ryelug/router/keyed"
 )
 
-// sweepOrder stands for a cell in the order that names the sweeping router.
-const sweepOrder cell.ID = "calls"
-
-// shareKeys notes this router's part of the work on the records of keys.
-func (c *coordinator) shareKeys(now time.Time) {
-	if c.config.Keys == nil {
-		return
-	}
-	order := c.table.Order(now, sweepOrder)
-	c.sweeps.Store(len(order) > 0 && order[0] == c.config.Host)
-	if _, total := c.table.Voters(); total > 0 && total != c.keyShares {
-		c.keyShares = total
-		c.config.Keys.SetRate(c.config.KeyedRate / float64(total))
+// shareKeyedRate gives this router its part of the rate of keyed requests.
+func (r *Router) shareKeyedRate(routers int) {
+	if r.config.Keys != nil {
+		r.config.Keys.SetRate(r.config.KeyedRate / float64(routers))
 	}
 }
 
@@ -33,7 +22,7 @@
 	}
 	sweeper := keyed.NewSweeper(keyed.SweeperConfig{
 		Records: r.config.OldRecords,
-		Turn:    r.coordinator.sweeps.Load,
+		Turn:    r.coordinator.Sweeps,
 		Rate:    r.config.KeyedRate, // A lower one would let records pile up.
 	})
 	group.Go(func() error { return sweeper.Run(ctx) })
--- a/router/panic_test.go
+++ b/router/panic_test.go
@@ -19,6 +19,7 @@
 	"ryelug/core/result"
 	"ryelug/io/platform"
 	"ryelug/router"
+	"ryelug/router/coordination"
 )
 
 // brokenCounter panics when it is told that there is no configuration.
@@ -56,10 +57,8 @@
 	log := logrus.New()
 	log.SetOutput(logged) // The logger locks its output.
 	log.SetLevel(logrus.ErrorLevel)
-	timings := router.DefaultTimings()
-	timings.BalancerLag = 0
 	one := router.New(router.Config{Host: "a", Incarnation: "1", DataCentre: "dc", Environment: "trial", PeerKey: []byte("a key of sixteen bytes"),
-		PeerListener: peers, CallersOn: callers, Hosts: noHosts{}, Counter: counter, Timings: timings, Log: log,
+		PeerListener: peers, CallersOn: callers, Hosts: noHosts{}, Counter: counter, Timings: coordination.DefaultTimings(), Log: log,
 		Platform: platform.New(platform.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Environment: "trial"})})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
--- a/router/process/hosts.go
+++ b/router/process/hosts.go
@@ -25,7 +25,7 @@
 	Leaving     bool           `json:"leaving"`
 }
 
-// Hosts implements router.Hosts.
+// Hosts implements poll.Lister.
 func (h *hosts) Hosts(ctx context.Context) ([]member.Member, error) {
 	list, err := h.platform.List(ctx, platform.Hosts)
 	if err != nil {
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -17,6 +17,7 @@
 	"ryelug/io/operator"
 	"ryelug/io/platform"
 	"ryelug/router"
+	"ryelug/router/coordination"
 	"ryelug/router/keyed"
 	"ryelug/router/settings"
 )
@@ -143,14 +144,15 @@
 		KeyedRate:    float64(given.KeyedRate),
 		OldRecords:   p.platform,
 		Timings:      timings(given),
+		BalancerLag:  given.BalancerLag,
 		Log:          p.config.Log,
 		Order:        p.config.Order,
 		LocalQueues:  p.config.LocalQueues,
 	})
 }
 
-func timings(given *settings.Settings) router.Timings {
-	timings := router.DefaultTimings()
+func timings(given *settings.Settings) coordination.Timings {
+	timings := coordination.DefaultTimings()
 	timings.Heartbeat = given.Heartbeat
 	timings.LinkSilent = given.LinkSilent
 	timings.DialTimeout = given.DialTimeout
@@ -160,7 +162,6 @@
 	timings.ReportLag = given.ReportLag
 	timings.ListLag = given.ListLag
 	timings.CutOffAfter = given.CutOffAfter
-	timings.BalancerLag = given.BalancerLag
 	return timings
 }
 
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -10,7 +10,7 @@
 	"ryelug/core/result"
 	"ryelug/io/operator"
 	"ryelug/io/peer"
-	"ryelug/router"
+	"ryelug/router/coordination"
 )
 
 // viewTimeout bounds the wait for the coordination state, so that a busy router still shows its counters.
@@ -67,7 +67,7 @@
 	}
 }
 
-func (p *Process) view() (router.View, bool) {
+func (p *Process) view() (coordination.View, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), viewTimeout)
 	defer cancel()
 	return p.router.View(ctx)
--- a/router/router.go
+++ b/router/router.go
@@ -6,17 +6,15 @@
 	"sync/atomic"
 	"time"
 
-	"ryelug/router/directory"
-
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/io/caller"
-	"ryelug/io/peer"
-	"ryelug/io/wire"
 	"ryelug/router/configuration"
+	"ryelug/router/coordination"
+	"ryelug/router/directory"
+	"ryelug/router/poll"
 	"ryelug/router/request"
 )
 
@@ -24,8 +22,7 @@
 type Router struct {
 	config        *Config
 	log           logrus.FieldLogger
-	mesh          *peer.Mesh
-	coordinator   *coordinator
+	coordinator   *coordination.Coordinator
 	configuration *configuration.Duty
 	runner        *request.Runner
 	callers       *caller.Server
@@ -40,13 +37,11 @@
 // New returns a Router that Run starts.
 func New(conf Config) *Router {
 	r := &Router{config: &conf, log: conf.Log.WithField("part", "router")}
-	r.mesh = peer.New(conf.peerConfig())
-	r.coordinator = newCoordinator(&conf, r.mesh)
+	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
-	r.coordinator.news = r.configuration
 	r.runner = request.New(request.Config{
 		Endpoints: conf.Endpoints,
-		Grants:    &grants{coordinator: r.coordinator},
+		Grants:    coordination.NewGrants(r.coordinator),
 		Counter:   conf.Counter,
 		Keys:      conf.Keys,
 	})
@@ -77,13 +72,17 @@
 
 // start starts the duties.
 func (r *Router) start(ctx context.Context, group *errgroup.Group) {
-	loads := newLoadPoller(r.config, r.coordinator)
-	hosts := newHostPoller(r.config, r.coordinator)
-	group.Go(func() error { return r.mesh.Run(ctx) })
-	group.Go(func() error { return r.coordinator.run(ctx) })
+	loads := poll.NewLoads(poll.LoadsConfig{
+		Endpoints: r.config.Endpoints, Coordinator: r.coordinator, Timings: r.config.Timings,
+	})
+	hosts := poll.NewHosts(poll.HostsConfig{
+		List: r.config.Hosts, Coordinator: r.coordinator, Watching: r.configuration.Watching,
+		Timings: r.config.Timings, Seed: r.config.Seed, Log: r.config.Log.WithField("part", "member"),
+	})
+	group.Go(func() error { return r.coordinator.Run(ctx, r.configuration) })
 	group.Go(func() error { return r.configuration.Run(ctx) })
-	group.Go(func() error { return loads.run(ctx) })
-	group.Go(func() error { return hosts.run(ctx) })
+	group.Go(func() error { return loads.Run(ctx) })
+	group.Go(func() error { return hosts.Run(ctx) })
 	r.startSweeper(ctx, group)
 	if r.config.CallersOn != nil {
 		group.Go(func() error { return r.callers.Serve(r.config.CallersOn) })
@@ -95,8 +94,8 @@
 func (r *Router) shutDown(ctx context.Context) {
 	r.log.Info("The router leaves.")
 	r.leaving.Store(true)
-	r.coordinator.post(ctx, depart{})
-	r.wait(ctx, r.config.Timings.BalancerLag)
+	r.coordinator.Depart(ctx)
+	r.wait(ctx, r.config.BalancerLag)
 	r.closeGate()
 	r.requests.Wait()
 	if r.config.CallersOn != nil {
@@ -105,7 +104,7 @@
 		}
 	}
 	r.wait(ctx, lastWords)
-	r.coordinator.post(ctx, farewell{})
+	r.coordinator.Farewell(ctx)
 	r.wait(ctx, lastWords)
 	r.log.Info("All requests are finished.")
 }
@@ -130,12 +129,7 @@
 func (r *Router) adopt(generation uint64, doc *config.Document) {
 	next := directory.New(generation, doc)
 	r.directory.Store(next)
-	r.coordinator.postAlways(adopt{directory: next})
-}
-
-// send hands a message of the configuration duty to the links.
-func (r *Router) send(to cell.RouterID, message wire.Message) {
-	r.coordinator.postAlways(tell{to: to, message: message})
+	r.coordinator.Adopt(next)
 }
 
 // report logs a generation that can't be adopted; the last good one stays in force.
@@ -147,7 +141,7 @@
 func (r *Router) Health() Health {
 	return Health{
 		Leaving:    r.leaving.Load(),
-		CutOff:     r.coordinator.cutOff.Load(),
+		CutOff:     r.coordinator.CutOff(),
 		Configured: r.directory.Load() != nil,
 		Generation: r.generation(),
 	}
@@ -167,3 +161,6 @@
 	}
 	return 0
 }
+
+// View returns the coordination state, and false if ctx ends first.
+func (r *Router) View(ctx context.Context) (coordination.View, bool) { return r.coordinator.View(ctx) }
--- a/router/serve.go
+++ b/router/serve.go
@@ -5,14 +5,13 @@
 	"net/http"
 	"time"
 
-	"ryelug/router/directory"
-
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/result"
 	"ryelug/io/caller"
+	"ryelug/router/directory"
 	"ryelug/router/request"
 )
 
@@ -69,7 +68,7 @@
 	if d == nil {
 		return request.Route{}, result.NoConfiguration
 	}
-	if r.coordinator.cutOff.Load() {
+	if r.coordinator.CutOff() {
 		return request.Route{}, result.CutOff
 	}
 	team, ok := d.Team(req.Key)
