Move the dev fleet out of the command package

The dev command held a whole fleet, and wrote its document past router/publish by code of its own. Ruled out: standin/fleet for it: that one lives on a stand-in network in virtual time, the dev fleet listens on loopback for curl. Change: package standin/local runs the fleet, and puts the sample document in force by router/publish. Listening moves to router/process and errors with a code to core/result. The tests name standin/local and keep their assertions. `go test -count=1 -timeout 100s ./cmd/ryelug ./core/result` is ok.

--- a/cmd/ryelug/apply.go
+++ b/cmd/ryelug/apply.go
@@ -96,5 +96,5 @@
 		return nil
 	}
 	err := fmt.Errorf("the file would return %s; set out or leaving in the file, or give -return", strings.Join(back, ", "))
-	return &codeError{code: result.Conflict, err: err}
+	return result.Wrap(result.Conflict, err)
 }
--- a/cmd/ryelug/command.go
+++ b/cmd/ryelug/command.go
@@ -6,9 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
-	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -57,45 +55,12 @@
 // Error returns the exit status.
 func (r *reported) Error() string { return fmt.Sprintf("exit status %d", r.status) }
 
-// coded is an error with a result code.
-type coded interface {
-	error
-	Code() result.Code
-}
-
-// codeError gives an error a result code.
-type codeError struct {
-	code result.Code
-	err  error
-}
-
-// Error returns the text of the cause.
-func (e *codeError) Error() string { return e.err.Error() }
-
-// Unwrap returns the cause.
-func (e *codeError) Unwrap() error { return e.err }
-
-// Code returns the result code.
-func (e *codeError) Code() result.Code { return e.code }
-
 func usageError(format string, args ...any) error {
-	return &codeError{code: result.BadArguments, err: fmt.Errorf(format, args...)}
-}
-
-// codeOf returns the result code of an error.
-func codeOf(err error) result.Code {
-	var known coded
-	switch {
-	case err == nil:
-		return result.OK
-	case errors.As(err, &known):
-		return known.Code()
-	}
-	return result.InternalFailure
+	return result.Wrap(result.BadArguments, fmt.Errorf(format, args...))
 }
 
 func exitStatus(err error) subcommands.ExitStatus {
-	info, _ := result.Lookup(codeOf(err))
+	info, _ := result.Lookup(result.Of(err))
 	return subcommands.ExitStatus(info.Exit)
 }
 
@@ -113,7 +78,7 @@
 
 // report tells of an error, its code and what to do.
 func report(to io.Writer, err error) {
-	code := codeOf(err)
+	code := result.Of(err)
 	info, _ := result.Lookup(code)
 	fmt.Fprintf(to, "ryelug: %v\n", err)
 	fmt.Fprintf(to, "ryelug: result %d %s: %s. %s\n", code, info.Name, info.Text, advice[code])
@@ -127,18 +92,6 @@
 	return nil
 }
 
-// listen opens a TCP listener; an address that is in use gives the code AddressInUse.
-func listen(address netip.AddrPort) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if errors.Is(err, syscall.EADDRINUSE) {
-		return nil, &codeError{code: result.AddressInUse, err: fmt.Errorf("another process listens on %s", address)}
-	}
-	if err != nil {
-		return nil, fmt.Errorf("can't listen on %s: %w", address, err)
-	}
-	return listener, nil
-}
-
 // addressFlag is a flag that holds an address and port.
 type addressFlag struct {
 	address *netip.AddrPort
--- a/cmd/ryelug/environment.go
+++ b/cmd/ryelug/environment.go
@@ -49,7 +49,7 @@
 func readDocument(name string) (*config.Document, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
-		return nil, &codeError{code: result.BadArguments, err: err}
+		return nil, result.Wrap(result.BadArguments, err)
 	}
 	document, err := config.Parse(data)
 	var all config.Errors
@@ -65,7 +65,7 @@
 	for i, one := range all {
 		lines[i] = fmt.Errorf("%s: %w", name, one)
 	}
-	return &codeError{code: result.BadDocument, err: errors.Join(lines...)}
+	return result.Wrap(result.BadDocument, errors.Join(lines...))
 }
 
 // withCode gives an error of a publisher its result code.
@@ -79,13 +79,13 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &conflict):
-		return &codeError{code: result.Conflict, err: err}
+		return result.Wrap(result.Conflict, err)
 	case errors.As(err, &unknown), errors.As(err, &unavailable), errors.Is(err, context.DeadlineExceeded):
-		return &codeError{code: result.PlatformDown, err: err}
+		return result.Wrap(result.PlatformDown, err)
 	case errors.As(err, &name), errors.Is(err, platform.ErrNotFound):
-		return &codeError{code: result.UnknownName, err: err}
+		return result.Wrap(result.UnknownName, err)
 	case errors.As(err, &document), errors.Is(err, platform.ErrTooLarge):
-		return &codeError{code: result.BadDocument, err: err}
+		return result.Wrap(result.BadDocument, err)
 	}
 	return err
 }
@@ -97,9 +97,9 @@
 	case err != nil:
 		return base, withCode(err)
 	case base.Broken != nil:
-		return base, &codeError{code: result.BadDocument, err: fmt.Errorf("the document in force can't be read, replace it with \"ryelug apply\": %w", base.Broken)}
+		return base, result.Wrap(result.BadDocument, fmt.Errorf("the document in force can't be read, replace it with \"ryelug apply\": %w", base.Broken))
 	case base.Document == nil:
-		return base, &codeError{code: result.UnknownName, err: fmt.Errorf("environment %s has no document yet, put one in force with \"ryelug apply\"", environment)}
+		return base, result.Wrap(result.UnknownName, fmt.Errorf("environment %s has no document yet, put one in force with \"ryelug apply\"", environment))
 	}
 	return base, nil
 }
--- a/cmd/ryelug/process_test.go
+++ b/cmd/ryelug/process_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"ryelug/standin/local"
 )
 
 const (
@@ -86,7 +88,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	return addressOf(listener)
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 // newFleet builds the program and starts two routers with stand-ins of all else.
@@ -98,18 +100,18 @@
 	if err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	platformArgs := []string{"platform", "-listen", "127.0.0.1:0", "-environment", sampleEnvironment}
+	platformArgs := []string{"platform", "-listen", "127.0.0.1:0", "-environment", local.Environment}
 	for i := range 2 {
 		one := &routerProgram{callers: freePort(is), operator: freePort(is), peers: freePort(is)}
 		f.routers = append(f.routers, one)
-		platformArgs = append(platformArgs, "-host", fmt.Sprintf("router-%d,%s,%s", i+1, sampleDataCentres[i], one.peers))
+		platformArgs = append(platformArgs, "-host", fmt.Sprintf("router-%d,%s,%s", i+1, local.DataCentres[i], one.peers))
 	}
 	platform := f.standin(platformArgs...)
-	endpoints := []sampleEndpoint{
-		{"engine-1", samplePool, sampleDataCentres[0], f.standin("engine", "-listen", "127.0.0.1:0", "-name", "engine-1")},
-		{"tickets-1", servicePool, sampleDataCentres[0], f.standin("service", "-listen", "127.0.0.1:0", "-name", "tickets-1")},
+	endpoints := []local.Endpoint{
+		{Name: "engine-1", Pool: local.EnginePool, DataCentre: local.DataCentres[0], Address: f.standin("engine", "-listen", "127.0.0.1:0", "-name", "engine-1")},
+		{Name: "tickets-1", Pool: local.ServicePool, DataCentre: local.DataCentres[0], Address: f.standin("service", "-listen", "127.0.0.1:0", "-name", "tickets-1")},
 	}
-	is.NoErr(publishSample(context.Background(), platform, endpoints))
+	is.NoErr(local.Publish(context.Background(), platform, endpoints))
 	for i, one := range f.routers {
 		f.startRouter(i, one, platform)
 	}
@@ -123,7 +125,7 @@
 	file := filepath.Join(f.dir, fmt.Sprintf("router-%d.toml", i+1))
 	text := fmt.Sprintf("host = \"router-%d\"\ndata_centre = %q\nenvironment = %q\ncallers_address = %q\noperator_address = %q\n"+
 		"peer_address = %q\nplatform_address = %q\npeer_key = \"a key for this test\"\nbalancer_lag = \"100ms\"\nlog_level = \"error\"\n",
-		i+1, sampleDataCentres[i], sampleEnvironment, one.callers, one.operator, one.peers, platform)
+		i+1, local.DataCentres[i], local.Environment, one.callers, one.operator, one.peers, platform)
 	is.New(f.t).NoErr(os.WriteFile(file, []byte(text), 0o600))
 	one.program = f.start("router", "-settings", file)
 	f.run(one.program)
@@ -151,7 +153,7 @@
 	var resp fasthttp.Response
 	req.SetRequestURI("http://" + to.String() + path)
 	req.Header.SetMethod(method)
-	req.Header.Set("Authorization", "Bearer "+sampleTeams[0].key)
+	req.Header.Set("Authorization", "Bearer "+local.Teams[0].Key)
 	req.SetConnectionClose()
 	req.SetBodyString(body)
 	if err := client.DoTimeout(&req, &resp, answerLimit); err != nil {
@@ -176,7 +178,7 @@
 
 // chat asks for a streamed answer; first closes when its first line has come.
 func chat(to netip.AddrPort, tokens int, first chan<- struct{}) answer {
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, sampleModel, tokens)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, local.Model, tokens)
 	return send("POST", to, "/v1/chat/completions", body, first)
 }
 
@@ -211,7 +213,7 @@
 func (f *fleet) roles() (dispatcher, entry *routerProgram) {
 	f.await("dispatcher that holds both stakes", func() bool {
 		for i, one := range f.routers {
-			if one.vars().Cells[samplePool].StakesHeld == len(f.routers) {
+			if one.vars().Cells[local.EnginePool].StakesHeld == len(f.routers) {
 				dispatcher, entry = one, f.routers[1-i]
 				return true
 			}
@@ -243,7 +245,7 @@
 		is.True(dispatcher.vars().Peers.Out["grants"].Messages > before)
 	})
 	t.Run("a service's call", func(t *testing.T) {
-		got := send("POST", entry.callers, servicePath, "{}", nil)
+		got := send("POST", entry.callers, local.CallPath, "{}", nil)
 		if got.err != nil || !strings.Contains(got.body, `"number":1`) {
 			t.Errorf("status %d, error %v, body %s", got.status, got.err, got.body)
 		}
--- a/cmd/ryelug/router.go
+++ b/cmd/ryelug/router.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"flag"
-	"net"
-	"net/netip"
 
 	"github.com/sirupsen/logrus"
 
@@ -64,7 +62,7 @@
 
 // newProcess opens the listeners of a router, so that an address in use is told at once.
 func newProcess(given *settings.Settings, log logrus.FieldLogger) (*process.Process, error) {
-	listeners, err := listenAll(given.CallersAddress, given.OperatorAddress, given.PeerAddress)
+	listeners, err := process.ListenAll(given.CallersAddress, given.OperatorAddress, given.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -76,19 +74,3 @@
 		Log:      log,
 	}), nil
 }
-
-// listenAll opens a listener for each address, or none.
-func listenAll(addresses ...netip.AddrPort) ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := listen(address)
-		if err != nil {
-			for _, opened := range listeners {
-				opened.Close()
-			}
-			return nil, err
-		}
-		listeners = append(listeners, listener)
-	}
-	return listeners, nil
-}
--- a/cmd/ryelug/standin.go
+++ b/cmd/ryelug/standin.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/subcommands"
 
+	"ryelug/router/process"
 	"ryelug/standin/engine"
 	"ryelug/standin/platform"
 	"ryelug/standin/service"
@@ -67,7 +68,7 @@
 
 // serve listens, tells where, and serves until ctx ends.
 func serve(ctx context.Context, one server, address netip.AddrPort, to streams) error {
-	listener, err := listen(address)
+	listener, err := process.Listen(address)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/router/process/listen.go
@@ -0,0 +1,39 @@
+package process
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"ryelug/core/result"
+)
+
+// Listen opens a TCP listener; the error of an address in use has the code AddressInUse.
+func Listen(address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return nil, result.Wrap(result.AddressInUse, fmt.Errorf("another process listens on %s", address))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("can't listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+// ListenAll opens a listener for each address, or none.
+func ListenAll(addresses ...netip.AddrPort) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := Listen(address)
+		if err != nil {
+			for _, opened := range listeners {
+				opened.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
