Hand back a grant that crosses its withdrawal

Cause: a request that gave up posted its withdrawal and then looked for a reply. A grant that the coordinator answered between the two was read by nobody: its slot counted until the longest request time. Ruled out: a second look later, which only narrows the gap; the withdrawal now carries the reply, and the coordinator alone reads it from then on. Conclusion: no slot is lost to a request that gives up.

--- a/router/coordination/command.go
+++ b/router/coordination/command.go
@@ -18,10 +18,7 @@
 type ask struct{ lending.Ask }
 
 // withdraw tells that an ask is given up.
-type withdraw struct {
-	cell    cell.ID
-	attempt cell.AttemptID
-}
+type withdraw struct{ lending.Ask }
 
 // finish tells that a granted attempt has ended.
 type finish struct {
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -18,6 +18,7 @@
 	"ryelug/router/directory"
 	"ryelug/router/dispatching"
 	"ryelug/router/lending"
+	"ryelug/router/links"
 )
 
 // Sizes of the coordinator's rings and the pace of its duties.
@@ -41,7 +42,7 @@
 	table     *member.Table
 	dispatch  *dispatching.Role
 	lend      *lending.Role
-	links     linkSet
+	links     *links.Set
 	loopback  []wire.Message // loopback holds this router's messages to itself.
 	began     time.Time      // began is when the present step began; what it decides is no younger.
 	directory *directory.Directory
@@ -53,9 +54,8 @@
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
 	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
 	polled    atomic.Pointer[[]dispatching.Target]
-	listedAt  atomic.Pointer[time.Time]  // listedAt is when a list of hosts came last, read here or by a watcher.
-	lists     map[*peer.Link][]wire.Host // lists holds the list that each link was told last, or has told last.
-	pollNow   chan struct{}              // pollNow asks for a round of load reports before the next one is due.
+	listedAt  atomic.Pointer[time.Time] // listedAt is when a list of hosts came last, read here or by a watcher.
+	pollNow   chan struct{}             // pollNow asks for a round of load reports before the next one is due.
 
 	progressAt time.Time
 	countersAt time.Time
@@ -70,7 +70,6 @@
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
-		lists:    make(map[*peer.Link][]wire.Host),
 		mesh:     peer.New(config.Peer),
 		table: member.New(member.Config{
 			Self:        config.Self.Host(),
@@ -78,7 +77,7 @@
 			Lag:         config.Timings.ListLag,
 			CutOffAfter: config.Timings.CutOffAfter,
 		}),
-		links: newLinkSet(),
+		links: links.New(),
 	}
 	c.dispatch = dispatching.New(dispatching.Config{
 		Self:       config.Self,
@@ -94,7 +93,7 @@
 		GrantValid: config.Timings.GrantValid,
 		Local:      config.LocalQueues,
 		Send:       c.toDispatcher,
-		Disconnect: c.disconnect,
+		Disconnect: c.links.Disconnect,
 	})
 	return c
 }
@@ -156,7 +155,7 @@
 	case ask:
 		c.ask(now, cmd)
 	case withdraw:
-		c.lend.Withdraw(now, cmd.cell, cmd.attempt)
+		c.lend.Withdraw(now, cmd.Ask)
 	case finish:
 		c.lend.Finish(now, cmd.cell, cmd.end)
 	case adopt:
@@ -170,7 +169,7 @@
 	case depart:
 		c.depart(now)
 	case farewell:
-		c.links.each(func(link *peer.Link) { link.Send(&wire.Departed{}) })
+		c.links.OnAll(&wire.Departed{})
 	case inspect:
 		cmd.reply <- c.view(now)
 	}
@@ -248,7 +247,7 @@
 		return
 	}
 	c.takeList(now, cmd.members)
-	c.tellList(cmd.members)
+	c.links.TellList(c.config.DataCentre, cmd.members)
 }
 
 // takeList takes a list of hosts that this router or a watcher has just read.
@@ -269,7 +268,7 @@
 		return
 	}
 	c.signs = slices.Clone(signs)
-	c.links.each(func(link *peer.Link) { link.Send(&wire.Members{Hosts: c.signs}) })
+	c.links.OnAll(&wire.Members{Hosts: c.signs})
 }
 
 // refreshVoters tells the dispatchers whose stakes count, if that has changed.
@@ -320,7 +319,7 @@
 func (c *Coordinator) depart(now time.Time) {
 	c.leaving = true
 	c.table.Leaving(now, c.self.Host())
-	c.links.each(func(link *peer.Link) { link.Send(&wire.Leaving{}) })
+	c.links.OnAll(&wire.Leaving{})
 	c.dispatch.Leave()
 	c.lend.PeerLeaving(now, c.self)
 	c.lend.Reorder(now, c.order(now))
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -11,6 +11,7 @@
 	"ryelug/io/wire"
 	"ryelug/router/directory"
 	"ryelug/router/dispatching"
+	"ryelug/router/lending"
 )
 
 // sweepOrder stands for a cell in the order that names the router that deletes old records.
@@ -19,6 +20,17 @@
 // Adopt puts a generation of the configuration in force.
 func (c *Coordinator) Adopt(next *directory.Directory) { c.postAlways(adopt{directory: next}) }
 
+// Ask asks for a grant; it returns false if ctx ends before.
+func (c *Coordinator) Ask(ctx context.Context, request lending.Ask) bool {
+	return c.post(ctx, ask{request})
+}
+
+// Withdraw gives an ask up; its reply must not be read any more.
+func (c *Coordinator) Withdraw(request lending.Ask) { c.postAlways(withdraw{request}) }
+
+// Finish tells that a granted attempt has ended.
+func (c *Coordinator) Finish(id cell.ID, end cell.End) { c.postAlways(finish{cell: id, end: end}) }
+
 // Tell sends a message to a router, or to all linked ones if to is empty.
 func (c *Coordinator) Tell(to cell.RouterID, message wire.Message) {
 	c.postAlways(tell{to: to, message: message})
--- a/router/coordination/links.go
+++ b/router/coordination/links.go
@@ -8,46 +8,6 @@
 	"ryelug/io/wire"
 )
 
-// linkSet holds the newest link to each router in each direction.
-type linkSet struct {
-	dialed   map[cell.RouterID]*peer.Link // dialed carry this entry's traffic to dispatchers.
-	accepted map[cell.RouterID]*peer.Link // accepted carry other entries' traffic to this dispatcher.
-}
-
-func newLinkSet() linkSet {
-	return linkSet{
-		dialed:   make(map[cell.RouterID]*peer.Link),
-		accepted: make(map[cell.RouterID]*peer.Link),
-	}
-}
-
-func (s *linkSet) side(link *peer.Link) map[cell.RouterID]*peer.Link {
-	if link.Dialed() {
-		return s.dialed
-	}
-	return s.accepted
-}
-
-// remove forgets link and tells whether it was the newest one.
-func (s *linkSet) remove(link *peer.Link) bool {
-	side := s.side(link)
-	if side[link.Router()] != link {
-		return false
-	}
-	delete(side, link.Router())
-	return true
-}
-
-// each calls f for every link.
-func (s *linkSet) each(f func(*peer.Link)) {
-	for _, link := range s.dialed {
-		f(link)
-	}
-	for _, link := range s.accepted {
-		f(link)
-	}
-}
-
 // peerEvent takes an event of the mesh. A frame is acknowledged before the clock
 // is read, so that an echo never claims more than the decisions knew.
 func (c *Coordinator) peerEvent(event peer.Event) {
@@ -57,7 +17,7 @@
 	case *peer.Down:
 		c.linkDown(time.Now(), event.Link)
 	case *peer.Received:
-		if c.links.side(event.Link)[event.Link.Router()] == event.Link {
+		if c.links.IsNewest(event.Link) {
 			event.Acknowledge()
 			c.frame(time.Now(), event)
 		}
@@ -65,7 +25,7 @@
 }
 
 func (c *Coordinator) linkUp(now time.Time, link *peer.Link) {
-	c.links.side(link)[link.Router()] = link
+	c.links.Add(link)
 	c.news.PeerUp(link.Router())
 	if c.leaving {
 		link.Send(&wire.Leaving{})
@@ -80,12 +40,11 @@
 }
 
 func (c *Coordinator) linkDown(now time.Time, link *peer.Link) {
-	if !c.links.remove(link) {
+	if !c.links.Remove(link) {
 		return
 	}
 	router := link.Router()
-	delete(c.lists, link)
-	if c.links.dialed[router] == nil && c.links.accepted[router] == nil {
+	if !c.links.Reaches(router) {
 		c.news.PeerDown(router)
 	}
 	if !link.Dialed() {
@@ -106,7 +65,9 @@
 		c.dispatch.Renew(now, router, event.Echoed)
 	}
 	if list, ok := event.Message.(*wire.Listed); ok {
-		c.listHeard(now, event.Link, list)
+		if members, known := c.links.HearList(event.Link, list); known {
+			c.takeList(now, members)
+		}
 		return
 	}
 	if event.Message != nil {
@@ -140,7 +101,7 @@
 // tells them, so from then on the peer may dispatch.
 func (c *Coordinator) told(now time.Time, from cell.RouterID, hosts []cell.HostID) {
 	c.table.Told(now, from.Host(), hosts)
-	if link := c.links.dialed[from]; link != nil {
+	if link := c.links.Dialed(from); link != nil {
 		c.table.Started(now, from.Host(), link.Started())
 		c.table.Up(now, from.Host())
 	}
@@ -154,52 +115,27 @@
 
 // toDispatcher sends a message of this router's entry role.
 func (c *Coordinator) toDispatcher(router cell.RouterID, message wire.Message) {
-	c.send(c.links.dialed[router], router, message)
+	if router == c.self {
+		c.loopback = append(c.loopback, message)
+		return
+	}
+	c.links.ToDispatcher(router, message)
 }
 
 // toEntry sends a message of this router's dispatcher role.
 func (c *Coordinator) toEntry(router cell.RouterID, message wire.Message) {
-	c.send(c.links.accepted[router], router, message)
-}
-
-// disconnect closes the link to a dispatcher that does not answer.
-func (c *Coordinator) disconnect(router cell.RouterID) {
-	if link := c.links.dialed[router]; link != nil {
-		link.Close()
-	}
-}
-
-func (c *Coordinator) send(link *peer.Link, router cell.RouterID, message wire.Message) {
 	if router == c.self {
 		c.loopback = append(c.loopback, message)
 		return
 	}
-	if link != nil {
-		link.Send(message) // A full ring closes the link; its Down follows.
-	}
+	c.links.ToEntry(router, message)
 }
 
-// tell sends a message of the configuration duty, over whichever link there is.
+// tell sends a message of the configuration duty.
 func (c *Coordinator) tell(cmd tell) {
-	if cmd.to != "" {
-		c.tellOne(cmd.to, cmd.message)
+	if cmd.to == "" {
+		c.links.ToAll(cmd.message)
 		return
 	}
-	told := make(map[cell.RouterID]bool)
-	c.links.each(func(link *peer.Link) {
-		if !told[link.Router()] {
-			told[link.Router()] = true
-			link.Send(cmd.message)
-		}
-	})
-}
-
-func (c *Coordinator) tellOne(to cell.RouterID, message wire.Message) {
-	link := c.links.dialed[to]
-	if link == nil {
-		link = c.links.accepted[to]
-	}
-	if link != nil {
-		link.Send(message)
-	}
+	c.links.To(cmd.to, cmd.message)
 }
--- a/router/coordination/view.go
+++ b/router/coordination/view.go
@@ -38,7 +38,7 @@
 func (c *Coordinator) view(now time.Time) View {
 	view := View{
 		Router: c.self,
-		Links:  len(c.links.dialed),
+		Links:  c.links.Count(),
 		Total:  c.total,
 		CutOff: c.table.CutOff(now),
 		Cells:  c.dispatch.Snapshots(),
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -156,17 +156,26 @@
 	r.step(now, at, &lend.Want{Demand: request.Demand})
 }
 
-// Withdraw notes that an ask is given up.
-func (r *Role) Withdraw(now time.Time, id cell.ID, attempt cell.AttemptID) {
-	at, ok := r.cells[id]
+// Withdraw notes that an ask is given up: nobody reads its reply any more. A
+// grant that has come all the same is handed back.
+func (r *Role) Withdraw(now time.Time, request Ask) {
+	at, ok := r.cells[request.Cell]
 	if !ok {
 		return
 	}
-	if _, waiting := at.asks[attempt]; !waiting {
+	attempt := request.Demand.Attempt
+	if _, waiting := at.asks[attempt]; waiting {
+		delete(at.asks, attempt)
+		r.step(now, at, &lend.Withdraw{Attempt: attempt})
 		return
 	}
-	delete(at.asks, attempt)
-	r.step(now, at, &lend.Withdraw{Attempt: attempt})
+	select {
+	case decided := <-request.Reply:
+		if decided.Refusal == nil {
+			r.Finish(now, request.Cell, cell.End{Attempt: attempt, Outcome: cell.Unused})
+		}
+	default: // It was refused before it was asked for.
+	}
 }
 
 // Finish notes that a granted attempt has ended.
--- a/router/router.go
+++ b/router/router.go
@@ -41,7 +41,7 @@
 	r.configuration = configuration.New(r.configurationConfig())
 	r.runner = request.New(request.Config{
 		Endpoints: conf.Endpoints,
-		Grants:    coordination.NewGrants(r.coordinator),
+		Grants:    &grants{coordinator: r.coordinator},
 		Counter:   conf.Counter,
 		Keys:      conf.Keys,
 	})
