--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -11,9 +11,10 @@
 	"github.com/matryer/is"
 
 	"ryelug/bench"
+	"ryelug/bench/report"
 )
 
-var report = flag.String("report", "", "directory for the measures of both deployments as JSON and SVG")
+var directory = flag.String("report", "", "directory for the measures of both deployments as JSON and SVG")
 
 // run runs one deployment in one mode in virtual time.
 func run(t *testing.T, d bench.Deployment, mode bench.Mode) (measured bench.Measures) {
@@ -23,8 +24,10 @@
 		done, err := bench.Run(context.Background(), d, mode, bench.DefaultScript(), seed)
 		is.NoErr(err)
 		measured = done.Measure()
-		if *report != "" {
-			is.NoErr(done.WritePlot(*report))
+		if *directory != "" {
+			plot, err := done.Plot()
+			is.NoErr(err)
+			is.NoErr(report.WritePlot(*directory, d.Name+"-"+mode.Name+".svg", plot))
 		}
 	})
 	return measured
@@ -33,7 +36,7 @@
 // TestMeasures runs the router code and the baselines, and holds the router code to the derived bounds.
 func TestMeasures(t *testing.T) {
 	deployments := bench.Deployments()
-	if *report == "" {
+	if *directory == "" {
 		deployments = deployments[:1]
 	}
 	var all []bench.Measures
@@ -51,9 +54,9 @@
 		}
 		t.Run(d.Name, func(t *testing.T) { checkBounds(t, own, firstCome) })
 	}
-	bench.WriteTable(os.Stdout, all)
-	if *report != "" {
-		is.New(t).NoErr(bench.WriteJSON(*report, "measures.json", all))
+	report.WriteTable(os.Stdout, all)
+	if *directory != "" {
+		is.New(t).NoErr(report.WriteJSON(*directory, "measures.json", all))
 	}
 }
 
--- a/bench/bound.go
+++ b/bench/bound.go
@@ -21,7 +21,7 @@
 )
 
 // requestTime is the time for which a request holds a slot.
-const requestTime = firstToken + (tokens-1)*tokenGap
+const requestTime = FirstTokenTime + (tokens-1)*TokenGap
 
 // gapBound is the largest gap between two small teams with no hand-over.
 func gapBound() float64 {
--- a/bench/control.go
+++ b/bench/control.go
@@ -20,7 +20,8 @@
 	at            time.Time
 }
 
-func readControl(ctx context.Context, f *fleet.Fleet) Control {
+// ReadControl returns the traffic of a fleet so far.
+func ReadControl(ctx context.Context, f *fleet.Fleet) Control {
 	read := Control{ByKind: map[string]uint64{}, at: time.Now(), PlatformCalls: f.Platform.Calls().Total(), Processor: processorTime()}
 	for _, m := range f.Routers {
 		view, _ := m.Router().View(ctx)
@@ -38,8 +39,8 @@
 	return read
 }
 
-// since returns the difference to an earlier reading.
-func (c Control) since(before Control) Control {
+// Since returns the difference to an earlier reading.
+func (c Control) Since(before Control) Control {
 	diff := Control{
 		ByKind:        map[string]uint64{},
 		Span:          c.at.Sub(before.at),
@@ -66,7 +67,8 @@
 	SentByKind map[string]float64 `json:"sent_by_kind"` // SentByKind is the bytes that a node sends, by kind of message.
 }
 
-func (c Control) rates() Rates {
+// Rates returns the traffic by node and second.
+func (c Control) Rates() Rates {
 	seconds := c.Span.Seconds()
 	var sum, most uint64
 	for _, bytes := range c.Bytes {
@@ -96,7 +98,7 @@
 	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
 }
 
-// processorRate returns the milliseconds of processor time a node and second; the stand-ins' time is in it.
-func (c Control) processorRate() float64 {
+// ProcessorRate returns the milliseconds of processor time a node and second; the stand-ins' time is in it.
+func (c Control) ProcessorRate() float64 {
 	return float64(c.Processor.Microseconds()) / 1000 / float64(len(c.Bytes)) / c.Span.Seconds()
 }
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -65,8 +65,8 @@
 		UtilisationBound: utilisationBound(r.Deployment),
 		FullUseBound:     fullUseBound().Seconds(),
 		Utilisation:      r.utilisation(r.Fleet.Engines, r.Script.Settled, r.Script.Out),
-		Control:          r.Control.rates(),
-		ProcessorTime:    r.Control.processorRate(),
+		Control:          r.Control.Rates(),
+		ProcessorTime:    r.Control.ProcessorRate(),
 		LeaveRefusals:    map[string]int{},
 		FirstTokenAdded:  r.firstTokenAdded(),
 		UtilisationLeft:  r.utilisation(r.others(), r.Script.Out+time.Second, r.Script.Return),
@@ -173,7 +173,7 @@
 	added := hdrhistogram.New(1, histogramTop, digits)
 	for _, reply := range r.Replies {
 		if len(reply.Events) > 0 {
-			_ = added.RecordValue(max(1, (reply.First - firstToken).Microseconds()))
+			_ = added.RecordValue(max(1, (reply.First - FirstTokenTime).Microseconds()))
 		}
 	}
 	return percentilesOf(added)
--- a/bench/plot.go
+++ b/bench/plot.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"path/filepath"
+	"io"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,23 +20,23 @@
 	plotWindow = time.Second
 )
 
-// WritePlot draws service by team and utilisation over time, with the leave and
-// return of the data centre marked, as an SVG file of a directory.
-func (r *Result) WritePlot(directory string) error {
+// Plot draws service by team and utilisation over time, with the leave and
+// return of the data centre marked, as SVG.
+func (r *Result) Plot() (io.WriterTo, error) {
 	service, err := r.servicePlot()
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	use, err := r.utilisationPlot()
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	tiles := draw.Tiles{Rows: 2, Cols: 1, PadY: vg.Centimeter / 2}
 	for row, one := range []*plot.Plot{service, use} {
 		one.Draw(tiles.At(draw.New(canvas), 0, row))
 	}
-	return writeFile(filepath.Join(directory, fmt.Sprintf("%s-%s.svg", r.Deployment.Name, r.Mode.Name)), canvas)
+	return canvas, nil
 }
 
 func (r *Result) servicePlot() (*plot.Plot, error) {
@@ -55,7 +55,13 @@
 		drawn.Legend.Add(Teams()[i].Name, line)
 	}
 	drawn.Legend.TextStyle.Font.Size = vg.Points(6)
-	return drawn, r.mark(drawn)
+	marks, err := r.mark(drawn)
+	if err != nil {
+		return nil, err
+	}
+	drawn.Legend.Add("data centre leaves", marks[0])
+	drawn.Legend.Add("data centre returns", marks[1])
+	return drawn, nil
 }
 
 func (r *Result) utilisationPlot() (*plot.Plot, error) {
@@ -72,7 +78,8 @@
 		return nil, err
 	}
 	drawn.Add(line)
-	return drawn, r.mark(drawn)
+	_, err = r.mark(drawn)
+	return drawn, err
 }
 
 func (r *Result) points(series []float64, step time.Duration) plotter.XYs {
@@ -85,15 +92,15 @@
 }
 
 // mark draws a line where the data centre leaves and where it returns.
-func (r *Result) mark(drawn *plot.Plot) error {
+func (r *Result) mark(drawn *plot.Plot) (marks []*plotter.Line, err error) {
 	for i, at := range []time.Duration{r.Script.Out, r.Script.Return} {
 		line, err := plotter.NewLine(plotter.XYs{{X: at.Seconds(), Y: drawn.Y.Min}, {X: at.Seconds(), Y: drawn.Y.Max}})
 		if err != nil {
-			return err
+			return nil, err
 		}
-		line.Dashes = plotutil.Dashes(1)
+		line.Dashes = plotutil.Dashes(1 + i)
 		drawn.Add(line)
-		drawn.Legend.Add([]string{"data centre leaves", "data centre returns"}[i], line)
+		marks = append(marks, line)
 	}
-	return nil
+	return marks, nil
 }
--- /dev/null
+++ b/bench/report/doc.go
@@ -0,0 +1,2 @@
+// Package report writes the measures of the benchmark as a table and as JSON.
+package report
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -61,13 +61,35 @@
 	warmUp       = 10
 	tokens       = 40
 	largestCost  = 44
-	firstToken   = 100 * time.Millisecond
-	tokenGap     = 20 * time.Millisecond
 	callDuration = 50 * time.Millisecond
 	reportLag    = 500 * time.Millisecond
 	queueLimit   = 400
 )
 
+// Delays of the stand-in engines.
+const (
+	FirstTokenTime = 100 * time.Millisecond // FirstTokenTime is the time to the first token.
+	TokenGap       = 20 * time.Millisecond  // TokenGap is the time between tokens.
+)
+
+// Engine returns what the stand-in engines are like.
+func Engine() engine.Config {
+	return engine.Config{
+		WarmLimit:  warmLimit,
+		ColdLimit:  coldLimit,
+		WarmUp:     warmUp,
+		FirstToken: FirstTokenTime,
+		TokenGap:   TokenGap,
+		ReportLag:  reportLag,
+	}
+}
+
+func (m Mode) engine() engine.Config {
+	config := Engine()
+	config.ColdLimit = m.coldLimit
+	return config
+}
+
 // Callers of a team; each sends its next request when it has its answer.
 const (
 	floodCallers = 120
@@ -107,12 +129,9 @@
 		Services:    services,
 		Teams:       Teams(),
 		DataCentres: d.DataCentres,
-		Delay:       d.delay(),
+		Delay:       d.NetworkDelay(),
 		Seed:        seed,
-		Engine: engine.Config{
-			WarmLimit: warmLimit, ColdLimit: mode.coldLimit, WarmUp: warmUp,
-			FirstToken: firstToken, TokenGap: tokenGap, ReportLag: reportLag,
-		},
+		Engine:      mode.engine(),
 		Service: service.Config{
 			WarmLimit: warmLimit, ColdLimit: mode.coldLimit, WarmUp: warmUp,
 			Duration: callDuration, ReportLag: reportLag,
@@ -124,7 +143,8 @@
 	})
 }
 
-func (d Deployment) delay() network.Delay {
+// NetworkDelay returns the delays between the deployment's hosts.
+func (d Deployment) NetworkDelay() network.Delay {
 	return func(from, to netip.Addr) time.Duration {
 		if from == to {
 			return 0
@@ -177,9 +197,9 @@
 	run := f.Drive(ctx, loads()...)
 	time.Sleep(script.Settled)
 	result := &Result{Deployment: d, Mode: mode, Script: script, Began: time.Now().Add(-script.Settled), Fleet: f}
-	before := readControl(ctx, f)
+	before := ReadControl(ctx, f)
 	time.Sleep(script.Out - script.Settled)
-	result.Control = readControl(ctx, f).since(before)
+	result.Control = ReadControl(ctx, f).Since(before)
 	if err := result.leaveAndReturn(ctx); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/bench/size/doc.go
@@ -0,0 +1,2 @@
+// Package size measures what a fleet spends by its size: the slopes of docs/CAPACITY.md.
+package size
--- a/bench/slope.go
+++ b/bench/size/size.go
@@ -1,4 +1,4 @@
-package bench
+package size
 
 import (
 	"context"
@@ -6,18 +6,15 @@
 	"runtime"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
+	"ryelug/bench"
 	"ryelug/core/config"
-	"ryelug/standin/engine"
 	"ryelug/standin/fleet"
 )
 
 const (
-	slopeSpan    = 10 * time.Second
-	slopeTokens  = 5
-	idleRequests = 200
-	idlePause    = 300 * time.Millisecond
+	slopeSpan   = 10 * time.Second
+	slopeTokens = 5
+	largestCost = 16
 )
 
 // Size is what a fleet of one slope is made of.
@@ -31,29 +28,26 @@
 // Slope is what a fleet of one size spends.
 type Slope struct {
 	Size
-	Control       Rates   `json:"control"`
-	ProcessorTime float64 `json:"processor_ms"` // ProcessorTime is in milliseconds a node and second, stand-ins included.
-	Heap          float64 `json:"heap_mb"`      // Heap is in megabytes a node, stand-ins included.
-	Served        int     `json:"served"`
-	PollBytes     float64 `json:"poll_bytes"`   // PollBytes are those of load reports and requests, a second and endpoint.
-	Adoption      float64 `json:"adoption_s"`   // Adoption is the time in which a change is in force at all routers.
-	ChangeBytes   float64 `json:"change_bytes"` // ChangeBytes are those that a node sends and gets while a change spreads.
+	Control       bench.Rates `json:"control"`
+	ProcessorTime float64     `json:"processor_ms"` // ProcessorTime is in milliseconds a node and second, stand-ins included.
+	Heap          float64     `json:"heap_mb"`      // Heap is in megabytes a node, stand-ins included.
+	Served        int         `json:"served"`
+	PollBytes     float64     `json:"poll_bytes"`   // PollBytes are those of load reports and requests, a second and endpoint.
+	Adoption      float64     `json:"adoption_s"`   // Adoption is the time in which a change is in force at all routers.
+	ChangeBytes   float64     `json:"change_bytes"` // ChangeBytes are those that a node sends and gets while a change spreads.
 }
 
-// MeasureSlope runs a fleet of one size for a while.
-func MeasureSlope(ctx context.Context, size Size, seed uint64) (Slope, error) {
+// Measure runs a fleet of one size for a while.
+func Measure(ctx context.Context, size Size, seed uint64) (Slope, error) {
 	before := heap()
 	f := fleet.New(fleet.Config{
 		Routers:     size.Routers,
 		Engines:     size.Endpoints,
 		Teams:       manyTeams(size.Teams),
-		DataCentres: Deployments()[0].DataCentres,
-		Delay:       Deployments()[0].delay(),
+		DataCentres: bench.Deployments()[0].DataCentres,
+		Delay:       bench.Deployments()[0].NetworkDelay(),
 		Seed:        seed,
-		Engine: engine.Config{
-			WarmLimit: warmLimit, ColdLimit: coldLimit, WarmUp: warmUp,
-			FirstToken: firstToken, TokenGap: tokenGap, ReportLag: reportLag,
-		},
+		Engine:      bench.Engine(),
 		LargestCost: largestCost,
 	})
 	if err := f.Start(ctx); err != nil {
@@ -64,21 +58,21 @@
 	}
 	run := f.Drive(ctx, slopeLoads(size)...)
 	time.Sleep(slopeSpan)
-	first, polled := readControl(ctx, f), endpointBytes(f)
+	first, polled := bench.ReadControl(ctx, f), endpointBytes(f)
 	time.Sleep(slopeSpan)
 	polled = endpointBytes(f) - polled
-	spent := readControl(ctx, f).since(first)
-	slope := Slope{Size: size, Control: spent.rates(), ProcessorTime: spent.processorRate()}
+	spent := bench.ReadControl(ctx, f).Since(first)
+	slope := Slope{Size: size, Control: spent.Rates(), ProcessorTime: spent.ProcessorRate()}
 	slope.Heap = (heap() - before) / float64(size.Routers)
 	slope.PollBytes = float64(polled) / float64(size.Endpoints) / slopeSpan.Seconds()
-	first = readControl(ctx, f)
+	first = bench.ReadControl(ctx, f)
 	adopted, err := adoption(ctx, f)
 	if err != nil {
 		return Slope{}, err
 	}
 	slope.Adoption = adopted.Seconds()
-	change := readControl(ctx, f).since(first)
-	slope.ChangeBytes = change.rates().BytesMean * change.Span.Seconds()
+	change := bench.ReadControl(ctx, f).Since(first)
+	slope.ChangeBytes = change.Rates().BytesMean * change.Span.Seconds()
 	slope.Served = len(run.Stop())
 	return slope, f.Close()
 }
@@ -100,7 +94,7 @@
 			Callers: 1,
 			Routers: []int{i % size.Routers},
 			Tokens:  slopeTokens,
-			Pause:   time.Second - firstToken - slopeTokens*tokenGap,
+			Pause:   time.Second - bench.FirstTokenTime - slopeTokens*bench.TokenGap,
 		})
 	}
 	return loads
@@ -147,23 +141,3 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc) / (1 << 20)
 }
-
-// FirstToken returns the time that an idle fleet adds to the first token, over a
-// direct call of the engine from the router's place.
-func FirstToken(ctx context.Context, d Deployment, seed uint64) (Percentiles, error) {
-	f := d.fleet(Modes()[0], seed)
-	if err := f.Start(ctx); err != nil {
-		return Percentiles{}, err
-	}
-	if err := f.Await(ctx); err != nil {
-		return Percentiles{}, err
-	}
-	added := hdrhistogram.New(1, histogramTop, digits)
-	direct := firstToken + 2*d.Delay
-	for i := range idleRequests {
-		reply := f.Routers[i%len(f.Routers)].Chat(ctx, Teams()[i%len(Teams())].Name, 1)
-		_ = added.RecordValue(max(1, (reply.First - direct).Microseconds()))
-		time.Sleep(idlePause)
-	}
-	return percentilesOf(added), f.Close()
-}
--- a/bench/slope_test.go
+++ b/bench/size/size_test.go
@@ -1,4 +1,4 @@
-package bench_test
+package size_test
 
 import (
 	"context"
@@ -9,13 +9,15 @@
 
 	"github.com/matryer/is"
 
-	"ryelug/bench"
+	"ryelug/bench/size"
 )
 
+const seed = 1
+
 var slopes = flag.String("slopes", "", `which slopes to measure: "routers", "teams", "endpoints", "requests", "backlog", "polls", "changes" or "idle"`)
 
 // sizes are those of each slope.
-var sizes = map[string][]bench.Size{
+var sizes = map[string][]size.Size{
 	"routers":   {{3, 16, 10, 1}, {7, 16, 10, 1}, {15, 16, 10, 1}, {30, 16, 10, 1}, {50, 16, 10, 1}},
 	"teams":     {{3, 16, 10, 5}, {3, 160, 10, 5}, {3, 1600, 10, 5}, {3, 12000, 10, 5}},
 	"endpoints": {{3, 16, 10, 5}, {3, 16, 100, 5}, {3, 16, 400, 5}, {3, 16, 1200, 5}},
@@ -31,10 +33,10 @@
 	if *slopes == "" {
 		t.Skip("measures only with -slopes NAME")
 	}
-	for _, size := range sizes[*slopes] {
+	for _, one := range sizes[*slopes] {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			slope, err := bench.MeasureSlope(context.Background(), size, seed)
+			slope, err := size.Measure(context.Background(), one, seed)
 			is.NoErr(err)
 			line, err := json.Marshal(slope)
 			is.NoErr(err)
