--- a/router/router.go
+++ b/router/router.go
@@ -9,12 +9,12 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/io/caller"
-	"ryelug/io/peer"
-	"ryelug/io/wire"
 	"ryelug/router/configuration"
+	"ryelug/router/coordination"
+	"ryelug/router/directory"
+	"ryelug/router/poll"
 	"ryelug/router/request"
 )
 
@@ -22,12 +22,11 @@
 type Router struct {
 	config        *Config
 	log           logrus.FieldLogger
-	mesh          *peer.Mesh
-	coordinator   *coordinator
+	coordinator   *coordination.Coordinator
 	configuration *configuration.Duty
 	runner        *request.Runner
 	callers       *caller.Server
-	directory     atomic.Pointer[directory]
+	directory     atomic.Pointer[directory.Directory]
 	leaving       atomic.Bool
 
 	gate     sync.Mutex
@@ -38,18 +37,17 @@
 // New returns a Router that Run starts.
 func New(conf Config) *Router {
 	r := &Router{config: &conf, log: conf.Log.WithField("part", "router")}
-	r.mesh = peer.New(conf.peerConfig())
-	r.coordinator = newCoordinator(&conf, r.mesh)
+	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
-	r.coordinator.news = r.configuration
 	r.runner = request.New(request.Config{
 		Endpoints: conf.Endpoints,
-		Grants:    &grants{coordinator: r.coordinator},
+		Grants:    coordination.NewGrants(r.coordinator),
 		Counter:   conf.Counter,
 		Keys:      conf.Keys,
 	})
 	conf.Callers.Handler = r
 	conf.Callers.Refused = conf.Counter.Refused
+	conf.Callers.Panicked = r.panicked
 	r.callers = caller.New(conf.Callers)
 	return r
 }
@@ -74,13 +72,17 @@
 
 // start starts the duties.
 func (r *Router) start(ctx context.Context, group *errgroup.Group) {
-	loads := newLoadPoller(r.config, r.coordinator)
-	hosts := newHostPoller(r.config, r.coordinator)
-	group.Go(func() error { return r.mesh.Run(ctx) })
-	group.Go(func() error { return r.coordinator.run(ctx) })
+	loads := poll.NewLoads(poll.LoadsConfig{
+		Endpoints: r.config.Endpoints, Coordinator: r.coordinator, Timings: r.config.Timings,
+	})
+	hosts := poll.NewHosts(poll.HostsConfig{
+		List: r.config.Hosts, Coordinator: r.coordinator, Watching: r.configuration.Watching,
+		Timings: r.config.Timings, Seed: r.config.Seed, Log: r.config.Log.WithField("part", "member"),
+	})
+	group.Go(func() error { return r.coordinator.Run(ctx, r.configuration) })
 	group.Go(func() error { return r.configuration.Run(ctx) })
-	group.Go(func() error { return loads.run(ctx) })
-	group.Go(func() error { return hosts.run(ctx) })
+	group.Go(func() error { return loads.Run(ctx) })
+	group.Go(func() error { return hosts.Run(ctx) })
 	r.startSweeper(ctx, group)
 	if r.config.CallersOn != nil {
 		group.Go(func() error { return r.callers.Serve(r.config.CallersOn) })
@@ -92,8 +94,8 @@
 func (r *Router) shutDown(ctx context.Context) {
 	r.log.Info("The router leaves.")
 	r.leaving.Store(true)
-	r.coordinator.post(ctx, depart{})
-	r.wait(ctx, r.config.Timings.BalancerLag)
+	r.coordinator.Depart(ctx)
+	r.wait(ctx, r.config.BalancerLag)
 	r.closeGate()
 	r.requests.Wait()
 	if r.config.CallersOn != nil {
@@ -102,7 +104,7 @@
 		}
 	}
 	r.wait(ctx, lastWords)
-	r.coordinator.post(ctx, farewell{})
+	r.coordinator.Farewell(ctx)
 	r.wait(ctx, lastWords)
 	r.log.Info("All requests are finished.")
 }
@@ -125,14 +127,9 @@
 
 // adopt puts a generation of the configuration in force.
 func (r *Router) adopt(generation uint64, doc *config.Document) {
-	next := newDirectory(generation, doc)
+	next := directory.New(generation, doc)
 	r.directory.Store(next)
-	r.coordinator.postAlways(adopt{directory: next})
-}
-
-// send hands a message of the configuration duty to the links.
-func (r *Router) send(to cell.RouterID, message wire.Message) {
-	r.coordinator.postAlways(tell{to: to, message: message})
+	r.coordinator.Adopt(next)
 }
 
 // report logs a generation that can't be adopted; the last good one stays in force.
@@ -144,7 +141,7 @@
 func (r *Router) Health() Health {
 	return Health{
 		Leaving:    r.leaving.Load(),
-		CutOff:     r.coordinator.cutOff.Load(),
+		CutOff:     r.coordinator.CutOff(),
 		Configured: r.directory.Load() != nil,
 		Generation: r.generation(),
 	}
@@ -160,7 +157,10 @@
 
 func (r *Router) generation() uint64 {
 	if d := r.directory.Load(); d != nil {
-		return d.generation
+		return d.Generation
 	}
 	return 0
 }
+
+// View returns the coordination state, and false if ctx ends first.
+func (r *Router) View(ctx context.Context) (coordination.View, bool) { return r.coordinator.View(ctx) }
--- a/router/serve.go
+++ b/router/serve.go
@@ -3,19 +3,18 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/result"
 	"ryelug/io/caller"
+	"ryelug/router/directory"
 	"ryelug/router/request"
 )
 
-// chatPath is the route whose body names a model.
-const chatPath = "/v1/chat/completions"
-
 // comeBack is when a caller that this router can't serve should try again.
 const comeBack = time.Second
 
@@ -57,20 +56,28 @@
 	}
 }
 
+// panicked logs and counts a request that ended by a panic.
+func (r *Router) panicked(p caller.Panic) {
+	r.log.WithFields(logrus.Fields{"request": p.Request, "cause": p.Cause, "stack": string(p.Stack)}).Error("A request panicked.")
+	r.config.Counter.Refused(result.InternalFailure)
+}
+
 // resolve finds the team and the route of a request.
 func (r *Router) resolve(req *caller.Request) (request.Route, result.Code) {
 	d := r.directory.Load()
 	if d == nil {
 		return request.Route{}, result.NoConfiguration
 	}
-	if r.coordinator.cutOff.Load() {
+	if r.coordinator.CutOff() {
 		return request.Route{}, result.CutOff
 	}
-	team, ok := d.team(req.Key)
+	team, ok := d.Team(req.Key)
 	if !ok {
 		return request.Route{}, result.Unauthorized
 	}
-	pool, idempotent, code := d.find(req)
+	pool, idempotent, code := d.Find(directory.Lookup{
+		Method: req.Method, Path: req.Path, Model: req.Model, Malformed: req.Malformed,
+	})
 	if code != result.OK {
 		return request.Route{}, code
 	}
@@ -83,26 +90,3 @@
 		LongestRequest: pool.LongestRequest,
 	}, result.OK
 }
-
-// find returns the pool of a request and whether the route is idempotent.
-func (d *directory) find(req *caller.Request) (*config.Pool, bool, result.Code) {
-	path, _, _ := strings.Cut(req.Path, "?")
-	route, declared := d.routes[path]
-	if declared && route.Pool != "" {
-		return d.pools[cell.ID(route.Pool)], route.Idempotent, result.OK
-	}
-	if !declared && path != chatPath {
-		return nil, false, result.UnknownRoute
-	}
-	if req.Method != http.MethodPost {
-		return nil, false, result.UnknownRoute
-	}
-	if req.Malformed {
-		return nil, false, result.BadRequest
-	}
-	pool, ok := d.models[req.Model]
-	if !ok {
-		return nil, false, result.UnknownModel
-	}
-	return pool, !declared || route.Idempotent, result.OK
-}
