Give the greeting of links a package of its own

Ruled out: none. Change: io/greeting, with its fuzz target; the mesh only calls it. Conclusion: no behaviour changed.

--- a/io/peer/greeting.go
+++ b/io/greeting/greeting.go
@@ -1,4 +1,4 @@
-package peer
+package greeting
 
 import (
 	"crypto/hmac"
@@ -16,11 +16,13 @@
 // Version is the version of the protocol; both ends of a link must have the same.
 const Version = 1
 
+// MaxFrame bounds a frame of a greeting, in bytes.
+const MaxFrame = 2 << 10
+
 const (
-	magic         = "ryelug"
-	nonceBytes    = 32
-	greetingBytes = 2 << 10 // bytes of the longest greeting frame
-	maxAge        = 1 << 40 // milliseconds, more than any process runs
+	magic      = "ryelug"
+	nonceBytes = 32
+	maxAge     = 1 << 40 // milliseconds, more than any process runs
 )
 
 // Roles keep a proof of one end from serving as the proof of the other.
@@ -44,24 +46,28 @@
 	return fmt.Sprintf("the other end speaks version %d of the peer protocol, this router %d", e.Theirs, e.Ours)
 }
 
-// hello is the first frame of each end. Its layout up to the version is the same in all versions.
-type hello struct {
+// Hello is the first frame of each end. Its layout up to the version is the same in all versions.
+type Hello struct {
+	Router     cell.RouterID
+	DataCentre string
+	Age        time.Duration // Age is how long the process has run, in whole milliseconds.
+
 	version uint64
 	nonce   []byte
-	router  cell.RouterID
-	dc      string
-	age     time.Duration // age is how long the process has run, in whole milliseconds.
 }
 
-// greeting carries one end through the handshake. The dialer proves the key
+// Greeting carries one end through the handshake. The dialer proves the key
 // first, so a stranger who connects learns no value made with the key.
-type greeting struct {
-	conf *Config
-	conn *frame.Conn
-	age  time.Duration
+type Greeting struct {
+	Conn       *frame.Conn
+	Self       cell.RouterID
+	DataCentre string
+	Age        time.Duration // Age is how long this process has run.
+	Key        []byte
 }
 
-func (g *greeting) dial(want cell.HostID) (*hello, error) {
+// Dial greets the router of a host that this end has dialed.
+func (g *Greeting) Dial(want cell.HostID) (*Hello, error) {
 	ours := g.newHello()
 	if err := g.sendHello(ours); err != nil {
 		return nil, err
@@ -70,16 +76,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if theirs.router.Host() != want {
-		return nil, fmt.Errorf("%w: want %s, have %s", ErrHost, want, theirs.router)
+	if theirs.Router.Host() != want {
+		return nil, fmt.Errorf("%w: want %s, have %s", ErrHost, want, theirs.Router)
 	}
-	if err := g.conn.Write(frame.Append(nil, g.proof(dialerRole, ours, theirs))); err != nil {
+	if err := g.Conn.Write(frame.Append(nil, g.proof(dialerRole, ours, theirs))); err != nil {
 		return nil, err
 	}
 	return theirs, g.checkProof(g.proof(acceptorRole, ours, theirs))
 }
 
-func (g *greeting) accept() (*hello, error) {
+// Accept greets a router that has dialed this end.
+func (g *Greeting) Accept() (*Hello, error) {
 	theirs, err := g.readHello()
 	if err != nil {
 		g.refuseVersion(err)
@@ -92,32 +99,32 @@
 	if err := g.checkProof(g.proof(dialerRole, theirs, ours)); err != nil {
 		return nil, err
 	}
-	if err := g.conn.Write(frame.Append(nil, g.proof(acceptorRole, theirs, ours))); err != nil {
+	if err := g.Conn.Write(frame.Append(nil, g.proof(acceptorRole, theirs, ours))); err != nil {
 		return nil, err
 	}
 	return theirs, nil
 }
 
-func (g *greeting) newHello() *hello {
+func (g *Greeting) newHello() *Hello {
 	nonce := make([]byte, nonceBytes)
 	_, _ = rand.Read(nonce) // It never fails.
-	return &hello{version: Version, nonce: nonce, router: g.conf.Self, dc: g.conf.DataCentre, age: g.age}
+	return &Hello{version: Version, nonce: nonce, Router: g.Self, DataCentre: g.DataCentre, Age: g.Age}
 }
 
-func (g *greeting) sendHello(h *hello) error {
-	return g.conn.Write(frame.Append(nil, encodeHello(h)))
+func (g *Greeting) sendHello(h *Hello) error {
+	return g.Conn.Write(frame.Append(nil, encodeHello(h)))
 }
 
 // refuseVersion tells a peer of another version which one this router speaks.
-func (g *greeting) refuseVersion(err error) {
+func (g *Greeting) refuseVersion(err error) {
 	var version *VersionError
 	if errors.As(err, &version) {
 		_ = g.sendHello(g.newHello()) // The link is refused whether or not this arrives.
 	}
 }
 
-func (g *greeting) readHello() (*hello, error) {
-	body, err := g.conn.Next()
+func (g *Greeting) readHello() (*Hello, error) {
+	body, err := g.Conn.Next()
 	if err != nil {
 		var large *frame.TooLargeError
 		if errors.As(err, &large) {
@@ -128,8 +135,8 @@
 	return parseHello(body)
 }
 
-func (g *greeting) checkProof(want []byte) error {
-	have, err := g.conn.Next()
+func (g *Greeting) checkProof(want []byte) error {
+	have, err := g.Conn.Next()
 	if err != nil {
 		return fmt.Errorf("waiting for the key proof: %w", err)
 	}
@@ -140,8 +147,8 @@
 }
 
 // proof binds the key to the role, both hellos and the protocol.
-func (g *greeting) proof(role string, dialer, acceptor *hello) []byte {
-	mac := hmac.New(sha256.New, g.conf.Key)
+func (g *Greeting) proof(role string, dialer, acceptor *Hello) []byte {
+	mac := hmac.New(sha256.New, g.Key)
 	var text []byte
 	text = appendField(text, []byte(magic))
 	text = appendField(text, []byte(role))
@@ -151,16 +158,16 @@
 	return mac.Sum(nil)
 }
 
-func encodeHello(h *hello) []byte {
+func encodeHello(h *Hello) []byte {
 	dst := []byte(magic)
 	dst = binary.AppendUvarint(dst, h.version)
 	dst = appendField(dst, h.nonce)
-	dst = appendField(dst, []byte(h.router))
-	dst = appendField(dst, []byte(h.dc))
-	return binary.AppendUvarint(dst, uint64(h.age/time.Millisecond))
+	dst = appendField(dst, []byte(h.Router))
+	dst = appendField(dst, []byte(h.DataCentre))
+	return binary.AppendUvarint(dst, uint64(h.Age/time.Millisecond))
 }
 
-func parseHello(body []byte) (*hello, error) {
+func parseHello(body []byte) (*Hello, error) {
 	if len(body) < len(magic) || string(body[:len(magic)]) != magic {
 		return nil, ErrMagic
 	}
@@ -180,7 +187,13 @@
 	if !whole || len(nonce) != nonceBytes || len(router) == 0 {
 		return nil, fmt.Errorf("%w: malformed greeting", ErrMagic)
 	}
-	return &hello{version: version, nonce: append([]byte(nil), nonce...), router: cell.RouterID(router), dc: string(dc), age: time.Duration(age) * time.Millisecond}, nil
+	return &Hello{
+		Router:     cell.RouterID(router),
+		DataCentre: string(dc),
+		Age:        time.Duration(age) * time.Millisecond,
+		version:    version,
+		nonce:      append([]byte(nil), nonce...),
+	}, nil
 }
 
 func appendField(dst, field []byte) []byte {
--- a/io/peer/hello_test.go
+++ b/io/greeting/hello_test.go
@@ -1,4 +1,4 @@
-package peer
+package greeting
 
 import (
 	"reflect"
@@ -9,7 +9,7 @@
 
 // FuzzHello takes greetings from strangers.
 func FuzzHello(f *testing.F) {
-	f.Add(encodeHello(&hello{version: Version, nonce: make([]byte, nonceBytes), router: "a/1", dc: "north"}))
+	f.Add(encodeHello(&Hello{version: Version, nonce: make([]byte, nonceBytes), Router: "a/1", DataCentre: "north"}))
 	f.Add([]byte(magic))
 	f.Add(append([]byte(magic), 1, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01))
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ryelug/core/cell"
+	"ryelug/io/greeting"
 )
 
 const (
@@ -86,7 +87,7 @@
 		return
 	}
 	link := newLink(m, conn, true)
-	theirs, err := m.greet(ctx, link, func(g *greeting) (*hello, error) { return g.dial(host) })
+	theirs, err := m.greet(ctx, link, func(g *greeting.Greeting) (*greeting.Hello, error) { return g.Dial(host) })
 	if err != nil {
 		m.refuse(conn.RemoteAddr(), err)
 		link.Close()
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -9,6 +9,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/io/frame"
+	"ryelug/io/greeting"
 	"ryelug/io/wire"
 )
 
@@ -127,7 +128,7 @@
 	return &Link{
 		mesh:   m,
 		dialed: dialed,
-		conn:   frame.New(frame.Config{Conn: conn, Limit: greetingBytes}),
+		conn:   frame.New(frame.Config{Conn: conn, Limit: greeting.MaxFrame}),
 		clock:  clock{start: time.Now()},
 		closed: make(chan struct{}),
 		done:   make(chan struct{}),
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ryelug/core/cell"
+	"ryelug/io/greeting"
 )
 
 const (
@@ -111,7 +112,7 @@
 
 func (m *Mesh) accept(ctx context.Context, conn net.Conn) {
 	link := newLink(m, conn, false)
-	theirs, err := m.greet(ctx, link, (*greeting).accept)
+	theirs, err := m.greet(ctx, link, (*greeting.Greeting).Accept)
 	<-m.greeting
 	if err != nil {
 		m.refuse(conn.RemoteAddr(), err)
@@ -122,27 +123,29 @@
 }
 
 // greet bounds the whole greeting by one deadline.
-func (m *Mesh) greet(ctx context.Context, link *Link, how func(*greeting) (*hello, error)) (*hello, error) {
+func (m *Mesh) greet(ctx context.Context, link *Link, how func(*greeting.Greeting) (*greeting.Hello, error)) (*greeting.Hello, error) {
 	link.conn.SetTimeouts(m.conf.DialTimeout, m.conf.DialTimeout)
 	ctx, cancel := context.WithTimeout(ctx, m.conf.DialTimeout) // The greeting as a whole; the frames have it each.
 	defer cancel()
 	stop := context.AfterFunc(ctx, link.Close)
 	defer stop()
-	theirs, err := how(&greeting{conf: &m.conf, conn: link.conn, age: time.Since(m.born)})
+	theirs, err := how(&greeting.Greeting{
+		Conn: link.conn, Self: m.conf.Self, DataCentre: m.conf.DataCentre, Age: time.Since(m.born), Key: m.conf.Key,
+	})
 	if errorIsClosed(err) && ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	if err == nil && theirs.router.Host() == m.conf.Self.Host() {
-		return nil, ErrHost
+	if err == nil && theirs.Router.Host() == m.conf.Self.Host() {
+		return nil, greeting.ErrHost
 	}
 	return theirs, err
 }
 
 // runLink serves a link that has passed its greeting, after any older one of its kind is done.
-func (m *Mesh) runLink(ctx context.Context, link *Link, theirs *hello) error {
-	link.router = theirs.router
-	link.dc = theirs.dc
-	link.started = time.Now().Add(-theirs.age)
+func (m *Mesh) runLink(ctx context.Context, link *Link, theirs *greeting.Hello) error {
+	link.router = theirs.Router
+	link.dc = theirs.DataCentre
+	link.started = time.Now().Add(-theirs.Age)
 	m.register(link)
 	defer m.unregister(link)
 	defer close(link.done)
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"ryelug/io/frame"
+	"ryelug/io/greeting"
 	"ryelug/io/wire"
 )
 
@@ -112,17 +113,17 @@
 }
 
 func refusalOf(err error) refusal {
-	var version *VersionError
+	var version *greeting.VersionError
 	var large *frame.TooLargeError
 	var timeout net.Error
 	switch {
 	case errors.As(err, &version):
 		return refusedVersion
-	case errors.Is(err, ErrKeyProof):
+	case errors.Is(err, greeting.ErrKeyProof):
 		return refusedKey
-	case errors.Is(err, ErrHost):
+	case errors.Is(err, greeting.ErrHost):
 		return refusedHost
-	case errors.Is(err, ErrMagic), errors.Is(err, frame.ErrLength), errors.As(err, &large):
+	case errors.Is(err, greeting.ErrMagic), errors.Is(err, frame.ErrLength), errors.As(err, &large):
 		return refusedMagic
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return refusedTimeout
