Leave command lines to the command package

What the operators' commands do stood beside their flags. TestAdvice moves with the table that it checks, unchanged. No other test changes but for a stale comment. Conclusion: one file a command, with its flags and one call.

--- a/cmd/ryelug/apply.go
+++ b/cmd/ryelug/apply.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"flag"
-	"fmt"
-	"strings"
 
-	"ryelug/core/change"
-	"ryelug/core/config"
-	"ryelug/core/result"
-	"ryelug/router/publish"
+	"ryelug/cmd/ryelug/command"
+	"ryelug/router/operate"
 )
 
 // applyCommand puts a document file in force.
@@ -19,15 +15,12 @@
 	above  uint64
 }
 
-// Name returns the command's name.
-func (*applyCommand) Name() string { return "apply" }
-
-// Synopsis returns one line of help.
-func (*applyCommand) Synopsis() string { return "put a document in force" }
-
-// Usage returns the help text.
-func (*applyCommand) Usage() string {
-	return `apply -platform ADDR -environment NAME [-return] [-above N] FILE
+// Text returns what the command says of itself.
+func (*applyCommand) Text() command.Text {
+	return command.Text{
+		Name:     "apply",
+		Synopsis: "put a document in force",
+		Usage: `apply -platform ADDR -environment NAME [-return] [-above N] FILE
 
 Validate a document as "ryelug check" does and put it in force as the next
 generation. If another change comes first, nothing of this one is kept.
@@ -43,7 +36,8 @@
   ryelug apply -platform 192.0.2.10:8080 -environment trial trial.toml
 
 Flags:
-`
+`,
+	}
 }
 
 // SetFlags sets the command's flags.
@@ -53,48 +47,25 @@
 	flags.BoolVar(&c.back, "return", false, "let the file return data centres and endpoints to work")
 }
 
-func (c *applyCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
-	name, err := oneArgument(flags, "document file")
+// Run implements command.Action.
+func (c *applyCommand) Run(ctx context.Context, flags *flag.FlagSet, to command.Streams) error {
+	name, err := command.OneArgument(flags, "document file")
 	if err != nil {
 		return err
 	}
-	document, err := readDocument(name)
+	document, err := operate.ReadDocument(name)
 	if err != nil {
 		return err
 	}
 	if c.target.environment == "" {
 		c.target.environment = document.Environment
 	}
-	if document.Environment != c.target.environment {
-		wrong := &config.Error{Line: 1, Key: "environment", Value: document.Environment, Allowed: c.target.environment + ", as -environment says"}
-		return documentError(name, config.Errors{wrong})
-	}
-	publisher, err := c.target.publisher(to)
-	if err != nil {
+	if err := operate.CheckEnvironment(name, document, c.target.environment); err != nil {
 		return err
 	}
-	base, err := publisher.Read(ctx)
+	operator, err := c.target.operator(to)
 	if err != nil {
-		return withCode(err)
-	}
-	if base.Broken != nil {
-		fmt.Fprintf(to.err, "ryelug: replaces a document that can't be read: %v\n", base.Broken)
-	}
-	if err := c.refuseReturns(base, document); err != nil {
 		return err
 	}
-	return put(ctx, publisher, publish.Change{Base: base, Document: document, Text: "apply", Above: c.above}, to)
-}
-
-// refuseReturns refuses a document that would put back to work what operators have taken out.
-func (c *applyCommand) refuseReturns(base publish.Snapshot, document *config.Document) error {
-	if c.back || base.Document == nil {
-		return nil
-	}
-	back := change.Returns(base.Document, document)
-	if len(back) == 0 {
-		return nil
-	}
-	err := fmt.Errorf("the file would return %s; set out or leaving in the file, or give -return", strings.Join(back, ", "))
-	return result.Wrap(result.Conflict, err)
+	return operator.Apply(ctx, operate.Application{Document: document, Return: c.back, Above: c.above})
 }
--- a/cmd/ryelug/check.go
+++ b/cmd/ryelug/check.go
@@ -3,41 +3,43 @@
 import (
 	"context"
 	"flag"
+
+	"ryelug/cmd/ryelug/command"
+	"ryelug/router/operate"
 )
 
 // checkCommand validates a document file.
 type checkCommand struct{}
 
-// Name returns the command's name.
-func (*checkCommand) Name() string { return "check" }
-
-// Synopsis returns one line of help.
-func (*checkCommand) Synopsis() string { return "validate a document" }
-
-// Usage returns the help text.
-func (*checkCommand) Usage() string {
-	return `check FILE
+// Text returns what the command says of itself.
+func (*checkCommand) Text() command.Text {
+	return command.Text{
+		Name:     "check",
+		Synopsis: "validate a document",
+		Usage: `check FILE
 
 Validate a document. Each error names the file, line, key, the value found and
 what is allowed. Nothing is written.
 
 Example:
   ryelug check trial.toml
-`
+`,
+	}
 }
 
 // SetFlags sets no flags.
 func (*checkCommand) SetFlags(*flag.FlagSet) {}
 
-func (*checkCommand) run(_ context.Context, flags *flag.FlagSet, to streams) error {
-	name, err := oneArgument(flags, "document file")
+// Run implements command.Action.
+func (*checkCommand) Run(_ context.Context, flags *flag.FlagSet, to command.Streams) error {
+	name, err := command.OneArgument(flags, "document file")
 	if err != nil {
 		return err
 	}
-	document, err := readDocument(name)
+	document, err := operate.ReadDocument(name)
 	if err != nil {
 		return err
 	}
-	summarise(to.out, document)
+	operate.Summarise(to.Out, document)
 	return nil
 }
--- /dev/null
+++ b/cmd/ryelug/command/doc.go
@@ -0,0 +1,3 @@
+// Package command makes actions subcommands: their help, arguments, errors and
+// exit status.
+package command
--- a/cmd/ryelug/command_test.go
+++ b/cmd/ryelug/command_test.go
@@ -10,11 +10,9 @@
 	"testing"
 
 	"github.com/matryer/is"
-
-	"ryelug/core/result"
 )
 
-// checkCommand runs a command line and checks its exit status and that its output holds a text.
+// assertRun runs a command line and checks its exit status and that its output holds a text.
 func assertRun(t *testing.T, status int, want string, args ...string) {
 	t.Helper()
 	var out bytes.Buffer
@@ -57,13 +55,3 @@
 		t.Run(run.name, func(t *testing.T) { assertRun(t, run.status, run.want, run.args...) })
 	}
 }
-
-// Every code that ends a command must come with what to do about it.
-func TestAdvice(t *testing.T) {
-	for _, code := range result.Codes() {
-		info, _ := result.Lookup(code)
-		if info.Status == 0 && advice[code] == "" {
-			t.Errorf("no advice for %s", info.Name)
-		}
-	}
-}
--- a/cmd/ryelug/dev.go
+++ b/cmd/ryelug/dev.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ryelug/cmd/ryelug/command"
 	"ryelug/io/operator"
 	"ryelug/standin/local"
 )
@@ -18,15 +19,12 @@
 	verbose  bool
 }
 
-// Name returns the command's name.
-func (*devCommand) Name() string { return "dev" }
-
-// Synopsis returns one line of help.
-func (*devCommand) Synopsis() string { return "run a small fleet with stand-ins on loopback" }
-
-// Usage returns the help text.
-func (*devCommand) Usage() string {
-	return `dev [-callers ADDRESS] [-operator ADDRESS] [-verbose]
+// Text returns what the command says of itself.
+func (*devCommand) Text() command.Text {
+	return command.Text{
+		Name:     "dev",
+		Synopsis: "run a small fleet with stand-ins on loopback",
+		Usage: `dev [-callers ADDRESS] [-operator ADDRESS] [-verbose]
 
 Run three routers, a stand-in of the platform, engines in three data centres and
 a service whose calls may not be repeated, in one process on loopback. It prints
@@ -36,20 +34,22 @@
   ryelug dev -callers 127.0.0.1:28080 -operator 127.0.0.1:28081
 
 Flags:
-`
+`,
+	}
 }
 
 // SetFlags sets the flags.
 func (d *devCommand) SetFlags(flags *flag.FlagSet) {
 	d.callers = netip.MustParseAddrPort("127.0.0.1:18080")
 	d.operator = netip.MustParseAddrPort("127.0.0.1:18081")
-	flags.Var(addressFlag{&d.callers}, "callers", "where callers reach the first router")
-	flags.Var(addressFlag{&d.operator}, "operator", "where operators reach the first router")
+	flags.Var(command.AddressFlag{Address: &d.callers}, "callers", "where callers reach the first router")
+	flags.Var(command.AddressFlag{Address: &d.operator}, "operator", "where operators reach the first router")
 	flags.BoolVar(&d.verbose, "verbose", false, "log all that the routers do")
 }
 
-func (d *devCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
-	if err := noArguments(flags); err != nil {
+// Run implements command.Action.
+func (d *devCommand) Run(ctx context.Context, flags *flag.FlagSet, to command.Streams) error {
+	if err := command.NoArguments(flags); err != nil {
 		return err
 	}
 	level := logrus.WarnLevel
@@ -59,7 +59,7 @@
 	return local.Run(ctx, local.Config{
 		Callers:  d.callers,
 		Operator: d.operator,
-		Log:      operator.NewLog(operator.LogConfig{Level: level, Format: "text", Output: to.err}),
-		Out:      to.out,
+		Log:      operator.NewLog(operator.LogConfig{Level: level, Format: "text", Output: to.Err}),
+		Out:      to.Out,
 	})
 }
--- a/cmd/ryelug/endpoint.go
+++ b/cmd/ryelug/endpoint.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 
-	"ryelug/core/change"
-	"ryelug/core/config"
+	"ryelug/cmd/ryelug/command"
 )
 
 // endpointCommand takes an endpoint out of work or returns it.
@@ -14,15 +12,12 @@
 	target target
 }
 
-// Name returns the command's name.
-func (*endpointCommand) Name() string { return "endpoint" }
-
-// Synopsis returns one line of help.
-func (*endpointCommand) Synopsis() string { return "let an endpoint leave or return" }
-
-// Usage returns the help text.
-func (*endpointCommand) Usage() string {
-	return `endpoint leave|return -platform ADDR -environment NAME NAME
+// Text returns what the command says of itself.
+func (*endpointCommand) Text() command.Text {
+	return command.Text{
+		Name:     "endpoint",
+		Synopsis: "let an endpoint leave or return",
+		Usage: `endpoint leave|return -platform ADDR -environment NAME NAME
 
 Let an endpoint leave, so that it gets no new work within 3 s while its running
 requests finish, or return it.
@@ -31,7 +26,8 @@
   ryelug endpoint leave -platform 192.0.2.10:8080 -environment trial engine-1
 
 Flags:
-`
+`,
+	}
 }
 
 // SetFlags sets the command's flags.
@@ -39,13 +35,15 @@
 	c.target.setFlags(flags)
 }
 
-func (c *endpointCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
-	verb, name, err := verbAndName(flags, "leave", "return")
+// Run implements command.Action.
+func (c *endpointCommand) Run(ctx context.Context, flags *flag.FlagSet, to command.Streams) error {
+	verb, name, err := command.VerbAndName(flags, "leave", "return")
+	if err != nil {
+		return err
+	}
+	operator, err := c.target.operator(to)
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf("endpoint %s %s", verb, name)
-	return edit(ctx, &c.target, to, text, func(d *config.Document) error {
-		return change.SetLeaving(d, name, verb == "leave")
-	})
+	return operator.Endpoint(ctx, name, verb, verb == "leave")
 }
--- a/cmd/ryelug/history.go
+++ b/cmd/ryelug/history.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 
-	"ryelug/core/config"
+	"ryelug/cmd/ryelug/command"
 )
 
 // historyCommand prints the generations that are kept.
@@ -14,15 +13,12 @@
 	generation uint64
 }
 
-// Name returns the command's name.
-func (*historyCommand) Name() string { return "history" }
-
-// Synopsis returns one line of help.
-func (*historyCommand) Synopsis() string { return "print former generations" }
-
-// Usage returns the help text.
-func (*historyCommand) Usage() string {
-	return `history -platform ADDR -environment NAME [-generation N]
+// Text returns what the command says of itself.
+func (*historyCommand) Text() command.Text {
+	return command.Text{
+		Name:     "history",
+		Synopsis: "print former generations",
+		Usage: `history -platform ADDR -environment NAME [-generation N]
 
 Print the generation in force and at least the 20 before it, as far as there
 are, the newest first. With -generation, print the whole document of that one,
@@ -32,7 +28,8 @@
   ryelug history -platform 192.0.2.10:8080 -environment trial -generation 41
 
 Flags:
-`
+`,
+	}
 }
 
 // SetFlags sets the command's flags.
@@ -41,38 +38,17 @@
 	flags.Uint64Var(&c.generation, "generation", 0, "generation whose document is printed")
 }
 
-func (c *historyCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
-	if err := noArguments(flags); err != nil {
+// Run implements command.Action.
+func (c *historyCommand) Run(ctx context.Context, flags *flag.FlagSet, to command.Streams) error {
+	if err := command.NoArguments(flags); err != nil {
 		return err
 	}
-	publisher, err := c.target.publisher(to)
+	operator, err := c.target.operator(to)
 	if err != nil {
 		return err
 	}
 	if c.generation != 0 {
-		document, err := publisher.DocumentOf(ctx, c.generation)
-		if err != nil {
-			return withCode(fmt.Errorf("generation %d: %w", c.generation, err))
-		}
-		return printDocument(to, document)
-	}
-	roots, err := publisher.History(ctx)
-	if err != nil {
-		return withCode(err)
+		return operator.ShowGeneration(ctx, c.generation)
 	}
-	for _, root := range roots {
-		printRoot(to, root)
-	}
-	return nil
-}
-
-// printRoot prints a generation in one line.
-func printRoot(to streams, root config.Root) {
-	fmt.Fprintf(to.out, "generation %d  %s  change %s  %s\n", root.Generation, root.Changed.Format(timeForm), root.ChangeID, root.Change)
-}
-
-// printDocument prints a document as TOML.
-func printDocument(to streams, document *config.Document) error {
-	_, err := to.out.Write(config.Encode(document))
-	return err
+	return operator.History(ctx)
 }
--- a/cmd/ryelug/main.go
+++ b/cmd/ryelug/main.go
@@ -9,6 +9,9 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"ryelug/cmd/ryelug/command"
+	"ryelug/cmd/ryelug/standin"
 )
 
 func main() {
@@ -24,32 +27,45 @@
 	flags.SetOutput(errOut)
 	commander := subcommands.NewCommander(flags, "ryelug")
 	commander.Output, commander.Error = out, errOut
-	register(commander, streams{out: out, err: errOut})
+	register(commander, command.Streams{Out: out, Err: errOut})
 	if err := flags.Parse(args); err != nil {
 		return subcommands.ExitUsageError // The flag package has told of it.
 	}
 	if flags.NArg() == 0 {
 		flags.Usage()
-		err := usageError("no command")
-		report(errOut, err)
-		return exitStatus(err)
+		err := command.UsageError("no command")
+		command.Report(errOut, err)
+		return command.ExitStatus(err)
 	}
 	return commander.Execute(ctx)
 }
 
-func register(commander *subcommands.Commander, to streams) {
+func register(commander *subcommands.Commander, to command.Streams) {
 	const (
 		run     = "run"
 		operate = "operate"
 		trial   = "try out"
 		others  = "other"
 	)
-	commander.Register(&command{streams: to, action: &routerCommand{}}, run)
+	commander.Register(command.New(&routerCommand{}, to), run)
 	for _, one := range operatorCommands() {
-		commander.Register(&command{streams: to, action: one}, operate)
+		commander.Register(command.New(one, to), operate)
 	}
-	commander.Register(&command{streams: to, action: &devCommand{}}, trial)
-	commander.Register(&command{streams: to, action: &standinCommand{}}, trial)
-	commander.Register(&command{streams: to, action: &versionCommand{}}, others)
+	commander.Register(command.New(&devCommand{}, to), trial)
+	commander.Register(command.New(&standin.Command{}, to), trial)
+	commander.Register(command.New(&versionCommand{}, to), others)
 	commander.Register(commander.HelpCommand(), others)
 }
+
+// operatorCommands are the commands that read and change the configuration.
+func operatorCommands() []command.Action {
+	return []command.Action{
+		&checkCommand{},
+		&applyCommand{},
+		&promoteCommand{},
+		&statusCommand{},
+		&historyCommand{},
+		&dataCentreCommand{},
+		&endpointCommand{},
+	}
+}
--- a/cmd/ryelug/promote.go
+++ b/cmd/ryelug/promote.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 
-	"ryelug/core/change"
-	"ryelug/core/config"
-	"ryelug/router/publish"
+	"ryelug/cmd/ryelug/command"
 )
 
 // promoteCommand carries the policy of one environment to another.
@@ -17,15 +14,12 @@
 	show   bool
 }
 
-// Name returns the command's name.
-func (*promoteCommand) Name() string { return "promote" }
-
-// Synopsis returns one line of help.
-func (*promoteCommand) Synopsis() string { return "carry the policy of one environment to another" }
-
-// Usage returns the help text.
-func (*promoteCommand) Usage() string {
-	return `promote -platform ADDR -from NAME -environment NAME [-show]
+// Text returns what the command says of itself.
+func (*promoteCommand) Text() command.Text {
+	return command.Text{
+		Name:     "promote",
+		Synopsis: "carry the policy of one environment to another",
+		Usage: `promote -platform ADDR -from NAME -environment NAME [-show]
 
 Carry the policy that is in force in one environment to another.
 
@@ -38,7 +32,8 @@
   ryelug promote -platform 192.0.2.10:8080 -from trial -environment production
 
 Flags:
-`
+`,
+	}
 }
 
 // SetFlags sets the command's flags.
@@ -48,41 +43,17 @@
 	flags.BoolVar(&c.show, "show", false, "print the document and change nothing")
 }
 
-func (c *promoteCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
-	if err := noArguments(flags); err != nil {
+// Run implements command.Action.
+func (c *promoteCommand) Run(ctx context.Context, flags *flag.FlagSet, to command.Streams) error {
+	if err := command.NoArguments(flags); err != nil {
 		return err
 	}
 	if c.from == "" || c.from == c.target.environment {
-		return usageError("-from is missing or the same as -environment; give the environment that the policy comes from")
-	}
-	publisher, err := c.target.publisher(to)
-	if err != nil {
-		return err
-	}
-	source := target{platform: c.target.platform, environment: c.from, wait: c.target.wait}
-	origin, err := source.publisher(to)
-	if err != nil {
-		return err
+		return command.UsageError("-from is missing or the same as -environment; give the environment that the policy comes from")
 	}
-	policy, err := readPresent(ctx, origin, c.from)
+	operator, err := c.target.operator(to)
 	if err != nil {
 		return err
 	}
-	base, err := readPresent(ctx, publisher, c.target.environment)
-	if err != nil {
-		return err
-	}
-	promotion, err := change.Promote(policy.Document, base.Document)
-	if err != nil {
-		return withCode(fmt.Errorf("the policy of %s does not fit %s: %w", c.from, c.target.environment, err))
-	}
-	for _, note := range promotion.Notes {
-		fmt.Fprintf(to.err, "ryelug: %s\n", note)
-	}
-	if c.show {
-		_, err := to.out.Write(config.Encode(promotion.Document))
-		return err
-	}
-	text := fmt.Sprintf("promote from %s generation %d", c.from, policy.Root.Generation)
-	return put(ctx, publisher, publish.Change{Base: base, Document: promotion.Document, Text: text}, to)
+	return operator.Promote(ctx, c.from, c.show)
 }
--- a/cmd/ryelug/router.go
+++ b/cmd/ryelug/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ryelug/cmd/ryelug/command"
 	"ryelug/io/operator"
 	"ryelug/router/process"
 	"ryelug/router/settings"
@@ -16,15 +17,12 @@
 	settings string
 }
 
-// Name returns the command's name.
-func (*routerCommand) Name() string { return "router" }
-
-// Synopsis returns one line of help.
-func (*routerCommand) Synopsis() string { return "run a router" }
-
-// Usage returns the help text.
-func (*routerCommand) Usage() string {
-	return `router -settings FILE
+// Text returns what the command says of itself.
+func (*routerCommand) Text() command.Text {
+	return command.Text{
+		Name:     "router",
+		Synopsis: "run a router",
+		Usage: `router -settings FILE
 
 Run a router until it is interrupted; then it finishes all its requests and ends.
 docs/SETTINGS.md lists the keys of the file.
@@ -33,7 +31,8 @@
   ryelug router -settings /etc/ryelug/router.toml
 
 Flags:
-`
+`,
+	}
 }
 
 // SetFlags sets the flags.
@@ -41,18 +40,19 @@
 	flags.StringVar(&r.settings, "settings", "", "the settings file")
 }
 
-func (r *routerCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
-	if err := noArguments(flags); err != nil {
+// Run implements command.Action.
+func (r *routerCommand) Run(ctx context.Context, flags *flag.FlagSet, to command.Streams) error {
+	if err := command.NoArguments(flags); err != nil {
 		return err
 	}
 	if r.settings == "" {
-		return usageError("-settings is missing")
+		return command.UsageError("-settings is missing")
 	}
 	given, err := settings.Load(r.settings)
 	if err != nil {
 		return err
 	}
-	log := operator.NewLog(operator.LogConfig{Level: given.LogLevel, Format: given.LogFormat, Output: to.err})
+	log := operator.NewLog(operator.LogConfig{Level: given.LogLevel, Format: given.LogFormat, Output: to.Err})
 	one, err := newProcess(given, log)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/ryelug/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin holds the commands that run one stand-in as a process.
+package standin
--- a/cmd/ryelug/status.go
+++ b/cmd/ryelug/status.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
-	"fmt"
-	"time"
+
+	"ryelug/cmd/ryelug/command"
 )
 
 // statusCommand prints what is in force.
@@ -13,15 +13,12 @@
 	show   bool
 }
 
-// Name returns the command's name.
-func (*statusCommand) Name() string { return "status" }
-
-// Synopsis returns one line of help.
-func (*statusCommand) Synopsis() string { return "print what is in force" }
-
-// Usage returns the help text.
-func (*statusCommand) Usage() string {
-	return `status -platform ADDR -environment NAME [-show]
+// Text returns what the command says of itself.
+func (*statusCommand) Text() command.Text {
+	return command.Text{
+		Name:     "status",
+		Synopsis: "print what is in force",
+		Usage: `status -platform ADDR -environment NAME [-show]
 
 Print the generation in force, the change that made it, and what is out or
 leaving. With -show, print the whole document instead.
@@ -30,7 +27,8 @@
   ryelug status -platform 192.0.2.10:8080 -environment trial
 
 Flags:
-`
+`,
+	}
 }
 
 // SetFlags sets the command's flags.
@@ -39,35 +37,17 @@
 	flags.BoolVar(&c.show, "show", false, "print the document")
 }
 
-func (c *statusCommand) run(ctx context.Context, flags *flag.FlagSet, to streams) error {
-	if err := noArguments(flags); err != nil {
-		return err
-	}
-	publisher, err := c.target.publisher(to)
-	if err != nil {
+// Run implements command.Action.
+func (c *statusCommand) Run(ctx context.Context, flags *flag.FlagSet, to command.Streams) error {
+	if err := command.NoArguments(flags); err != nil {
 		return err
 	}
-	now, err := readPresent(ctx, publisher, c.target.environment)
+	operator, err := c.target.operator(to)
 	if err != nil {
 		return err
 	}
 	if c.show {
-		return printDocument(to, now.Document)
-	}
-	printRoot(to, now.Root)
-	summarise(to.out, now.Document)
-	for _, centre := range now.Document.DataCentres {
-		if centre.Out {
-			fmt.Fprintf(to.out, "data centre %s is out\n", centre.Name)
-		}
+		return operator.Show(ctx)
 	}
-	for _, endpoint := range now.Document.Endpoints {
-		if endpoint.Leaving {
-			fmt.Fprintf(to.out, "endpoint %s is leaving\n", endpoint.Name)
-		}
-	}
-	return nil
+	return operator.Status(ctx)
 }
-
-// timeForm is how commands print a time.
-const timeForm = time.RFC3339
--- a/cmd/ryelug/version.go
+++ b/cmd/ryelug/version.go
@@ -5,36 +5,37 @@
 	"flag"
 	"fmt"
 	"runtime/debug"
+
+	"ryelug/cmd/ryelug/command"
 )
 
 // versionCommand prints what this program was built from.
 type versionCommand struct{}
 
-// Name returns the command's name.
-func (*versionCommand) Name() string { return "version" }
-
-// Synopsis returns one line of help.
-func (*versionCommand) Synopsis() string { return "print the version of this program" }
-
-// Usage returns the help text.
-func (*versionCommand) Usage() string {
-	return `version
+// Text returns what the command says of itself.
+func (*versionCommand) Text() command.Text {
+	return command.Text{
+		Name:     "version",
+		Synopsis: "print the version of this program",
+		Usage: `version
 
 Print the module version, the commit it was built from, and the Go release.
 
 Example:
   ryelug version
-`
+`,
+	}
 }
 
 // SetFlags sets no flags.
 func (*versionCommand) SetFlags(*flag.FlagSet) {}
 
-func (*versionCommand) run(_ context.Context, flags *flag.FlagSet, to streams) error {
-	if err := noArguments(flags); err != nil {
+// Run implements command.Action.
+func (*versionCommand) Run(_ context.Context, flags *flag.FlagSet, to command.Streams) error {
+	if err := command.NoArguments(flags); err != nil {
 		return err
 	}
-	fmt.Fprintln(to.out, version())
+	fmt.Fprintln(to.Out, version())
 	return nil
 }
 
--- /dev/null
+++ b/router/operate/operator.go
@@ -0,0 +1,115 @@
+package operate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"ryelug/core/change"
+	"ryelug/core/config"
+	"ryelug/core/result"
+	"ryelug/io/platform"
+	"ryelug/router/publish"
+)
+
+// Config names the environment that is read or changed, and where the outcome is printed.
+type Config struct {
+	Platform    netip.AddrPort
+	Environment string
+	Patience    time.Duration // Patience is how long a step is tried while the platform does not answer.
+	Out         io.Writer     // Out gets what was asked for.
+	Notices     io.Writer     // Notices gets all else.
+}
+
+// Operator reads and changes one environment.
+type Operator struct {
+	config    Config
+	publisher *publish.Publisher
+}
+
+// New returns an Operator; it refuses a Config without platform or environment.
+func New(config Config) (*Operator, error) {
+	if !config.Platform.IsValid() {
+		return nil, badArguments("-platform is missing; give the platform's address, such as -platform 192.0.2.10:8080")
+	}
+	if config.Environment == "" {
+		return nil, badArguments("-environment is missing; give the environment's name, such as -environment trial")
+	}
+	o := &Operator{config: config}
+	client := platform.New(platform.Config{Address: config.Platform, Environment: config.Environment})
+	o.publisher = publish.New(publish.Config{
+		Platform:    client,
+		Environment: config.Environment,
+		Patience:    config.Patience,
+		Notice:      func(text string) { o.notice("%s", text) },
+	})
+	return o, nil
+}
+
+func badArguments(format string, args ...any) error {
+	return result.Wrap(result.BadArguments, fmt.Errorf(format, args...))
+}
+
+func (o *Operator) print(format string, args ...any) {
+	fmt.Fprintf(o.config.Out, format+"\n", args...)
+}
+
+func (o *Operator) notice(format string, args ...any) {
+	fmt.Fprintf(o.config.Notices, "ryelug: "+format+"\n", args...)
+}
+
+// present reads the document in force; there must be one that can be read.
+func (o *Operator) present(ctx context.Context) (publish.Snapshot, error) {
+	base, err := o.publisher.Read(ctx)
+	switch {
+	case err != nil:
+		return base, withCode(err)
+	case base.Broken != nil:
+		return base, result.Wrap(result.BadDocument, fmt.Errorf("the document in force can't be read, replace it with \"ryelug apply\": %w", base.Broken))
+	case base.Document == nil:
+		return base, result.Wrap(result.UnknownName, fmt.Errorf("environment %s has no document yet, put one in force with \"ryelug apply\"", o.config.Environment))
+	}
+	return base, nil
+}
+
+// put puts a change in force and tells the outcome.
+func (o *Operator) put(ctx context.Context, next publish.Change) error {
+	if next.Above == 0 && next.Base.Document != nil && change.Same(next.Base.Document, next.Document) {
+		o.print("generation %d holds this already; nothing to do", next.Base.Root.Generation)
+		return nil
+	}
+	root, err := o.publisher.Put(ctx, next)
+	if err != nil {
+		return withCode(err)
+	}
+	o.print("environment %s: generation %d accepted, change %s", root.Environment, root.Generation, root.ChangeID)
+	if err := o.publisher.SweepIfDue(ctx, root.Generation); err != nil {
+		o.notice("the change is accepted; old parts stay until a later command deletes them: %v", err)
+	}
+	return nil
+}
+
+// withCode gives an error of a publisher its result code.
+func withCode(err error) error {
+	var conflict *publish.ErrConflict
+	var unknown *publish.ErrUnknown
+	var unavailable *platform.ErrUnavailable
+	var name *change.NameError
+	var document config.Errors
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return result.Wrap(result.Conflict, err)
+	case errors.As(err, &unknown), errors.As(err, &unavailable), errors.Is(err, context.DeadlineExceeded):
+		return result.Wrap(result.PlatformDown, err)
+	case errors.As(err, &name), errors.Is(err, platform.ErrNotFound):
+		return result.Wrap(result.UnknownName, err)
+	case errors.As(err, &document), errors.Is(err, platform.ErrTooLarge):
+		return result.Wrap(result.BadDocument, err)
+	}
+	return err
+}
