Log a rejected generation once

Cause: router/configuration logged a generation that it could not adopt and told the Router, which logged it again in other words. Ruled out: logging in the Router only: the duty counts it, and its prefix "config:" is the one that docs/OPERATING.md gives for configuration. Change: the callback Report goes, nothing else used it. Conclusion: one rejected generation is one line.

--- a/router/config.go
+++ b/router/config.go
@@ -143,7 +143,6 @@
 		Platform: r.config.Platform,
 		Send:     r.send,
 		Adopt:    r.adopt,
-		Report:   r.report,
 		Log:      r.config.Log.WithField("part", "config"),
 	}
 }
--- a/router/configuration/duty.go
+++ b/router/configuration/duty.go
@@ -41,7 +41,6 @@
 	Platform Platform
 	Send     func(to cell.RouterID, message peer.Message)       // Send must not block.
 	Adopt    func(generation uint64, document *config.Document) // Adopt is called with rising generations, one at a time.
-	Report   func(generation uint64, err error)                 // Report is told of generations that can't be adopted; it may be nil.
 	Log      logrus.FieldLogger
 }
 
@@ -165,10 +164,8 @@
 	d.config.Adopt(a.Root.Generation, a.Document)
 }
 
+// report counts and logs a generation that can't be adopted; the last good one stays in force.
 func (d *Duty) report(a *spread.Report) {
 	d.counters.rejected.Add(1)
 	d.config.Log.WithField("generation", a.Generation).WithError(a.Err).Error("can't adopt a configuration")
-	if d.config.Report != nil {
-		d.config.Report(a.Generation, a.Err)
-	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -135,11 +135,6 @@
 	r.coordinator.postAlways(tell{to: to, message: message})
 }
 
-// report logs a generation that can't be adopted; the last good one stays in force.
-func (r *Router) report(generation uint64, err error) {
-	r.log.WithField("generation", generation).WithError(err).Error("A generation can't be adopted.")
-}
-
 // Health tells the balancer whether this router takes requests.
 func (r *Router) Health() Health {
 	return Health{
