--- a/router/bare_test.go
+++ b/router/bare_test.go
@@ -20,6 +20,7 @@
 	"ryelug/core/result"
 	"ryelug/io/platform"
 	"ryelug/router"
+	"ryelug/router/coordination"
 	"ryelug/router/request"
 	standin "ryelug/standin/platform"
 )
@@ -56,10 +57,8 @@
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	log, logged := logtest.NewNullLogger()
-	timings := router.DefaultTimings()
-	timings.BalancerLag = 0
 	one := router.New(router.Config{Host: "a", Incarnation: "1", DataCentre: "dc", Environment: "trial", PeerKey: []byte("a key of sixteen bytes"),
-		PeerListener: peers, CallersOn: callersOn, Hosts: noHosts{}, Counter: counter, Timings: timings, Log: log,
+		PeerListener: peers, CallersOn: callersOn, Hosts: noHosts{}, Counter: counter, Timings: coordination.DefaultTimings(), Log: log,
 		Platform: platform.New(platform.Config{Address: at, Environment: "trial"})})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
--- a/router/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -1,4 +1,4 @@
-package router
+package coordination
 
 import (
 	"context"
@@ -7,13 +7,17 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"ryelug/core/cell"
-	"ryelug/core/dispatch"
-	"ryelug/core/lend"
 	"ryelug/core/member"
+	"ryelug/core/result"
 	"ryelug/core/spread"
 	"ryelug/io/peer"
+	"ryelug/io/wire"
+	"ryelug/router/directory"
+	"ryelug/router/dispatching"
+	"ryelug/router/lending"
 )
 
 // Sizes of the coordinator's rings and the pace of its duties.
@@ -22,25 +26,25 @@
 	tickInterval     = 50 * time.Millisecond  // between two passes over all cells
 	progressInterval = time.Second            // between two reports of the cost of running attempts
 	countersInterval = time.Second            // between two rounds of counters to entries
-	countersPerEntry = 16                     // counters told to an entry in one round
 	slowStep         = 200 * time.Millisecond // a pass that takes longer is logged
 )
 
-// coordinator is the duty that owns the member table and the state of all cells.
-type coordinator struct {
-	config    *Config
+// Coordinator is the duty that owns the member table and the state of all cells.
+type Coordinator struct {
+	config    Config
 	self      cell.RouterID
 	log       logrus.FieldLogger
 	commands  chan command
 	done      chan struct{} // done is closed when run has returned.
 	mesh      *peer.Mesh
-	news      newsReceiver
+	news      News
 	table     *member.Table
-	cells     map[cell.ID]*cellState
+	dispatch  *dispatching.Role
+	lend      *lending.Role
 	links     linkSet
-	loopback  []peer.Message // loopback holds this router's messages to itself.
-	deferred  []command      // deferred holds commands that arise inside a step.
-	directory *directory
+	loopback  []wire.Message // loopback holds this router's messages to itself.
+	began     time.Time      // began is when the present step began; what it decides is no younger.
+	directory *directory.Directory
 	voters    []cell.HostID // voters and total are what the dispatchers were told last.
 	total     int
 	signs     []cell.HostID // signs is what the peers were told last; nil until there is a configuration.
@@ -48,42 +52,63 @@
 	cutOff    atomic.Bool
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
 	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
-	polled    atomic.Pointer[[]pollTarget]
+	polled    atomic.Pointer[[]dispatching.Target]
 	listedAt  atomic.Pointer[time.Time]  // listedAt is when a list of hosts came last, read here or by a watcher.
-	lists     map[*peer.Link][]peer.Host // lists holds the list that each link was told last, or has told last.
+	lists     map[*peer.Link][]wire.Host // lists holds the list that each link was told last, or has told last.
 	pollNow   chan struct{}              // pollNow asks for a round of load reports before the next one is due.
 
 	progressAt time.Time
 	countersAt time.Time
 }
 
-// newsReceiver takes the messages that spread the configuration.
-type newsReceiver interface {
-	Received(from cell.RouterID, message peer.Message)
-	PeerUp(router cell.RouterID)
-	PeerDown(router cell.RouterID)
-	Watching() bool
-	SetMembers(members []spread.Member)
-}
-
-func newCoordinator(config *Config, mesh *peer.Mesh) *coordinator {
-	return &coordinator{
+// New returns a Coordinator that Run starts.
+func New(config Config) *Coordinator {
+	c := &Coordinator{
 		config:   config,
-		self:     config.routerID(),
+		self:     config.Self,
 		log:      config.Log.WithField("part", "dispatch"),
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
-		lists:    make(map[*peer.Link][]peer.Host),
-		mesh:     mesh,
-		table:    member.New(config.memberConfig()),
-		cells:    make(map[cell.ID]*cellState),
-		links:    newLinkSet(),
+		lists:    make(map[*peer.Link][]wire.Host),
+		mesh:     peer.New(config.Peer),
+		table: member.New(member.Config{
+			Self:        config.Self.Host(),
+			Started:     time.Now(),
+			Lag:         config.Timings.ListLag,
+			CutOffAfter: config.Timings.CutOffAfter,
+		}),
+		links: newLinkSet(),
 	}
+	c.dispatch = dispatching.New(dispatching.Config{
+		Self:       config.Self,
+		StakeLease: config.Timings.StakeLease,
+		GrantValid: config.Timings.GrantValid,
+		Order:      config.Order,
+		Send:       c.toEntry,
+	})
+	c.lend = lending.New(lending.Config{
+		Self:       config.Self,
+		Started:    time.Now(),
+		StakeLease: config.Timings.StakeLease,
+		GrantValid: config.Timings.GrantValid,
+		Local:      config.LocalQueues,
+		Send:       c.toDispatcher,
+		Disconnect: c.disconnect,
+	})
+	return c
+}
+
+// Run owns the state and the links until ctx ends.
+func (c *Coordinator) Run(ctx context.Context, news News) error {
+	c.news = news
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.mesh.Run(ctx) })
+	group.Go(func() error { return c.loop(ctx) })
+	return group.Wait()
 }
 
-// run owns the state until ctx ends.
-func (c *coordinator) run(ctx context.Context) error {
+func (c *Coordinator) loop(ctx context.Context) error {
 	defer close(c.done)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -95,18 +120,21 @@
 			if !ok {
 				return nil
 			}
+			c.began = time.Now()
 			c.peerEvent(event)
 		case cmd := <-c.commands:
-			c.handle(time.Now(), cmd)
+			c.began = time.Now()
+			c.handle(c.began, cmd)
 		case <-ticker.C:
-			c.tick(time.Now())
+			c.began = time.Now()
+			c.tick(c.began)
 		}
 		c.drain()
 	}
 }
 
 // postAlways hands a command to the coordinator, unless that has ended.
-func (c *coordinator) postAlways(cmd command) {
+func (c *Coordinator) postAlways(cmd command) {
 	select {
 	case c.commands <- cmd:
 	case <-c.done:
@@ -114,7 +142,7 @@
 }
 
 // post hands a command to the coordinator, or gives up when ctx ends.
-func (c *coordinator) post(ctx context.Context, cmd command) bool {
+func (c *Coordinator) post(ctx context.Context, cmd command) bool {
 	select {
 	case c.commands <- cmd:
 		return true
@@ -123,14 +151,14 @@
 	}
 }
 
-func (c *coordinator) handle(now time.Time, cmd command) {
+func (c *Coordinator) handle(now time.Time, cmd command) {
 	switch cmd := cmd.(type) {
 	case ask:
-		c.handleAsk(now, cmd)
+		c.ask(now, cmd)
 	case withdraw:
-		c.handleWithdraw(now, cmd)
+		c.lend.Withdraw(now, cmd.cell, cmd.attempt)
 	case finish:
-		c.handleFinish(now, cmd)
+		c.lend.Finish(now, cmd.cell, cmd.end)
 	case adopt:
 		c.adopt(now, cmd.directory)
 	case listed:
@@ -142,37 +170,27 @@
 	case depart:
 		c.depart(now)
 	case farewell:
-		c.links.each(func(link *peer.Link) { link.Send(&peer.Departed{}) })
+		c.links.each(func(link *peer.Link) { link.Send(&wire.Departed{}) })
 	case inspect:
 		cmd.reply <- c.view(now)
 	}
 }
 
 // tick lets time pass in every cell and refreshes what follows from it.
-func (c *coordinator) tick(now time.Time) {
+func (c *Coordinator) tick(now time.Time) {
 	c.table.Tick(now)
 	c.checkCutOff(now)
 	c.shareKeys(now)
-	report := now.Sub(c.progressAt) >= progressInterval
-	if report {
+	c.refreshVoters(now)
+	c.lend.Tick(now, c.order(now))
+	c.dispatch.Tick(now)
+	if now.Sub(c.progressAt) >= progressInterval {
 		c.progressAt = now
+		c.lend.ReportProgress(now)
 	}
-	counters := now.Sub(c.countersAt) >= countersInterval
-	if counters {
+	if now.Sub(c.countersAt) >= countersInterval {
 		c.countersAt = now
-	}
-	c.refreshVoters(now)
-	for _, state := range c.cells {
-		c.refreshOrder(now, state)
-		if report {
-			c.reportProgress(now, state)
-		}
-		c.renewSelf(now, state)
-		c.lenderStep(now, state, &lend.Tick{})
-		c.dispatcherStep(now, state, &dispatch.Tick{})
-		if counters {
-			c.tellCounters(state)
-		}
+		c.dispatch.TellCounters()
 	}
 	c.choosePolled()
 	if took := time.Since(now); took > slowStep {
@@ -182,37 +200,49 @@
 
 // checkCutOff notes whether this router may send new work at all. What waits
 // when it is cut off is refused at once, since nothing of it has run.
-func (c *coordinator) checkCutOff(now time.Time) {
+func (c *Coordinator) checkCutOff(now time.Time) {
 	cutOff := c.table.CutOff(now)
 	if c.cutOff.Swap(cutOff) == cutOff {
 		return
 	}
 	c.log.WithField("cut_off", cutOff).Warn("Contact with the platform and most routers has changed.")
-	if !cutOff {
-		return
+	if cutOff {
+		c.lend.RefuseAll(now, result.CutOff)
 	}
-	for _, state := range c.cells {
-		c.refuseAsks(now, state)
+}
+
+// ask passes a request's ask on, unless this router may send no new work.
+func (c *Coordinator) ask(now time.Time, cmd ask) {
+	if c.cutOff.Load() {
+		cmd.Refuse(result.CutOff)
+		return
 	}
+	c.lend.Ask(now, cmd.Ask)
+}
+
+// order returns the function that gives the order of a cell's dispatchers.
+func (c *Coordinator) order(now time.Time) func(cell.ID) []cell.HostID {
+	return func(id cell.ID) []cell.HostID { return c.table.Order(now, id) }
 }
 
 // drain handles what the last event left behind: this router's messages to
-// itself and the commands that arose inside a step, until none is left.
-func (c *coordinator) drain() {
-	for len(c.loopback) > 0 || len(c.deferred) > 0 {
-		loopback, deferred := c.loopback, c.deferred
-		c.loopback, c.deferred = nil, nil
-		now := time.Now()
+// itself and grants that nobody waits for, until nothing is left.
+func (c *Coordinator) drain() {
+	for {
+		loopback := c.loopback
+		c.loopback = nil
+		decided, now := c.began, time.Now()
+		c.began = now
 		for _, message := range loopback {
-			c.received(now, c.self, message, now)
+			c.received(now, c.self, message, decided)
 		}
-		for _, cmd := range deferred {
-			c.handle(now, cmd)
+		if !c.lend.HandBack(now) && len(c.loopback) == 0 {
+			return
 		}
 	}
 }
 
-func (c *coordinator) handleListed(now time.Time, cmd listed) {
+func (c *Coordinator) handleListed(now time.Time, cmd listed) {
 	if cmd.err != nil {
 		c.table.ListFailed(now)
 		return
@@ -222,7 +252,7 @@
 }
 
 // takeList takes a list of hosts that this router or a watcher has just read.
-func (c *coordinator) takeList(now time.Time, members []member.Member) {
+func (c *Coordinator) takeList(now time.Time, members []member.Member) {
 	c.listedAt.Store(&now)
 	c.table.Listed(now, members)
 	c.refreshVoters(now)
@@ -233,40 +263,38 @@
 
 // tellSigns tells all peers which hosts this router has signs of, if that has
 // changed. The first such message also tells that this router has a configuration.
-func (c *coordinator) tellSigns() {
+func (c *Coordinator) tellSigns() {
 	signs := c.table.Signs()
 	if c.directory == nil || c.leaving || slices.Equal(signs, c.signs) {
 		return
 	}
 	c.signs = slices.Clone(signs)
-	c.links.each(func(link *peer.Link) { link.Send(&peer.Members{Hosts: c.signs}) })
+	c.links.each(func(link *peer.Link) { link.Send(&wire.Members{Hosts: c.signs}) })
 }
 
 // refreshVoters tells the dispatchers whose stakes count, if that has changed.
-func (c *coordinator) refreshVoters(now time.Time) {
+func (c *Coordinator) refreshVoters(now time.Time) {
 	hosts, total := c.table.Voters()
 	if total == c.total && slices.Equal(hosts, c.voters) {
 		return
 	}
 	c.voters = slices.Clone(hosts)
 	c.total = total
-	for _, state := range c.cells {
-		c.dispatcherStep(now, state, &dispatch.Voters{Hosts: c.voters, Total: total})
-	}
+	c.dispatch.SetVoters(now, c.voters, total)
 }
 
-func (c *coordinator) peerAddresses() []peer.Address {
+func (c *Coordinator) peerAddresses() []peer.Address {
 	members := c.table.Members()
 	addresses := make([]peer.Address, 0, len(members))
 	for _, m := range members {
-		if m.Host != c.config.Host {
+		if m.Host != c.self.Host() {
 			addresses = append(addresses, peer.Address{Host: m.Host, Addr: m.PeerAddress})
 		}
 	}
 	return addresses
 }
 
-func (c *coordinator) spreadMembers() []spread.Member {
+func (c *Coordinator) spreadMembers() []spread.Member {
 	var members []spread.Member
 	for _, m := range c.table.Members() {
 		if !m.Leaving {
@@ -277,34 +305,23 @@
 }
 
 // adopt puts a generation in force in all cells.
-func (c *coordinator) adopt(now time.Time, next *directory) {
+func (c *Coordinator) adopt(now time.Time, next *directory.Directory) {
 	first := c.directory == nil
 	c.directory = next
-	for id := range next.pools {
-		if c.cells[id] == nil {
-			c.openCell(id)
-		}
-	}
-	for id, state := range c.cells {
-		policy, ok := next.policies[id]
-		if !ok {
-			policy = &dispatch.Policy{} // A pool that is gone takes no work.
-		}
-		c.dispatcherStep(now, state, policy)
-		c.refreshOrder(now, state)
-	}
+	c.lend.Adopt(now, next)
+	c.dispatch.Adopt(now, next)
+	c.lend.Reorder(now, c.order(now))
 	if first {
 		c.tellSigns()
 	}
 }
 
 // depart tells all routers that this one leaves and takes itself out of the order.
-func (c *coordinator) depart(now time.Time) {
+func (c *Coordinator) depart(now time.Time) {
 	c.leaving = true
-	c.table.Leaving(now, c.config.Host)
-	c.links.each(func(link *peer.Link) { link.Send(&peer.Leaving{}) })
-	for _, state := range c.cells {
-		c.lenderStep(now, state, &lend.PeerLeaving{Router: c.self})
-		c.refreshOrder(now, state)
-	}
+	c.table.Leaving(now, c.self.Host())
+	c.links.each(func(link *peer.Link) { link.Send(&wire.Leaving{}) })
+	c.dispatch.Leave()
+	c.lend.PeerLeaving(now, c.self)
+	c.lend.Reorder(now, c.order(now))
 }
