--- a/router/config.go
+++ b/router/config.go
@@ -95,7 +95,6 @@
 		Platform: r.config.Platform,
 		Send:     r.coordinator.Tell,
 		Adopt:    r.adopt,
-		Report:   r.report,
 		Log:      r.config.Log.WithField("part", "config"),
 	}
 }
