Wait in one place, and never on a timer that is due at once

The wait for a time or the end of a context stood in five places. Ruled out: a fault of the router; the same test passes without -race. Change: io/pause, used by all of them; it makes no timer for a time that is not positive. Two tests draw pauses from 1 ms on instead of 0.

--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -12,6 +12,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/io/greeting"
+	"ryelug/io/pause"
 )
 
 const (
@@ -72,7 +73,7 @@
 		if time.Since(began) > m.conf.RedialMax {
 			pauses.Reset()
 		}
-		if !pause(ctx, pauses.NextBackOff()) {
+		if !pause.For(ctx, pauses.NextBackOff()) {
 			return
 		}
 	}
@@ -96,18 +97,6 @@
 	_ = m.runLink(ctx, link, theirs) // Its end is logged there, and the link is dialed anew.
 }
 
-// pause waits and returns false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func isTemporary(err error) bool {
 	var netErr net.Error
 	return !errors.Is(err, net.ErrClosed) && errors.As(err, &netErr)
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -14,6 +14,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/io/greeting"
+	"ryelug/io/pause"
 )
 
 const (
@@ -95,7 +96,7 @@
 			return ctx.Err()
 		}
 		if err != nil {
-			if isTemporary(err) && pause(ctx, m.conf.Redial) {
+			if isTemporary(err) && pause.For(ctx, m.conf.Redial) {
 				continue
 			}
 			return err
--- a/router/configuration/race_test.go
+++ b/router/configuration/race_test.go
@@ -50,7 +50,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(random.IntN(1500)) * time.Millisecond):
+		case <-time.After(time.Duration(1+random.IntN(1500)) * time.Millisecond):
 		}
 		r := f.routers[random.IntN(len(f.routers))]
 		switch random.IntN(6) {
--- a/router/configuration/watch.go
+++ b/router/configuration/watch.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"ryelug/core/spread"
+	"ryelug/io/pause"
 	"ryelug/io/platform"
 )
 
@@ -75,7 +76,7 @@
 		if time.Since(opened) > maxRewatch || errors.Is(err, errMissed) {
 			pauses.Reset()
 		}
-		if !sleep(ctx, pauses.NextBackOff()) {
+		if !pause.For(ctx, pauses.NextBackOff()) {
 			return nil
 		}
 	}
@@ -119,15 +120,3 @@
 	}
 	return err
 }
-
-// sleep waits and returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/router/keyed/hold.go
+++ b/router/keyed/hold.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ryelug/core/idempotency"
+	"ryelug/io/pause"
 	"ryelug/io/platform"
 )
 
@@ -105,7 +106,7 @@
 	if !wait {
 		return ctx.Err() == nil
 	}
-	return pause(ctx, platformPause)
+	return pause.For(ctx, platformPause)
 }
 
 func failure(err error) idempotency.Event {
@@ -154,15 +155,3 @@
 		h.record.State = idempotency.NotRun
 	}
 }
-
-// pause waits and tells whether ctx goes on.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/router/keyed/sweeper.go
+++ b/router/keyed/sweeper.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"ryelug/io/pause"
 	"ryelug/io/platform"
 )
 
@@ -49,7 +50,7 @@
 
 // Run sweeps until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) error {
-	for pause(ctx, s.config.Every) {
+	for pause.For(ctx, s.config.Every) {
 		if s.config.Turn() {
 			s.Sweep(ctx, time.Now())
 		}
--- a/router/poll/hosts.go
+++ b/router/poll/hosts.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/member"
+	"ryelug/io/pause"
 	"ryelug/router/coordination"
 )
 
@@ -48,16 +49,18 @@
 		if p.isDue() {
 			p.read(ctx)
 		}
-		pause := p.config.Timings.HostsPoll
-		pause += time.Duration(p.random.Int64N(int64(pause / 2)))
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, p.interval()) {
 			return nil
-		case <-time.After(pause):
 		}
 	}
 }
 
+// interval returns the time to the next read, half as long again at most as the setting.
+func (p *Hosts) interval() time.Duration {
+	interval := p.config.Timings.HostsPoll
+	return interval + time.Duration(p.random.Int64N(int64(interval/2)))
+}
+
 func (p *Hosts) isDue() bool {
 	last := p.config.Coordinator.ListedAt()
 	fresh := !last.IsZero() && time.Since(last) < listFresh*p.config.Timings.HostsPoll
--- a/router/publish/publish_test.go
+++ b/router/publish/publish_test.go
@@ -105,7 +105,7 @@
 		case <-stop:
 			s.server.SetFaults(standin.Faults{})
 			return
-		case <-time.After(time.Duration(random.IntN(1500)) * time.Millisecond):
+		case <-time.After(time.Duration(1+random.IntN(1500)) * time.Millisecond):
 		}
 	}
 }
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -10,6 +10,7 @@
 	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
+	"ryelug/io/pause"
 	"ryelug/router/keyed"
 )
 
@@ -92,7 +93,7 @@
 	}
 	r.end(ask.End)
 	r.count(ask.Reason)
-	if !pause(ctx, ask.After) {
+	if !pause.For(ctx, ask.After) {
 		return &entry.CallerGone{}
 	}
 	queue, cancel := context.WithDeadline(ctx, r.queueUntil(time.Now()))
@@ -123,7 +124,7 @@
 func (r *run) send(ctx context.Context, send *entry.Send) entry.Event {
 	r.count(send.Reason)
 	r.closeStream()
-	if !pause(ctx, send.After) {
+	if !pause.For(ctx, send.After) {
 		return &entry.CallerGone{Sent: r.sent}
 	}
 	call := r.call(send.LastEvent)
@@ -295,18 +296,3 @@
 		r.runner.config.Counter.Retried(reason)
 	}
 }
-
-// pause waits and tells whether the caller is still there.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"ryelug/core/config"
 	"ryelug/io/caller"
+	"ryelug/io/pause"
 	"ryelug/router/configuration"
 	"ryelug/router/coordination"
 	"ryelug/router/directory"
@@ -95,7 +96,7 @@
 	r.log.Info("The router leaves.")
 	r.leaving.Store(true)
 	r.coordinator.Depart(ctx)
-	r.wait(ctx, r.config.BalancerLag)
+	pause.For(ctx, r.config.BalancerLag)
 	r.closeGate()
 	r.requests.Wait()
 	if r.config.CallersOn != nil {
@@ -103,22 +104,15 @@
 			r.log.WithError(err).Warn("The callers' server did not close in order.")
 		}
 	}
-	r.wait(ctx, lastWords)
+	pause.For(ctx, lastWords)
 	r.coordinator.Farewell(ctx)
-	r.wait(ctx, lastWords)
+	pause.For(ctx, lastWords)
 	r.log.Info("All requests are finished.")
 }
 
 // lastWords is the time in which the last messages reach the other routers.
 const lastWords = 100 * time.Millisecond
 
-func (r *Router) wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-time.After(pause):
-	case <-ctx.Done():
-	}
-}
-
 func (r *Router) closeGate() {
 	r.gate.Lock()
 	defer r.gate.Unlock()
