Use cmp.Or for defaults

Change: cmp.Or everywhere; a negative time is no longer taken for unset in three packages. Figures: go test ./core/... ./io/... ./router/... ./standin/... ./cmd/...: ok.

--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of a pool.
 const (
@@ -14,18 +17,11 @@
 func (d *Document) setDefaults() {
 	for i := range d.Pools {
 		p := &d.Pools[i]
-		orDefault(&p.QueueLimit, DefaultQueueLimit)
-		orDefault(&p.QueueTimeout, DefaultQueueTimeout)
-		orDefault(&p.LongestRequest, DefaultLongestRequest)
-		orDefault(&p.LargestCost, DefaultLargestCost)
-		orDefault(&p.WarmUpRequests, DefaultWarmUpRequests)
-	}
-}
-
-func orDefault[T comparable](to *T, otherwise T) {
-	var zero T
-	if *to == zero {
-		*to = otherwise
+		p.QueueLimit = cmp.Or(p.QueueLimit, DefaultQueueLimit)
+		p.QueueTimeout = cmp.Or(p.QueueTimeout, DefaultQueueTimeout)
+		p.LongestRequest = cmp.Or(p.LongestRequest, DefaultLongestRequest)
+		p.LargestCost = cmp.Or(p.LargestCost, DefaultLargestCost)
+		p.WarmUpRequests = cmp.Or(p.WarmUpRequests, DefaultWarmUpRequests)
 	}
 }
 
--- a/core/entry/life.go
+++ b/core/entry/life.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -49,18 +50,12 @@
 
 // New returns a Life that waits for Begin.
 func New(config Config) *Life {
-	setDefault(&config.MaxAttempts, defaultMaxAttempts)
-	setDefault(&config.MaxReasks, defaultMaxReasks)
-	setDefault(&config.MaxResumes, defaultMaxResumes)
+	config.MaxAttempts = cmp.Or(config.MaxAttempts, defaultMaxAttempts)
+	config.MaxReasks = cmp.Or(config.MaxReasks, defaultMaxReasks)
+	config.MaxResumes = cmp.Or(config.MaxResumes, defaultMaxResumes)
 	return &Life{config: config}
 }
 
-func setDefault(field *int, value int) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // MayHaveRun tells whether an endpoint may have run the request.
 func (l *Life) MayHaveRun() bool { return l.mayHaveRun }
 
--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -1,6 +1,7 @@
 package lend
 
 import (
+	"cmp"
 	"time"
 
 	"ryelug/core/cell"
@@ -72,10 +73,10 @@
 
 // New returns a Lender without a session.
 func New(conf Config) *Lender {
-	setDefault(&conf.StakeLease, DefaultStakeLease)
-	setDefault(&conf.GrantValid, DefaultGrantValid)
-	setDefault(&conf.AcceptTimeout, DefaultAcceptTimeout)
-	setDefault(&conf.ReleaseTimeout, DefaultReleaseTimeout)
+	conf.StakeLease = cmp.Or(conf.StakeLease, DefaultStakeLease)
+	conf.GrantValid = cmp.Or(conf.GrantValid, DefaultGrantValid)
+	conf.AcceptTimeout = cmp.Or(conf.AcceptTimeout, DefaultAcceptTimeout)
+	conf.ReleaseTimeout = cmp.Or(conf.ReleaseTimeout, DefaultReleaseTimeout)
 	return &Lender{
 		conf:     conf,
 		links:    make(map[cell.HostID]cell.RouterID),
@@ -333,9 +334,3 @@
 }
 
 func (l *Lender) act(a Action) { l.actions = append(l.actions, a) }
-
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -80,10 +80,10 @@
 
 // New returns a Table that knows of its own host alone.
 func New(conf Config) *Table {
-	setDefault(&conf.Lag, DefaultLag)
-	setDefault(&conf.ShrinkDelay, DefaultShrinkDelay)
-	setDefault(&conf.Damping, DefaultDamping)
-	setDefault(&conf.CutOffAfter, DefaultCutOffAfter)
+	conf.Lag = cmp.Or(conf.Lag, DefaultLag)
+	conf.ShrinkDelay = cmp.Or(conf.ShrinkDelay, DefaultShrinkDelay)
+	conf.Damping = cmp.Or(conf.Damping, DefaultDamping)
+	conf.CutOffAfter = cmp.Or(conf.CutOffAfter, DefaultCutOffAfter)
 	t := &Table{
 		conf:   conf,
 		hosts:  make(map[cell.HostID]*record),
@@ -381,9 +381,3 @@
 	slices.SortFunc(hosts, cmp.Compare[cell.HostID])
 	return hosts
 }
-
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
--- a/core/spread/machine.go
+++ b/core/spread/machine.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -48,20 +49,14 @@
 }
 
 func (c *Config) setDefaults() {
-	set(&c.Watchers, DefaultWatchers)
-	set(&c.Check, DefaultCheck)
-	set(&c.Confirm, DefaultConfirm)
-	set(&c.Stale, DefaultStale)
-	set(&c.Repeat, DefaultRepeat)
-	set(&c.Answer, DefaultAnswer)
-	set(&c.Grace, DefaultGrace)
-	set(&c.FanOut, DefaultFanOut)
-}
-
-func set[T int | time.Duration](to *T, otherwise T) {
-	if *to == 0 {
-		*to = otherwise
-	}
+	c.Watchers = cmp.Or(c.Watchers, DefaultWatchers)
+	c.Check = cmp.Or(c.Check, DefaultCheck)
+	c.Confirm = cmp.Or(c.Confirm, DefaultConfirm)
+	c.Stale = cmp.Or(c.Stale, DefaultStale)
+	c.Repeat = cmp.Or(c.Repeat, DefaultRepeat)
+	c.Answer = cmp.Or(c.Answer, DefaultAnswer)
+	c.Grace = cmp.Or(c.Grace, DefaultGrace)
+	c.FanOut = cmp.Or(c.FanOut, DefaultFanOut)
 }
 
 // peer is what is known of a router at the other end of a link.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -64,12 +65,12 @@
 
 // New returns a Server.
 func New(config Config) *Server {
-	setDefault(&config.ReadTimeout, defaultReadTimeout)
-	setDefault(&config.WriteTimeout, defaultWriteTimeout)
-	setDefault(&config.IdleTimeout, defaultIdleTimeout)
-	setDefault(&config.MaxHeader, defaultMaxHeader)
-	setDefault(&config.MaxBody, defaultMaxBody)
-	setDefault(&config.Buffer, defaultBuffer)
+	config.ReadTimeout = cmp.Or(config.ReadTimeout, defaultReadTimeout)
+	config.WriteTimeout = cmp.Or(config.WriteTimeout, defaultWriteTimeout)
+	config.IdleTimeout = cmp.Or(config.IdleTimeout, defaultIdleTimeout)
+	config.MaxHeader = cmp.Or(config.MaxHeader, defaultMaxHeader)
+	config.MaxBody = cmp.Or(config.MaxBody, defaultMaxBody)
+	config.Buffer = cmp.Or(config.Buffer, defaultBuffer)
 	if config.Refused == nil {
 		config.Refused = func(result.Code) {}
 	}
@@ -95,12 +96,6 @@
 	return s
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // silent drops the library's own log lines, which hold what callers sent.
 type silent struct{}
 
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -59,28 +60,22 @@
 
 // New returns a Client.
 func New(config Config) *Client {
-	setDefault(&config.ConnectTimeout, defaultConnectTimeout)
-	setDefault(&config.FirstTimeout, defaultFirstTimeout)
-	setDefault(&config.EventTimeout, defaultEventTimeout)
-	setDefault(&config.WriteTimeout, defaultWriteTimeout)
-	setDefault(&config.IdleReuse, defaultIdleReuse)
-	setDefault(&config.IdleKeep, defaultIdleKeep)
-	setDefault(&config.MaxIdle, defaultMaxIdle)
-	setDefault(&config.MaxHeader, defaultMaxHeader)
-	setDefault(&config.MaxBody, defaultMaxBody)
-	setDefault(&config.MaxEvent, defaultMaxEvent)
+	config.ConnectTimeout = cmp.Or(config.ConnectTimeout, defaultConnectTimeout)
+	config.FirstTimeout = cmp.Or(config.FirstTimeout, defaultFirstTimeout)
+	config.EventTimeout = cmp.Or(config.EventTimeout, defaultEventTimeout)
+	config.WriteTimeout = cmp.Or(config.WriteTimeout, defaultWriteTimeout)
+	config.IdleReuse = cmp.Or(config.IdleReuse, defaultIdleReuse)
+	config.IdleKeep = cmp.Or(config.IdleKeep, defaultIdleKeep)
+	config.MaxIdle = cmp.Or(config.MaxIdle, defaultMaxIdle)
+	config.MaxHeader = cmp.Or(config.MaxHeader, defaultMaxHeader)
+	config.MaxBody = cmp.Or(config.MaxBody, defaultMaxBody)
+	config.MaxEvent = cmp.Or(config.MaxEvent, defaultMaxEvent)
 	if config.Dial == nil {
 		config.Dial = dialTCP
 	}
 	return &Client{config: config, idle: make(map[poolKey][]*conn)}
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", address.String())
--- a/io/peer/config.go
+++ b/io/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -40,11 +41,11 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Heartbeat, DefaultHeartbeat)
-	setDefault(&c.Silent, DefaultSilent)
-	setDefault(&c.DialTimeout, DefaultDialTimeout)
-	setDefault(&c.Redial, DefaultRedial)
-	setDefault(&c.RedialMax, DefaultRedialMax)
+	c.Heartbeat = cmp.Or(c.Heartbeat, DefaultHeartbeat)
+	c.Silent = cmp.Or(c.Silent, DefaultSilent)
+	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.Redial = cmp.Or(c.Redial, DefaultRedial)
+	c.RedialMax = cmp.Or(c.RedialMax, DefaultRedialMax)
 	if c.MaxFrame <= 0 {
 		c.MaxFrame = DefaultMaxFrame
 	}
@@ -58,12 +59,6 @@
 	}
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", addr.String())
--- a/router/keyed/keeper.go
+++ b/router/keyed/keeper.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -46,19 +47,13 @@
 
 // New returns a Keeper.
 func New(config Config) *Keeper {
-	setDefault(&config.Rate, defaultRate)
-	setDefault(&config.Timeout, defaultTimeout)
-	setDefault(&config.Retention, defaultRetention)
-	setDefault(&config.MaxRecorded, defaultMaxRecorded)
+	config.Rate = cmp.Or(config.Rate, defaultRate)
+	config.Timeout = cmp.Or(config.Timeout, defaultTimeout)
+	config.Retention = cmp.Or(config.Retention, defaultRetention)
+	config.MaxRecorded = cmp.Or(config.MaxRecorded, defaultMaxRecorded)
 	return &Keeper{config: config, pace: rate.NewLimiter(rate.Limit(config.Rate), burst(config.Rate))}
 }
 
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 func burst(perSecond float64) int { return max(minBurst, int(perSecond)) }
 
 // SetRate changes the bound on requests with a key: all routers share what the platform bears.
--- a/router/keyed/sweeper.go
+++ b/router/keyed/sweeper.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -43,8 +44,8 @@
 
 // NewSweeper returns a Sweeper.
 func NewSweeper(config SweeperConfig) *Sweeper {
-	setDefault(&config.Every, defaultSweepEvery)
-	setDefault(&config.Rate, defaultSweepRate)
+	config.Every = cmp.Or(config.Every, defaultSweepEvery)
+	config.Rate = cmp.Or(config.Rate, defaultSweepRate)
 	return &Sweeper{config: config}
 }
 
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/netip"
@@ -106,22 +107,16 @@
 
 // New returns a Runner.
 func New(config Config) *Runner {
-	setDefault(&config.RetryRatio, defaultRetryRatio)
-	setDefault(&config.RetryBurst, defaultRetryBurst)
-	setDefault(&config.BackoffStart, defaultBackoffStart)
-	setDefault(&config.BackoffLimit, defaultBackoffLimit)
+	config.RetryRatio = cmp.Or(config.RetryRatio, defaultRetryRatio)
+	config.RetryBurst = cmp.Or(config.RetryBurst, defaultRetryBurst)
+	config.BackoffStart = cmp.Or(config.BackoffStart, defaultBackoffStart)
+	config.BackoffLimit = cmp.Or(config.BackoffLimit, defaultBackoffLimit)
 	if config.Counter == nil {
 		config.Counter = uncounted{}
 	}
 	return &Runner{config: config, budgets: make(map[cell.ID]*entry.Budget)}
 }
 
-func setDefault[T float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // uncounted is the Counter of a Runner without one.
 type uncounted struct{}
 
@@ -139,8 +134,8 @@
 
 // Serve runs one request to its final answer; ctx ends when the caller has gone.
 func (r *Runner) Serve(ctx context.Context, route Route, req *caller.Request, w caller.Writer) {
-	setDefault(&route.QueueTimeout, defaultQueueTimeout)
-	setDefault(&route.LongestRequest, defaultLongest)
+	route.QueueTimeout = cmp.Or(route.QueueTimeout, defaultQueueTimeout)
+	route.LongestRequest = cmp.Or(route.LongestRequest, defaultLongest)
 	run := r.newRun(route, req, w)
 	if req.IdempotencyKey == "" {
 		run.loop(ctx)
--- a/standin/fleet/hosts.go
+++ b/standin/fleet/hosts.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -92,31 +93,24 @@
 	return config.Pool{
 		Name:           name,
 		Kind:           kind,
-		QueueLimit:     orDefault(f.config.QueueLimit, 100),
-		QueueTimeout:   orDefault(f.config.QueueTimeout, 30*time.Second),
-		LongestRequest: orDefault(f.config.LongestRequest, 5*time.Minute),
-		LargestCost:    orDefault(f.config.LargestCost, 1000),
-		WarmUpRequests: orDefault(warmUp, defaultWarmUp),
+		QueueLimit:     cmp.Or(f.config.QueueLimit, 100),
+		QueueTimeout:   cmp.Or(f.config.QueueTimeout, 30*time.Second),
+		LongestRequest: cmp.Or(f.config.LongestRequest, 5*time.Minute),
+		LargestCost:    cmp.Or(f.config.LargestCost, 1000),
+		WarmUpRequests: cmp.Or(warmUp, defaultWarmUp),
 	}
 }
 
-func orDefault[T int | int64 | time.Duration](value, otherwise T) T {
-	if value == 0 {
-		return otherwise
-	}
-	return value
-}
-
 // startEndpoints starts the engines and services and lists them in the document.
 func (f *Fleet) startEndpoints() error {
 	for i := range f.config.Engines {
 		conf := f.config.Engine
 		conf.Name = fmt.Sprintf("engine-%d", i+1)
 		conf.Seed = f.config.Seed + uint64(i)
-		conf.WarmLimit = orDefault(conf.WarmLimit, defaultWarmLimit)
-		conf.ColdLimit = orDefault(conf.ColdLimit, defaultColdLimit)
-		conf.WarmUp = orDefault(conf.WarmUp, defaultWarmUp)
-		conf.TokenGap = orDefault(conf.TokenGap, defaultTokenGap)
+		conf.WarmLimit = cmp.Or(conf.WarmLimit, defaultWarmLimit)
+		conf.ColdLimit = cmp.Or(conf.ColdLimit, defaultColdLimit)
+		conf.WarmUp = cmp.Or(conf.WarmUp, defaultWarmUp)
+		conf.TokenGap = cmp.Or(conf.TokenGap, defaultTokenGap)
 		started := engine.New(conf)
 		f.Engines = append(f.Engines, started)
 		if err := f.addEndpoint(started, conf.Name, EnginePool, i, conf.WarmLimit, conf.ColdLimit); err != nil {
@@ -126,10 +120,10 @@
 	for i := range f.config.Services {
 		conf := f.config.Service
 		conf.Name = fmt.Sprintf("service-%d", i+1)
-		conf.WarmLimit = orDefault(conf.WarmLimit, defaultWarmLimit)
-		conf.ColdLimit = orDefault(conf.ColdLimit, defaultColdLimit)
-		conf.WarmUp = orDefault(conf.WarmUp, defaultWarmUp)
-		conf.Duration = orDefault(conf.Duration, defaultCallTime)
+		conf.WarmLimit = cmp.Or(conf.WarmLimit, defaultWarmLimit)
+		conf.ColdLimit = cmp.Or(conf.ColdLimit, defaultColdLimit)
+		conf.WarmUp = cmp.Or(conf.WarmUp, defaultWarmUp)
+		conf.Duration = cmp.Or(conf.Duration, defaultCallTime)
 		started := service.New(conf)
 		f.Services = append(f.Services, started)
 		if err := f.addEndpoint(started, conf.Name, ServicePool, i, conf.WarmLimit, conf.ColdLimit); err != nil {
--- a/standin/fleet/member.go
+++ b/standin/fleet/member.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
@@ -91,7 +92,7 @@
 	text := fmt.Sprintf(settingsText, m.Host, m.DataCentre, Environment,
 		netip.AddrPortFrom(m.Address, peerPort), netip.AddrPortFrom(m.Address, callersPort),
 		netip.AddrPortFrom(m.Address, operatorPort), f.platform, peerKey,
-		f.config.BalancerLag, orDefault(f.config.ListLag, defaultListLag))
+		f.config.BalancerLag, cmp.Or(f.config.ListLag, defaultListLag))
 	return settings.Parse(m.Host, []byte(text+f.config.Settings))
 }
 
