--- a/standin/fleet/load.go
+++ b/standin/fleet/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,7 +99,7 @@
 	defer r.mu.Unlock()
 	var usable []*Member
 	for i, m := range r.members {
-		if m.takes() && (load.Routers == nil || contains(load.Routers, i)) {
+		if m.takes() && (load.Routers == nil || slices.Contains(load.Routers, i)) {
 			usable = append(usable, m)
 		}
 	}
@@ -107,12 +108,3 @@
 	}
 	return usable[turn%len(usable)]
 }
-
-func contains(list []int, item int) bool {
-	for _, one := range list {
-		if one == item {
-			return true
-		}
-	}
-	return false
-}
