Kill a router process in the middle of a keyed call

Cause: at most once over a router's death was proved inside one process only. Ruled out: a test of its own, which would start all processes again. Change: TestProcesses kills the dispatcher while it runs a keyed call; the repeat through the other router gets a conflict, and the service's own count of runs shows that the call ran at most once. Conclusion: proved with processes too.

--- a/cmd/ryelug/process_test.go
+++ b/cmd/ryelug/process_test.go
@@ -25,6 +25,7 @@
 	startLimit  = 20 * time.Second
 	answerLimit = 20 * time.Second
 	poll        = 50 * time.Millisecond
+	callTime    = time.Second // callTime is how long the service works on a call.
 )
 
 // program is one started process.
@@ -109,7 +110,7 @@
 	platform := f.standin(platformArgs...)
 	endpoints := []local.Endpoint{
 		{Name: "engine-1", Pool: local.EnginePool, DataCentre: local.DataCentres[0], Address: f.standin("engine", "-listen", "127.0.0.1:0", "-name", "engine-1")},
-		{Name: "tickets-1", Pool: local.ServicePool, DataCentre: local.DataCentres[0], Address: f.standin("service", "-listen", "127.0.0.1:0", "-name", "tickets-1")},
+		{Name: "tickets-1", Pool: local.ServicePool, DataCentre: local.DataCentres[0], Address: f.standin("service", "-listen", "127.0.0.1:0", "-name", "tickets-1", "-duration", callTime.String())},
 	}
 	is.NoErr(local.Publish(context.Background(), platform, endpoints))
 	for i, one := range f.routers {
@@ -148,12 +149,16 @@
 	ReadTimeout:               answerLimit,
 }
 
-func send(method string, to netip.AddrPort, path, body string, first chan<- struct{}) answer {
+// send sends a request with the headers, which are names and values in turn.
+func send(method string, to netip.AddrPort, path, body string, first chan<- struct{}, headers ...string) answer {
 	var req fasthttp.Request
 	var resp fasthttp.Response
 	req.SetRequestURI("http://" + to.String() + path)
 	req.Header.SetMethod(method)
 	req.Header.Set("Authorization", "Bearer "+local.Teams[0].Key)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	req.SetConnectionClose()
 	req.SetBodyString(body)
 	if err := client.DoTimeout(&req, &resp, answerLimit); err != nil {
@@ -182,6 +187,11 @@
 	return send("POST", to, "/v1/chat/completions", body, first)
 }
 
+// buy calls the service under a key.
+func buy(to netip.AddrPort, key string) answer {
+	return send("POST", to, local.CallPath, "{}", nil, "Idempotency-Key", key)
+}
+
 // checkWhole checks that a streamed answer has all its tokens and its end.
 func checkWhole(t *testing.T, got answer, tokens int) {
 	t.Helper()
@@ -260,12 +270,21 @@
 		checkWhole(t, chat(entry.callers, 5, nil), 5)
 		checkWhole(t, chat(dispatcher.callers, 5, nil), 5)
 	})
-	t.Run("a dispatcher that is killed", func(t *testing.T) {
+	t.Run("a dispatcher that is killed in the middle of a keyed call", func(t *testing.T) {
 		is := is.New(t)
 		running := stream(entry.callers, 50)
+		lost := make(chan answer, 1)
+		go func() { lost <- buy(dispatcher.callers, "visit-1") }()
+		time.Sleep(callTime / 2)
 		is.NoErr(dispatcher.Process.Kill())
 		checkWhole(t, <-running, 50)
 		checkWhole(t, chat(entry.callers, 5, nil), 5)
+		is.True((<-lost).err != nil)
+		is.Equal(buy(entry.callers, "visit-1").status, fasthttp.StatusConflict) // It may have run, and does not run again.
+		next := buy(entry.callers, "visit-2")
+		if !strings.Contains(next.body, `"number":3`) { // The service's own count of what it ran.
+			t.Errorf("the call after the lost one: status %d, error %v, body %s", next.status, next.err, next.body)
+		}
 	})
 	t.Run("a graceful shutdown with a stream in flight", func(t *testing.T) {
 		is := is.New(t)
