Stop the dispatcher when it alone is wanted

Cause: the step with SIGSTOP passed even when silent links were never noticed: young processes come last in the order, so 5 s after the start the dispatcher changed by itself, just when the test had stopped it, and the entry left it for that. Ruled out: an entry that leaves a silent dispatcher by another rule; the log showed the link closed by the entry 2 s after the stop, at the end of the damping. Change: TestProcesses waits until both processes count as settled. Seen failing: with silence not noticed (an hour), no answer within 20 s. Conclusion: the step proves what it says.

--- a/cmd/ryelug/process_test.go
+++ b/cmd/ryelug/process_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"ryelug/core/member"
 	"ryelug/standin/local"
 )
 
@@ -247,6 +248,7 @@
 // TestProcesses runs the whole path as separate processes, and then lets them fail one after the other.
 func TestProcesses(t *testing.T) {
 	f := newFleet(t)
+	time.Sleep(member.DefaultDamping + time.Second) // Young processes dispatch only for want of others, so roles may change before.
 	dispatcher, entry := f.roles()
 	t.Run("an answer under a grant of the other router", func(t *testing.T) {
 		is := is.New(t)
