--- a/router/process/process.go
+++ b/router/process/process.go
@@ -89,11 +89,6 @@
 	return group.Wait()
 }
 
-// Vars returns the counters of the process.
-func (p *Process) Vars() *operator.Vars {
-	return p.vars
-}
-
 // Router returns the router.
 func (p *Process) Router() *router.Router {
 	return p.router
--- a/standin/fleet/member.go
+++ b/standin/fleet/member.go
@@ -99,9 +99,6 @@
 // Router returns the router.
 func (m *Member) Router() *router.Router { return m.process.Router() }
 
-// Vars returns the router's counters.
-func (m *Member) Vars() *operator.Vars { return m.process.Vars() }
-
 // Leave shuts the router down gracefully and waits for it. The list of hosts lags: it shows the host to the end.
 func (m *Member) Leave() error {
 	m.stopped.Store(true)
@@ -136,8 +133,5 @@
 
 func (m *Member) wait() { <-m.done }
 
-// CutFromPlatform separates a router from the platform until ReachPlatform.
+// CutFromPlatform separates a router from the platform.
 func (f *Fleet) CutFromPlatform(m *Member) { f.Network.Cut(m.Address, f.platform.Addr()) }
-
-// ReachPlatform ends a CutFromPlatform.
-func (f *Fleet) ReachPlatform(m *Member) { f.Network.Heal(m.Address, f.platform.Addr()) }
