Refuse a flood at the entry that it comes to

Cause: found by reading. The bound of a team's queue stood at the dispatcher only, so each request of a flood went there as a demand and came back as a refusal; at an entry without a dispatcher nothing bounded the requests that wait. Ruled out: a rate limit for each team (it would hold back a team while slots idle). Change: core/backlog, the entry's own bound of a team's waiting requests, and the dispatcher's refusal taken for others of the team for half of its RetryAfter, 250 ms at most; a part of the queue still waits then, so no slot idles.

--- a/router/lending/ask.go
+++ b/router/lending/ask.go
@@ -29,8 +29,10 @@
 }
 
 // Refuse answers an ask that nothing was decided about.
-func (a Ask) Refuse(code result.Code) {
+func (a Ask) Refuse(code result.Code) { a.refuse(code, retryAfter) }
+
+func (a Ask) refuse(code result.Code, after time.Duration) {
 	a.Reply <- Decision{Refusal: &cell.Refusal{
-		Attempt: a.Demand.Attempt, Code: uint16(code), RetryAfter: retryAfter,
+		Attempt: a.Demand.Attempt, Code: uint16(code), RetryAfter: after,
 	}}
 }
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"ryelug/core/backlog"
 	"ryelug/core/cell"
 	"ryelug/core/lend"
 	"ryelug/core/result"
@@ -33,10 +34,22 @@
 
 // state is one cell that requests of this router may wait for.
 type state struct {
-	id     cell.ID
-	lender *lend.Lender
-	asks   map[cell.AttemptID]Ask
-	costs  *costTable
+	id      cell.ID
+	lender  *lend.Lender
+	backlog *backlog.Guard
+	asks    map[cell.AttemptID]Ask
+	costs   *costTable
+}
+
+// take removes an ask that waits, and tells whether there was one.
+func (s *state) take(now time.Time, attempt cell.AttemptID) (Ask, bool) {
+	waiting, ok := s.asks[attempt]
+	if !ok {
+		return Ask{}, false
+	}
+	delete(s.asks, attempt)
+	s.backlog.Leave(now, waiting.Demand.Team)
+	return waiting, true
 }
 
 // unused is a grant that nobody waits for any more.
@@ -58,6 +71,9 @@
 			r.open(now, id)
 		}
 	}
+	for id, at := range r.cells {
+		at.backlog.SetLimit(next.Policy(id).QueueLimit)
+	}
 }
 
 func (r *Role) open(now time.Time, id cell.ID) {
@@ -71,8 +87,9 @@
 			Started:    r.config.Started,
 			Local:      r.config.Local,
 		}),
-		asks:  make(map[cell.AttemptID]Ask),
-		costs: newCostTable(),
+		backlog: backlog.New(),
+		asks:    make(map[cell.AttemptID]Ask),
+		costs:   newCostTable(),
 	}
 	r.cells[id] = at
 	for router := range r.linked {
@@ -152,6 +169,10 @@
 		request.Refuse(result.NoCapacity)
 		return
 	}
+	if retryAfter, admitted := at.backlog.Admit(now, request.Demand.Team); !admitted {
+		request.refuse(result.TeamQueueFull, retryAfter)
+		return
+	}
 	at.asks[request.Demand.Attempt] = request
 	r.step(now, at, &lend.Want{Demand: request.Demand})
 }
@@ -164,8 +185,7 @@
 		return
 	}
 	attempt := request.Demand.Attempt
-	if _, waiting := at.asks[attempt]; waiting {
-		delete(at.asks, attempt)
+	if _, waiting := at.take(now, attempt); waiting {
 		r.step(now, at, &lend.Withdraw{Attempt: attempt})
 		return
 	}
@@ -233,22 +253,21 @@
 		case *lend.SendEnds:
 			r.config.Send(a.Router, &wire.Ends{Cell: at.id, Ends: slices.Clone(a.Ends)})
 		case *lend.Granted:
-			r.granted(at, a)
+			r.granted(now, at, a)
 		case *lend.Refused:
-			r.refused(at, a)
+			r.refused(now, at, a)
 		}
 	}
 }
 
 // granted answers the ask; a grant that nobody waits for any more is handed back.
-func (r *Role) granted(at *state, a *lend.Granted) {
-	waiting, ok := at.asks[a.Attempt]
+func (r *Role) granted(now time.Time, at *state, a *lend.Granted) {
+	waiting, ok := at.take(now, a.Attempt)
 	if !ok {
 		end := cell.End{Attempt: a.Attempt, Outcome: cell.Unused}
 		r.unused = append(r.unused, unused{at.id, end})
 		return
 	}
-	delete(at.asks, a.Attempt)
 	waiting.Reply <- Decision{
 		Endpoint: a.Endpoint,
 		Address:  r.directory.Address(a.Endpoint),
@@ -258,21 +277,23 @@
 	}
 }
 
-func (r *Role) refused(at *state, a *lend.Refused) {
-	waiting, ok := at.asks[a.Attempt]
+func (r *Role) refused(now time.Time, at *state, a *lend.Refused) {
+	waiting, ok := at.take(now, a.Attempt)
 	if !ok {
 		return
 	}
-	delete(at.asks, a.Attempt)
-	refusal := cell.Refusal{Attempt: a.Attempt, Code: a.Code, RetryAfter: a.RetryAfter}
-	waiting.Reply <- Decision{Refusal: &refusal}
+	code := result.Code(a.Code)
+	if code == result.TeamQueueFull {
+		at.backlog.Full(now, waiting.Demand.Team, a.RetryAfter)
+	}
+	waiting.refuse(code, a.RetryAfter)
 }
 
 // RefuseAll gives up all that waits for a grant.
 func (r *Role) RefuseAll(now time.Time, code result.Code) {
 	for _, at := range r.cells {
 		for attempt, waiting := range at.asks {
-			delete(at.asks, attempt)
+			at.take(now, attempt)
 			r.step(now, at, &lend.Withdraw{Attempt: attempt})
 			waiting.Refuse(code)
 		}
--- a/standin/fleet/load.go
+++ b/standin/fleet/load.go
@@ -17,6 +17,7 @@
 	Tokens  int
 	Service bool          // Service sends calls of the service in place of chats.
 	Pause   time.Duration // Pause is the time between a reply and the next request.
+	Hasty   bool          // Hasty callers come back after Pause also when a refusal names a later time.
 }
 
 // Run is load under way.
@@ -74,7 +75,7 @@
 		r.replies = append(r.replies, reply)
 		r.mu.Unlock()
 		pause := max(load.Pause, time.Nanosecond) // The race detector breaks on a timer that is due at once.
-		if reply.Code != result.OK {
+		if reply.Code != result.OK && !load.Hasty {
 			pause = max(pause, leastPause, reply.RetryAfter)
 		}
 		select {
