Write all log lines as sentences with fields

Cause: some lines were fragments with values inside the text, others sentences with fields. Ruled out: a change of any level or field that operators may look for. Change: five lines, and the test that reads one of them. Conclusion: one form, as the house style has it.

--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -155,7 +155,7 @@
 		return err
 	}
 	err := link.serve(ctx)
-	m.log().WithFields(logrus.Fields{"peer": link.router, "dialed": link.dialed}).Infof("link is down: %v", err)
+	m.log().WithFields(logrus.Fields{"peer": link.router, "dialed": link.dialed}).WithError(err).Info("A link is down.")
 	select {
 	case m.events <- &Down{Link: link}:
 	case <-ctx.Done():
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 
+	"github.com/sirupsen/logrus"
+
 	"ryelug/io/frame"
 	"ryelug/io/greeting"
 	"ryelug/io/wire"
@@ -109,7 +111,7 @@
 func (m *Mesh) refuse(remote net.Addr, err error) {
 	reason := refusalOf(err)
 	m.stats.refuse(reason)
-	m.log().Warnf("refused a connection with %v (%s): %v", remote, refusalNames[reason], err)
+	m.log().WithFields(logrus.Fields{"remote": remote, "reason": refusalNames[reason]}).WithError(err).Warn("A connection is refused.")
 }
 
 func refusalOf(err error) refusal {
--- a/router/bare_test.go
+++ b/router/bare_test.go
@@ -123,5 +123,5 @@
 	entries := failures(logged)
 	is.Equal(len(entries), 1)
 	is.Equal(entries[0].Data["part"], "config")
-	is.Equal(entries[0].Message, "can't adopt a configuration")
+	is.Equal(entries[0].Message, "A configuration can't be adopted.")
 }
--- a/router/configuration/duty.go
+++ b/router/configuration/duty.go
@@ -160,12 +160,12 @@
 
 func (d *Duty) adopt(a *spread.Adopt) {
 	d.counters.generation.Store(a.Root.Generation)
-	d.config.Log.WithFields(logrus.Fields{"generation": a.Root.Generation, "change_id": a.Root.ChangeID}).Info("adopted a configuration")
+	d.config.Log.WithFields(logrus.Fields{"generation": a.Root.Generation, "change_id": a.Root.ChangeID}).Info("A configuration is in force.")
 	d.config.Adopt(a.Root.Generation, a.Document)
 }
 
 // report counts and logs a generation that can't be adopted; the last good one stays in force.
 func (d *Duty) report(a *spread.Report) {
 	d.counters.rejected.Add(1)
-	d.config.Log.WithField("generation", a.Generation).WithError(a.Err).Error("can't adopt a configuration")
+	d.config.Log.WithField("generation", a.Generation).WithError(a.Err).Error("A configuration can't be adopted.")
 }
--- a/router/configuration/watch.go
+++ b/router/configuration/watch.go
@@ -116,7 +116,7 @@
 	}
 	if errors.Is(err, errMissed) || errors.Is(err, platform.ErrSilent) {
 		w.duty.counters.silentWatches.Add(1)
-		w.duty.config.Log.WithError(err).Warn("opens the watch again")
+		w.duty.config.Log.WithError(err).Warn("The watch is opened again.")
 	}
 	return err
 }
