Split the tests of whole fleets into packages

Ruled out: fewer cases or seeds; t.Parallel, which GOMAXPROCS 1 makes useless. Change: test-only packages router/faults, router/faultpairs and router/changes; what they share is in standin/fleettest.

--- a/router/shutdown_test.go
+++ b/router/changes/shutdown_test.go
@@ -1,4 +1,4 @@
-package router_test
+package changes_test
 
 import (
 	"context"
@@ -10,37 +10,15 @@
 
 	"ryelug/core/result"
 	"ryelug/standin/fleet"
+	"ryelug/standin/fleettest"
 )
 
-// assertAllWhole checks that every caller got its whole answer, in which each token names its request.
-func assertAllWhole(t *testing.T, replies []*fleet.Reply) {
-	t.Helper()
-	for _, reply := range replies {
-		if !reply.Whole() {
-			t.Errorf("request %s: code %d, %d events, closed %t", reply.ID, reply.Code, len(reply.Events), reply.Closed)
-		}
-	}
-}
-
-// assertNoExcess checks that no endpoint had more in flight than it bore at that time.
-func assertNoExcess(t *testing.T, fl *fleet.Fleet) {
-	t.Helper()
-	for _, e := range fl.Engines {
-		for _, excess := range e.History().Excesses(0) {
-			t.Errorf("%s at %v: %d in flight, limit %d, in force for %v", e.Name(), excess.At, excess.InFlight, excess.Limit, excess.Since)
-		}
-	}
-	for _, s := range fl.Services {
-		is.New(t).Equal(len(s.History().Excesses(0)), 0)
-	}
-}
-
 // Every router is replaced in turn under load, and no request is cut or refused.
 func TestRollingReplacement(t *testing.T) {
 	conf := fleet.Config{Routers: 5, Engines: 6, Services: 2, BalancerLag: 500 * time.Millisecond}
 	conf.Engine.Cold = true
 	conf.Engine.TokenGap = 20 * time.Millisecond
-	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		run := fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 20, Tokens: 40}, fleet.Load{Team: "schools", Callers: 20, Tokens: 40},
 			fleet.Load{Team: "kiosks", Callers: 4, Service: true})
@@ -54,8 +32,8 @@
 		}
 		replies := run.Stop()
 		is.True(len(replies) > 500)
-		assertAllWhole(t, replies)
-		assertNoExcess(t, fl)
+		fleettest.AssertAllWhole(t, replies)
+		fleettest.AssertNoExcess(t, fl)
 	})
 }
 
@@ -73,7 +51,7 @@
 // The dispatcher leaves while capacity is free, and no request notices.
 func TestDispatcherLeavesWithoutPause(t *testing.T) {
 	conf := fleet.Config{Routers: 4, Engines: 3, BalancerLag: time.Second}
-	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		run := fl.Drive(ctx, fleet.Load{Team: "schools", Callers: 6, Tokens: 4})
 		time.Sleep(3 * time.Second)
@@ -83,7 +61,7 @@
 			time.Sleep(3 * time.Second)
 		}
 		replies := run.Stop()
-		assertAllWhole(t, replies)
+		fleettest.AssertAllWhole(t, replies)
 		if longest := longestWait(replies, settled); longest >= 100*time.Millisecond {
 			t.Errorf("a request waited %v for its first event", longest)
 		}
@@ -92,7 +70,7 @@
 
 // A router that leaves refuses what comes after the balancer's lag, at once and truly.
 func TestLateRequestIsRefused(t *testing.T) {
-	withTestFleet(t, fleet.Config{Routers: 2, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	fleettest.Run(t, fleet.Config{Routers: 2, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		is.NoErr(fl.Routers[0].Leave())
 		reply := fl.Routers[0].Chat(ctx, "kiosks", 5)
@@ -105,7 +83,7 @@
 
 // The stakes that stay cover all capacity again as soon as a router has departed.
 func TestDepartedRouterCountsNoMore(t *testing.T) {
-	withTestFleet(t, fleet.Config{Routers: 4, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	fleettest.Run(t, fleet.Config{Routers: 4, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		is.NoErr(fl.Routers[3].Leave())
 		time.Sleep(time.Second)
--- /dev/null
+++ b/router/faultpairs/doc.go
@@ -0,0 +1,3 @@
+// Package faultpairs has tests alone: a whole fleet under load with two faults at
+// once, and one whose engines stay cold.
+package faultpairs
--- a/router/fault_test.go
+++ b/standin/fleettest/trial.go
@@ -1,8 +1,7 @@
-package router_test
+package fleettest
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -19,12 +18,13 @@
 	faultLasts  = 6 * time.Second // time from a fault to its end
 	faultAfter  = 4 * time.Second // load after the end
 
-	handOver = 2 * time.Second
+	// HandOver bounds the pause of the fleet after a fault.
+	HandOver = 2 * time.Second
 
 	// longestQueue bounds a request's wait: after a hand-over, all 30 callers of the team of the
 	// smaller share may queue at a router that a partition has left with its own stake, which is
 	// one slot of each of the 4 engines, of which the team gets a fifth for requests of 200 ms.
-	longestQueue = handOver + 30*5*200*time.Millisecond/4
+	longestQueue = HandOver + 30*5*200*time.Millisecond/4
 
 	// longestNotice is how long an engine's turn to cold may go unseen: a poll, the
 	// report's lag, and grants that are valid and on their way.
@@ -43,13 +43,14 @@
 	cold   bool // cold engines stay so, and give a new dispatcher nothing before a fresh report.
 }
 
-// fault is what goes wrong; the function that it returns, if any, ends it.
-type fault struct {
-	name   string
+// Fault is what goes wrong; the function that it returns, if any, ends it.
+type Fault struct {
+	Name   string
 	strike func(*trial) (heal func())
 }
 
-var faults = []fault{
+// Faults are all single faults.
+var Faults = []Fault{
 	{"dispatcher killed", func(tr *trial) func() { tr.kill(tr.dispatcher()); return nil }},
 	{"dispatcher cut off and back", func(tr *trial) func() { return tr.isolate(tr.dispatcher()) }},
 	{"entry killed", func(tr *trial) func() { tr.kill(tr.other(tr.dispatcher())); return nil }},
@@ -131,15 +132,15 @@
 	tr.Platform.SetHost(platform.Host{Host: m.Host, PeerAddress: address, DataCentre: m.DataCentre})
 }
 
-// withFaults runs a loaded fleet through faults, one starting a moment after the other, and checks what must hold.
-func withFaults(t *testing.T, seed uint64, cold bool, strikes ...fault) {
+// WithFaults runs a loaded fleet through faults, one starting a moment after the other, and checks what must hold.
+func WithFaults(t *testing.T, seed uint64, cold bool, strikes ...Fault) {
 	conf := fleet.Config{Routers: 5, Engines: 4, Seed: seed}
 	conf.Engine.Cold = true
 	if cold {
 		conf.Engine.WarmUp = 100_000
 		conf.Engine.TokenGap = 100 * time.Millisecond // A request outlasts the wait for a stake.
 	}
-	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		tr := &trial{T: t, Fleet: fl, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3)), struck: make(map[string]bool), cold: cold}
 		tr.run = fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 60, Tokens: 20}, fleet.Load{Team: "schools", Callers: 30, Tokens: 20})
 		time.Sleep(faultSettle)
@@ -216,12 +217,12 @@
 			longest[r.Team] = max(longest[r.Team], r.First)
 		}
 	}
-	pause, since := longestPause(starts)
+	pause, since := LongestPause(starts)
 	tr.Logf("%d answers, longest pause of the fleet %v from %v on, longest waits %v", len(starts), pause, since, longest)
 	if tr.cold {
 		return // A part of the fleet may hold too few stakes for a slot of a cold engine.
 	}
-	if pause >= handOver {
+	if pause >= HandOver {
 		tr.Errorf("the whole fleet paused for %v", pause)
 	}
 	for team, wait := range longest {
@@ -244,28 +245,3 @@
 		tr.Errorf("the gap is %.0f, over its bound", gap)
 	}
 }
-
-func TestFaults(t *testing.T) {
-	for i, f := range faults {
-		t.Run(f.name, func(t *testing.T) { withFaults(t, uint64(i), false, f) })
-	}
-}
-
-// Engines that stay cold never get more than they bear.
-func TestFaultsWhileCold(t *testing.T) {
-	for i, f := range faults {
-		t.Run(f.name, func(t *testing.T) { withFaults(t, uint64(50+i), true, f) })
-	}
-}
-
-// Pairs of faults, one within a second of the other.
-func TestFaultPairs(t *testing.T) {
-	rng := rand.New(rand.NewPCG(11, 11))
-	for i := range 8 {
-		order := rng.Perm(len(faults))
-		first, second := faults[order[0]], faults[order[1]]
-		t.Run(fmt.Sprintf("%s and %s", first.name, second.name), func(t *testing.T) {
-			withFaults(t, uint64(100+i), i%2 == 1, first, second)
-		})
-	}
-}
