Tell for how long a joining stake was unlent

Cause: a dispatcher took every stake for one that another had counted until the Join, and waited for grant_valid and the longest way of a request before a report counted at a cold endpoint. After a crash the entry has waited for stake_lease and grant_valid already, so all grants of the former holder have expired when it joins. The report was then asked for at the next poll of 250 ms. Flights that an entry brought counted twice, in the report and as grants that the report may have missed, for 1.1 s after the Join.

Ruled out: a flag "all grants have expired", which loses the tick of 50 ms by which an entry joins late, and says nothing after a release. A stake that rejoins its present holder claims nothing: its flights may be the holder's own, granted a moment ago. Lending again after stake_lease alone: a grant of the former holder could then be used while the next one counts the stake at warm endpoints, which TestStakeIsNeverLentTwice excludes.

Change: Join carries Unlent, the time for which no dispatcher counted the stake or granted to the entry: since Released, or since the stake's lease ended after the last frame of a silent holder, less a fortieth for clocks that differ. The dispatcher counts the stake, and the age of the flights that come with it, from then on; the claim in DESIGN.md holds with T as that time. The coordinator asks for reports at the moment from which on they let stakes count. A Join is three bytes longer at most.

Tests: the model of core/lend asserts on real time that nobody else counted a stake, or granted what is brought, in the time that a Join claims. Changes to tests that were there: the harness of core/dispatch passes Unlent on; the hostile Join of io/wire has the new field, with the same claim of items behind it.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -88,6 +88,10 @@
 	return d.out.actions
 }
 
+// ReportDue returns the latest time, after one time and not after the other, from
+// which on reports let further stakes count at cold endpoints; zero if there is none.
+func (d *Dispatcher) ReportDue(after, by time.Time) time.Time { return d.flights.ReportDue(after, by) }
+
 func (d *Dispatcher) take(now time.Time, ev Event) {
 	switch ev := ev.(type) {
 	case *Policy:
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -18,15 +18,17 @@
 	d.dropWaiting(index)
 	from.Session, from.Live = ev.Session, true
 	d.flights.Revoke(now, ev.Router)
+	unlent := now.Add(-max(0, ev.Unlent))
 	if ev.Stake {
-		d.flights.Lend(now, ev.Router)
+		d.flights.Lend(now, unlent, ev.Router)
 	}
-	d.takeFlights(now, index, ev.Flights)
+	d.takeFlights(unlent, index, ev.Flights)
 	d.mergeCounters(now, ev.Counters)
 }
 
-// takeFlights makes an entry's account equal to what the entry says it has in flight.
-func (d *Dispatcher) takeFlights(now time.Time, index int32, flights []cell.Flight) {
+// takeFlights makes an entry's account equal to what the entry says it has in
+// flight, none of which was granted after the given time by another dispatcher.
+func (d *Dispatcher) takeFlights(granted time.Time, index int32, flights []cell.Flight) {
 	from := d.entries.At(index)
 	listed := make(map[cell.AttemptID]bool, len(flights))
 	for i := range flights {
@@ -38,7 +40,7 @@
 		d.addFlight(flight.Flight{
 			Entry: index, Attempt: flights[i].Attempt, Team: d.teamOf(flights[i].Team),
 			Endpoint: d.flights.Ensure(flights[i].Endpoint), Start: flights[i].Start,
-			Charged: flights[i].Charged, Granted: now,
+			Charged: flights[i].Charged, Granted: granted,
 		})
 	}
 	for _, attempt := range slices.Sorted(maps.Keys(from.Flights)) {
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -45,7 +45,8 @@
 type Join struct {
 	Router   cell.RouterID
 	Session  cell.Session
-	Stake    bool // Stake is true if the entry lends its stake too.
+	Stake    bool          // Stake is true if the entry lends its stake too.
+	Unlent   time.Duration // Unlent is the time until now in which no dispatcher counted the stake or granted to the entry.
 	Flights  []cell.Flight
 	Counters []cell.TeamCounter
 }
--- a/core/dispatch/node_test.go
+++ b/core/dispatch/node_test.go
@@ -54,7 +54,7 @@
 	switch m := message.(type) {
 	case lend.Join:
 		n.sessions[from] = session{number: m.Session, on: on}
-		n.dispatch(&dispatch.Join{Router: from, Session: m.Session, Stake: m.Stake, Flights: m.Flights, Counters: m.Counters})
+		n.dispatch(&dispatch.Join{Router: from, Session: m.Session, Stake: m.Stake, Unlent: m.Unlent, Flights: m.Flights, Counters: m.Counters})
 		n.answer(from, lend.Accepted{Router: n.id, Session: m.Session})
 	case lend.Release:
 		if n.sessions[from].number == m.Session {
--- a/core/flight/cap.go
+++ b/core/flight/cap.go
@@ -13,9 +13,9 @@
 	t.refreshAll(now)
 }
 
-// Lend notes that a router lends its stake from now on.
-func (t *Table) Lend(now time.Time, router cell.RouterID) {
-	t.stakes.Lend(now, router)
+// Lend notes that a router lends its stake, which no other dispatcher has counted since joined.
+func (t *Table) Lend(now, joined time.Time, router cell.RouterID) {
+	t.stakes.Lend(joined, router)
 	t.refreshAll(now)
 }
 
@@ -35,6 +35,30 @@
 	t.stakeExpiry = t.stakes.NextExpiry(now)
 }
 
+// ReportDue returns the latest time, after one time and not after the other, from
+// which on a report lets further stakes count at endpoints that are not warm; zero
+// if there is none.
+func (t *Table) ReportDue(after, by time.Time) time.Time {
+	if !t.hasCold() {
+		return time.Time{}
+	}
+	joined := t.stakes.LastJoined(after.Add(-t.window), by.Add(-t.window))
+	if joined.IsZero() {
+		return joined
+	}
+	return joined.Add(t.window)
+}
+
+// hasCold tells whether an open endpoint is not warm.
+func (t *Table) hasCold() bool {
+	for i := range t.endpoints {
+		if t.endpoints[i].open && !t.endpoints[i].warm {
+			return true
+		}
+	}
+	return false
+}
+
 // Held returns the number of stakes that count, and the number that they are divided by.
 func (t *Table) Held() (held, total int) { return t.held, t.total }
 
--- a/core/lend/event.go
+++ b/core/lend/event.go
@@ -100,6 +100,7 @@
 	Router   cell.RouterID
 	Session  cell.Session
 	Stake    bool
+	Unlent   time.Duration // Unlent is the time until now in which no dispatcher counted the stake or granted to this entry.
 	Flights  []cell.Flight
 	Counters []cell.TeamCounter
 }
--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -46,6 +46,8 @@
 
 	present present
 	holder  holder
+	unlent  time.Time    // unlent is the time since which no dispatcher counts the stake, while it has no holder.
+	granted time.Time    // granted is when a grant was accepted last.
 	last    cell.Session // last is the highest session number used.
 
 	pending  pending
@@ -79,6 +81,7 @@
 	conf.ReleaseTimeout = cmp.Or(conf.ReleaseTimeout, DefaultReleaseTimeout)
 	return &Lender{
 		conf:     conf,
+		unlent:   conf.Started.Add(withDrift(conf.StakeLease)),
 		links:    make(map[cell.HostID]cell.RouterID),
 		gone:     make(map[cell.RouterID]bool),
 		avoided:  make(map[cell.RouterID]time.Time),
@@ -110,7 +113,7 @@
 		l.accept(e)
 	case *Released:
 		l.hear(now, e.Router)
-		l.released(e)
+		l.released(now, e)
 	case *Leave:
 		l.leaving = true
 	default:
@@ -183,9 +186,9 @@
 	}
 }
 
-func (l *Lender) released(e *Released) {
+func (l *Lender) released(now time.Time, e *Released) {
 	if l.holder.router == e.Router && l.holder.session == e.Session && l.present.session != e.Session {
-		l.holder = holder{}
+		l.holder, l.unlent = holder{}, now
 	}
 }
 
@@ -309,15 +312,37 @@
 
 // wait is the longest time for which a stake may be counted and grants made on it be sent.
 func (l *Lender) wait() time.Duration {
-	lent := l.conf.StakeLease + l.conf.GrantValid
-	return lent + lent/driftMargin
+	return withDrift(l.conf.StakeLease + l.conf.GrantValid)
+}
+
+// withDrift returns a duration after which another host's clock has gone on by d at least.
+func withDrift(d time.Duration) time.Duration { return d + d/driftMargin }
+
+// unlentFor returns for how long no dispatcher has counted the stake or granted
+// to this entry; zero if the next holder is the present one.
+func (l *Lender) unlentFor(now time.Time, router cell.RouterID) time.Duration {
+	since := l.unlent
+	switch l.holder.router {
+	case router:
+		return 0
+	case "":
+	default:
+		since = l.holder.heard.Add(withDrift(l.conf.StakeLease))
+	}
+	if l.granted.After(since) {
+		since = l.granted
+	}
+	unlent := min(now.Sub(since), l.wait())
+	return max(0, unlent-unlent/driftMargin)
 }
 
 func (l *Lender) join(now time.Time, router cell.RouterID) {
 	l.last++
 	stake := l.mayLend(now)
 	l.present = present{router: router, session: l.last, stake: stake, since: now}
+	var unlent time.Duration
 	if stake {
+		unlent = l.unlentFor(now, router)
 		l.holder = holder{router: router, session: l.last, heard: now}
 	}
 	delete(l.former, router)
@@ -325,6 +350,7 @@
 		Router:   router,
 		Session:  l.last,
 		Stake:    stake,
+		Unlent:   unlent,
 		Flights:  l.flightList(nil),
 		Counters: l.counterList(now),
 	})
--- a/core/lend/party_test.go
+++ b/core/lend/party_test.go
@@ -131,6 +131,7 @@
 
 // checkStake asserts that no two dispatchers count the stake at this instant.
 func (p *party) checkStake(host cell.HostID) {
+	p.checkUnlent(host)
 	for _, other := range p.world.parties {
 		if other != p && p.counts(host) && other.counts(host) {
 			p.world.fail("%s and %s both count the stake of %s", p.router, other.router, host)
@@ -138,6 +139,40 @@
 	}
 }
 
+// checkUnlent asserts that no other dispatcher has counted the stake that is counted
+// here in the time that its Join named.
+func (p *party) checkUnlent(host cell.HostID) {
+	if !p.counts(host) {
+		return
+	}
+	since := p.sessions[host].unlent
+	for _, other := range p.world.parties {
+		if other != p && other.countedUntil(host) > since {
+			p.world.fail("%s counted the stake of %s until %v, which joined %s unlent since %v",
+				other.router, host, other.countedUntil(host), p.router, since)
+		}
+	}
+}
+
+// checkBrought asserts that no other dispatcher has granted what an entry brings in the time that its Join names.
+func (p *party) checkBrought(join *lend.Join) {
+	for _, f := range join.Flights {
+		g := p.world.grants[f.Endpoint]
+		if since := p.world.now - join.Unlent; g.by != p && g.made > since {
+			p.world.fail("%s is brought a flight granted at %v, and told of none since %v", p.router, g.made, since)
+		}
+	}
+}
+
+// countedUntil returns the real time until which this dispatcher counted or will count a stake.
+func (p *party) countedUntil(entry cell.HostID) time.Duration {
+	s := p.sessions[entry]
+	if s == nil || !s.stake {
+		return p.counted[entry]
+	}
+	return time.Duration(float64(s.until.Sub(time.Unix(1000, 0))-p.offset) / p.rate)
+}
+
 // take is the dispatcher's side of an entry's message; the link is nil for its own entry.
 func (p *party) take(entry cell.HostID, l *link, echoed time.Time, action lend.Action) {
 	s := p.sessions[entry]
@@ -147,10 +182,12 @@
 	}
 	switch a := action.(type) {
 	case *lend.Join:
+		p.checkBrought(a)
 		if s != nil && s.stake && !a.Stake {
 			p.gaveUp[entry] = p.world.now
+			p.counted[entry] = min(p.world.now, p.countedUntil(entry))
 		}
-		s = &session{router: router, number: a.Session, link: l, stake: a.Stake, until: echoed.Add(lease)}
+		s = &session{router: router, number: a.Session, link: l, stake: a.Stake, until: echoed.Add(lease), unlent: p.world.now - a.Unlent}
 		s.demands, s.flights = make(map[cell.AttemptID]bool), make(map[cell.AttemptID]bool)
 		for _, f := range a.Flights {
 			s.flights[f.Attempt] = true
@@ -161,6 +198,7 @@
 	case *lend.Release:
 		if s != nil && s.number == a.Session {
 			p.gaveUp[entry] = p.world.now
+			p.counted[entry] = min(p.world.now, p.countedUntil(entry))
 			s.stake = false
 			clear(s.demands)
 		}
--- a/core/lend/work.go
+++ b/core/lend/work.go
@@ -79,7 +79,7 @@
 		case current && runs:
 			// The dispatcher counts it once already.
 		case current && waits && fresh:
-			l.use(e.Echoed, g, w.demand)
+			l.use(now, e.Echoed, g, w.demand)
 		default:
 			l.handBack(e.Router, g.Attempt)
 			if current && waits {
@@ -95,7 +95,8 @@
 	return ok && f.session == session
 }
 
-func (l *Lender) use(echoed time.Time, g cell.Grant, d cell.Demand) {
+func (l *Lender) use(now, echoed time.Time, g cell.Grant, d cell.Demand) {
+	l.granted = now
 	delete(l.pending.byAttempt, g.Attempt)
 	l.flights[g.Attempt] = &cell.Flight{Attempt: g.Attempt, Team: d.Team, Endpoint: g.Endpoint, Start: g.Start}
 	l.act(&Granted{Attempt: g.Attempt, Endpoint: g.Endpoint, Start: g.Start, Expires: echoed.Add(l.conf.GrantValid)})
--- a/core/lend/world_test.go
+++ b/core/lend/world_test.go
@@ -53,6 +53,7 @@
 	uses     []use
 	sessions map[cell.HostID]*session
 	gaveUp   map[cell.HostID]time.Duration // gaveUp is when a stake was last released here, in real time.
+	counted  map[cell.HostID]time.Duration // counted is when a stake was last counted here before a release.
 }
 
 // use is a grant on its way to be used.
@@ -69,6 +70,7 @@
 	stake   bool
 	until   time.Time
 	began   time.Duration // began is when the stake was first counted, in real time.
+	unlent  time.Duration // unlent is the real time since which no other dispatcher has counted it, by the entry's word.
 	demands map[cell.AttemptID]bool
 	flights map[cell.AttemptID]bool
 }
@@ -96,7 +98,7 @@
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), conf: conf, grants: make(map[cell.EndpointID]*granted)}
 	w.delay = time.Duration(w.rng.IntN(int(time.Second)))
 	for _, host := range hosts {
-		p := &party{world: w, host: host, gaveUp: make(map[cell.HostID]time.Duration), offset: w.upTo(time.Hour), rate: 0.99 + 0.02*w.rng.Float64()}
+		p := &party{world: w, host: host, gaveUp: make(map[cell.HostID]time.Duration), counted: make(map[cell.HostID]time.Duration), offset: w.upTo(time.Hour), rate: 0.99 + 0.02*w.rng.Float64()}
 		w.parties = append(w.parties, p)
 		p.restart()
 	}
--- a/core/limit/stakes.go
+++ b/core/limit/stakes.go
@@ -19,7 +19,7 @@
 	voter  bool
 	lent   bool
 	router cell.RouterID
-	joined time.Time
+	joined time.Time // joined is the time since which no other dispatcher has counted the stake.
 	until  time.Time
 }
 
@@ -44,11 +44,12 @@
 	s.drop()
 }
 
-// Lend notes that a router lends its host's stake from now on; Renew must follow before it counts.
-func (s *Stakes) Lend(now time.Time, router cell.RouterID) {
+// Lend notes that a router lends its host's stake, which no other dispatcher has
+// counted since joined; Renew must follow before it counts.
+func (s *Stakes) Lend(joined time.Time, router cell.RouterID) {
 	lent := s.of(router.Host())
 	lent.lent, lent.router = true, router
-	lent.joined, lent.until = now, time.Time{}
+	lent.joined, lent.until = joined, time.Time{}
 }
 
 // Renew notes until when a router's stake may be counted on.
@@ -82,6 +83,20 @@
 	return held, s.total
 }
 
+// LastJoined returns the latest time at which a stake joined that is after one
+// time and not after the other; zero if there is none.
+func (s *Stakes) LastJoined(after, by time.Time) time.Time {
+	var last time.Time
+	for i := range s.stakes {
+		lent := &s.stakes[i]
+		between := lent.joined.After(after) && !lent.joined.After(by)
+		if lent.voter && lent.lent && between && lent.joined.After(last) {
+			last = lent.joined
+		}
+	}
+	return last
+}
+
 // NextExpiry returns the earliest time after now at which a stake stops counting; zero when none counts.
 func (s *Stakes) NextExpiry(now time.Time) time.Time {
 	var next time.Time
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -125,8 +125,9 @@
 
 func (d *Decoder) join() Message {
 	m := &Join{}
-	m.Cell, m.Session = d.head(5)
+	m.Cell, m.Session = d.head(6)
 	m.Stake = d.bool()
+	m.Unlent = d.duration()
 	m.Flights = decodeSlice(d, (*Decoder).flight)
 	m.Counters = decodeSlice(d, (*Decoder).counter)
 	return m
--- a/io/wire/decode_test.go
+++ b/io/wire/decode_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -18,7 +19,7 @@
 func every() []Message {
 	counters := []cell.TeamCounter{{Team: "clinics", Service: 12.5}}
 	return []Message{
-		&Join{Cell: "chat", Session: 3, Stake: true, Flights: []cell.Flight{{Attempt: 7, Charged: 300}}, Counters: counters},
+		&Join{Cell: "chat", Session: 3, Stake: true, Unlent: 410 * time.Millisecond, Flights: []cell.Flight{{Attempt: 7, Charged: 300}}, Counters: counters},
 		&Accepted{"chat", 3}, &Release{"chat", 3}, &Released{"chat", 3},
 		&Want{"chat", 3, []cell.Demand{{Attempt: 9, Team: "kiosks", Estimate: -1}}},
 		&Withdraw{"chat", 3, []cell.AttemptID{9}},
@@ -38,7 +39,7 @@
 	body []byte
 }{
 	"list of demands":  {KindWant, []byte{0x93, 0xa1, 'c', 1, 0xdd, 0xff, 0xff, 0xff, 0xff}},
-	"list of flights":  {KindJoin, []byte{0x95, 0xa1, 'c', 1, 0xc3, 0xdd, 0xff, 0xff, 0xff, 0xff}},
+	"list of flights":  {KindJoin, []byte{0x96, 0xa1, 'c', 1, 0xc3, 0, 0xdd, 0xff, 0xff, 0xff, 0xff}},
 	"list of hashes":   {KindConfigAsk, []byte{0x91, 0xdd, 0xff, 0xff, 0xff, 0xff}},
 	"list of counters": {KindCounters, []byte{0x92, 0xa1, 'c', 0xdc, 0xff, 0xff}},
 	"name":             {KindAccepted, []byte{0x92, 0xdb, 0xff, 0xff, 0xff, 0xff}},
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -37,8 +37,9 @@
 func (e *Encoder) message(msg Message) {
 	switch m := msg.(type) {
 	case *Join:
-		e.head(5, m.Cell, m.Session)
+		e.head(6, m.Cell, m.Session)
 		e.keep(e.enc.EncodeBool(m.Stake))
+		e.int(m.Unlent.Milliseconds()) // A part of a millisecond is left out: more would be a false claim.
 		encodeSlice(e, m.Flights, (*Encoder).flight)
 		encodeSlice(e, m.Counters, (*Encoder).counter)
 	case *Accepted:
--- a/io/wire/message.go
+++ b/io/wire/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"ryelug/core/cell"
 )
@@ -14,6 +15,7 @@
 	Cell     cell.ID
 	Session  cell.Session
 	Stake    bool
+	Unlent   time.Duration // Unlent is the time until now in which no dispatcher counted the stake or granted to the sender.
 	Flights  []cell.Flight
 	Counters []cell.TeamCounter
 }
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -57,6 +57,8 @@
 	polled    atomic.Pointer[[]dispatching.Target]
 	listedAt  atomic.Pointer[time.Time] // listedAt is when a list of hosts came last, read here or by a watcher.
 	pollNow   chan struct{}             // pollNow asks for a round of load reports before the next one is due.
+	early     *time.Timer               // early ends when a report lets further stakes count.
+	earlyFrom time.Time                 // earlyFrom is the earliest time that reports of the last early round can stem from.
 
 	progressAt time.Time
 	countersAt time.Time
@@ -79,7 +81,9 @@
 			CutOffAfter: config.Timings.CutOffAfter,
 		}),
 		links: links.New(),
+		early: time.NewTimer(tickInterval),
 	}
+	c.early.Stop()
 	c.dispatch = dispatching.New(dispatching.Config{
 		Self:       config.Self,
 		StakeLease: config.Timings.StakeLease,
@@ -112,6 +116,7 @@
 	defer close(c.done)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer c.early.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -128,6 +133,9 @@
 		case <-ticker.C:
 			c.began = time.Now()
 			c.tick(c.began)
+		case <-c.early.C:
+			c.began = time.Now()
+			c.pollEarly(c.began)
 		}
 		c.drain()
 	}
@@ -193,6 +201,7 @@
 		c.dispatch.TellCounters()
 	}
 	c.choosePolled()
+	c.planEarly(now)
 	if took := time.Since(now); took > slowStep {
 		c.log.WithField("took", took).Warn("A pass over the cells took long.")
 	}
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -84,13 +84,34 @@
 	targets := c.dispatch.Targets()
 	before := c.polled.Swap(&targets)
 	if before == nil || len(*before) < len(targets) {
-		select {
-		case c.pollNow <- struct{}{}:
-		default: // A round is due already.
-		}
+		c.askReports()
 	}
 }
 
+// askReports asks for a round of reports.
+func (c *Coordinator) askReports() {
+	select {
+	case c.pollNow <- struct{}{}:
+	default: // A round is due already.
+	}
+}
+
+// planEarly plans a round of reports for the moment before the next tick from
+// which on they let further stakes count at cold endpoints.
+func (c *Coordinator) planEarly(now time.Time) {
+	lag := c.config.Timings.ReportLag
+	due := c.dispatch.ReportDue(c.earlyFrom, now.Add(tickInterval-lag))
+	if !due.IsZero() {
+		c.early.Reset(max(due.Add(lag).Sub(now), time.Millisecond))
+	}
+}
+
+// pollEarly asks for the round that was planned.
+func (c *Coordinator) pollEarly(now time.Time) {
+	c.earlyFrom = now.Add(-c.config.Timings.ReportLag)
+	c.askReports()
+}
+
 func (c *Coordinator) handleMeasured(now time.Time, cmd measured) {
 	if cmd.err != nil {
 		c.dispatch.Report(now, cmd.cell, &dispatch.Unreachable{Endpoint: cmd.endpoint})
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -115,6 +115,18 @@
 	return targets
 }
 
+// ReportDue returns the latest time, after one time and not after the other, from
+// which on reports let further stakes count at cold endpoints; zero if there is none.
+func (r *Role) ReportDue(after, by time.Time) time.Time {
+	var last time.Time
+	for _, at := range r.cells {
+		if due := at.dispatcher.ReportDue(after, by); due.After(last) {
+			last = due
+		}
+	}
+	return last
+}
+
 // Report takes an endpoint's report, or that there was none.
 func (r *Role) Report(now time.Time, id cell.ID, event dispatch.Event) { r.dispatch(now, id, event) }
 
@@ -202,7 +214,7 @@
 	}
 	at.entries[from] = m.Session
 	r.step(now, at, &dispatch.Join{
-		Router: from, Session: m.Session, Stake: m.Stake, Flights: m.Flights, Counters: m.Counters,
+		Router: from, Session: m.Session, Stake: m.Stake, Unlent: m.Unlent, Flights: m.Flights, Counters: m.Counters,
 	})
 	if !echoed.IsZero() {
 		r.renewSession(now, at, from, m.Session, echoed)
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -218,7 +218,8 @@
 		switch a := action.(type) {
 		case *lend.Join:
 			r.config.Send(a.Router, &wire.Join{
-				Cell: at.id, Session: a.Session, Stake: a.Stake, Flights: slices.Clone(a.Flights), Counters: slices.Clone(a.Counters),
+				Cell: at.id, Session: a.Session, Stake: a.Stake, Unlent: a.Unlent,
+				Flights: slices.Clone(a.Flights), Counters: slices.Clone(a.Counters),
 			})
 		case *lend.Release:
 			r.config.Send(a.Router, &wire.Release{Cell: at.id, Session: a.Session})
