Hand a cell of cold endpoints over within 2 s

Cause: with reports that count as early as they may, the first grant after a crash of the dispatcher came after up to 2.04 s: the lease of a stake, grant_valid, the longest way to the endpoint and the report's lag are 2.02 s, with what clocks may differ.

Ruled out: a shorter grant_valid, of which an idle entry's newest stamp takes 250 ms already; more heartbeats, which cost bytes and shorten nothing by themselves; a shorter link_silent, after which entries switch.

Change: stake_lease is 800 ms by default, above link_silent and above two heartbeats and two ways, the oldest that an echo is. The sum is 1.932 s and the ways of the messages.

The test of the settings asserts the new default.

--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -9,7 +9,7 @@
 
 // Defaults of Config.
 const (
-	DefaultStakeLease     = 900 * time.Millisecond
+	DefaultStakeLease     = 800 * time.Millisecond
 	DefaultGrantValid     = 400 * time.Millisecond
 	DefaultAcceptTimeout  = time.Second
 	DefaultReleaseTimeout = 500 * time.Millisecond
--- a/router/coordination/timings.go
+++ b/router/coordination/timings.go
@@ -24,7 +24,7 @@
 		Heartbeat:       250 * time.Millisecond,
 		LinkSilent:      750 * time.Millisecond,
 		DialTimeout:     time.Second,
-		StakeLease:      900 * time.Millisecond,
+		StakeLease:      800 * time.Millisecond,
 		GrantValid:      400 * time.Millisecond,
 		LoadPoll:        250 * time.Millisecond,
 		LoadTimeout:     time.Second,
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -30,7 +30,7 @@
 	parsed, err := settings.Parse("f.toml", []byte(good+"heartbeat = \"100ms\"\nlog_format = \"json\"\nmax_body = 2048\nkeyed_rate = 7"))
 	is.NoErr(err)
 	is.Equal(parsed.Heartbeat, 100*time.Millisecond)
-	is.Equal(parsed.StakeLease, 900*time.Millisecond)
+	is.Equal(parsed.StakeLease, 800*time.Millisecond)
 	is.Equal(parsed.MaxBody, 2048)
 	is.Equal(parsed.KeyedRate, 7)
 	is.Equal(parsed.KeyedRetention, 6*time.Hour)
