Ask idle endpoints for their reports once a second

Cause: the dispatcher asked every endpoint four times a second, 870 bytes a second each; two idle endpoints and a half use up a node's 2 KB. Ruled out: a slow pace for every warm endpoint, since a turn to cold would go unseen for a second more; the endpoint's word in each answer, since not every endpoint offers it. Change: an endpoint that was calm for a second is asked once a second and gets no more than its cold limit until its next report; a report is due at once when that is used up, at a doubt, and when a stake waits for it. Reports leave out the User-Agent header. A target may name the time at which its report is needed (flight.Need.Due).

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -148,6 +148,12 @@
 	}
 }
 
+// Need returns how soon the report of an endpoint is needed.
+func (d *Dispatcher) Need(endpoint cell.EndpointID) flight.Need { return d.flights.Need(endpoint) }
+
+// TakeWanted tells whether a report has become due out of turn since the last call.
+func (d *Dispatcher) TakeWanted() bool { return d.flights.TakeWanted() }
+
 // isClosed tells whether the policy leaves no endpoint open.
 func (d *Dispatcher) isClosed() bool { return d.known && d.flights.Slots() == 0 }
 
--- a/core/flight/cap.go
+++ b/core/flight/cap.go
@@ -56,7 +56,7 @@
 // refresh works out the caps of an endpoint from the stakes and its limit.
 func (t *Table) refresh(now time.Time, index int32) {
 	at := &t.endpoints[index]
-	size := at.gate.Limit()
+	size := at.limit()
 	at.warm = at.gate.State() == limit.Warm
 	at.capHeld = limit.Cap(size, t.held, t.total)
 	if !at.warm {
@@ -67,6 +67,7 @@
 		at.capMature = t.capSince(now, proven.Add(-t.window), size)
 		at.capSampled = t.capSince(now, at.recentSince, size)
 	}
+	t.wake(now, at)
 	t.rank(index)
 }
 
--- a/core/flight/endpoint.go
+++ b/core/flight/endpoint.go
@@ -28,6 +28,10 @@
 	recentSince time.Time // recentSince is the time after which a grant is recent.
 	proven      time.Time // proven is the time at which the endpoint ran nothing that an earlier holder of a stake granted.
 
+	resting bool      // resting is true while reports are rare.
+	due     time.Time // due is when a report is needed out of turn; zero when none is.
+	busyAt  time.Time // busyAt is when the endpoint was last not calm.
+
 	capMature  int // capMature is the cap of the stakes whose earlier holders have nothing in flight.
 	capSampled int // capSampled is the cap of the stakes that the last report covers.
 	capHeld    int // capHeld is the cap of all stakes held.
@@ -64,6 +68,7 @@
 	t.voidFormer(at)
 	t.countRecent(at)
 	t.boundDoubtful(at)
+	t.rest(now, at)
 	t.refresh(now, index)
 }
 
--- a/core/flight/flight.go
+++ b/core/flight/flight.go
@@ -39,6 +39,7 @@
 	if flying.Granted.After(at.recentSince) {
 		at.recent++
 	}
+	t.wake(flying.Granted, at)
 	t.rank(flying.Endpoint)
 	return place
 }
--- a/core/flight/table.go
+++ b/core/flight/table.go
@@ -31,6 +31,7 @@
 
 	endpoints []endpoint
 	index     map[cell.EndpointID]int32
+	wanted    bool      // wanted is true when a report has become due.
 	room      fair.Heap // room orders the endpoints that may take work by their load.
 
 	flights    slot.Slab[Flight]
@@ -130,7 +131,7 @@
 	states := make([]State, len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		states[i] = State{at.id, at.gate.State(), at.open, at.gate.Limit(), at.inFlight() + at.lingering, at.free()}
+		states[i] = State{at.id, at.gate.State(), at.open, at.limit(), at.inFlight() + at.lingering, at.free()}
 	}
 	return states
 }
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -164,6 +164,12 @@
 // Reachable tells whether the endpoint has reported and still answers.
 func (g *Gate) Reachable() bool { return g.reported && g.lostPolls < pollsToUnreachable }
 
+// Suspect tells whether something since the last good sign speaks against the endpoint.
+func (g *Gate) Suspect() bool { return !g.reported || g.failures > 0 || g.lostPolls > 0 }
+
+// ColdLimit returns how many requests an endpoint bears in any state.
+func (g *Gate) ColdLimit() int { return g.coldLimit }
+
 // State returns the state.
 func (g *Gate) State() State {
 	switch {
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -85,7 +85,6 @@
 	req.Header.SetMethod(method)
 	req.Header.SetRequestURI(path)
 	req.Header.SetHost(c.address.String())
-	req.Header.SetUserAgent(userAgent)
 	return req
 }
 
@@ -161,6 +160,7 @@
 
 func (c *conn) callRequest(call Call) *fasthttp.Request {
 	req := c.newRequest(call.Method, call.Path)
+	req.Header.SetUserAgent(userAgent)
 	req.Header.Set(headerRequestID, call.RequestID)
 	if call.ContentType != "" {
 		req.Header.SetContentType(call.ContentType)
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -130,6 +130,9 @@
 			c.tick(c.began)
 		}
 		c.drain()
+		if c.dispatch.WantsReports() {
+			c.choosePolled()
+		}
 	}
 }
 
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -69,8 +69,8 @@
 	return nil
 }
 
-// TargetsGrew receives a value when reports are needed before the next round.
-func (c *Coordinator) TargetsGrew() <-chan struct{} { return c.pollNow }
+// PollNow receives a value when reports are needed before the next round.
+func (c *Coordinator) PollNow() <-chan struct{} { return c.pollNow }
 
 // Measured takes an endpoint's report, or why there is none. The report stems from sampled or later.
 func (c *Coordinator) Measured(ctx context.Context, target dispatching.Target, sampled time.Time, load endpoint.Load, err error) {
@@ -83,7 +83,7 @@
 func (c *Coordinator) choosePolled() {
 	targets := c.dispatch.Targets()
 	before := c.polled.Swap(&targets)
-	if before == nil || len(*before) < len(targets) {
+	if before == nil || len(*before) < len(targets) || c.dispatch.TakeWanted() {
 		select {
 		case c.pollNow <- struct{}{}:
 		default: // A round is due already.
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -6,6 +6,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
+	"ryelug/core/flight"
 	"ryelug/io/wire"
 	"ryelug/router/directory"
 )
@@ -34,6 +35,7 @@
 	voters    []cell.HostID
 	total     int
 	leaving   bool
+	wanted    bool // wanted is true when a report has become due out of turn.
 }
 
 // state is one cell that this router may dispatch.
@@ -99,6 +101,7 @@
 	Cell     cell.ID
 	Endpoint cell.EndpointID
 	Address  netip.AddrPort
+	Need     flight.Need
 }
 
 // Targets returns the endpoints of the cells that entries have joined.
@@ -109,12 +112,24 @@
 			continue
 		}
 		for _, endpoint := range r.directory.Endpoints(id) {
-			targets = append(targets, Target{Cell: id, Endpoint: endpoint, Address: r.directory.Address(endpoint)})
+			targets = append(targets, Target{
+				Cell: id, Endpoint: endpoint, Address: r.directory.Address(endpoint), Need: at.dispatcher.Need(endpoint),
+			})
 		}
 	}
 	return targets
 }
 
+// WantsReports tells whether a report has become due out of turn.
+func (r *Role) WantsReports() bool { return r.wanted }
+
+// TakeWanted tells whether a report has become due out of turn since the last call.
+func (r *Role) TakeWanted() bool {
+	wanted := r.wanted
+	r.wanted = false
+	return wanted
+}
+
 // Report takes an endpoint's report, or that there was none.
 func (r *Role) Report(now time.Time, id cell.ID, event dispatch.Event) { r.dispatch(now, id, event) }
 
@@ -238,6 +253,7 @@
 	if grants != nil {
 		r.config.Send(to, grants)
 	}
+	r.wanted = at.dispatcher.TakeWanted() || r.wanted
 }
 
 // startGrants sends the run of grants that is complete and starts the next one.
--- a/router/poll/loads.go
+++ b/router/poll/loads.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,9 +30,13 @@
 	Load(ctx context.Context, address netip.AddrPort) (endpoint.Load, error)
 }
 
+// rarePoll is the interval between the reports of an endpoint that are rarely needed.
+const rarePoll = time.Second
+
 // Loads is the duty that asks endpoints for their reports.
 type Loads struct {
 	config LoadsConfig
+	asked  map[cell.EndpointID]time.Time // asked is when each endpoint was last asked.
 
 	mu   sync.Mutex
 	busy map[cell.EndpointID]bool // busy endpoints have not answered the last question.
@@ -38,13 +44,17 @@
 
 // NewLoads returns the duty, which Run starts.
 func NewLoads(config LoadsConfig) *Loads {
-	return &Loads{config: config, busy: make(map[cell.EndpointID]bool)}
+	return &Loads{
+		config: config,
+		asked:  make(map[cell.EndpointID]time.Time),
+		busy:   make(map[cell.EndpointID]bool),
+	}
 }
 
 // Run polls until ctx ends.
 func (p *Loads) Run(ctx context.Context) error {
-	ticker := time.NewTicker(p.config.Timings.LoadPoll)
-	defer ticker.Stop()
+	timer := time.NewTimer(p.config.Timings.LoadPoll)
+	defer timer.Stop()
 	slots := make(chan struct{}, loadPollers)
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -52,24 +62,37 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-p.config.Coordinator.TargetsGrew():
-			p.round(ctx, slots, &group)
-		case <-ticker.C:
-			p.round(ctx, slots, &group)
+		case <-p.config.Coordinator.PollNow():
+		case <-timer.C:
 		}
+		next := p.round(ctx, slots, &group)
+		timer.Reset(max(time.Until(next), leastPause))
 	}
 }
 
-func (p *Loads) round(ctx context.Context, slots chan struct{}, group *sync.WaitGroup) {
-	for _, target := range p.config.Coordinator.Targets() {
+// leastPause is the least time between two rounds of which nobody has asked for the second.
+const leastPause = time.Millisecond
+
+// round asks the endpoints whose report is due and returns when the next one is.
+func (p *Loads) round(ctx context.Context, slots chan struct{}, group *sync.WaitGroup) (next time.Time) {
+	now := time.Now()
+	next = now.Add(p.config.Timings.LoadPoll)
+	targets := p.config.Coordinator.Targets()
+	p.forget(targets)
+	for _, target := range targets {
+		if due := p.due(target); due.After(now) {
+			next = earlier(next, due)
+			continue
+		}
 		if !p.begin(target.Endpoint) {
 			continue
 		}
+		p.asked[target.Endpoint] = now
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
 			p.end(target.Endpoint)
-			return
+			return next
 		}
 		group.Go(func() {
 			p.poll(ctx, target)
@@ -77,6 +100,38 @@
 			<-slots
 		})
 	}
+	return next
+}
+
+// due returns when an endpoint is to be asked.
+func (p *Loads) due(target dispatching.Target) time.Time {
+	asked := p.asked[target.Endpoint]
+	interval := p.config.Timings.LoadPoll
+	if target.Need.Rare {
+		interval = max(interval, rarePoll)
+	}
+	due := asked.Add(interval)
+	if target.Need.Due.After(asked) {
+		due = earlier(due, target.Need.Due)
+	}
+	return due
+}
+
+// forget drops the endpoints whose reports are not needed here any more.
+func (p *Loads) forget(targets []dispatching.Target) {
+	if len(p.asked) <= len(targets) {
+		return
+	}
+	maps.DeleteFunc(p.asked, func(id cell.EndpointID, _ time.Time) bool {
+		return !slices.ContainsFunc(targets, func(t dispatching.Target) bool { return t.Endpoint == id })
+	})
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 func (p *Loads) begin(endpoint cell.EndpointID) bool {
--- /dev/null
+++ b/router/poll/loads_test.go
@@ -0,0 +1,90 @@
+package poll_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/config"
+	"ryelug/router/coordination"
+	"ryelug/standin/bubble"
+	"ryelug/standin/engine"
+	"ryelug/standin/fleet"
+)
+
+var timings = coordination.DefaultTimings()
+
+// withFleet runs f in virtual time with a fleet whose engines have been warmed up and then left idle.
+func withFleet(t *testing.T, engines int, f func(ctx context.Context, fl *fleet.Fleet)) {
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		fl := fleet.New(fleet.Config{
+			Routers: 3, Engines: engines, DataCentres: []string{"dc-a"}, Teams: []config.Team{{Name: "kiosks", Share: 1}},
+			Engine: engine.Config{ReportLag: timings.ReportLag},
+		})
+		is.NoErr(fl.Start(ctx))
+		is.NoErr(fl.Await(ctx))
+		drive(ctx, fl, engines)
+		time.Sleep(5 * time.Second)
+		f(ctx, fl)
+		is.NoErr(fl.Close())
+	})
+}
+
+// drive keeps all engines busy for a few seconds.
+func drive(ctx context.Context, fl *fleet.Fleet, engines int) {
+	run := fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 12 * engines, Tokens: 20})
+	time.Sleep(4 * time.Second)
+	run.Stop()
+}
+
+// The reports of ten idle engines, as many as a user has today, stay within a node's 2 KB a second.
+func TestIdleEnginesAreAskedRarely(t *testing.T) {
+	const engines, span, limit = 10, 10 * time.Second, 2048
+	withFleet(t, engines, func(_ context.Context, fl *fleet.Fleet) {
+		is := is.New(t)
+		before := endpointBytes(fl)
+		time.Sleep(span)
+		rate := float64(endpointBytes(fl)-before) / span.Seconds()
+		t.Logf("%.0f bytes a second for %d idle engines", rate, engines)
+		is.True(rate <= limit)
+	})
+}
+
+func endpointBytes(fl *fleet.Fleet) (sum int64) {
+	for _, e := range fl.Document.Endpoints {
+		sum += fl.Network.Sent(e.Address)
+	}
+	return sum
+}
+
+// Engines that turn cold while they are asked rarely get no more than they bear, however
+// the burst of work that follows falls between two reports.
+func TestBurstAtEnginesThatTurnedCold(t *testing.T) {
+	const engines, step = 1, 200 * time.Millisecond
+	notice := timings.LoadPoll + timings.ReportLag
+	for phase := time.Duration(0); phase < time.Second; phase += step {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			withFleet(t, engines, func(ctx context.Context, fl *fleet.Fleet) {
+				time.Sleep(phase)
+				for _, e := range fl.Engines {
+					e.TurnCold()
+				}
+				time.Sleep(notice)
+				drive(ctx, fl, engines)
+				for _, e := range fl.Engines {
+					for _, excess := range e.History().Excesses(notice) {
+						if excess.Cold {
+							t.Errorf("%d in flight, limit %d, in force for %v", excess.InFlight, excess.Limit, excess.Since)
+						}
+					}
+				}
+			})
+		})
+	}
+}
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -75,7 +75,7 @@
 		900*time.Millisecond, 200*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.StakeLease }),
 	durationKey("grant_valid", "Oldest grant that a router still uses; less than `stake_lease`; the same in the whole environment.",
 		400*time.Millisecond, 50*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.GrantValid }),
-	durationKey("load_poll", "Interval of the dispatcher's requests for an endpoint's load report.",
+	durationKey("load_poll", "Interval of the dispatcher's requests for an endpoint's load report; at least a second for an endpoint with next to no work.",
 		250*time.Millisecond, 50*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.LoadPoll }),
 	durationKey("report_lag", "How old an endpoint's load report may be when it is sent.",
 		500*time.Millisecond, 0, 30*time.Second, func(s *Settings) *time.Duration { return &s.ReportLag }),
