Write attempts, counters, stamps and heartbeats in fewer bytes

Ruled out: holding messages back to batch them, since a grant or an end that waits is a slot that idles; floating point of four bytes for counters, which loses 60,000 units at 10^12. Change: protocol version 2. Stamps are in units of 4 ms, rounded down, so an echo still never claims more than was known; a heartbeat is a frame without a kind; messages and items have no array header; attempts are written as the distance to the newest one on the link; counters as sixteenths of a unit above the least. Tests: the hostile bodies of io/wire lose their array headers and gain counters out of range; the version that fault_test expects is 2.

--- a/io/peer/fault_test.go
+++ b/io/peer/fault_test.go
@@ -129,7 +129,7 @@
 		answer := make([]byte, 64)
 		n, err := conn.Read(answer)
 		is.NoErr(err)
-		is.True(strings.HasPrefix(string(answer[1:n]), "ryelug\x01"))
+		is.True(strings.HasPrefix(string(answer[1:n]), "ryelug\x02"))
 	})
 }
 
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -32,9 +32,9 @@
 	done    chan struct{} // done is closed when no event of the link follows.
 	once    sync.Once
 
-	seen  atomic.Uint64 // seen is the newest stamp whose frame the consumer has acknowledged.
-	ring  *ring         // ring keeps its messages in the order of the echoes and names in them.
-	names *wire.Names   // names is guarded by the ring's lock.
+	seen atomic.Uint64 // seen is the newest stamp whose frame the consumer has acknowledged.
+	ring *ring         // ring keeps its messages in the order of the echoes and histories in them.
+	sent *wire.History // sent is guarded by the ring's lock.
 }
 
 // Router returns the router at the other end.
@@ -74,11 +74,11 @@
 	return queued
 }
 
-// make encodes a message; a link that can't send it is of no use any more, since its names would differ.
+// make encodes a message; a link that can't send it is of no use any more, since its history would differ.
 func (l *Link) make(msg wire.Message) (outgoing, bool) {
 	encoder := encoders.Get().(*wire.Encoder)
 	defer encoders.Put(encoder)
-	body, err := encoder.Encode(msg, l.names)
+	body, err := encoder.Encode(msg, l.sent)
 	if err != nil || len(body) > l.mesh.conf.MaxFrame {
 		l.mesh.stats.unsendable.Add(1)
 		return outgoing{}, false
@@ -115,13 +115,16 @@
 	}
 }
 
-// clock counts stamps: whole milliseconds since the greeting.
+// stampUnit is the unit of stamps, so coarse that the growth in a heartbeat fits one byte.
+const stampUnit = 4 * time.Millisecond
+
+// clock counts stamps: whole units since the greeting. A stamp is never later than its time.
 type clock struct{ start time.Time }
 
-func (c clock) stamp() uint64 { return uint64(time.Since(c.start) / time.Millisecond) }
+func (c clock) stamp() uint64 { return uint64(time.Since(c.start) / stampUnit) }
 
 func (c clock) at(stamp uint64) time.Time {
-	return c.start.Add(time.Duration(stamp) * time.Millisecond)
+	return c.start.Add(time.Duration(stamp) * stampUnit)
 }
 
 func newLink(m *Mesh, conn net.Conn, dialed bool) *Link {
@@ -132,7 +135,7 @@
 		clock:  clock{start: time.Now()},
 		closed: make(chan struct{}),
 		done:   make(chan struct{}),
-		names:  wire.NewNames(),
+		sent:   wire.NewHistory(),
 		ring:   newRing(ringFrames * m.conf.MaxFrame),
 	}
 }
--- a/io/peer/pump.go
+++ b/io/peer/pump.go
@@ -19,8 +19,8 @@
 var ErrStamp = errors.New("frame has an impossible stamp")
 
 // writer sends the ring's messages in batches, and heartbeats when there are none.
-// A frame's body is its kind, the growth of the sender's stamp, the growth of
-// the echo, and the message.
+// A frame's body is the growth of the sender's stamp, the growth of the echo, and
+// the kind and the message, which a heartbeat lacks.
 type writer struct {
 	link  *Link
 	stamp uint64 // stamp is the last one written.
@@ -69,9 +69,11 @@
 
 func (w *writer) append(kind wire.Kind, echo uint64, message []byte) {
 	stamp := w.link.clock.stamp()
-	w.body = append(w.body[:0], byte(kind))
-	w.body = binary.AppendUvarint(w.body, stamp-w.stamp)
+	w.body = binary.AppendUvarint(w.body[:0], stamp-w.stamp)
 	w.body = binary.AppendUvarint(w.body, echo-w.echo)
+	if kind != wire.KindHeartbeat {
+		w.body = append(w.body, byte(kind))
+	}
 	w.stamp = stamp
 	w.echo = echo
 	before := len(w.batch)
@@ -118,17 +120,17 @@
 }
 
 func (r *reader) parse(body []byte) (*Received, error) {
-	if len(body) == 0 {
-		return nil, wire.ErrShape
-	}
-	kind := wire.Kind(body[0])
-	rest, err := r.stamps(body[1:])
+	rest, err := r.stamps(body)
 	if err != nil {
 		return nil, err
 	}
+	kind := wire.KindHeartbeat
+	if len(rest) > 0 {
+		kind, rest = wire.Kind(rest[0]), rest[1:]
+	}
 	r.link.mesh.stats.in.add(kind, frameBytes(len(body)))
 	ev := &Received{Link: r.link, Echoed: r.link.clock.at(r.echo), stamp: r.stamp}
-	if kind == wire.KindHeartbeat {
+	if len(rest) == 0 && kind == wire.KindHeartbeat {
 		return ev, nil
 	}
 	ev.Message, err = r.decoder.Decode(kind, rest)
@@ -147,7 +149,7 @@
 	r.stamp += grown
 	r.echo += echoed
 	if now := r.link.clock.stamp(); r.echo > now {
-		return nil, fmt.Errorf("%w: echo of %d ms at %d ms", ErrStamp, r.echo, now)
+		return nil, fmt.Errorf("%w: echo of %d at %d", ErrStamp, r.echo, now)
 	}
 	return src[n+m:], nil
 }
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -16,6 +16,9 @@
 const (
 	maxItems = 1 << 16 // items of one list
 	maxName  = 512     // bytes of a name
+
+	stepsPerUnit = 16             // steps of a counter in a unit of service
+	maxSteps     = int64(1) << 53 // steps that a float64 holds exactly
 )
 
 // Errors of messages that can't be read.
@@ -28,15 +31,15 @@
 // Decoder reads messages. All lengths are checked against the bytes that are
 // left before memory is taken; the first error stops it.
 type Decoder struct {
-	src   bytes.Reader
-	dec   *msgpack.Decoder
-	names *Names
-	err   error
+	src     bytes.Reader
+	dec     *msgpack.Decoder
+	history *History
+	err     error
 }
 
 // NewDecoder returns a Decoder of one direction of a link.
 func NewDecoder() *Decoder {
-	d := &Decoder{names: NewNames()}
+	d := &Decoder{history: NewHistory()}
 	d.dec = msgpack.NewDecoder(&d.src)
 	return d
 }
@@ -61,28 +64,28 @@
 	case KindJoin:
 		return d.join()
 	case KindAccepted:
-		id, session := d.head(2)
+		id, session := d.head()
 		return &Accepted{id, session}
 	case KindRelease:
-		id, session := d.head(2)
+		id, session := d.head()
 		return &Release{id, session}
 	case KindReleased:
-		id, session := d.head(2)
+		id, session := d.head()
 		return &Released{id, session}
 	case KindWant:
-		id, session := d.head(3)
+		id, session := d.head()
 		return &Want{id, session, decodeSlice(d, (*Decoder).demand)}
 	case KindWithdraw:
-		id, session := d.head(3)
+		id, session := d.head()
 		return &Withdraw{id, session, decodeSlice(d, (*Decoder).attempt)}
 	case KindGrants:
-		id, session := d.head(3)
+		id, session := d.head()
 		return &Grants{id, session, decodeSlice(d, (*Decoder).grant)}
 	case KindRefusals:
-		id, session := d.head(3)
+		id, session := d.head()
 		return &Refusals{id, session, decodeSlice(d, (*Decoder).refusal)}
 	case KindProgress:
-		id, session := d.head(3)
+		id, session := d.head()
 		return &Progress{id, session, decodeSlice(d, (*Decoder).progress)}
 	default:
 		return d.other(kind)
@@ -92,31 +95,22 @@
 func (d *Decoder) other(kind Kind) Message {
 	switch kind {
 	case KindEnds:
-		d.array(2)
 		return &Ends{cell.ID(d.name()), decodeSlice(d, (*Decoder).end)}
 	case KindCounters:
-		d.array(2)
-		return &Counters{cell.ID(d.name()), decodeSlice(d, (*Decoder).counter)}
+		return &Counters{cell.ID(d.name()), d.counters()}
 	case KindLeaving:
-		d.array(0)
 		return &Leaving{}
 	case KindDeparted:
-		d.array(0)
 		return &Departed{}
 	case KindConfigNews:
-		d.array(2)
 		return &ConfigNews{d.uint(), d.bytes(math.MaxInt)}
 	case KindConfigAsk:
-		d.array(1)
 		return &ConfigAsk{decodeSlice(d, (*Decoder).string)}
 	case KindConfigPart:
-		d.array(2)
 		return &ConfigPart{d.string(), d.bytes(math.MaxInt)}
 	case KindListed:
-		d.array(2)
 		return &Listed{d.bool(), decodeSlice(d, (*Decoder).host)}
 	case KindMembers:
-		d.array(1)
 		return &Members{decodeSlice(d, func(d *Decoder) cell.HostID { return cell.HostID(d.string()) })}
 	}
 	d.fail(ErrKind)
@@ -125,21 +119,19 @@
 
 func (d *Decoder) join() Message {
 	m := &Join{}
-	m.Cell, m.Session = d.head(5)
+	m.Cell, m.Session = d.head()
 	m.Stake = d.bool()
 	m.Flights = decodeSlice(d, (*Decoder).flight)
-	m.Counters = decodeSlice(d, (*Decoder).counter)
+	m.Counters = d.counters()
 	return m
 }
 
-func (d *Decoder) head(fields int) (cell.ID, cell.Session) {
-	d.array(fields)
+func (d *Decoder) head() (cell.ID, cell.Session) {
 	id := cell.ID(d.name())
 	return id, cell.Session(d.uint())
 }
 
 func (d *Decoder) demand() cell.Demand {
-	d.array(4)
 	return cell.Demand{
 		Attempt:  d.attempt(),
 		Team:     cell.TeamID(d.name()),
@@ -149,7 +141,6 @@
 }
 
 func (d *Decoder) grant() cell.Grant {
-	d.array(3)
 	return cell.Grant{
 		Attempt:  d.attempt(),
 		Endpoint: cell.EndpointID(d.name()),
@@ -158,7 +149,6 @@
 }
 
 func (d *Decoder) flight() cell.Flight {
-	d.array(5)
 	return cell.Flight{
 		Attempt:  d.attempt(),
 		Team:     cell.TeamID(d.name()),
@@ -169,17 +159,14 @@
 }
 
 func (d *Decoder) refusal() cell.Refusal {
-	d.array(3)
 	return cell.Refusal{Attempt: d.attempt(), Code: d.uint16(), RetryAfter: d.duration()}
 }
 
 func (d *Decoder) progress() cell.Progress {
-	d.array(2)
 	return cell.Progress{Attempt: d.attempt(), Cost: cell.Cost(d.int())}
 }
 
 func (d *Decoder) end() cell.End {
-	d.array(4)
 	return cell.End{
 		Attempt:    d.attempt(),
 		Outcome:    cell.Outcome(d.uint8()),
@@ -189,7 +176,6 @@
 }
 
 func (d *Decoder) host() Host {
-	d.array(4)
 	h := Host{Host: cell.HostID(d.string())}
 	address, err := netip.ParseAddrPort(d.string())
 	if err != nil {
@@ -199,16 +185,34 @@
 	return h
 }
 
-func (d *Decoder) counter() cell.TeamCounter {
-	d.array(2)
-	c := cell.TeamCounter{Team: cell.TeamID(d.name()), Service: d.float()}
-	if math.IsNaN(c.Service) || math.IsInf(c.Service, 0) {
+// counters reads the least counter, and of each how far it is above it.
+func (d *Decoder) counters() []cell.TeamCounter {
+	var least int64
+	first := true
+	return decodeSlice(d, func(d *Decoder) cell.TeamCounter {
+		if first {
+			least, first = d.steps(-maxSteps), false
+		}
+		team := cell.TeamID(d.name())
+		steps := least + d.steps(0)
+		if steps > maxSteps {
+			d.fail(ErrShape)
+		}
+		return cell.TeamCounter{Team: team, Service: float64(steps) / stepsPerUnit}
+	})
+}
+
+// steps reads a number of steps of counters, which is bounded.
+func (d *Decoder) steps(least int64) int64 {
+	steps := d.int()
+	if steps < least || steps > 2*maxSteps {
 		d.fail(ErrShape)
+		return 0
 	}
-	return c
+	return steps
 }
 
-func (d *Decoder) attempt() cell.AttemptID { return cell.AttemptID(d.uint()) }
+func (d *Decoder) attempt() cell.AttemptID { return cell.AttemptID(d.history.attempt(d.int())) }
 
 func (d *Decoder) duration() time.Duration {
 	const most = int64(math.MaxInt64 / time.Millisecond)
--- a/io/wire/decode_test.go
+++ b/io/wire/decode_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
 	"runtime"
@@ -16,12 +17,12 @@
 
 // every has one message of each kind.
 func every() []Message {
-	counters := []cell.TeamCounter{{Team: "clinics", Service: 12.5}}
+	counters := []cell.TeamCounter{{Team: "clinics", Service: 12.5}, {Team: "", Service: -3}, {Team: "kiosks", Service: 1e12}}
 	return []Message{
 		&Join{Cell: "chat", Session: 3, Stake: true, Flights: []cell.Flight{{Attempt: 7, Charged: 300}}, Counters: counters},
 		&Accepted{"chat", 3}, &Release{"chat", 3}, &Released{"chat", 3},
 		&Want{"chat", 3, []cell.Demand{{Attempt: 9, Team: "kiosks", Estimate: -1}}},
-		&Withdraw{"chat", 3, []cell.AttemptID{9}},
+		&Withdraw{"chat", 3, []cell.AttemptID{9, math.MaxUint64, 0, 1 << 63, 7}},
 		&Grants{"chat", 3, []cell.Grant{{Attempt: 9, Endpoint: "e", Start: "s"}}},
 		&Refusals{"chat", 3, []cell.Refusal{{Attempt: 9, Code: 1006}}},
 		&Progress{"chat", 3, []cell.Progress{{Attempt: 9, Cost: 120}}},
@@ -37,12 +38,12 @@
 	kind Kind
 	body []byte
 }{
-	"list of demands":  {KindWant, []byte{0x93, 0xa1, 'c', 1, 0xdd, 0xff, 0xff, 0xff, 0xff}},
-	"list of flights":  {KindJoin, []byte{0x95, 0xa1, 'c', 1, 0xc3, 0xdd, 0xff, 0xff, 0xff, 0xff}},
-	"list of hashes":   {KindConfigAsk, []byte{0x91, 0xdd, 0xff, 0xff, 0xff, 0xff}},
-	"list of counters": {KindCounters, []byte{0x92, 0xa1, 'c', 0xdc, 0xff, 0xff}},
-	"name":             {KindAccepted, []byte{0x92, 0xdb, 0xff, 0xff, 0xff, 0xff}},
-	"bytes":            {KindConfigPart, []byte{0x92, 0xa1, 'c', 0xc6, 0xff, 0xff, 0xff, 0xff}},
+	"list of demands":  {KindWant, []byte{0xa1, 'c', 1, 0xdd, 0xff, 0xff, 0xff, 0xff}},
+	"list of flights":  {KindJoin, []byte{0xa1, 'c', 1, 0xc3, 0xdd, 0xff, 0xff, 0xff, 0xff}},
+	"list of hashes":   {KindConfigAsk, []byte{0xdd, 0xff, 0xff, 0xff, 0xff}},
+	"list of counters": {KindCounters, []byte{0xa1, 'c', 0xdc, 0xff, 0xff}},
+	"name":             {KindAccepted, []byte{0xdb, 0xff, 0xff, 0xff, 0xff}},
+	"bytes":            {KindConfigPart, []byte{0xa1, 'c', 0xc6, 0xff, 0xff, 0xff, 0xff}},
 }
 
 func TestDecodeRefusesClaims(t *testing.T) {
@@ -68,12 +69,15 @@
 	}{
 		"unknown kind":    {KindCount, []byte{0x90}, ErrKind},
 		"empty body":      {KindJoin, nil, ErrShape},
-		"too few fields":  {KindAccepted, []byte{0x91, 0xa1, 'c'}, ErrShape},
-		"bytes after it":  {KindLeaving, []byte{0x90, 0x00}, ErrShape},
-		"null for a list": {KindWant, []byte{0x93, 0xa1, 'c', 1, 0xc0}, ErrShape},
-		"no number":       {KindCounters, []byte{0x92, 0xa1, 'c', 0x91, 0x92, 0xa1, 't', 0xcb, 0x7f, 0xf8, 0, 0, 0, 0, 0, 1}, ErrShape},
-		"negative wait":   {KindRefusals, []byte{0x93, 0xa1, 'c', 1, 0x91, 0x93, 1, 1, 0xff}, ErrShape},
-		"large code":      {KindRefusals, []byte{0x93, 0xa1, 'c', 1, 0x91, 0x93, 1, 0xce, 0, 1, 0, 0, 0}, ErrShape},
+		"too few fields":  {KindAccepted, []byte{0xa1, 'c'}, ErrShape},
+		"bytes after it":  {KindLeaving, []byte{0x00}, ErrShape},
+		"null for a list": {KindWant, []byte{0xa1, 'c', 1, 0xc0}, ErrShape},
+		"no number":       {KindCounters, []byte{0xa1, 'c', 0x91, 0xcb, 0x7f, 0xf8, 0, 0, 0, 0, 0, 1, 0xa1, 't', 0}, ErrShape},
+		"no growth":       {KindCounters, []byte{0xa1, 'c', 0x91, 0, 0xa1, 't', 0xcb, 0x7f, 0xf8, 0, 0, 0, 0, 0, 1}, ErrShape},
+		"large counter":   {KindCounters, []byte{0xa1, 'c', 0x91, 1, 0xa1, 't', 0xcf, 0, 0x20, 0, 0, 0, 0, 0, 0}, ErrShape},
+		"low counter":     {KindCounters, []byte{0xa1, 'c', 0x91, 0xd3, 0xff, 0xdf, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xa1, 't', 0}, ErrShape},
+		"negative wait":   {KindRefusals, []byte{0xa1, 'c', 1, 0x91, 1, 1, 0xff}, ErrShape},
+		"large code":      {KindRefusals, []byte{0xa1, 'c', 1, 0x91, 1, 0xce, 0, 1, 0, 0, 0}, ErrShape},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -87,7 +91,7 @@
 // What decodes at all comes back the same when it is encoded and decoded again.
 func FuzzMessage(f *testing.F) {
 	for _, msg := range every() {
-		body, err := NewEncoder().Encode(msg, NewNames())
+		body, err := NewEncoder().Encode(msg, NewHistory())
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -102,7 +106,7 @@
 		if err != nil {
 			return
 		}
-		again, err := NewEncoder().Encode(msg, NewNames())
+		again, err := NewEncoder().Encode(msg, NewHistory())
 		is.NoErr(err)
 		back, err := NewDecoder().Decode(msg.kind(), again)
 		is.NoErr(err)
@@ -113,7 +117,7 @@
 // Both ends of a link number the same names, also when there are more than the table holds.
 func TestNamesAreNumberedAlike(t *testing.T) {
 	is := is.New(t)
-	e, d, sent := NewEncoder(), NewDecoder(), NewNames()
+	e, d, sent := NewEncoder(), NewDecoder(), NewHistory()
 	for round := range 3 {
 		for i := range maxNames + 50 {
 			team := cell.TeamID(fmt.Sprintf("team-%d", i))
@@ -128,7 +132,7 @@
 			is.Equal(got, want)
 		}
 	}
-	_, err := NewDecoder().Decode(KindAccepted, []byte{0x92, 7, 1})
+	_, err := NewDecoder().Decode(KindAccepted, []byte{7, 1})
 	is.True(errors.Is(err, ErrShape)) // A number that was never given.
 }
 
@@ -137,7 +141,7 @@
 	is := is.New(t)
 	is.Equal(len(every()), int(KindCount)-1)
 	for _, msg := range every() {
-		body, err := NewEncoder().Encode(msg, NewNames())
+		body, err := NewEncoder().Encode(msg, NewHistory())
 		is.NoErr(err)
 		got, err := NewDecoder().Decode(msg.kind(), body)
 		is.NoErr(err)
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -9,13 +10,13 @@
 	"ryelug/core/cell"
 )
 
-// Encoder writes messages as msgpack arrays. Its buffer can't fail, so the
+// Encoder writes the fields of messages as msgpack values, one after the other. Its buffer can't fail, so the
 // first error of the library is a bug and is kept for the caller.
 type Encoder struct {
-	buf   bytes.Buffer
-	enc   *msgpack.Encoder
-	names *Names
-	err   error
+	buf     bytes.Buffer
+	enc     *msgpack.Encoder
+	history *History
+	err     error
 }
 
 // NewEncoder returns an Encoder, which several links may use in turn.
@@ -26,9 +27,9 @@
 }
 
 // Encode returns the message's bytes, which are valid until the next call.
-func (e *Encoder) Encode(msg Message, names *Names) ([]byte, error) {
+func (e *Encoder) Encode(msg Message, history *History) ([]byte, error) {
 	e.buf.Reset()
-	e.names = names
+	e.history = history
 	e.err = nil
 	e.message(msg)
 	return e.buf.Bytes(), e.err
@@ -37,39 +38,37 @@
 func (e *Encoder) message(msg Message) {
 	switch m := msg.(type) {
 	case *Join:
-		e.head(5, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 		e.keep(e.enc.EncodeBool(m.Stake))
 		encodeSlice(e, m.Flights, (*Encoder).flight)
-		encodeSlice(e, m.Counters, (*Encoder).counter)
+		e.counters(m.Counters)
 	case *Accepted:
-		e.head(2, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 	case *Release:
-		e.head(2, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 	case *Released:
-		e.head(2, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 	case *Want:
-		e.head(3, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 		encodeSlice(e, m.Demands, (*Encoder).demand)
 	case *Withdraw:
-		e.head(3, m.Cell, m.Session)
-		encodeSlice(e, m.Attempts, func(e *Encoder, a *cell.AttemptID) { e.uint(uint64(*a)) })
+		e.head(m.Cell, m.Session)
+		encodeSlice(e, m.Attempts, (*Encoder).attempt)
 	case *Grants:
-		e.head(3, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 		encodeSlice(e, m.Grants, (*Encoder).grant)
 	case *Refusals:
-		e.head(3, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 		encodeSlice(e, m.Refusals, (*Encoder).refusal)
 	case *Progress:
-		e.head(3, m.Cell, m.Session)
+		e.head(m.Cell, m.Session)
 		encodeSlice(e, m.Progress, (*Encoder).progress)
 	case *Ends:
-		e.array(2)
 		e.name(string(m.Cell))
 		encodeSlice(e, m.Ends, (*Encoder).end)
 	case *Counters:
-		e.array(2)
 		e.name(string(m.Cell))
-		encodeSlice(e, m.Counters, (*Encoder).counter)
+		e.counters(m.Counters)
 	default:
 		e.config(msg)
 	}
@@ -78,52 +77,42 @@
 func (e *Encoder) config(msg Message) {
 	switch m := msg.(type) {
 	case *Leaving, *Departed:
-		e.array(0)
 	case *ConfigNews:
-		e.array(2)
 		e.uint(m.Generation)
 		e.keep(e.enc.EncodeBytes(m.Root))
 	case *ConfigAsk:
-		e.array(1)
 		encodeSlice(e, m.Hashes, func(e *Encoder, h *string) { e.string(*h) })
 	case *Members:
-		e.array(1)
 		encodeSlice(e, m.Hosts, func(e *Encoder, h *cell.HostID) { e.string(string(*h)) })
 	case *Listed:
-		e.array(2)
 		e.keep(e.enc.EncodeBool(m.Changed))
 		encodeSlice(e, m.Hosts, (*Encoder).host)
 	case *ConfigPart:
-		e.array(2)
 		e.string(m.Hash)
 		e.keep(e.enc.EncodeBytes(m.Data))
 	}
 }
 
-func (e *Encoder) head(fields int, id cell.ID, session cell.Session) {
-	e.array(fields)
+func (e *Encoder) head(id cell.ID, session cell.Session) {
 	e.name(string(id))
 	e.uint(uint64(session))
 }
 
 func (e *Encoder) demand(d *cell.Demand) {
-	e.array(4)
-	e.uint(uint64(d.Attempt))
+	e.attempt(&d.Attempt)
 	e.name(string(d.Team))
 	e.int(int64(d.Estimate))
 	e.name(string(d.Avoid))
 }
 
 func (e *Encoder) grant(g *cell.Grant) {
-	e.array(3)
-	e.uint(uint64(g.Attempt))
+	e.attempt(&g.Attempt)
 	e.name(string(g.Endpoint))
 	e.name(string(g.Start))
 }
 
 func (e *Encoder) flight(f *cell.Flight) {
-	e.array(5)
-	e.uint(uint64(f.Attempt))
+	e.attempt(&f.Attempt)
 	e.name(string(f.Team))
 	e.name(string(f.Endpoint))
 	e.name(string(f.Start))
@@ -131,40 +120,55 @@
 }
 
 func (e *Encoder) refusal(r *cell.Refusal) {
-	e.array(3)
-	e.uint(uint64(r.Attempt))
+	e.attempt(&r.Attempt)
 	e.uint(uint64(r.Code))
 	e.duration(r.RetryAfter)
 }
 
 func (e *Encoder) progress(p *cell.Progress) {
-	e.array(2)
-	e.uint(uint64(p.Attempt))
+	e.attempt(&p.Attempt)
 	e.int(int64(p.Cost))
 }
 
 func (e *Encoder) end(end *cell.End) {
-	e.array(4)
-	e.uint(uint64(end.Attempt))
+	e.attempt(&end.Attempt)
 	e.uint(uint64(end.Outcome))
 	e.int(int64(end.Cost))
 	e.duration(end.FirstToken)
 }
 
 func (e *Encoder) host(h *Host) {
-	e.array(4)
 	e.string(string(h.Host))
 	e.string(h.Address.String())
 	e.string(h.DataCentre)
 	e.keep(e.enc.EncodeBool(h.Leaving))
 }
 
-func (e *Encoder) counter(c *cell.TeamCounter) {
-	e.array(2)
-	e.name(string(c.Team))
-	e.keep(e.enc.EncodeFloat64(c.Service))
+// counters writes the least counter, and of each how far it is above it.
+func (e *Encoder) counters(counters []cell.TeamCounter) {
+	e.array(len(counters))
+	if len(counters) == 0 {
+		return
+	}
+	least := int64(math.MaxInt64)
+	for i := range counters {
+		least = min(least, counterSteps(counters[i].Service))
+	}
+	e.int(least)
+	for i := range counters {
+		e.name(string(counters[i].Team))
+		e.int(counterSteps(counters[i].Service) - least)
+	}
 }
 
+// counterSteps returns a counter in whole steps, in the range that a float64 holds exactly.
+func counterSteps(service float64) int64 {
+	return int64(max(float64(-maxSteps), min(float64(maxSteps), math.Round(service*stepsPerUnit))))
+}
+
+// attempt writes an attempt as its distance to the newest one on the link.
+func (e *Encoder) attempt(attempt *cell.AttemptID) { e.int(e.history.distance(uint64(*attempt))) }
+
 // duration writes whole milliseconds, rounded up so that a known time never becomes zero.
 func (e *Encoder) duration(d time.Duration) {
 	e.int(int64((d + time.Millisecond - 1) / time.Millisecond))
@@ -172,12 +176,12 @@
 
 // name writes a name once, and from then on its number.
 func (e *Encoder) name(name string) {
-	if number, ok := e.names.number(name); ok {
+	if number, ok := e.history.number(name); ok {
 		e.uint(number)
 		return
 	}
 	e.string(name)
-	e.names.sent(name)
+	e.history.sent(name)
 }
 
 func (e *Encoder) array(n int)     { e.keep(e.enc.EncodeArrayLen(n)) }
--- a/io/wire/scalar.go
+++ b/io/wire/scalar.go
@@ -13,12 +13,6 @@
 	}
 }
 
-func (d *Decoder) array(want int) {
-	if n := d.arrayLen(); d.err == nil && n != want {
-		d.fail(fmt.Errorf("%w: array of %d in place of %d", ErrShape, n, want))
-	}
-}
-
 func (d *Decoder) arrayLen() int {
 	if d.err != nil {
 		return 0
@@ -61,10 +55,10 @@
 	code, err := d.dec.PeekCode()
 	if err != nil || msgpcode.IsString(code) {
 		name := d.string()
-		d.names.received(name)
+		d.history.received(name)
 		return name
 	}
-	name, ok := d.names.name(d.uint())
+	name, ok := d.history.name(d.uint())
 	if !ok {
 		d.fail(ErrShape)
 	}
@@ -98,8 +92,6 @@
 
 func (d *Decoder) int() int64 { return decodeScalar(d, d.dec.DecodeInt64) }
 
-func (d *Decoder) float() float64 { return decodeScalar(d, d.dec.DecodeFloat64) }
-
 func (d *Decoder) bool() bool { return decodeScalar(d, d.dec.DecodeBool) }
 
 func (d *Decoder) uint16() uint16 { return uint16(d.atMost(math.MaxUint16)) }
