Leave out of a message what the one before has said

Ruled out: several messages in a frame, since they seldom wait together and must not be held back. Change: two bits of a message's kind say that its cell and session are those of the message before on the link, or that its list has one item and no length. The bits are refused where they don't fit.

--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -78,12 +78,12 @@
 func (l *Link) make(msg wire.Message) (outgoing, bool) {
 	encoder := encoders.Get().(*wire.Encoder)
 	defer encoders.Put(encoder)
-	body, err := encoder.Encode(msg, l.sent)
+	kind, body, err := encoder.Encode(msg, l.sent)
 	if err != nil || len(body) > l.mesh.conf.MaxFrame {
 		l.mesh.stats.unsendable.Add(1)
 		return outgoing{}, false
 	}
-	return outgoing{kind: wire.KindOf(msg), body: bytes.Clone(body), echo: l.seen.Load()}, true
+	return outgoing{kind: kind, body: bytes.Clone(body), echo: l.seen.Load()}, true
 }
 
 // Close closes the link; Down follows.
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -87,6 +87,7 @@
 }
 
 func (t *tally) add(kind wire.Kind, bytes int) {
+	kind = kind.Base()
 	if kind >= wire.KindCount {
 		return
 	}
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -34,6 +34,7 @@
 	src     bytes.Reader
 	dec     *msgpack.Decoder
 	history *History
+	form    Kind // form holds what the message has left out and was not asked for yet.
 	err     error
 }
 
@@ -48,8 +49,12 @@
 func (d *Decoder) Decode(kind Kind, body []byte) (Message, error) {
 	d.src.Reset(body)
 	d.dec.Reset(&d.src)
+	d.form = kind & forms
 	d.err = nil
-	msg := d.message(kind)
+	msg := d.message(kind.Base())
+	if d.err == nil && d.form != 0 {
+		d.err = fmt.Errorf("%w: form %#x does not fit", ErrShape, d.form)
+	}
 	if d.err == nil && d.src.Len() > 0 {
 		d.err = fmt.Errorf("%w: %d bytes follow it", ErrShape, d.src.Len())
 	}
@@ -74,19 +79,19 @@
 		return &Released{id, session}
 	case KindWant:
 		id, session := d.head()
-		return &Want{id, session, decodeSlice(d, (*Decoder).demand)}
+		return &Want{id, session, decodeList(d, (*Decoder).demand)}
 	case KindWithdraw:
 		id, session := d.head()
-		return &Withdraw{id, session, decodeSlice(d, (*Decoder).attempt)}
+		return &Withdraw{id, session, decodeList(d, (*Decoder).attempt)}
 	case KindGrants:
 		id, session := d.head()
-		return &Grants{id, session, decodeSlice(d, (*Decoder).grant)}
+		return &Grants{id, session, decodeList(d, (*Decoder).grant)}
 	case KindRefusals:
 		id, session := d.head()
-		return &Refusals{id, session, decodeSlice(d, (*Decoder).refusal)}
+		return &Refusals{id, session, decodeList(d, (*Decoder).refusal)}
 	case KindProgress:
 		id, session := d.head()
-		return &Progress{id, session, decodeSlice(d, (*Decoder).progress)}
+		return &Progress{id, session, decodeList(d, (*Decoder).progress)}
 	default:
 		return d.other(kind)
 	}
@@ -95,9 +100,9 @@
 func (d *Decoder) other(kind Kind) Message {
 	switch kind {
 	case KindEnds:
-		return &Ends{cell.ID(d.name()), decodeSlice(d, (*Decoder).end)}
+		return &Ends{d.cell(), decodeList(d, (*Decoder).end)}
 	case KindCounters:
-		return &Counters{cell.ID(d.name()), d.counters()}
+		return &Counters{d.cell(), d.counters()}
 	case KindLeaving:
 		return &Leaving{}
 	case KindDeparted:
@@ -127,8 +132,29 @@
 }
 
 func (d *Decoder) head() (cell.ID, cell.Session) {
-	id := cell.ID(d.name())
-	return id, cell.Session(d.uint())
+	if !d.takeForm(formSame) {
+		d.history.cell, d.history.session = cell.ID(d.name()), cell.Session(d.uint())
+	} else if d.history.cell == "" {
+		d.fail(ErrShape)
+	}
+	return d.history.cell, d.history.session
+}
+
+func (d *Decoder) cell() cell.ID {
+	if !d.takeForm(formSame) {
+		return cell.ID(d.name())
+	}
+	if d.history.cell == "" {
+		d.fail(ErrShape)
+	}
+	return d.history.cell
+}
+
+// takeForm tells whether the message has left something out, which is asked for now.
+func (d *Decoder) takeForm(form Kind) bool {
+	left := d.form&form != 0
+	d.form &^= form
+	return left
 }
 
 func (d *Decoder) demand() cell.Demand {
--- a/io/wire/decode_test.go
+++ b/io/wire/decode_test.go
@@ -78,6 +78,11 @@
 		"low counter":     {KindCounters, []byte{0xa1, 'c', 0x91, 0xd3, 0xff, 0xdf, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xa1, 't', 0}, ErrShape},
 		"negative wait":   {KindRefusals, []byte{0xa1, 'c', 1, 0x91, 1, 1, 0xff}, ErrShape},
 		"large code":      {KindRefusals, []byte{0xa1, 'c', 1, 0x91, 1, 0xce, 0, 1, 0, 0, 0}, ErrShape},
+		"nothing before":  {KindAccepted | formSame, nil, ErrShape},
+		"no cell before":  {KindEnds | formSame, []byte{0x90}, ErrShape},
+		"no item":         {KindWithdraw | formOne, []byte{0xa1, 'c', 1}, ErrShape},
+		"form of a list":  {KindAccepted | formOne, []byte{0xa1, 'c', 1}, ErrShape},
+		"form of a cell":  {KindLeaving | formSame, nil, ErrShape},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -91,11 +96,11 @@
 // What decodes at all comes back the same when it is encoded and decoded again.
 func FuzzMessage(f *testing.F) {
 	for _, msg := range every() {
-		body, err := NewEncoder().Encode(msg, NewHistory())
+		kind, body, err := NewEncoder().Encode(msg, NewHistory())
 		if err != nil {
 			f.Fatal(err)
 		}
-		f.Add(byte(msg.kind()), body)
+		f.Add(byte(kind), body)
 	}
 	for _, c := range claims {
 		f.Add(byte(c.kind), c.body)
@@ -106,9 +111,9 @@
 		if err != nil {
 			return
 		}
-		again, err := NewEncoder().Encode(msg, NewHistory())
+		again, body, err := NewEncoder().Encode(msg, NewHistory())
 		is.NoErr(err)
-		back, err := NewDecoder().Decode(msg.kind(), again)
+		back, err := NewDecoder().Decode(again, body)
 		is.NoErr(err)
 		is.True(reflect.DeepEqual(msg, back))
 	})
@@ -122,12 +127,12 @@
 		for i := range maxNames + 50 {
 			team := cell.TeamID(fmt.Sprintf("team-%d", i))
 			want := &Want{"chat", 1, []cell.Demand{{Attempt: 1, Team: team, Avoid: cell.EndpointID(strings.Repeat("x", i%70))}}}
-			body, err := e.Encode(want, sent)
+			kind, body, err := e.Encode(want, sent)
 			is.NoErr(err)
 			if round > 0 && i < 1000 {
 				is.True(len(body) < 18+i%70)
 			}
-			got, err := d.Decode(KindWant, body)
+			got, err := d.Decode(kind, body)
 			is.NoErr(err)
 			is.Equal(got, want)
 		}
@@ -141,11 +146,26 @@
 	is := is.New(t)
 	is.Equal(len(every()), int(KindCount)-1)
 	for _, msg := range every() {
-		body, err := NewEncoder().Encode(msg, NewHistory())
+		kind, body, err := NewEncoder().Encode(msg, NewHistory())
 		is.NoErr(err)
-		got, err := NewDecoder().Decode(msg.kind(), body)
+		got, err := NewDecoder().Decode(kind, body)
 		is.NoErr(err)
 		is.Equal(got, msg)
 		is.True(msg.kind().String() != "")
 	}
 }
+
+// Messages that leave out what the one before said mean the same at the other end.
+func TestFormsAreReadAlike(t *testing.T) {
+	is := is.New(t)
+	e, d, sent := NewEncoder(), NewDecoder(), NewHistory()
+	for range 3 {
+		for _, msg := range append(every(), &Want{"chat", 4, nil}, &Ends{"tickets", nil}, &Release{"tickets", 4}, &Ends{"chat", nil}) {
+			kind, body, err := e.Encode(msg, sent)
+			is.NoErr(err)
+			got, err := d.Decode(kind, body)
+			is.NoErr(err)
+			is.Equal(got, msg)
+		}
+	}
+}
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -16,6 +16,7 @@
 	buf     bytes.Buffer
 	enc     *msgpack.Encoder
 	history *History
+	form    Kind
 	err     error
 }
 
@@ -26,13 +27,14 @@
 	return e
 }
 
-// Encode returns the message's bytes, which are valid until the next call.
-func (e *Encoder) Encode(msg Message, history *History) ([]byte, error) {
+// Encode returns the message's kind, with its form, and its bytes, which are valid until the next call.
+func (e *Encoder) Encode(msg Message, history *History) (Kind, []byte, error) {
 	e.buf.Reset()
 	e.history = history
+	e.form = 0
 	e.err = nil
 	e.message(msg)
-	return e.buf.Bytes(), e.err
+	return msg.kind() | e.form, e.buf.Bytes(), e.err
 }
 
 func (e *Encoder) message(msg Message) {
@@ -50,24 +52,24 @@
 		e.head(m.Cell, m.Session)
 	case *Want:
 		e.head(m.Cell, m.Session)
-		encodeSlice(e, m.Demands, (*Encoder).demand)
+		encodeList(e, m.Demands, (*Encoder).demand)
 	case *Withdraw:
 		e.head(m.Cell, m.Session)
-		encodeSlice(e, m.Attempts, (*Encoder).attempt)
+		encodeList(e, m.Attempts, (*Encoder).attempt)
 	case *Grants:
 		e.head(m.Cell, m.Session)
-		encodeSlice(e, m.Grants, (*Encoder).grant)
+		encodeList(e, m.Grants, (*Encoder).grant)
 	case *Refusals:
 		e.head(m.Cell, m.Session)
-		encodeSlice(e, m.Refusals, (*Encoder).refusal)
+		encodeList(e, m.Refusals, (*Encoder).refusal)
 	case *Progress:
 		e.head(m.Cell, m.Session)
-		encodeSlice(e, m.Progress, (*Encoder).progress)
+		encodeList(e, m.Progress, (*Encoder).progress)
 	case *Ends:
-		e.name(string(m.Cell))
-		encodeSlice(e, m.Ends, (*Encoder).end)
+		e.cell(m.Cell)
+		encodeList(e, m.Ends, (*Encoder).end)
 	case *Counters:
-		e.name(string(m.Cell))
+		e.cell(m.Cell)
 		e.counters(m.Counters)
 	default:
 		e.config(msg)
@@ -93,11 +95,26 @@
 	}
 }
 
+// head writes a cell and a session, unless they are those of the message before.
 func (e *Encoder) head(id cell.ID, session cell.Session) {
+	if id != "" && id == e.history.cell && session == e.history.session {
+		e.form |= formSame
+		return
+	}
+	e.history.cell, e.history.session = id, session
 	e.name(string(id))
 	e.uint(uint64(session))
 }
 
+// cell writes a cell alone, unless it is that of the last message with a session.
+func (e *Encoder) cell(id cell.ID) {
+	if id != "" && id == e.history.cell {
+		e.form |= formSame
+		return
+	}
+	e.name(string(id))
+}
+
 func (e *Encoder) demand(d *cell.Demand) {
 	e.attempt(&d.Attempt)
 	e.name(string(d.Team))
@@ -201,3 +218,13 @@
 		one(e, &items[i])
 	}
 }
+
+// encodeList writes the last list of a message; one item goes without a length.
+func encodeList[T any](e *Encoder, items []T, one func(*Encoder, *T)) {
+	if len(items) == 1 {
+		e.form |= formOne
+		one(e, &items[0])
+		return
+	}
+	encodeSlice(e, items, one)
+}
--- a/io/wire/history.go
+++ b/io/wire/history.go
@@ -1,5 +1,7 @@
 package wire
 
+import "ryelug/core/cell"
+
 const (
 	maxNames      = 1 << 12 // names numbered on one direction of a link
 	maxNumbered   = 64      // bytes of the longest name that gets a number
@@ -13,6 +15,8 @@
 	numbers map[string]uint64 // numbers is used by the sender.
 	list    []string          // list is used by the receiver.
 	newest  uint64            // newest is the greatest attempt so far.
+	cell    cell.ID           // cell and session are those of the last message that named both.
+	session cell.Session
 }
 
 // NewHistory returns the history of a new link.
--- a/io/wire/message.go
+++ b/io/wire/message.go
@@ -130,9 +130,6 @@
 // Kind numbers a type of message on the wire; numbers are never reused.
 type Kind uint8
 
-// KindOf returns the kind of a message.
-func KindOf(msg Message) Kind { return msg.kind() }
-
 // Kinds of frames. KindHeartbeat has no Message.
 const (
 	KindHeartbeat Kind = iota
@@ -164,12 +161,22 @@
 	"departed", "listed",
 }
 
+// Forms are the high bits of a kind on the wire; each leaves out what the other end can tell.
+const (
+	formSame Kind = 1 << 7 // formSame: the cell and session are those of the message before.
+	formOne  Kind = 1 << 6 // formOne: the list has one item and no length.
+	forms         = formSame | formOne
+)
+
+// Base returns the kind without its form.
+func (k Kind) Base() Kind { return k &^ forms }
+
 // String returns the kind's name in counters.
 func (k Kind) String() string {
-	if k >= KindCount {
+	if k.Base() >= KindCount {
 		return "unknown"
 	}
-	return kindNames[k]
+	return kindNames[k.Base()]
 }
 
 func (*Join) kind() Kind       { return KindJoin }
--- a/io/wire/scalar.go
+++ b/io/wire/scalar.go
@@ -45,6 +45,14 @@
 	return items
 }
 
+// decodeList reads the last list of a message, which may be one item without a length.
+func decodeList[T any](d *Decoder, one func(*Decoder) T) []T {
+	if !d.takeForm(formOne) {
+		return decodeSlice(d, one)
+	}
+	return []T{one(d)}
+}
+
 func (d *Decoder) string() string { return string(d.bytes(maxName)) }
 
 // name reads a name, or the number of one that came before.
