--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -138,6 +138,9 @@
 			c.pollEarly(c.began)
 		}
 		c.drain()
+		if c.dispatch.WantsReports() {
+			c.choosePolled()
+		}
 	}
 }
 
