Bound the calls that a command makes of the platform

Cause: at 12,000 teams a document has 1,059 parts. A command read or wrote them as fast as the platform answered: 1,059 reads and 1,059 writes within one second of virtual time, where the platform takes about 2,000 reads and several hundred writes a second of the whole system.

Ruled out: larger parts. itemsPerLeaf and leavesPerIndex balance what a change sends to each router, which happens far more often than a whole read. A pause between calls: it slows small documents, which the burst does not.

Change: a Publisher makes at most 500 reads a second and 100 writes a second, with bursts of 100 and 50.

--- a/router/publish/publisher.go
+++ b/router/publish/publisher.go
@@ -108,6 +108,7 @@
 	if config.Notice == nil {
 		config.Notice = func(string) {}
 	}
+	config.Platform = newPaced(config.Platform)
 	return &Publisher{config: config}
 }
 
