Test the operators' commands and the local fleet

Cause: router/operate and standin/local had no tests of their own.

Change: operate.Config takes a Dial, so that commands run in virtual time. Two commands of one environment race from hosts 1 and 7 ms from the platform, at every millisecond of 160: the refused one is a conflict of which nothing is in force, and a data centre taken out or an endpoint that leaves is never undone. Commands with all answers of writes lost, with the platform down, on a broken root, with nothing to do, above a generation, and on files that are no documents. The fleet of "ryelug dev" is run on loopback: the curl lines that it prints do what they say, and an interrupt cuts no answer and frees the ports.

Conclusion: no fault was found. Each of these, switched off on a scratch copy, fails a test: the condition on the root's version and the guard of returns (TestRacingCommands), the look at a document that is the same (TestNothingToDo), the look after a lost answer (TestLostAnswers), the generation given with -above (TestAbove). TestPlatformDown, TestBrokenRoot, TestReadDocument and standin/local were not seen failing.

--- a/router/operate/operator.go
+++ b/router/operate/operator.go
@@ -19,9 +19,10 @@
 type Config struct {
 	Platform    netip.AddrPort
 	Environment string
-	Patience    time.Duration // Patience is how long a step is tried while the platform does not answer.
-	Out         io.Writer     // Out gets what was asked for.
-	Notices     io.Writer     // Notices gets all else.
+	Patience    time.Duration     // Patience is how long a step is tried while the platform does not answer.
+	Dial        platform.DialFunc // Dial opens connections; TCP by default.
+	Out         io.Writer         // Out gets what was asked for.
+	Notices     io.Writer         // Notices gets all else.
 }
 
 // Operator reads and changes one environment.
@@ -39,7 +40,7 @@
 		return nil, badArguments("-environment is missing; give the environment's name, such as -environment trial")
 	}
 	o := &Operator{config: config}
-	client := platform.New(platform.Config{Address: config.Platform, Environment: config.Environment})
+	client := platform.New(platform.Config{Address: config.Platform, Environment: config.Environment, Dial: config.Dial})
 	o.publisher = publish.New(publish.Config{
 		Platform:    client,
 		Environment: config.Environment,
