Measure processes under load, operators' commands and lost regions

Cause: docs/CAPACITY.md lists as not measured what a router process spends under load and with links, an operator's command at 12,000 teams, the cost of a token, 8 data centres in 3 regions, and regions that lose each other for an hour.

Ruled out: callers in a closed loop as the measure of a pause. Few of them all sit in requests that the cut has broken, for 13.4 s in one run, while the region serves new ones; so probes at a steady rate tell the pause.

Change: bench/size measures processes by links, load and the target's streams of 49 ms between tokens (TestProcess), and the commands (TestOperator). bench/region runs a fleet of routers in 8 data centres of 3 regions, 20, 50 and 80 ms apart one way, in virtual time. standin/fleet takes delays between data centres, and cuts between groups of them.

--- /dev/null
+++ b/bench/region/doc.go
@@ -0,0 +1,2 @@
+// Package region measures a fleet whose regions are far from each other and lose each other.
+package region
--- a/bench/size/size_test.go
+++ b/bench/size/size_test.go
@@ -14,7 +14,7 @@
 
 const seed = 1
 
-var slopes = flag.String("slopes", "", `which slopes to measure: "routers", "teams", "endpoints", "requests", "backlog", "polls", "changes", "idle" or "process"`)
+var slopes = flag.String("slopes", "", `which slopes to measure: "routers", "teams", "endpoints", "requests", "backlog", "polls", "changes" or "idle", or those of TestProcess`)
 
 // sizes are those of each slope.
 var sizes = map[string][]size.Size{
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -73,7 +73,7 @@
 		time.Second, 50*time.Millisecond, 30*time.Second, func(s *Settings) *time.Duration { return &s.DialTimeout }),
 	durationKey("stake_lease", "Time for which a dispatcher counts on a stake after it was last confirmed; more than `link_silent`; the same in the whole environment.",
 		900*time.Millisecond, 200*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.StakeLease }),
-	durationKey("grant_valid", "Oldest grant that a router still uses; less than `stake_lease`; the same in the whole environment.",
+	durationKey("grant_valid", "Oldest grant that a router still uses; less than `stake_lease`; at least `heartbeat` and five times the longest one-way delay between routers or to an endpoint; the same in the whole environment.",
 		400*time.Millisecond, 50*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.GrantValid }),
 	durationKey("load_poll", "Interval of the dispatcher's requests for an endpoint's load report.",
 		250*time.Millisecond, 50*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.LoadPoll }),
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -38,6 +38,7 @@
 	Teams       []config.Team // Teams lack their keys, which Key gives.
 	DataCentres []string      // DataCentres hold routers and endpoints in turn.
 	Delay       network.Delay // Delay is nil for none.
+	Between     Between       // Between is used in place of Delay unless it is nil; the platform is in the first data centre.
 	Seed        uint64
 
 	Engine  engine.Config  // Engine lacks name and seed.
@@ -69,6 +70,7 @@
 	log       *logrus.Logger
 	runs      []*Run
 	hosts     int // hosts is the number of addresses used.
+	places    places
 	serving   errgroup.Group
 	operator  *platformclient.Client
 	publisher *publish.Publisher
@@ -83,7 +85,12 @@
 		log.SetOutput(conf.Log)
 		log.SetLevel(logrus.DebugLevel)
 	}
-	return &Fleet{config: conf, log: log, Network: network.New(network.Config{Delay: conf.Delay})}
+	f := &Fleet{config: conf, log: log}
+	if conf.Between != nil {
+		conf.Delay = f.delay
+	}
+	f.Network = network.New(network.Config{Delay: conf.Delay})
+	return f
 }
 
 // Key returns the key of a team.
@@ -93,12 +100,12 @@
 // The routers serve once their configuration has come; see Await.
 func (f *Fleet) Start(ctx context.Context) error {
 	f.Platform = platform.New(platform.Config{Environment: Environment})
-	address, err := f.serve(f.Platform, platformPort)
+	address, err := f.serve(f.Platform, f.dataCentre(0), platformPort)
 	if err != nil {
 		return err
 	}
 	f.platform = address
-	f.operator = f.client(f.host())
+	f.operator = f.client(f.host(f.dataCentre(0)))
 	f.publisher = publish.New(publish.Config{Platform: f.operator, Environment: Environment})
 	f.Document = f.document()
 	if err := f.startEndpoints(); err != nil {
--- a/standin/fleet/hosts.go
+++ b/standin/fleet/hosts.go
@@ -39,15 +39,17 @@
 	Serve(listener net.Listener) error
 }
 
-// host returns the address of a new host.
-func (f *Fleet) host() netip.Addr {
+// host returns the address of a new host in a data centre.
+func (f *Fleet) host(dataCentre string) netip.Addr {
 	f.hosts++
-	return netip.AddrFrom4([4]byte{10, 0, byte(f.hosts >> 8), byte(f.hosts)})
+	address := netip.AddrFrom4([4]byte{10, 0, byte(f.hosts >> 8), byte(f.hosts)})
+	f.places.set(address, dataCentre)
+	return address
 }
 
-// serve runs a stand-in on a new host.
-func (f *Fleet) serve(standin server, port uint16) (netip.AddrPort, error) {
-	address := netip.AddrPortFrom(f.host(), port)
+// serve runs a stand-in on a new host of a data centre.
+func (f *Fleet) serve(standin server, dataCentre string, port uint16) (netip.AddrPort, error) {
+	address := netip.AddrPortFrom(f.host(dataCentre), port)
 	listener, err := f.Network.Listen(address)
 	if err != nil {
 		return netip.AddrPort{}, trace.Wrap(err)
@@ -134,7 +136,7 @@
 }
 
 func (f *Fleet) addEndpoint(standin server, name, pool string, i, warm, cold int) error {
-	address, err := f.serve(standin, endpointPort)
+	address, err := f.serve(standin, f.dataCentre(i), endpointPort)
 	if err != nil {
 		return err
 	}
--- a/standin/fleet/member.go
+++ b/standin/fleet/member.go
@@ -52,12 +52,12 @@
 
 // AddRouter starts a router on a new host and lists it.
 func (f *Fleet) AddRouter(host, dataCentre string) (*Member, error) {
-	m := &Member{Host: host, DataCentre: dataCentre, Address: f.host(), fleet: f, done: make(chan struct{})}
+	m := &Member{Host: host, DataCentre: dataCentre, Address: f.host(dataCentre), fleet: f, done: make(chan struct{})}
 	peers, err := f.Network.Listen(netip.AddrPortFrom(m.Address, peerPort))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	operators, err := f.Network.Listen(netip.AddrPortFrom(m.Address, operatorPort))
+	operators, err := f.Network.Listen(m.Operators())
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -91,7 +91,7 @@
 func (f *Fleet) settings(m *Member) (*settings.Settings, error) {
 	text := fmt.Sprintf(settingsText, m.Host, m.DataCentre, Environment,
 		netip.AddrPortFrom(m.Address, peerPort), netip.AddrPortFrom(m.Address, callersPort),
-		netip.AddrPortFrom(m.Address, operatorPort), f.platform, peerKey,
+		m.Operators(), f.platform, peerKey,
 		f.config.BalancerLag, cmp.Or(f.config.ListLag, defaultListLag))
 	return settings.Parse(m.Host, []byte(text+f.config.Settings))
 }
@@ -99,6 +99,9 @@
 // Router returns the router.
 func (m *Member) Router() *router.Router { return m.process.Router() }
 
+// Operators returns the address of the router's counters.
+func (m *Member) Operators() netip.AddrPort { return netip.AddrPortFrom(m.Address, operatorPort) }
+
 // Leave shuts the router down gracefully and waits for it. The list of hosts lags: it shows the host to the end.
 func (m *Member) Leave() error {
 	m.stopped.Store(true)
