Read settings with the reader of documents

Cause: router/settings read its file twice, into a map and for the lines of its keys, while core/toml reads TOML into structs and knows where everything stood.

Ruled out: moving the table of settings' keys to core/toml. Their texts, defaults and checks are about settings only, and core/toml need not grow.

Change: each key sets its field from a toml.Value; errors of core/toml become those of settings, with the file, the hidden secret and the likely key.

Conclusion: one reader serves both; router joins core and the file, as before.

--- a/router/settings/error.go
+++ b/router/settings/error.go
@@ -1,14 +1,19 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2/unstable"
+	"github.com/gravitational/trace"
 
 	"ryelug/core/result"
+	"ryelug/core/toml"
 )
 
+const allowedKeys = "the keys of docs/SETTINGS.md"
+
 // Error tells what is wrong with one key, where, and what is allowed.
 type Error struct {
 	File    string
@@ -46,33 +51,47 @@
 // Code returns the result code of bad settings.
 func (e *Error) Code() result.Code { return result.BadSettings }
 
-// lines returns the line of each top-level key and table.
-func lines(data []byte) map[string]int {
-	found := map[string]int{}
-	parser := &unstable.Parser{}
-	parser.Reset(data)
-	table := ""
-	for parser.NextExpression() {
-		node := parser.Expression()
-		key := node.Key()
-		if !key.Next() {
-			continue
-		}
-		name := string(key.Node().Data)
-		line := parser.Shape(key.Node().Raw).Start.Line
-		switch node.Kind {
-		case unstable.Table, unstable.ArrayTable:
-			table = name
-		default:
-			if table != "" {
-				continue
-			}
-		}
-		if found[name] == 0 {
-			found[name] = line
-		}
+// syntaxError tells where a file is no TOML.
+func syntaxError(file string, err error) error {
+	wrong := &Error{File: file, Err: err}
+	var all toml.Errors
+	if errors.As(err, &all) {
+		first := all[0]
+		wrong.Line = first.Line
+		wrong.Err = trace.BadParameter("%s; allowed: %s", first.Value, first.Allowed)
+	}
+	return wrong
+}
+
+// keyErrors tells all that is wrong with the keys of a file.
+func keyErrors(file string, err error) error {
+	var all toml.Errors
+	if !errors.As(err, &all) {
+		return &Error{File: file, Err: err}
+	}
+	wrong := make([]error, len(all))
+	for i, one := range all {
+		wrong[i] = keyError(file, one)
 	}
-	return found
+	return errors.Join(wrong...)
+}
+
+func keyError(file string, found *toml.Error) *Error {
+	wrong := &Error{File: file, Line: found.Line, Key: found.Key, Value: found.Value, Allowed: found.Allowed}
+	i := slices.IndexFunc(keys, func(key Key) bool { return key.Name == found.Key })
+	switch {
+	case i < 0:
+		wrong.Unknown = true
+		wrong.Allowed = allowedKeys + similar(found.Key)
+	case found.Value == "":
+		wrong.Line = 0 // The key is not in the file.
+		wrong.Missing = keys[i].Required
+	case found.Value == found.Key:
+		wrong.Value = "" // The key itself is wrong, such as one that is there twice.
+	case keys[i].Secret:
+		wrong.Value = "(hidden)"
+	}
+	return wrong
 }
 
 // similar proposes a key that looks like name.
@@ -84,11 +103,3 @@
 	}
 	return ""
 }
-
-// shown returns a value for an error text, with secrets left out.
-func shown(key Key, value any) string {
-	if key.Secret {
-		return "(hidden)"
-	}
-	return fmt.Sprintf("%#v", value)
-}
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -7,10 +7,13 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"ryelug/core/toml"
 )
 
 const (
@@ -30,19 +33,17 @@
 	Required bool
 	Secret   bool
 
-	initial any
-	set     func(s *Settings, value any) bool
+	initial string
+	preset  func(s *Settings) // preset sets the default value; nil if there is none.
+	set     func(s *Settings, v toml.Value) bool
 }
 
 // Default returns the text of the default value.
 func (k Key) Default() string {
-	switch {
-	case k.Required:
+	if k.Required {
 		return "required"
-	case k.initial == nil:
-		return ""
 	}
-	return fmt.Sprint(k.initial)
+	return k.initial
 }
 
 // Keys returns all keys, in the order of the page.
@@ -106,10 +107,8 @@
 	return Key{
 		Name: name, Text: text, Required: true,
 		Allowed: `text of 1 to 63 of a-z, 0-9, "." and "-", such as "khomas-1"`,
-		set: func(s *Settings, value any) bool {
-			given, ok := value.(string)
-			*field(s) = given
-			return ok && nameForm.MatchString(given)
+		set: func(s *Settings, v toml.Value) bool {
+			return v.Text(field(s)) && nameForm.MatchString(*field(s))
 		},
 	}
 }
@@ -122,8 +121,11 @@
 	}
 	return Key{
 		Name: name, Text: text, Required: true, Allowed: allowed,
-		set: func(s *Settings, value any) bool {
-			given, _ := value.(string)
+		set: func(s *Settings, v toml.Value) bool {
+			var given string
+			if !v.Text(&given) {
+				return false
+			}
 			address, err := netip.ParseAddrPort(given)
 			*field(s) = address
 			return err == nil && address.Port() != 0 && (!specific || !address.Addr().IsUnspecified())
@@ -135,23 +137,21 @@
 	return Key{
 		Name: name, Text: text, initial: short(initial),
 		Allowed: fmt.Sprintf(`a duration from "%s" to "%s"`, short(least), short(most)),
-		set: func(s *Settings, value any) bool {
-			given, _ := value.(string)
-			duration, err := time.ParseDuration(given)
-			*field(s) = duration
-			return err == nil && duration >= least && duration <= most
-		},
+		preset:  func(s *Settings) { *field(s) = initial },
+		set:     func(s *Settings, v toml.Value) bool { return v.Duration(field(s), least, most) },
 	}
 }
 
 func intKey(name, text string, initial, least, most int, field func(*Settings) *int) Key {
 	return Key{
-		Name: name, Text: text, initial: int64(initial),
+		Name: name, Text: text, initial: strconv.Itoa(initial),
 		Allowed: fmt.Sprintf("a whole number from %d to %d", least, most),
-		set: func(s *Settings, value any) bool {
-			given, ok := value.(int64)
+		preset:  func(s *Settings) { *field(s) = initial },
+		set: func(s *Settings, v toml.Value) bool {
+			var given int64
+			ok := v.Integer(&given, int64(least), int64(most))
 			*field(s) = int(given)
-			return ok && given >= int64(least) && given <= int64(most)
+			return ok
 		},
 	}
 }
@@ -161,10 +161,11 @@
 		Name: "peer_key", Secret: true,
 		Text:    "Secret that all routers of the environment share; links prove it before anything else. `peer_key` or `peer_key_file` is required.",
 		Allowed: fmt.Sprintf("text of %d to %d bytes", minPeerKey, maxPeerKey),
-		set: func(s *Settings, value any) bool {
-			given, _ := value.(string)
+		set: func(s *Settings, v toml.Value) bool {
+			var given string
+			ok := v.Text(&given)
 			s.PeerKey = []byte(given)
-			return goodPeerKey(s.PeerKey)
+			return ok && goodPeerKey(s.PeerKey)
 		},
 	}
 }
@@ -174,8 +175,11 @@
 		Name:    "peer_key_file",
 		Text:    "File that holds the secret, in place of `peer_key`; space at its ends does not count.",
 		Allowed: fmt.Sprintf("the path of a readable file of %d to %d bytes", minPeerKey, maxPeerKey),
-		set: func(s *Settings, value any) bool {
-			given, _ := value.(string)
+		set: func(s *Settings, v toml.Value) bool {
+			var given string
+			if !v.Text(&given) {
+				return false
+			}
 			data, err := os.ReadFile(given)
 			s.PeerKey = bytes.TrimSpace(data)
 			return err == nil && goodPeerKey(s.PeerKey)
@@ -191,11 +195,13 @@
 	return Key{
 		Name: "log_level", Text: "Least level of what is logged.", initial: "info",
 		Allowed: `"debug", "info", "warning" or "error"`,
-		set: func(s *Settings, value any) bool {
-			given, _ := value.(string)
+		preset:  func(s *Settings) { s.LogLevel = logrus.InfoLevel },
+		set: func(s *Settings, v toml.Value) bool {
+			var given string
+			ok := v.Text(&given)
 			level, err := logrus.ParseLevel(given)
 			s.LogLevel = level
-			return err == nil && slices.Contains([]string{"debug", "info", "warning", "error"}, given)
+			return ok && err == nil && slices.Contains([]string{"debug", "info", "warning", "error"}, given)
 		},
 	}
 }
@@ -203,9 +209,9 @@
 func formatKey() Key {
 	return Key{
 		Name: "log_format", Text: "Form of the log.", initial: "text", Allowed: `"text" or "json"`,
-		set: func(s *Settings, value any) bool {
-			s.LogFormat, _ = value.(string)
-			return s.LogFormat == "text" || s.LogFormat == "json"
+		preset: func(s *Settings) { s.LogFormat = "text" },
+		set: func(s *Settings, v toml.Value) bool {
+			return v.Text(&s.LogFormat) && (s.LogFormat == "text" || s.LogFormat == "json")
 		},
 	}
 }
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -1,18 +1,15 @@
 package settings
 
 import (
-	"errors"
 	"net/netip"
 	"os"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/pelletier/go-toml/v2"
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
+	"ryelug/core/toml"
 )
 
 // Settings is what a router process is told when it starts.
@@ -63,104 +60,60 @@
 
 // Parse checks the content of a settings file; all that is wrong is in the error.
 func Parse(file string, data []byte) (*Settings, error) {
-	values := map[string]any{}
-	if err := toml.Unmarshal(data, &values); err != nil {
+	r := &reader{Reader: toml.New(data), settings: &Settings{}, given: map[string]bool{}}
+	for _, key := range keys {
+		if key.preset != nil {
+			key.preset(r.settings)
+		}
+	}
+	top := toml.Bind(r.fields(), r.settings)
+	noTable := func(string) toml.Item { return nil }
+	if err := r.Read(toml.Schema{Top: top, Open: noTable, Tables: allowedKeys}); err != nil {
 		return nil, syntaxError(file, err)
 	}
-	reader := &reader{file: file, lines: lines(data), values: values}
-	settings := reader.read()
-	reader.checkUnknown()
-	reader.checkTogether(settings)
-	if len(reader.found) > 0 {
-		return nil, errors.Join(reader.sorted()...)
+	if r.Err() == nil {
+		r.checkTogether()
 	}
-	return settings, nil
-}
-
-func syntaxError(file string, err error) error {
-	wrong := &Error{File: file, Err: err}
-	var syntax *toml.DecodeError
-	if errors.As(err, &syntax) {
-		wrong.Line, _ = syntax.Position()
-		wrong.Err = trace.BadParameter("%s", strings.TrimPrefix(syntax.Error(), "toml: "))
+	if err := r.Err(); err != nil {
+		return nil, keyErrors(file, err)
 	}
-	return wrong
+	return r.settings, nil
 }
 
-// reader collects what is wrong with a file.
+// reader reads one file.
 type reader struct {
-	file   string
-	lines  map[string]int
-	values map[string]any
-	found  []*Error
+	*toml.Reader
+	settings *Settings
+	given    map[string]bool // given are the keys that are in the file.
 }
 
-func (r *reader) read() *Settings {
-	settings := &Settings{}
+// fields returns the keys as the reader of TOML wants them.
+func (r *reader) fields() []toml.Field[Settings] {
+	fields := make([]toml.Field[Settings], 0, len(keys))
 	for _, key := range keys {
-		value, given := r.values[key.Name]
-		switch {
-		case !given && key.Required:
-			r.add(&Error{Key: key.Name, Allowed: key.Allowed, Missing: true})
-			continue
-		case !given && key.initial == nil:
-			continue
-		case !given:
-			value = key.initial
-		}
-		if !key.set(settings, value) {
-			r.add(&Error{Key: key.Name, Value: shown(key, value), Allowed: key.Allowed})
-		}
-	}
-	return settings
-}
-
-func (r *reader) checkUnknown() {
-	for name := range r.values {
-		if !slices.ContainsFunc(keys, func(key Key) bool { return key.Name == name }) {
-			r.add(&Error{Key: name, Unknown: true, Allowed: "the keys of docs/SETTINGS.md" + similar(name)})
+		set := func(s *Settings, v toml.Value) bool {
+			r.given[key.Name] = true
+			return key.set(s, v)
 		}
+		fields = append(fields, toml.Field[Settings]{Name: key.Name, Required: key.Required, Allowed: key.Allowed, Set: set})
 	}
+	return fields
 }
 
 // checkTogether checks what depends on several keys.
-func (r *reader) checkTogether(s *Settings) {
-	if len(r.found) > 0 {
-		return
-	}
-	r.require(len(s.PeerKey) > 0, "peer_key", "", "one of peer_key and peer_key_file")
-	_, key := r.values["peer_key"]
-	_, keyFile := r.values["peer_key_file"]
-	r.require(!key || !keyFile, "peer_key_file", "", "only one of peer_key and peer_key_file")
-	r.require(s.LinkSilent >= 2*s.Heartbeat, "link_silent", s.LinkSilent.String(), "at least twice heartbeat")
-	r.require(s.StakeLease > s.LinkSilent, "stake_lease", s.StakeLease.String(), "more than link_silent")
-	r.require(s.GrantValid < s.StakeLease, "grant_valid", s.GrantValid.String(), "less than stake_lease")
-	r.require(s.CallersAddress != s.OperatorAddress, "operator_address", s.OperatorAddress.String(), "another address than callers_address")
-	r.require(s.CallersAddress != s.PeerAddress, "peer_address", s.PeerAddress.String(), "another address than callers_address")
+func (r *reader) checkTogether() {
+	s := r.settings
+	r.require(len(s.PeerKey) > 0, "peer_key", "one of peer_key and peer_key_file")
+	r.require(!r.given["peer_key"] || !r.given["peer_key_file"], "peer_key_file", "only one of peer_key and peer_key_file")
+	r.require(s.LinkSilent >= 2*s.Heartbeat, "link_silent", "at least twice heartbeat")
+	r.require(s.StakeLease > s.LinkSilent, "stake_lease", "more than link_silent")
+	r.require(s.GrantValid < s.StakeLease, "grant_valid", "less than stake_lease")
+	r.require(s.CallersAddress != s.OperatorAddress, "operator_address", "another address than callers_address")
+	r.require(s.CallersAddress != s.PeerAddress, "peer_address", "another address than callers_address")
 }
 
-func (r *reader) require(holds bool, key, value, allowed string) {
+func (r *reader) require(holds bool, key, allowed string) {
 	if !holds {
-		r.add(&Error{Key: key, Value: value, Allowed: allowed})
-	}
-}
-
-func (r *reader) add(wrong *Error) {
-	wrong.File = r.file
-	wrong.Line = r.lines[wrong.Key]
-	r.found = append(r.found, wrong)
-}
-
-func (r *reader) sorted() []error {
-	slices.SortFunc(r.found, func(a, b *Error) int {
-		if a.Line != b.Line {
-			return a.Line - b.Line
-		}
-		return strings.Compare(a.Key, b.Key)
-	})
-	all := make([]error, 0, len(r.found))
-	for _, wrong := range r.found {
-		all = append(all, wrong)
+		r.FailAt("", 0, key, allowed)
 	}
-	return all
 }
--- a/standin/local/run_test.go
+++ b/standin/local/run_test.go
@@ -44,7 +44,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		ended <- local.Run(ctx, local.Config{Callers: anyPort, Operator: anyPort, Log: log, Out: out})
-		out.Close()
+		_ = out.Close()
 	}()
 	f := &started{stop: cancel, ended: ended}
 	t.Cleanup(cancel)
