Split io/peer between one connection and the mesh

Change: io/stamped has one connection: its ring, writer, reader, stamps and counters. io/peer keeps who is at the other end: dialing, accepting, greeting and events. Nothing goes over the wire otherwise. The tests of stamps move along. Conclusion: the seam is that io/stamped knows no router.

--- a/io/peer/config.go
+++ b/io/peer/config.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
-	"ryelug/io/wire"
+	"ryelug/io/stamped"
 )
 
 // Defaults of Config.
@@ -79,12 +79,10 @@
 // Down tells that a link has closed; nothing of it follows.
 type Down struct{ Link *Link }
 
-// Received tells of a frame; Message is nil for a heartbeat.
+// Received tells of a frame.
 type Received struct {
-	Link    *Link
-	Message wire.Message
-	stamp   uint64    // stamp is the sender's.
-	Echoed  time.Time // Echoed is when this router sent the newest stamp that the sender had seen; zero when none.
+	Link *Link
+	*stamped.Received
 }
 
 func (*Up) event()       {}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -15,6 +14,7 @@
 	"ryelug/core/cell"
 	"ryelug/io/greeting"
 	"ryelug/io/pause"
+	"ryelug/io/stamped"
 )
 
 const (
@@ -133,7 +133,7 @@
 	theirs, err := how(&greeting.Greeting{
 		Conn: link.conn, Self: m.conf.Self, DataCentre: m.conf.DataCentre, Age: time.Since(m.born), Key: m.conf.Key,
 	})
-	if errorIsClosed(err) && ctx.Err() != nil {
+	if stamped.IsClosed(err) && ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
 	if err == nil && theirs.Router.Host() == m.conf.Self.Host() {
@@ -154,7 +154,9 @@
 		link.Close()
 		return err
 	}
-	err := link.serve(ctx)
+	err := link.frames.Serve(ctx, func(frame *stamped.Received) error {
+		return m.emit(ctx, link, &Received{Link: link, Received: frame})
+	})
 	m.log().WithFields(logrus.Fields{"peer": link.router, "dialed": link.dialed}).WithError(err).Info("A link is down.")
 	select {
 	case m.events <- &Down{Link: link}:
@@ -194,7 +196,7 @@
 	select {
 	case m.events <- ev:
 		return nil
-	case <-link.closed:
+	case <-link.frames.Closed():
 		return net.ErrClosed
 	case <-ctx.Done():
 		return ctx.Err()
@@ -202,7 +204,3 @@
 }
 
 func (m *Mesh) log() logrus.FieldLogger { return m.conf.Log }
-
-func errorIsClosed(err error) bool {
-	return errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrClosedPipe)
-}
--- a/io/peer/size_test.go
+++ b/io/peer/size_test.go
@@ -10,10 +10,11 @@
 
 	"ryelug/core/cell"
 	"ryelug/io/peer"
+	"ryelug/io/stamped"
 	"ryelug/io/wire"
 )
 
-func sum(amounts map[string]peer.Amount) (bytes uint64) {
+func sum(amounts map[string]stamped.Amount) (bytes uint64) {
 	for _, a := range amounts {
 		bytes += a.Bytes
 	}
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -9,26 +9,20 @@
 
 	"ryelug/io/frame"
 	"ryelug/io/greeting"
-	"ryelug/io/wire"
+	"ryelug/io/stamped"
 )
 
 // Stats counts what a Mesh has done since its start.
 type Stats struct {
-	Links        int               // Links is the number of open links, of both directions.
-	Out          map[string]Amount // Out is by kind of frame; only kinds that occurred are present.
-	In           map[string]Amount // In is by kind of frame; only kinds that occurred are present.
-	Refused      map[string]uint64 // Refused counts connections that did not pass the greeting, by reason.
+	Links        int                       // Links is the number of open links, of both directions.
+	Out          map[string]stamped.Amount // Out is by kind of frame; only kinds that occurred are present.
+	In           map[string]stamped.Amount // In is by kind of frame; only kinds that occurred are present.
+	Refused      map[string]uint64         // Refused counts connections that did not pass the greeting, by reason.
 	DialFailures uint64
 	Overflows    uint64 // Overflows counts links closed because their ring was full.
 	Unsendable   uint64 // Unsendable counts messages over MaxFrame.
 }
 
-// Amount is a number of frames and their bytes.
-type Amount struct {
-	Messages uint64
-	Bytes    uint64
-}
-
 // Stats returns the counters of this moment.
 func (m *Mesh) Stats() Stats {
 	m.mu.Lock()
@@ -36,12 +30,12 @@
 	m.mu.Unlock()
 	return Stats{
 		Links:        links,
-		Out:          m.stats.out.amounts(),
-		In:           m.stats.in.amounts(),
+		Out:          m.stats.links.Out(),
+		In:           m.stats.links.In(),
 		Refused:      m.stats.refusals(),
 		DialFailures: m.stats.dialFailures.Load(),
-		Overflows:    m.stats.overflows.Load(),
-		Unsendable:   m.stats.unsendable.Load(),
+		Overflows:    m.stats.links.Overflows(),
+		Unsendable:   m.stats.links.Unsendable(),
 	}
 }
 
@@ -63,12 +57,9 @@
 var refusalNames = [refusalCount]string{"too_many", "not_a_peer", "version", "key", "host", "timeout", "broken"}
 
 type meshStats struct {
-	out          tally
-	in           tally
+	links        stamped.Stats
 	refused      [refusalCount]atomic.Uint64
 	dialFailures atomic.Uint64
-	overflows    atomic.Uint64
-	unsendable   atomic.Uint64
 }
 
 func (s *meshStats) refuse(reason refusal) { s.refused[reason].Add(1) }
@@ -83,31 +74,6 @@
 	return counts
 }
 
-type tally struct {
-	messages [wire.KindCount]atomic.Uint64
-	bytes    [wire.KindCount]atomic.Uint64
-}
-
-func (t *tally) add(kind wire.Kind, bytes int) {
-	kind = kind.Base()
-	if kind >= wire.KindCount {
-		return
-	}
-	t.messages[kind].Add(1)
-	t.bytes[kind].Add(uint64(bytes))
-}
-
-func (t *tally) amounts() map[string]Amount {
-	amounts := make(map[string]Amount)
-	for kind := range wire.KindCount {
-		n := t.messages[kind].Load()
-		if n > 0 {
-			amounts[kind.String()] = Amount{Messages: n, Bytes: t.bytes[kind].Load()}
-		}
-	}
-	return amounts
-}
-
 // refuse counts and logs a connection that did not pass the greeting.
 func (m *Mesh) refuse(remote net.Addr, err error) {
 	reason := refusalOf(err)
--- a/io/peer/pump.go
+++ b/io/stamped/pump.go
@@ -1,10 +1,12 @@
-package peer
+package stamped
 
 import (
 	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"time"
 
 	"ryelug/io/wire"
@@ -15,9 +17,6 @@
 	headerBytes = 2 + 2*binary.MaxVarintLen64 // bytes of a body before its message at most
 )
 
-// ErrStamp is a frame whose stamps are impossible.
-var ErrStamp = errors.New("frame has an impossible stamp")
-
 // writer sends the ring's messages in batches, and heartbeats when there are none.
 // A frame's body is the growth of the sender's stamp, the growth of the echo, and
 // the kind and the message, which a heartbeat lacks.
@@ -30,7 +29,7 @@
 }
 
 func (w *writer) run(ctx context.Context) error {
-	beat := time.NewTimer(w.link.mesh.conf.Heartbeat)
+	beat := time.NewTimer(w.link.config.Heartbeat)
 	defer beat.Stop()
 	for {
 		var idle func()
@@ -46,7 +45,7 @@
 		if err := w.write(w.link.ring.takeAll(idle)); err != nil {
 			return err
 		}
-		beat.Reset(w.link.mesh.conf.Heartbeat)
+		beat.Reset(w.link.config.Heartbeat)
 	}
 }
 
@@ -79,14 +78,14 @@
 	w.batch = binary.AppendUvarint(w.batch, uint64(len(w.body)+len(message)))
 	w.batch = append(w.batch, w.body...)
 	w.batch = append(w.batch, message...)
-	w.link.mesh.stats.out.add(kind, len(w.batch)-before)
+	w.link.config.Stats.out.add(kind, len(w.batch)-before)
 }
 
 func (w *writer) flush() error {
 	if len(w.batch) == 0 {
 		return nil
 	}
-	err := w.link.conn.Write(w.batch)
+	err := w.link.config.Conn.Write(w.batch)
 	w.batch = w.batch[:0]
 	if cap(w.batch) > 2*batchBytes {
 		w.batch = nil
@@ -97,14 +96,15 @@
 // reader turns frames into events.
 type reader struct {
 	link    *Link
+	emit    func(*Received) error
 	decoder *wire.Decoder
 	stamp   uint64 // stamp is the newest one of the other end.
 	echo    uint64 // echo is the newest one of ours that came back.
 }
 
-func (r *reader) run(ctx context.Context) error {
+func (r *reader) run() error {
 	for {
-		body, err := r.link.conn.Next()
+		body, err := r.link.config.Conn.Next()
 		if err != nil {
 			return err
 		}
@@ -112,7 +112,7 @@
 		if err != nil {
 			return err
 		}
-		if err := r.link.mesh.emit(ctx, r.link, ev); err != nil {
+		if err := r.emit(ev); err != nil {
 			return err
 		}
 	}
@@ -127,8 +127,8 @@
 	if len(rest) > 0 {
 		kind, rest = wire.Kind(rest[0]), rest[1:]
 	}
-	r.link.mesh.stats.in.add(kind, frameBytes(len(body)))
-	ev := &Received{Link: r.link, Echoed: r.link.clock.at(r.echo), stamp: r.stamp}
+	r.link.config.Stats.in.add(kind, frameBytes(len(body)))
+	ev := &Received{link: r.link, Echoed: r.link.clock.at(r.echo), stamp: r.stamp}
 	if len(rest) == 0 && kind == wire.KindHeartbeat {
 		return ev, nil
 	}
@@ -154,48 +154,20 @@
 	return rest, nil
 }
 
-// The growths of the stamp and the echo share a byte; one that does not fit follows as a varint.
-const (
-	growthBits    = 4
-	growthFollows = 1<<growthBits - 1
-)
-
-func appendGrowths(dst []byte, stamp, echo uint64) []byte {
-	dst = append(dst, byte(min(stamp, growthFollows)<<growthBits|min(echo, growthFollows)))
-	for _, grown := range []uint64{stamp, echo} {
-		if grown >= growthFollows {
-			dst = binary.AppendUvarint(dst, grown)
-		}
-	}
-	return dst
-}
-
-// growth returns a growth, which follows in src if it did not fit.
-func growth(short uint64, src []byte) (grown uint64, rest []byte, ok bool) {
-	if short < growthFollows {
-		return short, src, true
-	}
-	grown, n := binary.Uvarint(src)
-	if n <= 0 {
-		return 0, nil, false
-	}
-	return grown, src[n:], true
-}
-
 // frameBytes returns the bytes on the wire of a frame with a body of n bytes.
 func frameBytes(n int) int {
 	var buf [binary.MaxVarintLen64]byte
 	return n + binary.PutUvarint(buf[:], uint64(n))
 }
 
-// serve runs an open link until it closes and tells the consumer of it.
-func (l *Link) serve(ctx context.Context) error {
+// Serve writes and reads until the link closes and returns why. It hands over each frame
+// with emit, which may wait; meanwhile the link is not read.
+func (l *Link) Serve(ctx context.Context, emit func(*Received) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer l.Close()
-	conf := &l.mesh.conf
-	l.conn.SetLimit(conf.MaxFrame + headerBytes)
-	l.conn.SetTimeouts(conf.Silent, conf.Silent)
+	l.config.Conn.SetLimit(l.config.MaxFrame + headerBytes)
+	l.config.Conn.SetTimeouts(l.config.Silent, l.config.Silent)
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
 	written := make(chan error, 1)
@@ -204,10 +176,15 @@
 		l.Close()
 		written <- err
 	}()
-	err := (&reader{link: l, decoder: wire.NewDecoder()}).run(ctx)
+	err := (&reader{link: l, emit: emit, decoder: wire.NewDecoder()}).run()
 	l.Close()
-	if other := <-written; other != nil && errorIsClosed(err) {
+	if other := <-written; other != nil && IsClosed(err) {
 		err = other
 	}
 	return err
 }
+
+// IsClosed tells whether an error comes of a connection that this end has closed.
+func IsClosed(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrClosedPipe)
+}
--- a/io/peer/pump_test.go
+++ b/io/stamped/pump_test.go
@@ -1,4 +1,4 @@
-package peer
+package stamped
 
 import (
 	"errors"
@@ -14,7 +14,7 @@
 
 // newReader returns the reader of a link that was greeted an hour ago.
 func newReader() *reader {
-	link := &Link{mesh: &Mesh{}, clock: clock{start: time.Now().Add(-time.Hour)}}
+	link := &Link{config: Config{Stats: &Stats{}}, clock: clock{start: time.Now().Add(-time.Hour)}}
 	return &reader{link: link, decoder: wire.NewDecoder()}
 }
 
--- a/io/peer/ring.go
+++ b/io/stamped/ring.go
@@ -1,4 +1,4 @@
-package peer
+package stamped
 
 import (
 	"sync"
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -9,7 +9,7 @@
 	"ryelug/core/entry"
 	"ryelug/core/result"
 	"ryelug/io/operator"
-	"ryelug/io/peer"
+	"ryelug/io/stamped"
 	"ryelug/router/coordination"
 )
 
@@ -110,7 +110,7 @@
 	}
 }
 
-func newAmounts(by map[string]peer.Amount) map[string]amountVar {
+func newAmounts(by map[string]stamped.Amount) map[string]amountVar {
 	amounts := make(map[string]amountVar, len(by))
 	for kind, amount := range by {
 		amounts[kind] = amountVar(amount)
