--- a/core/flight/rest.go
+++ b/core/flight/rest.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// WantReports makes the reports due of endpoints that are not warm, where they let further stakes count.
+func (t *Table) WantReports(now time.Time) {
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if at.open && !at.warm && t.isMaturing(now, at) {
+			t.want(now, at)
+		}
+	}
+}
+
 // want makes a report of an endpoint due now.
 func (t *Table) want(now time.Time, at *endpoint) {
 	if at.due.IsZero() {
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -126,6 +126,7 @@
 	m := &Join{}
 	m.Cell, m.Session = d.head()
 	m.Stake = d.bool()
+	m.Unlent = d.duration()
 	m.Flights = decodeSlice(d, (*Decoder).flight)
 	m.Counters = d.counters()
 	return m
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -42,6 +42,7 @@
 	case *Join:
 		e.head(m.Cell, m.Session)
 		e.keep(e.enc.EncodeBool(m.Stake))
+		e.int(m.Unlent.Milliseconds()) // A part of a millisecond is left out: more would be a false claim.
 		encodeSlice(e, m.Flights, (*Encoder).flight)
 		e.counters(m.Counters)
 	case *Accepted:
