Decide how a pool is worked by several cells

Cause: at the target size one dispatcher a pool carries too much: a pool of 300 engines must be cut into slices of about 18. The rule of the cut, the choice of a slice and the meeting of the counters were missing. Ruled out: each cell told of every team's service by every other (31.5 KB a second of a dispatcher at 16 cells, 288 slots and 847 requests/s, against 5.7 with two homes a team); the newest requests passed on first (a flood would get the other cell's capacity); fixed cells with nothing told. Nothing in the fleet uses it yet.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -44,6 +44,28 @@
 	Team     TeamID     `msgpack:"t"`
 	Estimate Cost       `msgpack:"c"`           // Estimate is the caller's hint; zero when there is none.
 	Avoid    EndpointID `msgpack:"v,omitempty"` // Avoid is an endpoint that has just failed this request.
+	Moves    uint8      `msgpack:"m,omitempty"` // Moves is how often a cell of the pool has passed this request on to another.
+}
+
+// Service is what a cell has served a team, over the life of its dispatcher.
+type Service struct {
+	Team TeamID
+	Cost Cost
+}
+
+// Level is what the dispatcher of a cell tells entries with its grants.
+type Level struct {
+	Virtual float64 // Virtual is the least counter of the backlogged teams.
+	HasRoom bool    // HasRoom is true if no request waits and a slot is free.
+}
+
+// Standing is what the dispatcher of a cell tells the other cells of its pool.
+type Standing struct {
+	Virtual float64 // Virtual is the least counter of the backlogged teams.
+	Waiting int
+	Free    int // Free is the number of grants that could go out at once.
+	Slots   int // Slots is the sum of the warm limits of the open endpoints.
+	Granted int // Granted counts the grants since the last telling.
 }
 
 // Grant permits one attempt at one endpoint.
--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -13,13 +13,15 @@
 	actions  []Action
 	grants   []*GrantTo
 	refusals []*RefuseTo
+	moves    []*MoveTo
 	granted  int
 	refused  int
+	moved    int
 }
 
 func (o *outbox) reset() {
 	o.actions = o.actions[:0]
-	o.granted, o.refused = 0, 0
+	o.granted, o.refused, o.moved = 0, 0, 0
 }
 
 func (o *outbox) grant(to *session.Entry, grant cell.Grant) {
@@ -41,3 +43,13 @@
 	*action = RefuseTo{Router: to.Router, Session: to.Session, Attempt: attempt, Code: code, RetryAfter: after}
 	o.actions = append(o.actions, action)
 }
+
+func (o *outbox) move(to *session.Entry, attempt cell.AttemptID, id cell.ID) {
+	if o.moved == len(o.moves) {
+		o.moves = append(o.moves, &MoveTo{})
+	}
+	action := o.moves[o.moved]
+	o.moved++
+	*action = MoveTo{Router: to.Router, Session: to.Session, Attempt: attempt, Cell: id}
+	o.actions = append(o.actions, action)
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -55,6 +55,7 @@
 	waiting queue.Queue
 	flights *flight.Table
 	out     outbox
+	granted int // granted counts the grants since the last telling.
 }
 
 // New returns a Dispatcher that knows no policy, voter or entry yet.
@@ -116,6 +117,10 @@
 		}
 	case *Tick:
 		d.tick(now)
+	case *Siblings:
+		d.hearSiblings(ev)
+	case *Move:
+		d.move(ev)
 	}
 }
 
--- a/core/dispatch/grant.go
+++ b/core/dispatch/grant.go
@@ -43,6 +43,7 @@
 	d.waiting.Granted(now, request.Team)
 	of := &d.teams[request.Team]
 	of.active = now
+	d.granted++
 	endpoint := d.flights.Pick(request.Avoid)
 	id, start := d.flights.Name(endpoint)
 	d.addFlight(flight.Flight{
@@ -63,6 +64,7 @@
 func (d *Dispatcher) dropFlight(place int32) {
 	flying := *d.flights.At(place)
 	d.ledger.Settle(int(flying.Team), flying.Charged, flying.Charged)
+	d.teams[flying.Team].served += flying.Charged
 	d.flights.Remove(place)
 	d.forget(&flying)
 }
@@ -128,6 +130,7 @@
 	} else {
 		cost = max(cost, flying.Charged/heldPart)
 	}
+	of.served += cost
 	d.ledger.Settle(int(flying.Team), flying.Charged, cost)
 }
 
--- a/core/dispatch/team.go
+++ b/core/dispatch/team.go
@@ -24,6 +24,8 @@
 	inFlight int
 	active   time.Time
 	merged   time.Time // merged is when an entry brought the team's counter.
+	served   cell.Cost // served is what this cell has served the team.
+	told     cell.Cost // told is the part of served that the other cells of the pool were told.
 }
 
 // teamOf returns the index of a team and makes one for a new name.
@@ -71,6 +73,7 @@
 		}
 		d.enqueue(queue.Request{
 			Entry: index, Attempt: demand.Attempt, Team: of, Avoid: avoid, Hint: demand.Estimate, Since: now,
+			Moves: demand.Moves,
 		})
 	}
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -15,6 +15,7 @@
 	Avoid   int32     // Avoid is an endpoint that has just failed the request; negative for none.
 	Hint    cell.Cost // Hint is the caller's estimate; zero when there is none.
 	Since   time.Time
+	Moves   uint8 // Moves is how often another cell of the pool has passed the request on.
 }
 
 // Queue is all requests that wait. The zero value has no teams.
--- /dev/null
+++ b/core/slice/exchange_test.go
@@ -0,0 +1,142 @@
+package slice_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"ryelug/core/cell"
+	"ryelug/core/slice"
+)
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newExchange() *slice.Exchange {
+	return slice.NewExchange(slice.ExchangeConfig{Self: "pool/1", Cells: []cell.ID{"pool/1", "pool/2", "pool/3"}})
+}
+
+// Totals that come twice, out of order or not at all add up to what was served.
+func TestTellsAddUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		x := newExchange()
+		var total, heard cell.Cost
+		for range rapid.IntRange(1, 20).Draw(rt, "tells") {
+			before := total
+			total += cell.Cost(rapid.IntRange(0, 9).Draw(rt, "cost"))
+			for range rapid.IntRange(0, 2).Draw(rt, "copies") {
+				heard += hear(x, 1, total)
+				heard += hear(x, 1, before)
+			}
+		}
+		heard += hear(x, 1, total)
+		if heard != total {
+			rt.Fatalf("heard %d of %d", heard, total)
+		}
+	})
+}
+
+func hear(x *slice.Exchange, life uint64, total cell.Cost) cell.Cost {
+	var sum cell.Cost
+	for _, service := range x.Hear(began, &slice.Tell{From: "pool/2", Life: life, Services: []cell.Service{{Team: "t", Cost: total}}}) {
+		sum += service.Cost
+	}
+	return sum
+}
+
+// A new dispatcher counts from zero, and its predecessor is heard no more.
+func TestNewLifeCountsFromZero(t *testing.T) {
+	is := is.New(t)
+	x := newExchange()
+	is.Equal(hear(x, 1, 100), cell.Cost(100))
+	is.Equal(hear(x, 2, 30), cell.Cost(30))
+	is.Equal(hear(x, 1, 200), cell.Cost(0))
+	is.Equal(hear(x, 2, 40), cell.Cost(10))
+}
+
+// All cells together pass on no more than the sibling can grant, or has room for.
+func TestPassIsBounded(t *testing.T) {
+	cells := []cell.ID{"pool/1", "pool/2", "pool/3", "pool/4"}
+	rapid.Check(t, func(rt *rapid.T) {
+		standings := map[cell.ID]cell.Standing{}
+		for _, id := range cells {
+			standings[id] = cell.Standing{
+				Virtual: float64(rapid.IntRange(0, 100).Draw(rt, "virtual")), Waiting: rapid.IntRange(0, 50).Draw(rt, "waiting"),
+				Free: rapid.IntRange(0, 8).Draw(rt, "free"), Slots: 8, Granted: rapid.IntRange(0, 20).Draw(rt, "granted"),
+			}
+		}
+		to, total := cells[0], 0
+		for _, self := range cells[1:] {
+			x := slice.NewExchange(slice.ExchangeConfig{Self: self, Cells: cells})
+			for _, id := range cells {
+				x.Hear(began, &slice.Tell{From: id, Life: 1, Standing: standings[id]})
+			}
+			if passing, ok := x.Pass(began, to, standings[self]); ok {
+				total += passing.Count
+			}
+		}
+		// One cell may follow its virtual time and another the lack of requests.
+		if most := 2*standings[to].Granted + standings[to].Free; total > most {
+			rt.Fatalf("%d requests go to a cell with %+v", total, standings[to])
+		}
+	})
+}
+
+func TestPick(t *testing.T) {
+	cells := []cell.ID{"pool/1", "pool/2", "pool/3"}
+	homes := slice.HomesOf("team", cells)
+	pick := func(prepare func(c *slice.Chooser)) map[cell.ID]bool {
+		c := slice.NewChooser(slice.ChooserConfig{Random: rand.New(rand.NewPCG(1, 1))})
+		c.SetCells(cells)
+		prepare(c)
+		picked := map[cell.ID]bool{}
+		for range 50 {
+			id, _ := c.Pick(began, "team")
+			picked[id] = true
+		}
+		return picked
+	}
+	first := map[cell.ID]bool{homes.First: true}
+	both := map[cell.ID]bool{homes.First: true, homes.Second: true}
+	for _, test := range []struct {
+		name    string
+		prepare func(c *slice.Chooser)
+		want    map[cell.ID]bool
+	}{
+		{"nothing told", func(*slice.Chooser) {}, both},
+		{"further on", func(c *slice.Chooser) {
+			c.Told(began, homes.First, cell.Level{Virtual: 2})
+			c.Told(began, homes.Second, cell.Level{Virtual: 1})
+		}, first},
+		{"room", func(c *slice.Chooser) {
+			c.Told(began, homes.First, cell.Level{HasRoom: true})
+			c.Told(began, homes.Second, cell.Level{Virtual: 1})
+		}, first},
+		{"old word", func(c *slice.Chooser) {
+			c.Told(began.Add(-time.Minute), homes.First, cell.Level{Virtual: 2})
+			c.Told(began, homes.Second, cell.Level{Virtual: 1})
+		}, both},
+		{"one can't be asked", func(c *slice.Chooser) { c.SetReachable(homes.Second, false) }, first},
+	} {
+		t.Run(test.name, func(t *testing.T) { is.New(t).Equal(pick(test.prepare), test.want) })
+	}
+	t.Run("passed on", func(t *testing.T) {
+		is := is.New(t)
+		c := slice.NewChooser(slice.ChooserConfig{Random: rand.New(rand.NewPCG(1, 1))})
+		c.SetCells(cells)
+		named, _ := c.Follow(began, "team", homes.First)
+		is.Equal(named, homes.First)
+		c.SetReachable(homes.First, false)
+		named, _ = c.Follow(began, "team", homes.First)
+		is.Equal(named, homes.Second) // A cell without a dispatcher is not followed.
+	})
+	t.Run("no home can be asked", func(t *testing.T) {
+		picked := pick(func(c *slice.Chooser) {
+			c.SetReachable(homes.First, false)
+			c.SetReachable(homes.Second, false)
+		})
+		is.New(t).True(len(picked) == 1 && !picked[homes.First] && !picked[homes.Second])
+	})
+}
