Let a team that other cells serve keep what it is behind

A team that came back to one of its homes was lifted to the virtual time there, though it had waited at its other home all the time and what that had served it was not told yet. The word of it came after the lift and was charged on top, so each return cost the team service for good. Ruled out: taking late words off the lift (a team that was idle for long would get as much for nothing). Change: a team of which a sibling told in the last 30 s is lifted no further than one spread below the virtual time, so it keeps at most a spread. Seen failing: TestSiblings/late_word_of_service_costs_a_team_once without the rule.

--- a/core/dispatch/sibling.go
+++ b/core/dispatch/sibling.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"ryelug/core/cell"
 	"ryelug/core/slot"
@@ -11,6 +12,9 @@
 // maxMoves bounds how often a request is passed on; after that it waits where it is.
 const maxMoves = 3
 
+// siblingSpan is how long a team counts as active after another cell told of it.
+const siblingSpan = 30 * time.Second
+
 // Siblings tells what other cells of the pool have served since they told it last.
 type Siblings struct {
 	Virtual  float64 // Virtual is the least virtual time of the backlogged siblings; zero when unknown.
@@ -42,6 +46,7 @@
 	d.ledger.Advance(ev.Virtual)
 	for _, service := range ev.Services {
 		of := int(d.teamOf(service.Team))
+		d.teams[of].heard = d.now
 		d.ledger.Charge(of, service.Cost)
 		d.ledger.Settle(of, service.Cost, service.Cost)
 	}
--- a/core/dispatch/sibling_test.go
+++ b/core/dispatch/sibling_test.go
@@ -28,6 +28,16 @@
 		b.Equal(b.grants[1].Grant.Attempt, cell.AttemptID(4))
 		b.Equal(b.grants[2].Grant.Attempt, cell.AttemptID(5))
 	})
+	t.Run("late word of service costs a team once", func(t *testing.T) {
+		b := warmBench(t, 1)
+		b.want(0, "a", 3)
+		b.end(b.grants[0], cell.Completed, 50)
+		b.step(&dispatch.Siblings{Services: []cell.Service{{Team: "b", Cost: 1}}})
+		b.want(0, "b", 1)
+		b.step(&dispatch.Siblings{Services: []cell.Service{{Team: "b", Cost: 30}}}) // Served elsewhere before b came here.
+		b.end(b.grants[1], cell.Completed, 10)
+		b.Equal(b.grants[2].Grant.Attempt, cell.AttemptID(4)) // b has had 31, a 60.
+	})
 	t.Run("what is told is a total", func(t *testing.T) {
 		b := warmBench(t, 1)
 		b.want(0, "a", 3)
--- a/core/dispatch/team.go
+++ b/core/dispatch/team.go
@@ -25,6 +25,7 @@
 	active   time.Time
 	merged   time.Time // merged is when an entry brought the team's counter.
 	served   cell.Cost // served is what this cell has served the team.
+	heard    time.Time // heard is when another cell of the pool told of service to the team.
 	told     cell.Cost // told is the part of served that the other cells of the pool were told.
 }
 
@@ -93,9 +94,14 @@
 }
 
 // floorOf returns what a returning team's counter is lifted to: the virtual time,
-// but for a team that was active at the former dispatcher the virtual time there.
+// but for a team that was active at the former dispatcher the virtual time there. A
+// team that other cells serve has not been idle, and what they served it last may
+// not be told yet; it keeps what it is behind.
 func (d *Dispatcher) floorOf(returning *team, now time.Time) float64 {
 	virtual := d.ledger.Virtual()
+	if !returning.heard.IsZero() && now.Sub(returning.heard) <= siblingSpan {
+		return virtual - d.spread()
+	}
 	if returning.merged.IsZero() || now.Sub(returning.merged) > mergeSpan {
 		return virtual
 	}
--- a/core/slice/bound.go
+++ b/core/slice/bound.go
@@ -33,9 +33,10 @@
 	return (kept + late) / float64(min(b.ShareA, b.ShareB))
 }
 
-// spreadOfCells bounds the difference in virtual time of two cells.
+// spreadOfCells bounds the difference in virtual time of two cells: one may run
+// ahead until the other's requests arrive, and a returning team may be behind by a spread.
 func spreadOfCells(b Bound) float64 {
-	return b.Margin + fair.Spread(b.LargestCost+b.Untold, b.CellSlots, b.LeastShare)
+	return b.Margin + fair.Spread(2*b.LargestCost+b.Untold, b.CellSlots, b.LeastShare)
 }
 
 // WaitBound returns the most service that others can get, in cost units, before
