Compare the virtual times of two cells on a common scale

Cause: without a backlog a cell's virtual time goes on with its own grants, so the scales of two cells differ by chance. Ruled out: shifting a cell's scale by the counters of teams at home in both cells. Change: a cell compares virtual times from the last moment at which it or the sibling had no backlog. Cells tell entries their lead over the others. A returning team that siblings serve may be four largest costs behind, not a spread of the cell's slots, and the margin is one more.

--- a/bench/pool/measure.go
+++ b/bench/pool/measure.go
@@ -68,6 +68,9 @@
 
 func (r *recorder) measures() Measures {
 	r.elapse()
+	for _, granted := range r.granted {
+		r.longest = max(r.longest, r.p.now.Sub(granted))
+	}
 	m := Measures{
 		Gap: r.all.largest(), LateGap: r.late.largest(), Utilisation: r.used / r.offered, Spread: r.spread,
 		LongestWait: r.longest, Grants: r.grants, Moves: r.moves, Twice: r.twice, Void: r.void, Unused: r.unused,
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -55,7 +55,7 @@
 
 // Level is what the dispatcher of a cell tells entries with its grants.
 type Level struct {
-	Virtual float64 // Virtual is the least counter of the backlogged teams.
+	Lead    float64 // Lead is how far the cell is ahead of the other cells of the pool in virtual time.
 	HasRoom bool    // HasRoom is true if no request waits and a slot is free.
 }
 
--- a/core/dispatch/sibling.go
+++ b/core/dispatch/sibling.go
@@ -12,12 +12,16 @@
 // maxMoves bounds how often a request is passed on; after that it waits where it is.
 const maxMoves = 3
 
+// keptCosts is the number of largest costs, divided by the least share, that a
+// returning team may be behind.
+const keptCosts = 4
+
 // siblingSpan is how long a team counts as active after another cell told of it.
 const siblingSpan = 30 * time.Second
 
 // Siblings tells what other cells of the pool have served since they told it last.
 type Siblings struct {
-	Virtual  float64 // Virtual is the least virtual time of the backlogged siblings; zero when unknown.
+	Virtual  float64 // Virtual is the virtual time that a cell without a backlog advances to.
 	Services []cell.Service
 }
 
@@ -105,11 +109,11 @@
 	return standing
 }
 
-// Level returns what entries are told with a grant.
-func (d *Dispatcher) Level() cell.Level {
-	isIdle := d.waiting.Len() == 0 && d.flights.HasRoom()
-	return cell.Level{Virtual: d.ledger.Virtual(), HasRoom: isIdle}
-}
+// IsIdle tells whether no request waits and a slot is free.
+func (d *Dispatcher) IsIdle() bool { return d.waiting.Len() == 0 && d.flights.HasRoom() }
+
+// Virtual returns the least counter of the backlogged teams.
+func (d *Dispatcher) Virtual() float64 { return d.ledger.Virtual() }
 
 // Tell appends the services of the teams that were served so much more, at least,
 // than the other cells were told, and counts them as told.
--- a/core/dispatch/team.go
+++ b/core/dispatch/team.go
@@ -100,7 +100,7 @@
 func (d *Dispatcher) floorOf(returning *team, now time.Time) float64 {
 	virtual := d.ledger.Virtual()
 	if !returning.heard.IsZero() && now.Sub(returning.heard) <= siblingSpan {
-		return virtual - d.spread()
+		return virtual - fair.Spread(d.policy.LargestCost, keptCosts, d.leastShare)
 	}
 	if returning.merged.IsZero() || now.Sub(returning.merged) > mergeSpan {
 		return virtual
--- a/core/slice/bound.go
+++ b/core/slice/bound.go
@@ -34,9 +34,9 @@
 }
 
 // spreadOfCells bounds the difference in virtual time of two cells: one may run
-// ahead until the other's requests arrive, and a returning team may be behind by a spread.
+// ahead until the other's requests arrive, and a returning team may be behind by less than the margin.
 func spreadOfCells(b Bound) float64 {
-	return b.Margin + fair.Spread(2*b.LargestCost+b.Untold, b.CellSlots, b.LeastShare)
+	return 2*b.Margin + fair.Spread(b.LargestCost+b.Untold, b.CellSlots, b.LeastShare)
 }
 
 // WaitBound returns the most service that others can get, in cost units, before
--- a/core/slice/choice.go
+++ b/core/slice/choice.go
@@ -49,7 +49,7 @@
 func (c *Chooser) SetReachable(id cell.ID, reachable bool) { c.shut[id] = !reachable }
 
 // Pick returns the better one of a team's homes: one with room, then the one
-// further on in virtual time, where a team that has had less is served first. If
+// further ahead in virtual time, where a team that has had less is served first. If
 // their dispatchers can't be asked, it picks any other cell. It returns false
 // without a cell that can be asked.
 func (c *Chooser) Pick(now time.Time, team cell.TeamID) (cell.ID, bool) {
@@ -94,7 +94,7 @@
 	if x.HasRoom != y.HasRoom {
 		return x.HasRoom
 	}
-	return x.Virtual > y.Virtual
+	return x.Lead > y.Lead
 }
 
 func (c *Chooser) fresh(now time.Time, id cell.ID) (cell.Level, bool) {
--- a/core/slice/exchange.go
+++ b/core/slice/exchange.go
@@ -55,6 +55,7 @@
 	heard    time.Time
 	standing cell.Standing
 	served   map[cell.TeamID]cell.Cost
+	offset   float64 // offset is how far the sibling's scale is above this cell's.
 	owed     float64 // owed is the fraction of a request that the last Passing left over.
 }
 
@@ -112,15 +113,24 @@
 	}
 }
 
-// Hear takes in a sibling's word and returns what it has served since its last one.
-func (x *Exchange) Hear(now time.Time, tell *Tell) []cell.Service {
+// Hear takes in a sibling's word, at this cell's virtual time, and returns what it
+// has served since its last one.
+//
+// A cell without a backlog advances its virtual time by its own grants alone. So
+// the scales of two cells are compared anew while either has no backlog, and the
+// difference then counts as none.
+func (x *Exchange) Hear(now time.Time, tell *Tell, virtual float64) []cell.Service {
 	s := x.find(tell.From)
 	if s == nil || tell.Life < s.life {
 		return nil
 	}
-	if tell.Life != s.life || s.served == nil {
+	isNew := tell.Life != s.life || s.served == nil
+	if isNew {
 		s.life, s.served = tell.Life, make(map[cell.TeamID]cell.Cost)
 	}
+	if isNew || tell.Standing.Waiting == 0 {
+		s.offset = tell.Standing.Virtual - virtual
+	}
 	s.heard, s.standing = now, tell.Standing
 	var more []cell.Service
 	for _, total := range tell.Services {
@@ -145,20 +155,44 @@
 	return !s.heard.IsZero() && now.Sub(s.heard) < x.conf.Silence
 }
 
-// Virtual returns the least virtual time of the siblings with work that waits, zero if there is none.
-func (x *Exchange) Virtual(now time.Time) float64 {
+// Follow returns the virtual time that this cell advances to without a backlog: it
+// moves on as the slowest sibling with work that waits.
+func (x *Exchange) Follow(now time.Time, virtual float64) float64 {
 	least := math.Inf(1)
 	for i := range x.siblings {
 		if s := &x.siblings[i]; x.isLive(now, s) && s.standing.Waiting > 0 {
-			least = min(least, s.standing.Virtual)
+			least = min(least, s.virtual())
 		}
 	}
 	if math.IsInf(least, 1) {
-		return 0
+		return virtual
+	}
+	return max(virtual, least)
+}
+
+// Rescale compares the scales anew, since this cell has no backlog.
+func (x *Exchange) Rescale(virtual float64) {
+	for i := range x.siblings {
+		s := &x.siblings[i]
+		s.offset = s.standing.Virtual - virtual
+	}
+}
+
+// Lead returns how far this cell is ahead of the others on average.
+func (x *Exchange) Lead(now time.Time, virtual float64) float64 {
+	lead, live := 0.0, 0
+	for i := range x.siblings {
+		if s := &x.siblings[i]; x.isLive(now, s) {
+			lead += virtual - s.virtual()
+			live++
+		}
 	}
-	return least
+	return lead / float64(max(1, live))
 }
 
+// virtual is the sibling's virtual time on this cell's scale.
+func (s *sibling) virtual() float64 { return s.standing.Virtual - s.offset }
+
 // Pass returns what is to move to a sibling; it is due once after each word of it.
 //
 // A sibling that is further on in virtual time serves teams that have had more, so
@@ -170,7 +204,7 @@
 	if s == nil || !x.isLive(now, s) || s.standing.Slots == 0 || own.Waiting == 0 {
 		return Passing{}, false
 	}
-	passing := Passing{To: to, Below: s.standing.Virtual}
+	passing := Passing{To: to, Below: s.virtual()}
 	count := x.behind(now, s, own)
 	if lacking := x.lacking(now, s, own); lacking > count {
 		count, passing.Below = lacking, math.Inf(1)
@@ -183,20 +217,25 @@
 
 // behind returns this cell's part of a sibling's grants, by how far each cell is behind it.
 func (x *Exchange) behind(now time.Time, ahead *sibling, own cell.Standing) float64 {
-	lag := func(at cell.Standing) float64 {
-		if at.Waiting == 0 {
-			return 0
-		}
-		return max(0, ahead.standing.Virtual-at.Virtual-x.conf.Margin)
-	}
 	if ahead.standing.Waiting == 0 {
 		return 0
 	}
-	mine := lag(own)
+	mine := x.lag(ahead, own.Virtual)
 	if mine == 0 {
 		return 0
 	}
-	return float64(ahead.standing.Granted) * mine / (mine + x.sum(now, ahead, lag))
+	total := mine
+	for i := range x.siblings {
+		if s := &x.siblings[i]; s != ahead && x.isLive(now, s) && s.standing.Waiting > 0 {
+			total += x.lag(ahead, s.virtual())
+		}
+	}
+	return float64(ahead.standing.Granted) * mine / total
+}
+
+// lag returns how far a virtual time is behind a sibling's, less the margin.
+func (x *Exchange) lag(ahead *sibling, virtual float64) float64 {
+	return max(0, ahead.virtual()-virtual-x.conf.Margin)
 }
 
 // lacking returns this cell's part of the requests that a sibling lacks until its
