--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -89,6 +89,13 @@
 	return d.out.actions
 }
 
+// ReportDue returns the latest time, after one time and not after the other, from
+// which on reports let further stakes count at cold endpoints; zero if there is none.
+func (d *Dispatcher) ReportDue(after, by time.Time) time.Time { return d.flights.ReportDue(after, by) }
+
+// WantReports makes the reports due that let further stakes count at cold endpoints.
+func (d *Dispatcher) WantReports(now time.Time) { d.flights.WantReports(now) }
+
 func (d *Dispatcher) take(now time.Time, ev Event) {
 	switch ev := ev.(type) {
 	case *Policy:
@@ -153,6 +160,12 @@
 	}
 }
 
+// Need returns how soon the report of an endpoint is needed.
+func (d *Dispatcher) Need(endpoint cell.EndpointID) flight.Need { return d.flights.Need(endpoint) }
+
+// TakeWanted tells whether a report has become due out of turn since the last call.
+func (d *Dispatcher) TakeWanted() bool { return d.flights.TakeWanted() }
+
 // isClosed tells whether the policy leaves no endpoint open.
 func (d *Dispatcher) isClosed() bool { return d.known && d.flights.Slots() == 0 }
 
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 
+	"github.com/sirupsen/logrus"
+
 	"ryelug/io/frame"
 	"ryelug/io/greeting"
 	"ryelug/io/wire"
@@ -87,6 +89,7 @@
 }
 
 func (t *tally) add(kind wire.Kind, bytes int) {
+	kind = kind.Base()
 	if kind >= wire.KindCount {
 		return
 	}
@@ -109,7 +112,7 @@
 func (m *Mesh) refuse(remote net.Addr, err error) {
 	reason := refusalOf(err)
 	m.stats.refuse(reason)
-	m.log().Warnf("refused a connection with %v (%s): %v", remote, refusalNames[reason], err)
+	m.log().WithFields(logrus.Fields{"remote": remote, "reason": refusalNames[reason]}).WithError(err).Warn("A connection is refused.")
 }
 
 func refusalOf(err error) refusal {
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -6,6 +6,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
+	"ryelug/core/flight"
 	"ryelug/io/wire"
 	"ryelug/router/directory"
 )
@@ -34,6 +35,7 @@
 	voters    []cell.HostID
 	total     int
 	leaving   bool
+	wanted    bool // wanted is true when a report has become due out of turn.
 }
 
 // state is one cell that this router may dispatch.
@@ -99,6 +101,7 @@
 	Cell     cell.ID
 	Endpoint cell.EndpointID
 	Address  netip.AddrPort
+	Need     flight.Need
 }
 
 // Targets returns the endpoints of the cells that entries have joined.
@@ -109,12 +112,44 @@
 			continue
 		}
 		for _, endpoint := range r.directory.Endpoints(id) {
-			targets = append(targets, Target{Cell: id, Endpoint: endpoint, Address: r.directory.Address(endpoint)})
+			targets = append(targets, Target{
+				Cell: id, Endpoint: endpoint, Address: r.directory.Address(endpoint), Need: at.dispatcher.Need(endpoint),
+			})
 		}
 	}
 	return targets
 }
 
+// ReportDue returns the latest time, after one time and not after the other, from
+// which on reports let further stakes count at cold endpoints; zero if there is none.
+func (r *Role) ReportDue(after, by time.Time) time.Time {
+	var last time.Time
+	for _, at := range r.cells {
+		if due := at.dispatcher.ReportDue(after, by); due.After(last) {
+			last = due
+		}
+	}
+	return last
+}
+
+// WantReports makes the reports due that let further stakes count at cold endpoints.
+func (r *Role) WantReports(now time.Time) {
+	for _, at := range r.cells {
+		at.dispatcher.WantReports(now)
+		r.wanted = at.dispatcher.TakeWanted() || r.wanted
+	}
+}
+
+// WantsReports tells whether a report has become due out of turn.
+func (r *Role) WantsReports() bool { return r.wanted }
+
+// TakeWanted tells whether a report has become due out of turn since the last call.
+func (r *Role) TakeWanted() bool {
+	wanted := r.wanted
+	r.wanted = false
+	return wanted
+}
+
 // Report takes an endpoint's report, or that there was none.
 func (r *Role) Report(now time.Time, id cell.ID, event dispatch.Event) { r.dispatch(now, id, event) }
 
@@ -202,7 +237,7 @@
 	}
 	at.entries[from] = m.Session
 	r.step(now, at, &dispatch.Join{
-		Router: from, Session: m.Session, Stake: m.Stake, Flights: m.Flights, Counters: m.Counters,
+		Router: from, Session: m.Session, Stake: m.Stake, Unlent: m.Unlent, Flights: m.Flights, Counters: m.Counters,
 	})
 	if !echoed.IsZero() {
 		r.renewSession(now, at, from, m.Session, echoed)
@@ -238,6 +273,7 @@
 	if grants != nil {
 		r.config.Send(to, grants)
 	}
+	r.wanted = at.dispatcher.TakeWanted() || r.wanted
 }
 
 // startGrants sends the run of grants that is complete and starts the next one.
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -30,7 +30,7 @@
 	parsed, err := settings.Parse("f.toml", []byte(good+"heartbeat = \"100ms\"\nlog_format = \"json\"\nmax_body = 2048\nkeyed_rate = 7"))
 	is.NoErr(err)
 	is.Equal(parsed.Heartbeat, 100*time.Millisecond)
-	is.Equal(parsed.StakeLease, 900*time.Millisecond)
+	is.Equal(parsed.StakeLease, 800*time.Millisecond)
 	is.Equal(parsed.MaxBody, 2048)
 	is.Equal(parsed.KeyedRate, 7)
 	is.Equal(parsed.KeyedRetention, 6*time.Hour)
@@ -61,6 +61,9 @@
 		{"level", "log_level = \"loud\"", "", `"debug", "info", "warning" or "error"`},
 		{"format", "log_format = \"xml\"", "", `allowed: "text" or "json"`},
 		{"secret stays hidden", "peer_key = \"short\"", "peer_key = \"sixteen bytes or more\"", "peer_key = (hidden) is wrong"},
+		{"secret that is no text", "peer_key = 12345 # a comment", "peer_key = \"sixteen bytes or more\"", "f.toml:9: peer_key = (hidden) is wrong"},
+		{"address that is no text", "peer_address = 5", "peer_address = \"10.0.0.1:8082\"", "f.toml:9: peer_address = 5 is wrong"},
+		{"key of a table", "router.host = \"x\"", "", "f.toml:9: router.host is not a key"},
 		{"no such key file", "peer_key_file = \"/none\"", "peer_key = \"sixteen bytes or more\"", "a readable file"},
 		{"lease below silence", "stake_lease = \"700ms\"", "", "more than link_silent"},
 		{"validity above lease", "grant_valid = \"2s\"", "", "less than stake_lease"},
