--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -44,6 +44,29 @@
 	Team     TeamID     `msgpack:"t"`
 	Estimate Cost       `msgpack:"c"`           // Estimate is the caller's hint; zero when there is none.
 	Avoid    EndpointID `msgpack:"v,omitempty"` // Avoid is an endpoint that has just failed this request.
+	Moves    uint8      `msgpack:"m,omitempty"` // Moves is how often a cell of the pool has passed this request on to another.
+}
+
+// Service is what a cell has served a team, over the life of its dispatcher.
+type Service struct {
+	Team TeamID
+	Cost Cost
+}
+
+// Level is what the dispatcher of a cell tells entries with its grants.
+type Level struct {
+	Lead    float64 // Lead is how far the cell is ahead of the other cells of the pool in virtual time.
+	HasRoom bool    // HasRoom is true if no request waits and a slot is free.
+}
+
+// Standing is what the dispatcher of a cell tells the other cells of its pool.
+type Standing struct {
+	Virtual float64 // Virtual is the least counter of the backlogged teams.
+	Waiting int
+	Free    int // Free is the number of grants that could go out at once.
+	Slots   int // Slots is the sum of the warm limits of the open endpoints.
+	Granted int // Granted counts the grants since the last telling.
+	Periods int // Periods counts the times at which requests began to wait while none did.
 }
 
 // Grant permits one attempt at one endpoint.
