Describe the document, and mend what a newcomer stumbles over

Cause: every command line of README, OPERATING, CAPACITY and "ryelug help" was run against "ryelug dev -callers 127.0.0.1:28080 -operator 127.0.0.1:28081". No page said what a document holds. An unknown command printed the usage and no error. Promotion to an environment without a document is refused, which no page said.

Ruled out: a command that prints a sample; the page has one, and a test parses it.

The check of an unknown command asks for more than before: its text, not only its status.

--- a/cmd/ryelug/check.go
+++ b/cmd/ryelug/check.go
@@ -19,7 +19,8 @@
 		Usage: `check FILE
 
 Validate a document. Each error names the file, line, key, the value found and
-what is allowed. Nothing is written.
+what is allowed. Nothing is written. docs/DOCUMENT.md has a sample and lists the
+keys.
 
 Example:
   ryelug check trial.toml
--- a/cmd/ryelug/command_test.go
+++ b/cmd/ryelug/command_test.go
@@ -39,7 +39,7 @@
 		{"version", 0, "ryelug", []string{"version"}},
 		{"help", 0, "Example:", []string{"help", "dev"}},
 		{"no command", 2, "result 3006 bad_arguments", nil},
-		{"unknown command", 2, "", []string{"no-such"}},
+		{"unknown command", 2, `"no-such" is not a command`, []string{"no-such"}},
 		{"unknown flag", 2, "", []string{"dev", "-no-such"}},
 		{"extra argument", 2, `unexpected argument "x"`, []string{"version", "x"}},
 		{"bad address", 2, "ryelug dev -callers 127.0.0.1", []string{"dev", "-callers", "localhost"}},
--- a/cmd/ryelug/main.go
+++ b/cmd/ryelug/main.go
@@ -31,15 +31,29 @@
 	if err := flags.Parse(args); err != nil {
 		return subcommands.ExitUsageError // The flag package has told of it.
 	}
-	if flags.NArg() == 0 {
+	if err := checkName(commander, flags); err != nil {
 		flags.Usage()
-		err := command.UsageError("no command")
 		command.Report(errOut, err)
 		return command.ExitStatus(err)
 	}
 	return commander.Execute(ctx)
 }
 
+// checkName refuses arguments that name no command.
+func checkName(commander *subcommands.Commander, flags *flag.FlagSet) error {
+	if flags.NArg() == 0 {
+		return command.UsageError("no command")
+	}
+	known := false
+	commander.VisitCommands(func(_ *subcommands.CommandGroup, one subcommands.Command) {
+		known = known || one.Name() == flags.Arg(0)
+	})
+	if !known {
+		return command.UsageError("%q is not a command", flags.Arg(0))
+	}
+	return nil
+}
+
 func register(commander *subcommands.Commander, to command.Streams) {
 	const (
 		run     = "run"
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -210,3 +211,49 @@
 		}
 	})
 }
+
+// docs/DOCUMENT.md must have a sample that is valid and a row for each key of each table.
+func TestDocumentPage(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../docs/DOCUMENT.md")
+	is.NoErr(err)
+	page := string(data)
+	var sample strings.Builder
+	for line := range strings.Lines(page) {
+		if code, found := strings.CutPrefix(line, "    "); found && !strings.HasPrefix(code, "printf") {
+			sample.WriteString(code)
+		}
+	}
+	_, err = config.Parse([]byte(sample.String()))
+	is.NoErr(err)
+	rows := 0
+	for _, table := range []string{"", "teams", "data_centres", "pools", "endpoints", "routes"} {
+		for _, key := range keysOf(t, table) {
+			rows++
+			row := strings.ReplaceAll(fmt.Sprintf("| `%s` | `%s` | ", table, key), "| `` |", "| |")
+			if !strings.Contains(page, row) {
+				t.Errorf("docs/DOCUMENT.md lacks the row %s", row)
+			}
+		}
+	}
+	is.Equal(strings.Count(page, "` | `")+1, rows) // The key before the first table has no table.
+}
+
+// keysOf returns the keys of a table, which the error of an unknown one names.
+func keysOf(t *testing.T, table string) []string {
+	is := is.New(t)
+	text := "unknown = 1\n"
+	if table != "" {
+		text = "[[" + table + "]]\n" + text
+	}
+	_, err := config.Parse([]byte(text))
+	var all config.Errors
+	is.True(errors.As(err, &all))
+	for _, one := range all {
+		if list, found := strings.CutPrefix(one.Allowed, "one of the keys "); found {
+			return strings.Split(list, ", ")
+		}
+	}
+	t.Errorf("no keys of %q in %v", table, all)
+	return nil
+}
--- a/standin/local/explain.go
+++ b/standin/local/explain.go
@@ -28,5 +28,8 @@
 		first.listeners[0].Addr(), CallPath, Teams[2].Key)
 	fmt.Fprintln(out, "The counters of the first router:")
 	fmt.Fprintf(out, "  curl http://%s/debug/vars\n", first.listeners[1].Addr())
+	fmt.Fprintln(out, "Operators' commands, such as:")
+	fmt.Fprintf(out, "  ryelug status -platform %s -environment %s\n", f.platform, Environment)
+	fmt.Fprintf(out, "  ryelug data-centre out -platform %s -environment %s %s\n", f.platform, Environment, DataCentres[1])
 	fmt.Fprintln(out, "\nInterrupt (Ctrl-C) to shut down.")
 }
