Count retries of regions from the start of measuring, and make the report's directory

The README's command for the bench failed when DIR did not exist.

Ruled out: a bound above zero, which would also pass grants that are too old.

Change: retries count from the start of measuring on. TestMeasures makes DIR.

Conclusion: the check tells grants that expire on their way from those of a start. It stays at zero.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -39,6 +39,9 @@
 	if *directory == "" {
 		deployments = deployments[:1]
 	}
+	if *directory != "" {
+		is.New(t).NoErr(os.MkdirAll(*directory, 0o755))
+	}
 	var all []bench.Measures
 	for _, d := range deployments {
 		var own, firstCome bench.Measures
--- a/bench/region/phase.go
+++ b/bench/region/phase.go
@@ -49,6 +49,9 @@
 		}
 	}
 	report.Retries = r.retries(ctx)
+	for reason, count := range r.earlier {
+		report.Retries[reason] -= count
+	}
 	for _, e := range r.fleet.Engines {
 		report.Excesses += len(e.History().Excesses(0))
 	}
--- a/bench/region/region.go
+++ b/bench/region/region.go
@@ -86,7 +86,7 @@
 // Report is what one run was like.
 type Report struct {
 	Phases      []Phase                   `json:"phases"`
-	Retries     map[string]int64          `json:"retries"`      // Retries are those of all routers, by reason.
+	Retries     map[string]int64          `json:"retries"`      // Retries are those of all routers since the start of measuring, by reason.
 	Stakes      map[string]float64        `json:"stakes"`       // Stakes are the part that dispatchers of each region hold at the end of the cut.
 	Stall       map[string]float64        `json:"stall_s"`      // Stall is the longest time within the cut in which no probe of a region got its first token.
 	LastServed  map[string]float64        `json:"served_s"`     // LastServed is the time from the cut until the send of a region's last probe that was answered before the heal.
@@ -112,6 +112,7 @@
 	r.drive(ctx)
 	time.Sleep(phaseSpan)
 	before := bench.ReadControl(ctx, r.fleet)
+	r.earlier = r.retries(ctx)
 	r.marks = append(r.marks, time.Now())
 	time.Sleep(phaseSpan)
 	spent := bench.ReadControl(ctx, r.fleet).Since(before)
@@ -152,6 +153,7 @@
 	loads   map[string]*fleet.Run
 	replies map[string][]*fleet.Reply
 	probed  map[string][]*fleet.Reply // probed are the replies to probes that start with the cut.
+	earlier map[string]int64          // earlier are the retries before measuring.
 	marks   []time.Time               // marks are the start of measuring, the cut, the heal and the end.
 }
 
