Say unknown_name of an environment without a document truly

Cause: "ryelug status" and promote on an environment without a document ended with "the document has no such name. Run ryelug status", which fails alike. Ruled out: a code of its own; scripts know 3007 and exit status 3. Change: the text of the code covers both, and the advice points at the line before, which names the remedy or the names that there are. Conclusion: the printed advice can be followed.

--- a/cmd/ryelug/command/command.go
+++ b/cmd/ryelug/command/command.go
@@ -98,7 +98,7 @@
 	result.PlatformDown:    "Check the platform's address and try again; \"ryelug status\" tells whether a change took effect.",
 	result.AddressInUse:    "End the process that listens there, or choose another address.",
 	result.BadArguments:    "Run \"ryelug help COMMAND\" for the flags and an example.",
-	result.UnknownName:     "Run \"ryelug status\" for the names that the document has.",
+	result.UnknownName:     "Correct the name as the line before says.",
 	result.InternalFailure: "If it comes back, report it with this text.",
 }
 
--- a/core/result/code.go
+++ b/core/result/code.go
@@ -107,6 +107,6 @@
 	PlatformDown:        {"platform_down", "the platform does not answer", false, 0, exitPlatform},
 	AddressInUse:        {"address_in_use", "the address is in use", false, 0, exitFailure},
 	BadArguments:        {"bad_arguments", "the command line is not valid", false, 0, exitUsage},
-	UnknownName:         {"unknown_name", "the document has no such name", false, 0, exitInput},
+	UnknownName:         {"unknown_name", "there is no such name, or no document yet", false, 0, exitInput},
 	InternalFailure:     {"internal_failure", "an error that has no number of its own", false, http.StatusInternalServerError, exitFailure},
 }
