Freeze routers of a whole fleet in virtual time

Cause: freezes were proved in models and by SIGSTOP, where no limit is checked. Ruled out: signals, which stop the whole bubble; a hook in the product's loops. Change: standin/network holds all calls of a frozen host's connections and listeners, with what it gets buffered and deadlines passing unseen, and wakes with deadlines or data first. Callers of the host are held too. The router's own timers go on: ticks, queue timeouts and backoffs. Conclusion: what a woken router resumes can exceed a cold limit. A resume goes on under its grant, though the entry was lost meanwhile and its flight is no longer counted.

--- a/standin/fleet/caller.go
+++ b/standin/fleet/caller.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -22,6 +23,7 @@
 	Status     int
 	Body       string
 	Events     []caller.Event
+	Tokens     int  // Tokens is the number of tokens that were asked for.
 	Closed     bool // Closed tells that the stream ended as it should.
 	Sent       time.Time
 	First      time.Duration // First is the time to the first event or the whole answer.
@@ -36,31 +38,53 @@
 	return r.Closed || len(r.Events) == 0
 }
 
+// IsOwn tells whether the tokens of a stream are those of its request, each once
+// and in order, and all of them if the answer is whole.
+func (r *Reply) IsOwn() bool {
+	tokens := 0
+	for _, event := range r.Events {
+		_, text, has := bytes.Cut(event.Data, contentField)
+		if !has || bytes.HasPrefix(text, []byte(`"`)) {
+			continue // The end of the stream.
+		}
+		tokens++
+		if !bytes.HasPrefix(text, fmt.Appendf(nil, "%s:%d ", r.ID, tokens)) {
+			return false
+		}
+	}
+	return !r.Whole() || tokens == r.Tokens
+}
+
+// contentField begins the part of an event that carries a token.
+var contentField = []byte(`"content":"`)
+
 // serials numbers requests, so that each has an id of its own.
 var serials atomic.Int64
 
 // Chat asks a model for a streamed answer of so many tokens. Many goroutines may call it.
 func (m *Member) Chat(ctx context.Context, team string, tokens int) *Reply {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"a plan"}]}`, Model, tokens)
-	return m.serve(ctx, team, &caller.Request{
+	return m.serve(ctx, &Reply{Team: team, Tokens: tokens}, &caller.Request{
 		Path: "/v1/chat/completions", Model: Model, Stream: true, Body: []byte(body), Hint: cell.Cost(tokens),
 	})
 }
 
 // Call calls the service, whose calls may not be repeated. Many goroutines may call it.
 func (m *Member) Call(ctx context.Context, team, idempotencyKey string) *Reply {
-	return m.serve(ctx, team, &caller.Request{
+	return m.serve(ctx, &Reply{Team: team}, &caller.Request{
 		Path: CallPath, Body: []byte(`{"adults":2}`), IdempotencyKey: idempotencyKey,
 	})
 }
 
-func (m *Member) serve(ctx context.Context, team string, req *caller.Request) *Reply {
+// serve fills in the reply of a request.
+func (m *Member) serve(ctx context.Context, reply *Reply, req *caller.Request) *Reply {
 	req.ID = fmt.Sprintf("%s-%d", m.Host, serials.Add(1))
-	req.Key = Key(team)
+	req.Key = Key(reply.Team)
 	req.Method = http.MethodPost
 	req.ContentType = "application/json"
 	req.Received = time.Now()
-	reply := &Reply{ID: req.ID, Team: team, Sent: req.Received}
+	reply.ID, reply.Sent = req.ID, req.Received
+	m.fleet.Network.AwaitThaw(m.Address)
 	m.Router().Serve(ctx, req, &writer{reply: reply})
 	reply.Took = time.Since(reply.Sent)
 	return reply
--- a/standin/fleet/member.go
+++ b/standin/fleet/member.go
@@ -14,6 +14,7 @@
 	"ryelug/router"
 	"ryelug/router/process"
 	"ryelug/router/settings"
+	"ryelug/standin/network"
 	"ryelug/standin/platform"
 )
 
@@ -43,7 +44,8 @@
 	fleet   *Fleet
 	process *process.Process
 	stop    context.CancelFunc
-	stopped atomic.Bool     // stopped tells that the router was told to end, or is dead to all others.
+	stopped atomic.Bool // stopped tells that the router was told to end, or is dead to all others.
+	frozen  atomic.Bool
 	killed  context.Context // killed ends when the router is killed.
 	kill    context.CancelFunc
 	done    chan struct{}
@@ -118,11 +120,26 @@
 	m.stop()
 }
 
+// Freeze stops all that the router exchanges with others, its callers too, as a
+// stopped process would, until Thaw. Its own timers go on.
+func (m *Member) Freeze(waking network.Waking) {
+	m.frozen.Store(true)
+	m.fleet.Network.Freeze(m.Address, waking)
+}
+
+// Thaw ends a Freeze.
+func (m *Member) Thaw() {
+	m.fleet.Network.Thaw(m.Address)
+	m.frozen.Store(false)
+}
+
 // Stopped tells whether the router was told to end.
 func (m *Member) Stopped() bool { return m.stopped.Load() }
 
 // takes tells whether a balancer sends requests here.
-func (m *Member) takes() bool { return !m.Stopped() && m.process.Health().Healthy() }
+func (m *Member) takes() bool {
+	return !m.Stopped() && !m.frozen.Load() && m.process.Health().Healthy()
+}
 
 // lifetime returns a context that ends when the router is killed, which ends its callers' connections.
 func (m *Member) lifetime(ctx context.Context) context.Context {
--- a/standin/fleettest/trial.go
+++ b/standin/fleettest/trial.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -26,6 +27,9 @@
 	// one slot of each of the 4 engines, of which the team gets a fifth for requests of 200 ms.
 	longestQueue = HandOver + 30*5*200*time.Millisecond/4
 
+	// longTokenGap lets a request outlast the wait for a stake.
+	longTokenGap = 100 * time.Millisecond
+
 	// longestNotice is how long an engine's turn to cold may go unseen: a poll, the
 	// report's lag, and grants that are valid and on their way.
 	longestNotice = 250*time.Millisecond + 500*time.Millisecond + 400*time.Millisecond + 200*time.Millisecond
@@ -34,13 +38,15 @@
 // trial is a fleet under load with a fault.
 type trial struct {
 	*testing.T
+	trialConfig
 	*fleet.Fleet
 	ctx    context.Context
 	rng    *rand.Rand
 	run    *fleet.Run
 	struck map[string]bool // struck are the hosts whose callers may see the fault.
 	began  time.Time
-	cold   bool // cold engines stay so, and give a new dispatcher nothing before a fresh report.
+	ran    map[string]int       // ran counts the runs of each request.
+	after  func([]*fleet.Reply) // after, if any, checks more than what must hold whatever fails.
 }
 
 // Fault is what goes wrong; the function that it returns, if any, ends it.
@@ -134,17 +140,7 @@
 
 // WithFaults runs a loaded fleet through faults, one starting a moment after the other, and checks what must hold.
 func WithFaults(t *testing.T, seed uint64, cold bool, strikes ...Fault) {
-	conf := fleet.Config{Routers: 5, Engines: 4, Seed: seed}
-	conf.Engine.Cold = true
-	if cold {
-		conf.Engine.WarmUp = 100_000
-		conf.Engine.TokenGap = 100 * time.Millisecond // A request outlasts the wait for a stake.
-	}
-	Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
-		tr := &trial{T: t, Fleet: fl, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3)), struck: make(map[string]bool), cold: cold}
-		tr.run = fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 60, Tokens: 20}, fleet.Load{Team: "schools", Callers: 30, Tokens: 20})
-		time.Sleep(faultSettle)
-		tr.began = time.Now()
+	withTrial(t, trialConfig{seed: seed, cold: cold}, func(tr *trial) {
 		var heals []func()
 		for _, f := range strikes {
 			if heal := f.strike(tr); heal != nil {
@@ -156,6 +152,35 @@
 		for _, heal := range heals {
 			heal()
 		}
+	})
+}
+
+// trialConfig says what a trial is made of.
+type trialConfig struct {
+	seed       uint64
+	cold       bool // cold engines stay so, and give a new dispatcher nothing before a fresh report.
+	startsOnly bool // startsOnly leaves resumed streams out of the cold limit.
+	tokenGap   time.Duration
+	services   int
+	loads      []fleet.Load // loads are run beside the usual ones.
+}
+
+// withTrial runs a loaded fleet, lets strike inflict faults on it and checks what must hold.
+func withTrial(t *testing.T, given trialConfig, strike func(*trial)) {
+	conf := fleet.Config{Routers: 5, Engines: 4, Services: given.services, Seed: given.seed}
+	conf.Engine.Cold = true
+	if given.cold {
+		conf.Engine.WarmUp = 100_000
+		conf.Engine.TokenGap = cmp.Or(given.tokenGap, longTokenGap)
+	}
+	Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+		rng := rand.New(rand.NewPCG(given.seed, 3))
+		tr := &trial{T: t, Fleet: fl, ctx: ctx, rng: rng, struck: make(map[string]bool), trialConfig: given}
+		loads := []fleet.Load{{Team: "kiosks", Callers: 60, Tokens: 20}, {Team: "schools", Callers: 30, Tokens: 20}}
+		tr.run = fl.Drive(ctx, append(loads, given.loads...)...)
+		time.Sleep(faultSettle)
+		tr.began = time.Now()
+		strike(tr)
 		time.Sleep(faultAfter)
 		tr.check(tr.run.Stop())
 	})
@@ -163,10 +188,17 @@
 
 // check asserts what must hold whatever fails.
 func (tr *trial) check(replies []*fleet.Reply) {
-	tr.checkLimits()
+	if tr.startsOnly {
+		tr.checkStarts()
+	} else {
+		tr.checkLimits()
+	}
 	tr.checkReplies(replies)
 	tr.checkPauses(replies)
 	tr.checkGap(replies)
+	if tr.after != nil {
+		tr.after(replies)
+	}
 }
 
 // checkLimits asserts that no cold engine was sent more than it bore, but for the time in which
--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -33,6 +33,7 @@
 
 // Close ends both directions; the other end reads what was sent before.
 func (c *conn) Close() error {
+	c.network.AwaitThaw(c.local.Addr())
 	c.shut()
 	return nil
 }
@@ -126,6 +127,7 @@
 
 func (h *half) write(p []byte) (int, error) {
 	for {
+		h.network.AwaitThaw(h.from)
 		n, wait, deadline, err := h.tryWrite(p)
 		if n > 0 || err != nil || len(p) == 0 {
 			return n, err
@@ -158,8 +160,9 @@
 
 func (h *half) read(p []byte) (int, error) {
 	for {
+		dataFirst := h.network.awaitThaw(h.to)
 		reaches, healed := h.network.reaches(h.from, h.to)
-		n, wait, until, err := h.tryRead(p, reaches)
+		n, wait, until, err := h.tryRead(p, reaches, dataFirst)
 		if n > 0 || err != nil || len(p) == 0 {
 			return n, err
 		}
@@ -168,13 +171,13 @@
 }
 
 // tryRead returns bytes, an error, or what to wait for.
-func (h *half) tryRead(p []byte, reaches bool) (n int, wait <-chan struct{}, until time.Time, err error) {
+func (h *half) tryRead(p []byte, reaches, dataFirst bool) (n int, wait <-chan struct{}, until time.Time, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.abandoned {
 		return 0, nil, until, net.ErrClosed
 	}
-	if isPast(h.readDeadline) {
+	if isPast(h.readDeadline) && (!dataFirst || !h.hasArrived()) {
 		return 0, nil, until, os.ErrDeadlineExceeded
 	}
 	if !reaches || h.silent || len(h.queue) == 0 {
@@ -192,6 +195,11 @@
 	return n, nil, until, nil
 }
 
+// hasArrived tells whether there is something to read; h.mu is held.
+func (h *half) hasArrived() bool {
+	return len(h.queue) > 0 && !time.Now().Before(h.queue[0].at)
+}
+
 // take removes n bytes of the first segment; h.mu is held.
 func (h *half) take(n int) {
 	first := &h.queue[0]
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -32,7 +32,9 @@
 	cut       map[pair]bool
 	oneWay    map[pair]bool // oneWay has the sender first.
 	alone     map[netip.Addr]bool
-	healed    chan struct{} // healed closes when the cuts change.
+	frozen    map[netip.Addr]bool
+	waking    map[netip.Addr]Waking
+	healed    chan struct{} // healed closes when the cuts or the frozen hosts change.
 	sent      map[netip.AddrPort]int64
 	port      uint16
 }
@@ -58,6 +60,8 @@
 		cut:       map[pair]bool{},
 		oneWay:    map[pair]bool{},
 		alone:     map[netip.Addr]bool{},
+		frozen:    map[netip.Addr]bool{},
+		waking:    map[netip.Addr]Waking{},
 		healed:    make(chan struct{}),
 		sent:      map[netip.AddrPort]int64{},
 		port:      1 << 15,
@@ -117,6 +121,48 @@
 	n.change(func() { delete(n.alone, host) })
 }
 
+// Waking says what a read that was due during a Freeze returns after it.
+type Waking int
+
+// Ways of waking; a real process may wake either way.
+const (
+	DeadlinesFirst Waking = iota // DeadlinesFirst: that its deadline has passed.
+	DataFirst                    // DataFirst: what has arrived meanwhile.
+)
+
+// Freeze holds all calls of a host's connections and listeners, as if its process
+// had stopped, until Thaw. What others send to it arrives and waits, and what it
+// has sent goes on its way; others can still dial it.
+func (n *Network) Freeze(host netip.Addr, waking Waking) {
+	n.change(func() { n.frozen[host], n.waking[host] = true, waking })
+}
+
+// Thaw ends a Freeze.
+func (n *Network) Thaw(host netip.Addr) {
+	n.change(func() { delete(n.frozen, host) })
+}
+
+// AwaitThaw returns when a host is not frozen.
+func (n *Network) AwaitThaw(host netip.Addr) { n.awaitThaw(host) }
+
+// awaitThaw returns true if the host was frozen and wakes with what has arrived.
+func (n *Network) awaitThaw(host netip.Addr) (dataFirst bool) {
+	for {
+		frozen, waking, changed := n.freezeOf(host)
+		if !frozen {
+			return dataFirst
+		}
+		dataFirst = waking == DataFirst
+		<-changed
+	}
+}
+
+func (n *Network) freezeOf(host netip.Addr) (frozen bool, waking Waking, changed <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen[host], n.waking[host], n.healed
+}
+
 // Silence makes the open connections between two hosts silent for good; new ones work.
 func (n *Network) Silence(a, b netip.Addr) {
 	n.change(func() {
@@ -176,6 +222,10 @@
 	if err := n.handshake(ctx, from, to.Addr()); err != nil {
 		return nil, err
 	}
+	n.AwaitThaw(from)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	listener := n.listeners[to]
@@ -239,6 +289,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-l.conns:
+		l.network.AwaitThaw(l.address.Addr())
 		return conn, nil
 	case <-l.done:
 		return nil, net.ErrClosed
--- a/standin/network/network_test.go
+++ b/standin/network/network_test.go
@@ -104,3 +104,31 @@
 		})
 	})
 }
+
+// A frozen host does nothing, not even fail, and gets on waking what has come meanwhile.
+func TestFreeze(t *testing.T) {
+	for _, waking := range []network.Waking{network.DeadlinesFirst, network.DataFirst} {
+		join(t, func(is *is.I, n *network.Network, ours, theirs net.Conn) {
+			const lasts = time.Minute
+			began := time.Now()
+			n.Freeze(hostB, waking)
+			go func() {
+				time.Sleep(lasts)
+				n.Thaw(hostB)
+			}()
+			_, err := ours.Write([]byte("hello"))
+			is.NoErr(err)
+			_, err = n.Dialer(hostA)(context.Background(), door)
+			is.NoErr(err) // The host's kernel still answers.
+
+			is.NoErr(theirs.SetReadDeadline(began.Add(time.Second)))
+			_, err = theirs.Read(make([]byte, 1))
+			is.Equal(errors.Is(err, os.ErrDeadlineExceeded), waking == network.DeadlinesFirst)
+			is.Equal(time.Since(began), lasts)
+			is.NoErr(theirs.SetReadDeadline(time.Time{}))
+			got := make([]byte, 4)
+			_, err = io.ReadFull(theirs, got)
+			is.NoErr(err)
+		})
+	}
+}
