Hold the gap of a whole fleet to bounds of its load

Cause: the bound of the gap was 200 times what is seen, so gross faults alone broke it, and the gap after a partition in which both halves served was derived, not tested. Ruled out: bounds from what was measured.

--- a/core/fair/bound.go
+++ b/core/fair/bound.go
@@ -40,3 +40,26 @@
 func Spread(largest cell.Cost, slots, leastShare int) float64 {
 	return float64(slots) * float64(largest) / float64(max(1, leastShare))
 }
+
+// EqualCosts holds what the gap depends on while all requests cost and take the same
+// and their cost is known; docs/DESIGN.md derives it.
+type EqualCosts struct {
+	Cost   cell.Cost // Cost is that of each request.
+	Slots  int
+	Teams  int // Teams and Shares are those of all backlogged teams together.
+	Shares int
+	Jitter float64 // Jitter is the cost that a slot serves in the time by which requests reach an endpoint sooner or later.
+}
+
+// GapBound returns the largest difference in service divided by share between
+// two teams of these shares.
+func (e EqualCosts) GapBound(shareA, shareB int) float64 {
+	steps := float64(e.Cost)/float64(shareA) + float64(e.Cost)/float64(shareB)
+	return steps + e.Jitter*(e.inFlight(shareA)+e.inFlight(shareB))
+}
+
+// inFlight bounds the requests in flight of a team, divided by its share.
+func (e EqualCosts) inFlight(share int) float64 {
+	others := float64(e.Shares-share) / float64(share)
+	return (float64(e.Slots+e.Teams-1) + others) / float64(e.Shares)
+}
