--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -69,8 +69,8 @@
 	return nil
 }
 
-// TargetsGrew receives a value when reports are needed before the next round.
-func (c *Coordinator) TargetsGrew() <-chan struct{} { return c.pollNow }
+// PollNow receives a value when reports are needed before the next round.
+func (c *Coordinator) PollNow() <-chan struct{} { return c.pollNow }
 
 // Measured takes an endpoint's report, or why there is none. The report stems from sampled or later.
 func (c *Coordinator) Measured(ctx context.Context, target dispatching.Target, sampled time.Time, load endpoint.Load, err error) {
@@ -83,14 +83,36 @@
 func (c *Coordinator) choosePolled() {
 	targets := c.dispatch.Targets()
 	before := c.polled.Swap(&targets)
-	if before == nil || len(*before) < len(targets) {
-		select {
-		case c.pollNow <- struct{}{}:
-		default: // A round is due already.
-		}
+	if before == nil || len(*before) < len(targets) || c.dispatch.TakeWanted() {
+		c.askReports()
 	}
 }
 
+// askReports asks for a round of reports.
+func (c *Coordinator) askReports() {
+	select {
+	case c.pollNow <- struct{}{}:
+	default: // A round is due already.
+	}
+}
+
+// planEarly plans a round of reports for the moment before the next tick from
+// which on they let further stakes count at cold endpoints.
+func (c *Coordinator) planEarly(now time.Time) {
+	lag := c.config.Timings.ReportLag
+	due := c.dispatch.ReportDue(c.earlyFrom, now.Add(tickInterval-lag))
+	if !due.IsZero() {
+		c.early.Reset(max(due.Add(lag).Sub(now), time.Millisecond))
+	}
+}
+
+// pollEarly asks for the round that was planned.
+func (c *Coordinator) pollEarly(now time.Time) {
+	c.earlyFrom = now.Add(-c.config.Timings.ReportLag)
+	c.dispatch.WantReports(now)
+	c.choosePolled()
+}
+
 func (c *Coordinator) handleMeasured(now time.Time, cmd measured) {
 	if cmd.err != nil {
 		c.dispatch.Report(now, cmd.cell, &dispatch.Unreachable{Endpoint: cmd.endpoint})
