--- a/core/member/property_test.go
+++ b/core/member/property_test.go
@@ -322,3 +322,24 @@
 		}
 	}
 }
+
+// TestBlindDispatcherOfMinority has a host wrongly dropped from the list, in a minority
+// whose dispatcher can't read the list, while another host there can.
+func TestBlindDispatcherOfMinority(t *testing.T) {
+	f := newFleet(1, 10)
+	dropped, blind := f.nodes[0], f.nodes[1]
+	for _, a := range f.nodes[:3] {
+		for _, b := range f.nodes[3:] {
+			a.parted[b.host], b.parted[a.host] = f.now, f.now
+		}
+	}
+	blind.blind = true
+	dropped.relist = f.now.Add(time.Minute)
+	f.list(dropped.host, false)
+	for range 300 {
+		f.advance()
+	}
+	if f.broken != "" {
+		t.Error(f.broken)
+	}
+}
