Resume a stream only while its place is certain

Cause: a stream that broke was resumed under its old grant at any time. When a router froze, its links were given up, the dispatcher took the engines' word that its streams ran no more and granted their places; on waking the router resumed them all. TestFrozenRouterResumes: 3 and 4 in flight at cold engines that bear 2. Ruled out: a new grant for each resume (it would queue, and count twice); a flag set by the coordinator alone (a request's goroutine may run before it after a pause). Change: an attempt's hold lapses with the session of its grant, when this router loses its links to most others, and when it has not heard itself for grant_valid; a resume waits until the dispatcher's echo is younger than grant_valid. A lapsed stream ends with the error event.

--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -31,6 +31,9 @@
 // StartChanged tells that the endpoint has another start than the grant and nothing was sent.
 type StartChanged struct{}
 
+// Lapsed tells that a stream can't be resumed: the place of its attempt at the endpoint may be another's by now.
+type Lapsed struct{}
+
 // EndpointRefused tells that the endpoint refused before running.
 type EndpointRefused struct {
 	Endpoint   cell.EndpointID
@@ -62,6 +65,7 @@
 func (*AskRefused) event()      {}
 func (*NotSent) event()         {}
 func (*StartChanged) event()    {}
+func (*Lapsed) event()          {}
 func (*EndpointRefused) event() {}
 func (*Broken) event()          {}
 func (*Whole) event()           {}
--- a/core/entry/life.go
+++ b/core/entry/life.go
@@ -78,6 +78,8 @@
 		return l.notSent(now, ev)
 	case *StartChanged:
 		return l.startChanged(now)
+	case *Lapsed:
+		return l.refuse(cell.Failed, result.StreamBroken, 0)
 	case *EndpointRefused:
 		return l.endpointRefused(now, ev)
 	case *Broken:
--- a/core/entry/life_test.go
+++ b/core/entry/life_test.go
@@ -74,6 +74,7 @@
 		{"stream broken, unreached", entry.Config{}, []entry.Event{granted, first, broken, unreached}, resume},
 		{"stream broken, restarted", entry.Config{}, []entry.Event{granted, first, broken, &entry.StartChanged{}}, refuse(cell.StartChanged, result.StreamBroken, false, time.Second)},
 		{"stream broken, generation gone", entry.Config{}, []entry.Event{granted, first, broken, &entry.Whole{}}, refuse(cell.Failed, result.StreamBroken, false, time.Second)},
+		{"stream broken, place lost", entry.Config{}, []entry.Event{granted, first, broken, &entry.Lapsed{}}, refuse(cell.Failed, result.StreamBroken, false, time.Second)},
 		{"stream broken too often", entry.Config{MaxResumes: 1}, []entry.Event{granted, first, broken, broken}, refuse(cell.Failed, result.StreamBroken, false, time.Second)},
 		{"caller gone in the queue", once, []entry.Event{&entry.CallerGone{}}, &entry.Abandon{}},
 		{"caller gone before the send", once, []entry.Event{granted, &entry.CallerGone{}}, &entry.Abandon{End: cell.Unused}},
--- a/core/lend/event.go
+++ b/core/lend/event.go
@@ -19,7 +19,10 @@
 type LinkDown struct{ Router cell.RouterID }
 
 // Heard tells of a frame from the other end of a link that this router dialed, before the frame's own event.
-type Heard struct{ Router cell.RouterID }
+type Heard struct {
+	Router cell.RouterID
+	Echoed time.Time // Echoed is when this entry sent the newest frame that the router had processed; zero if none.
+}
 
 // PeerLeaving tells that the other router shuts down gracefully.
 type PeerLeaving struct{ Router cell.RouterID }
--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -63,6 +63,7 @@
 	stake    bool
 	accepted bool
 	since    time.Time
+	echoed   time.Time // echoed is when the newest frame was sent that the dispatcher had processed once it had accepted.
 }
 
 // holder is the dispatcher that may count this entry's stake; a zero one is none.
@@ -105,6 +106,7 @@
 		l.linkDown(e.Router)
 	case *Heard:
 		l.hear(now, e.Router)
+		l.echo(now, e)
 	case *PeerLeaving:
 		l.hear(now, e.Router)
 		l.gone[e.Router] = true
@@ -180,6 +182,29 @@
 	}
 }
 
+// echo notes that the dispatcher counts what it counted. A process that has not heard
+// itself for so long was paused, and others may have counted without it meanwhile.
+func (l *Lender) echo(now time.Time, e *Heard) {
+	p := &l.present
+	wasPaused := p.router == l.conf.Self && e.Router == l.conf.Self && !p.echoed.IsZero() && now.Sub(p.echoed) >= l.conf.GrantValid
+	if wasPaused {
+		l.closeSession()
+		return
+	}
+	if p.accepted && p.router == e.Router && e.Echoed.After(p.echoed) {
+		p.echoed = e.Echoed
+	}
+}
+
+// Counted returns the session in force and when its dispatcher last counted this
+// entry's flights for certain, on this entry's clock; zero values if there is none.
+func (l *Lender) Counted() (cell.Session, time.Time) {
+	if !l.present.accepted {
+		return 0, time.Time{}
+	}
+	return l.present.session, l.present.echoed
+}
+
 func (l *Lender) accept(e *Accepted) {
 	if l.isPresent(e.Router, e.Session) {
 		l.present.accepted = true
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -275,7 +275,7 @@
 
 // settle derives voters and liveness from the signs that hold now.
 func (t *Table) settle(now time.Time) {
-	majority := t.majority()
+	majority := t.HasMajority()
 	if majority {
 		t.connected = now
 	}
@@ -360,8 +360,8 @@
 	return (r.up || isGrace) && !r.damped
 }
 
-// majority tells whether this router is linked to more than half of the listed hosts, itself among them.
-func (t *Table) majority() bool {
+// HasMajority tells whether this router is linked to more than half of the listed hosts, itself among them.
+func (t *Table) HasMajority() bool {
 	listed, linked := 0, 0
 	for _, r := range t.hosts {
 		if !r.listed {
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -51,6 +51,7 @@
 	total     int
 	signs     []cell.HostID // signs is what the peers were told last; nil until there is a configuration.
 	leaving   bool
+	majority  bool // majority tells that this router was linked to more than half of the listed hosts last.
 	cutOff    atomic.Bool
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
 	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
@@ -191,6 +192,7 @@
 func (c *Coordinator) tick(now time.Time) {
 	c.table.Tick(now)
 	c.checkCutOff(now)
+	c.checkMajority()
 	c.shareKeys(now)
 	c.refreshVoters(now)
 	c.lend.Tick(now, c.order(now))
@@ -223,6 +225,16 @@
 	}
 }
 
+// checkMajority notes when this router loses its links to most others. Streams that
+// run go on; one that breaks is not resumed, as its place may be another's by then.
+func (c *Coordinator) checkMajority() {
+	has := c.table.HasMajority()
+	if c.majority && !has {
+		c.lend.MajorityLost()
+	}
+	c.majority = has
+}
+
 // ask passes a request's ask on, unless this router may send no new work.
 func (c *Coordinator) ask(now time.Time, cmd ask) {
 	if c.cutOff.Load() {
--- a/router/coordination/links.go
+++ b/router/coordination/links.go
@@ -52,6 +52,7 @@
 		return
 	}
 	c.table.Down(now, router.Host())
+	c.checkMajority()
 	c.lend.LinkDown(now, router)
 	c.lend.Reorder(now, c.order(now))
 }
@@ -60,7 +61,7 @@
 func (c *Coordinator) frame(now time.Time, event *peer.Received) {
 	router := event.Link.Router()
 	if event.Link.Dialed() {
-		c.lend.Heard(now, router)
+		c.lend.Heard(now, router, event.Echoed)
 	} else {
 		c.dispatch.Renew(now, router, event.Echoed)
 	}
--- a/router/grants.go
+++ b/router/grants.go
@@ -8,6 +8,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/result"
+	"ryelug/io/pause"
 	"ryelug/router/coordination"
 	"ryelug/router/lending"
 	"ryelug/router/request"
@@ -67,6 +68,23 @@
 // Expires implements request.Permit.
 func (p *permit) Expires() time.Time { return p.decided.Expires }
 
+// AwaitCounted implements request.Permit. The next frame of the dispatcher confirms the
+// attempt, or the link's silence ends the session.
+func (p *permit) AwaitCounted(ctx context.Context) bool {
+	for !p.decided.Hold.Lapsed() {
+		if p.decided.Hold.Confirmed(time.Now()) {
+			return true
+		}
+		if !pause.For(ctx, confirmPause) {
+			return false
+		}
+	}
+	return false
+}
+
+// confirmPause is the time between two looks at whether an attempt is confirmed.
+const confirmPause = 10 * time.Millisecond
+
 // Progress implements request.Permit; the coordinator reads the cost when it reports next.
 func (p *permit) Progress(cost cell.Cost) { p.decided.Cost.Set(cost) }
 
--- a/router/lending/ask.go
+++ b/router/lending/ask.go
@@ -25,6 +25,7 @@
 	Start    cell.StartID
 	Expires  time.Time // Expires is the time by which the first byte must be sent.
 	Cost     *Cost
+	Hold     Hold
 	Refusal  *cell.Refusal
 }
 
--- a/router/lending/hold.go
+++ b/router/lending/hold.go
@@ -13,42 +13,53 @@
 	mu      sync.Mutex
 	session cell.Session
 	echoed  time.Time // echoed is when the dispatcher counted this entry's attempts for certain.
+	lapses  uint64    // lapses counts the times from which on earlier attempts may have lost their places.
 }
 
 func (c *counted) set(session cell.Session, echoed time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if session != c.session {
+		c.lapses++
+	}
 	c.session, c.echoed = session, echoed
 }
 
-func (c *counted) get() (cell.Session, time.Time) {
+// lapse notes that rivals of the dispatcher may grant the places of all attempts so far.
+func (c *counted) lapse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.session, c.echoed
+	c.lapses++
+}
+
+func (c *counted) get() (lapses uint64, echoed time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lapses, c.echoed
 }
 
 // hold returns the hold of an attempt that is granted in the present session.
 func (c *counted) hold(valid time.Duration) Hold {
-	session, _ := c.get()
-	return Hold{counted: c, session: session, valid: valid}
+	lapses, _ := c.get()
+	return Hold{counted: c, lapses: lapses, valid: valid}
 }
 
 // Hold tells whether the dispatcher that granted an attempt still counts it. It
 // may be used by many goroutines.
 type Hold struct {
 	counted *counted
-	session cell.Session
+	lapses  uint64
 	valid   time.Duration
 }
 
-// Lapsed tells that the session of the grant has ended, so that another attempt may have the place.
+// Lapsed tells that another attempt may have the place by now.
 func (h Hold) Lapsed() bool {
-	session, _ := h.counted.get()
-	return session != h.session
+	lapses, _ := h.counted.get()
+	return lapses != h.lapses
 }
 
 // Confirmed tells that the attempt was counted so lately that it may go to the endpoint.
 func (h Hold) Confirmed(now time.Time) bool {
-	session, echoed := h.counted.get()
-	return session == h.session && now.Sub(echoed) < h.valid
+	lapses, echoed := h.counted.get()
+	return lapses == h.lapses && now.Sub(echoed) < h.valid
 }
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -39,6 +39,7 @@
 	backlog *backlog.Guard
 	asks    map[cell.AttemptID]Ask
 	costs   *costTable
+	counted counted
 }
 
 // take removes an ask that waits, and tells whether there was one.
@@ -109,9 +110,17 @@
 	r.stepAll(now, &lend.LinkDown{Router: router})
 }
 
-// Heard notes a frame of a dispatcher.
-func (r *Role) Heard(now time.Time, router cell.RouterID) {
-	r.stepAll(now, &lend.Heard{Router: router})
+// Heard notes a frame of a dispatcher, which had processed what this router sent at echoed.
+func (r *Role) Heard(now time.Time, router cell.RouterID, echoed time.Time) {
+	r.stepAll(now, &lend.Heard{Router: router, Echoed: echoed})
+}
+
+// MajorityLost notes that this router reaches half of the members at most: its
+// dispatcher may have lost the stakes that its grants rested on.
+func (r *Role) MajorityLost() {
+	for _, at := range r.cells {
+		at.counted.lapse()
+	}
 }
 
 // PeerLeaving notes that a dispatcher leaves; it may be this router.
@@ -122,7 +131,7 @@
 // Tick lets time pass. The order gives, for each cell, the hosts that should dispatch it, the first choice first.
 func (r *Role) Tick(now time.Time, order func(cell.ID) []cell.HostID) {
 	r.Reorder(now, order)
-	r.Heard(now, r.config.Self)
+	r.Heard(now, r.config.Self, now)
 	r.stepAll(now, &lend.Tick{})
 }
 
@@ -234,7 +243,9 @@
 // step steps a lender and carries its actions out. The actions are valid
 // until the next step, and messages outlive it, so their slices are copied.
 func (r *Role) step(now time.Time, at *state, event lend.Event) {
-	for _, action := range at.lender.Step(now, event) {
+	actions := at.lender.Step(now, event)
+	at.counted.set(at.lender.Counted())
+	for _, action := range actions {
 		switch a := action.(type) {
 		case *lend.Join:
 			r.config.Send(a.Router, &wire.Join{
@@ -275,6 +286,7 @@
 		Start:    a.Start,
 		Expires:  a.Expires,
 		Cost:     at.costs.open(a.Attempt),
+		Hold:     at.counted.hold(r.config.GrantValid),
 	}
 }
 
--- a/router/lending/role_test.go
+++ b/router/lending/role_test.go
@@ -13,6 +13,74 @@
 	"ryelug/router/lending"
 )
 
+// withTestRole gives f a role of the router b/1 and the last message of each kind that it sent.
+func withTestRole(now time.Time, f func(role *lending.Role, join *wire.Join, release *wire.Release)) {
+	join, release := &wire.Join{}, &wire.Release{}
+	role := lending.New(lending.Config{
+		Self: "b/1", Started: now.Add(-time.Hour), StakeLease: time.Second, GrantValid: 400 * time.Millisecond,
+		Send: func(_ cell.RouterID, message wire.Message) {
+			switch m := message.(type) {
+			case *wire.Join:
+				*join = *m
+			case *wire.Release:
+				*release = *m
+			}
+		},
+	})
+	role.Adopt(now, directory.New(1, &config.Document{Pools: []config.Pool{{Name: "chat"}}}))
+	f(role, join, release)
+}
+
+// grantOne has a dispatcher accept the session and grant one attempt, whose hold it returns.
+func grantOne(now time.Time, role *lending.Role, dispatcher cell.RouterID, session cell.Session) lending.Hold {
+	role.Received(now, dispatcher, &wire.Accepted{Cell: "chat", Session: session}, now)
+	role.Heard(now, dispatcher, now)
+	ask := lending.Ask{Cell: "chat", Demand: cell.Demand{Attempt: 1, Team: "kiosks"}, Reply: make(chan lending.Decision, 1)}
+	role.Ask(now, ask)
+	grants := []cell.Grant{{Attempt: 1, Endpoint: "e", Start: "s"}}
+	role.Received(now, dispatcher, &wire.Grants{Cell: "chat", Session: session, Grants: grants}, now)
+	return (<-ask.Reply).Hold
+}
+
+// An attempt holds its place while the session lasts that granted it, and frames
+// that the dispatcher sends after new ones of the entry confirm it.
+func TestHold(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	order := func(cell.ID) []cell.HostID { return []cell.HostID{"a", "b"} }
+	at := func(after time.Duration) time.Time { return began.Add(after) }
+	withTestRole(began, func(role *lending.Role, join *wire.Join, release *wire.Release) {
+		role.LinkUp(began, "a/1")
+		role.Tick(began, order)
+		role.Received(began, "b/1", &wire.Released{Cell: "chat", Session: release.Session}, began)
+		hold := grantOne(began, role, "a/1", join.Session)
+		role.Heard(at(300*time.Millisecond), "a/1", at(200*time.Millisecond))
+		is.True(hold.Confirmed(at(599 * time.Millisecond)))
+		is.True(!hold.Confirmed(at(600 * time.Millisecond)))
+		is.True(!hold.Lapsed())
+		role.LinkDown(at(time.Second), "a/1")
+		is.True(hold.Lapsed())
+		role.LinkUp(at(time.Second), "a/1")
+		role.Tick(at(time.Second), order)
+		role.Received(at(time.Second), "a/1", &wire.Accepted{Cell: "chat", Session: join.Session}, at(time.Second))
+		is.True(hold.Lapsed()) // The same dispatcher may have granted the place to another meanwhile.
+	})
+}
+
+// A router that dispatches for itself and was paused holds no place from before.
+func TestHoldOfPausedRouter(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	order := func(cell.ID) []cell.HostID { return []cell.HostID{"b"} }
+	withTestRole(began, func(role *lending.Role, join *wire.Join, _ *wire.Release) {
+		role.Tick(began, order)
+		hold := grantOne(began, role, "b/1", join.Session)
+		is.True(hold.Confirmed(began.Add(50 * time.Millisecond)))
+		role.Tick(began.Add(3*time.Second), order)
+		is.True(hold.Lapsed())
+	})
+}
+
 // A request that gives up while its grant is on the way to it loses no slot.
 func TestGrantThatCrossesItsWithdrawal(t *testing.T) {
 	is := is.New(t)
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -157,6 +157,8 @@
 }
 func (p *fakePermit) Expires() time.Time { return p.expires }
 func (p *fakePermit) Progress(cell.Cost) {}
+
+func (p *fakePermit) AwaitCounted(context.Context) bool { return true }
 func (p *fakePermit) End(outcome cell.Outcome, cost cell.Cost, _ time.Duration) {
 	p.grants.mu.Lock()
 	defer p.grants.mu.Unlock()
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -127,6 +127,9 @@
 	if !pause.For(ctx, send.After) {
 		return &entry.CallerGone{Sent: r.sent}
 	}
+	if send.LastEvent != "" && !r.permit.AwaitCounted(r.attempt) {
+		return &entry.Lapsed{}
+	}
 	call := r.call(send.LastEvent)
 	if send.LastEvent == "" {
 		r.sendAt = time.Now()
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -38,6 +38,8 @@
 	Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID)
 	// Expires returns the time by which the first byte must be sent.
 	Expires() time.Time
+	// AwaitCounted waits until the attempt is known to hold its place still, and tells whether it does.
+	AwaitCounted(ctx context.Context) bool
 	// Progress reports the cost so far.
 	Progress(cost cell.Cost)
 	// End reports how the attempt ended and what it cost.
