Keep the testing package out of the bubble stand-in

Cause: standin/bubble is no test file, but took a *testing.T to run a test in a synctest bubble. Ruled out: a build tag for tests, and a copy of the function in each test package, which would repeat the fault of the race detector that it explains. Change: OneProcessor only sets the number of processors, under the race detector as before, and returns what restores it. Tests defer that and call synctest.Test themselves. A loop without subtests restores once, at its end. Conclusion: standin/bubble has no test code.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -19,7 +20,8 @@
 // run runs one deployment in one mode in virtual time.
 func run(t *testing.T, d bench.Deployment, mode bench.Mode) (measured bench.Measures) {
 	t.Helper()
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		done, err := bench.Run(context.Background(), d, mode, bench.DefaultScript(), seed)
 		is.NoErr(err)
--- a/bench/first_test.go
+++ b/bench/first_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -18,7 +19,8 @@
 func TestFirstToken(t *testing.T) {
 	for _, d := range bench.Deployments() {
 		t.Run(d.Name, func(t *testing.T) {
-			bubble.Run(t, func(t *testing.T) {
+			defer bubble.OneProcessor()()
+			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				added, err := bench.FirstToken(context.Background(), d, seed)
 				is.NoErr(err)
--- a/bench/region/region_test.go
+++ b/bench/region/region_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -44,7 +45,8 @@
 // measure runs a plan in virtual time and logs its report.
 func measure(t *testing.T, plan region.Plan) (report region.Report) {
 	plan.Seed = seed
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var err error
 		report, err = region.Run(context.Background(), plan)
--- a/bench/size/size_test.go
+++ b/bench/size/size_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -33,8 +34,9 @@
 	if *slopes == "" {
 		t.Skip("measures only with -slopes NAME")
 	}
+	defer bubble.OneProcessor()()
 	for _, one := range sizes[*slopes] {
-		bubble.Run(t, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			slope, err := size.Measure(context.Background(), one, seed)
 			is.NoErr(err)
--- a/io/frame/frame_test.go
+++ b/io/frame/frame_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -73,7 +74,8 @@
 func TestDeadlines(t *testing.T) {
 	const timeout = time.Second
 	within := func(t *testing.T, use func(*frame.Conn) error) {
-		bubble.Run(t, func(t *testing.T) {
+		defer bubble.OneProcessor()()
+		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			ours, theirs := net.Pipe()
 			defer theirs.Close()
--- a/io/pause/pause_test.go
+++ b/io/pause/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -12,7 +13,8 @@
 )
 
 func TestFor(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
--- a/io/peer/fault_test.go
+++ b/io/peer/fault_test.go
@@ -16,7 +16,8 @@
 
 // linked runs f with two meshes, of which a dials b.
 func linked(t *testing.T, f func(net *network, a, b *node)) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		net := newNetwork()
 		a := net.start(t, "a/1", 1, nil)
 		b := net.start(t, "b/1", 2, nil)
@@ -100,7 +101,8 @@
 	}
 	for reason, attack := range cases {
 		t.Run(reason, func(t *testing.T) {
-			bubble.Run(t, func(t *testing.T) {
+			defer bubble.OneProcessor()()
+			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				net := newNetwork()
 				b := net.start(t, "b/1", 2, nil)
@@ -117,7 +119,8 @@
 
 // A stranger of another version is told which one this router speaks.
 func TestVersionIsAnswered(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		net := newNetwork()
 		b := net.start(t, "b/1", 2, nil)
@@ -135,7 +138,8 @@
 
 // Connections without a key proof are limited in number and in time, and don't keep peers out for longer.
 func TestCrowdOfStrangers(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		net := newNetwork()
 		b := net.start(t, "b/1", 2, nil)
@@ -174,7 +178,8 @@
 
 // A new life of a host takes the place of the old one's link, in order, however silent that is.
 func TestNewIncarnationReplacesLink(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		net := newNetwork()
 		b := net.start(t, "b/1", 2, nil)
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -13,7 +14,8 @@
 )
 
 func TestMeshCarriesMessages(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		net := newNetwork()
 		a := net.start(t, "a/1", 1, nil)
--- a/router/configuration/fleet_test.go
+++ b/router/configuration/fleet_test.go
@@ -66,7 +66,8 @@
 // withFleet runs a test in a bubble with a fleet of the given size.
 func withFleet(t *testing.T, size int, settings spread.Config, test func(f *fleet)) {
 	t.Helper()
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{T: t, I: is.New(t), settings: settings, listener: fasthttputil.NewInmemoryListener()}
 		f.seen = map[uint64]map[int]bool{}
 		f.server = standin.New(standin.Config{Environment: environment})
--- a/router/operate/operate_test.go
+++ b/router/operate/operate_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -53,7 +54,8 @@
 // withSite runs a test in virtual time, with a document of share 1 in force in both environments.
 func withSite(t *testing.T, test func(s *site)) {
 	t.Helper()
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		s := &site{T: t, is: is.New(t), network: network.New(network.Config{Delay: delay}), server: standin.New(standin.Config{})}
 		listener, err := s.network.Listen(store)
 		s.is.NoErr(err)
--- a/router/poll/loads_test.go
+++ b/router/poll/loads_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -19,7 +20,8 @@
 
 // withFleet runs f in virtual time with a fleet whose engines have been warmed up and then left idle.
 func withFleet(t *testing.T, engines int, f func(ctx context.Context, fl *fleet.Fleet)) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/router/publish/publish_test.go
+++ b/router/publish/publish_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -38,7 +39,8 @@
 // withSite runs a test in a bubble with a platform.
 func withSite(t *testing.T, test func(s *site)) {
 	t.Helper()
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		s := &site{T: t, server: standin.New(standin.Config{}), listener: fasthttputil.NewInmemoryListener()}
 		served := make(chan error, 1)
 		go func() { served <- s.server.Serve(s.listener) }()
--- a/router/request/stream_test.go
+++ b/router/request/stream_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -154,7 +155,8 @@
 	const streams, tokens, engines = 1000, 24, 3
 	for name, restarts := range map[string]bool{"faults": false, "restarts": true} {
 		t.Run(name, func(t *testing.T) {
-			bubble.Run(t, func(t *testing.T) {
+			defer bubble.OneProcessor()()
+			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				n := network.New(network.Config{})
 				grants := &fakeGrants{valid: 5 * time.Second}
--- a/standin/bubble/bubble_test.go
+++ b/standin/bubble/bubble_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ryelug/standin/bubble"
@@ -12,7 +13,8 @@
 // while they slept.
 func TestTickersDueTogether(t *testing.T) {
 	const workers, rounds = 64, 2000
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		var working sync.WaitGroup
 		for range workers {
 			working.Go(func() { receiveLate(rounds) })
--- a/standin/bubble/doc.go
+++ b/standin/bubble/doc.go
@@ -1,3 +1,4 @@
-// Package bubble runs tests in virtual time. It stands beside the other
-// stand-ins, as tests and benchmarks of all packages use it.
+// Package bubble lets tests in virtual time (testing/synctest) run under the race
+// detector. It stands beside the other stand-ins, as tests and benchmarks of all
+// packages use it.
 package bubble
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -29,7 +29,8 @@
 
 // run serves an engine inside a bubble of virtual time.
 func run(t *testing.T, config engine.Config, body func(b bench)) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		b := bench{I: is.New(t), engine: engine.New(config), lis: fasthttputil.NewInmemoryListener()}
 		go func() { _ = b.engine.Serve(b.lis) }()
 		synctest.Wait()
--- a/standin/fleettest/fleet.go
+++ b/standin/fleettest/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -25,7 +26,8 @@
 	if conf.DataCentres == nil {
 		conf.DataCentres = []string{"dc-a", "dc-b", "dc-c"}
 	}
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/standin/network/network_test.go
+++ b/standin/network/network_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -26,7 +27,8 @@
 
 // join connects two hosts inside a bubble of virtual time.
 func join(t *testing.T, body func(is *is.I, n *network.Network, ours, theirs net.Conn)) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := network.New(network.Config{Delay: func(netip.Addr, netip.Addr) time.Duration { return delay }})
 		listener, err := n.Listen(door)
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -16,7 +17,8 @@
 )
 
 func TestCalls(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tickets := service.New(service.Config{Name: "s", WarmLimit: 2, ColdLimit: 1, Duration: time.Second})
 		lis := fasthttputil.NewInmemoryListener()
