Split the trials of fleets from their assertions

Cause: standin/fleettest held test code (testing, matryer/is) outside of test files. Ruled out: one _test.go file that all packages share, as the language exports none; the whole judgement in each test package, as three of them hold the same list. Change: standin/trial runs a loaded fleet through faults or freezes and returns an Outcome with what was seen and its bounds; Violations says what broke, and the tests of router/faults, faultpairs and freezes assert that it is empty. standin/fleet has StartReady, Broken and Excesses without testing; router, router/changes and router/gaps have a withTestFleet and their assertions. Seeds, bounds and checks are those of before. Conclusion: no file but test files imports testing.

--- a/router/changes/data_centre_test.go
+++ b/router/changes/data_centre_test.go
@@ -10,7 +10,6 @@
 	"ryelug/core/result"
 	"ryelug/standin/endpoint"
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
 )
 
 // noNewWork is the users' limit for a configuration to be in force everywhere.
@@ -54,7 +53,7 @@
 // A data centre is taken out under load and returned with cold engines.
 func TestDataCentreOutAndIn(t *testing.T) {
 	conf, loads := busyFleet()
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		run := fl.Drive(ctx, loads...)
 		time.Sleep(10 * time.Second)
@@ -70,15 +69,15 @@
 		is.NoErr(fl.TakeOut(ctx, "dc-b", false))
 		time.Sleep(20 * time.Second)
 		assertBusy(t, fl, time.Now().Add(-8*time.Second), time.Now(), 0, 1, 2, 3, 4, 5)
-		fleettest.AssertAllWhole(t, run.Stop())
-		fleettest.AssertNoExcess(t, fl)
+		assertAllWhole(t, run.Stop())
+		assertNoExcess(t, fl)
 	})
 }
 
 // An endpoint leaves under load: its running streams finish and no new one comes.
 func TestEndpointLeaves(t *testing.T) {
 	conf, loads := busyFleet()
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		run := fl.Drive(ctx, loads...)
 		time.Sleep(8 * time.Second)
@@ -89,8 +88,8 @@
 		left := time.Now()
 		time.Sleep(10 * time.Second)
 		is.Equal(startsBetween(fl.Engines[0].History(), left.Add(noNewWork), time.Now()), 0)
-		fleettest.AssertAllWhole(t, run.Stop())
-		fleettest.AssertNoExcess(t, fl)
+		assertAllWhole(t, run.Stop())
+		assertNoExcess(t, fl)
 	})
 }
 
@@ -98,7 +97,7 @@
 // data centre is out. It sends nothing there after a few seconds and says so truly.
 func TestMinorityTakesNoNewWork(t *testing.T) {
 	conf, loads := busyFleet()
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		run := fl.Drive(ctx, loads...)
 		time.Sleep(8 * time.Second)
@@ -125,6 +124,6 @@
 		is.True(lone.Chat(ctx, "schools", 5).Whole()) // Its peers have told it.
 		is.Equal(lone.Router().Health().Generation, uint64(2))
 		run.Stop()
-		fleettest.AssertNoExcess(t, fl)
+		assertNoExcess(t, fl)
 	})
 }
--- a/router/changes/shutdown_test.go
+++ b/router/changes/shutdown_test.go
@@ -10,7 +10,6 @@
 
 	"ryelug/core/result"
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
 )
 
 // Every router is replaced in turn under load, and no request is cut or refused.
@@ -18,7 +17,7 @@
 	conf := fleet.Config{Routers: 5, Engines: 6, Services: 2, BalancerLag: 500 * time.Millisecond}
 	conf.Engine.Cold = true
 	conf.Engine.TokenGap = 20 * time.Millisecond
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		run := fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 20, Tokens: 40}, fleet.Load{Team: "schools", Callers: 20, Tokens: 40},
 			fleet.Load{Team: "kiosks", Callers: 4, Service: true})
@@ -32,8 +31,8 @@
 		}
 		replies := run.Stop()
 		is.True(len(replies) > 500)
-		fleettest.AssertAllWhole(t, replies)
-		fleettest.AssertNoExcess(t, fl)
+		assertAllWhole(t, replies)
+		assertNoExcess(t, fl)
 	})
 }
 
@@ -51,7 +50,7 @@
 // The dispatcher leaves while capacity is free, and no request notices.
 func TestDispatcherLeavesWithoutPause(t *testing.T) {
 	conf := fleet.Config{Routers: 4, Engines: 3, BalancerLag: time.Second}
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		run := fl.Drive(ctx, fleet.Load{Team: "schools", Callers: 6, Tokens: 4})
 		time.Sleep(3 * time.Second)
@@ -61,7 +60,7 @@
 			time.Sleep(3 * time.Second)
 		}
 		replies := run.Stop()
-		fleettest.AssertAllWhole(t, replies)
+		assertAllWhole(t, replies)
 		if longest := longestWait(replies, settled); longest >= 100*time.Millisecond {
 			t.Errorf("a request waited %v for its first event", longest)
 		}
@@ -70,7 +69,7 @@
 
 // A router that leaves refuses what comes after the balancer's lag, at once and truly.
 func TestLateRequestIsRefused(t *testing.T) {
-	fleettest.Run(t, fleet.Config{Routers: 2, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, fleet.Config{Routers: 2, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		is.NoErr(fl.Routers[0].Leave())
 		reply := fl.Routers[0].Chat(ctx, "kiosks", 5)
@@ -83,7 +82,7 @@
 
 // The stakes that stay cover all capacity again as soon as a router has departed.
 func TestDepartedRouterCountsNoMore(t *testing.T) {
-	fleettest.Run(t, fleet.Config{Routers: 4, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, fleet.Config{Routers: 4, Engines: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		is.NoErr(fl.Routers[3].Leave())
 		time.Sleep(time.Second)
--- a/router/faults/fault_test.go
+++ b/router/faults/fault_test.go
@@ -2,12 +2,32 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
-	"ryelug/standin/fleettest"
+	"github.com/matryer/is"
+
+	"ryelug/standin/bubble"
+	"ryelug/standin/trial"
 )
 
 func TestFaults(t *testing.T) {
-	for i, f := range fleettest.Faults {
-		t.Run(f.Name, func(t *testing.T) { fleettest.WithFaults(t, uint64(i), false, f) })
+	for i, f := range trial.Faults {
+		t.Run(f.Name, func(t *testing.T) { assertBorne(t, uint64(i), f) })
 	}
 }
+
+// assertBorne checks that a loaded fleet bears a fault.
+func assertBorne(t *testing.T, seed uint64, f trial.Fault) {
+	t.Helper()
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
+		outcome, err := trial.WithFaults(t.Context(), seed, false, f)
+		is.New(t).NoErr(err)
+		for _, figure := range outcome.Figures() {
+			t.Log(figure)
+		}
+		for _, violation := range outcome.Violations() {
+			t.Error(violation)
+		}
+	})
+}
--- a/router/flood_test.go
+++ b/router/flood_test.go
@@ -9,7 +9,6 @@
 
 	"ryelug/core/result"
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
 )
 
 // TestFloodStaysAtItsEntry lets a team send as fast as it can, whatever it is told.
@@ -21,7 +20,7 @@
 		span             = 10 * time.Second
 		leastFull        = 50 * time.Millisecond // half of the least RetryAfter of a full queue
 	)
-	fleettest.Run(t, fleet.Config{Routers: routers, Engines: 2, QueueLimit: 10}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, fleet.Config{Routers: routers, Engines: 2, QueueLimit: 10}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		before := demandsIn(ctx, t, fl)
 		run := fl.Drive(ctx,
--- a/router/freezes/freeze_test.go
+++ b/router/freezes/freeze_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
-	"ryelug/standin/fleettest"
+	"github.com/matryer/is"
+
+	"ryelug/standin/bubble"
 	"ryelug/standin/network"
+	"ryelug/standin/trial"
 )
 
 // shortGap makes requests so short that many grants are on their way to a router that freezes.
@@ -16,26 +20,42 @@
 func TestFrozenRouter(t *testing.T) {
 	cases := []struct {
 		name   string
-		freeze fleettest.Freeze
+		freeze trial.Freeze
 	}{
-		{"dispatcher", fleettest.Freeze{Role: fleettest.Dispatcher, Times: 1, Seed: 200}},
-		{"entry", fleettest.Freeze{Role: fleettest.Entry, Waking: network.DataFirst, Times: 1, Seed: 201}},
-		{"dispatcher, cold", fleettest.Freeze{Role: fleettest.Dispatcher, Cold: true, Times: 2, Seed: 202}},
-		{"dispatcher, cold, data first", fleettest.Freeze{Role: fleettest.Dispatcher, Cold: true, Times: 1, Waking: network.DataFirst, Seed: 203}},
-		{"entry, cold", fleettest.Freeze{Role: fleettest.Entry, Cold: true, Times: 2, Seed: 204}},
-		{"entry, cold, data first", fleettest.Freeze{Role: fleettest.Entry, Cold: true, Times: 1, Waking: network.DataFirst, Seed: 205}},
-		{"entry, cold, short requests", fleettest.Freeze{Role: fleettest.Entry, Cold: true, Times: 1, Gap: shortGap, Waking: network.DataFirst, Seed: 206}},
+		{"dispatcher", trial.Freeze{Role: trial.Dispatcher, Times: 1, Seed: 200}},
+		{"entry", trial.Freeze{Role: trial.Entry, Waking: network.DataFirst, Times: 1, Seed: 201}},
+		{"dispatcher, cold", trial.Freeze{Role: trial.Dispatcher, Cold: true, Times: 2, Seed: 202}},
+		{"dispatcher, cold, data first", trial.Freeze{Role: trial.Dispatcher, Cold: true, Times: 1, Waking: network.DataFirst, Seed: 203}},
+		{"entry, cold", trial.Freeze{Role: trial.Entry, Cold: true, Times: 2, Seed: 204}},
+		{"entry, cold, data first", trial.Freeze{Role: trial.Entry, Cold: true, Times: 1, Waking: network.DataFirst, Seed: 205}},
+		{"entry, cold, short requests", trial.Freeze{Role: trial.Entry, Cold: true, Times: 1, Gap: shortGap, Waking: network.DataFirst, Seed: 206}},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { fleettest.WithFreezes(t, c.freeze) })
+		t.Run(c.name, func(t *testing.T) { assertBorne(t, c.freeze) })
 	}
 }
 
 // The same, where streams that the woken router resumes count as well.
 func TestFrozenRouterResumes(t *testing.T) {
-	for i, role := range []fleettest.Role{fleettest.Dispatcher, fleettest.Entry} {
+	for i, role := range []trial.Role{trial.Dispatcher, trial.Entry} {
 		t.Run(string(role), func(t *testing.T) {
-			fleettest.WithFreezes(t, fleettest.Freeze{Role: role, Cold: true, Times: 2, Resumes: true, Seed: uint64(301 + i)})
+			assertBorne(t, trial.Freeze{Role: role, Cold: true, Times: 2, Resumes: true, Seed: uint64(301 + i)})
 		})
 	}
 }
+
+// assertBorne checks that a loaded fleet bears frozen routers.
+func assertBorne(t *testing.T, freeze trial.Freeze) {
+	t.Helper()
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
+		outcome, err := trial.WithFreezes(t.Context(), freeze)
+		is.New(t).NoErr(err)
+		for _, figure := range outcome.Figures() {
+			t.Log(figure)
+		}
+		for _, violation := range outcome.Violations() {
+			t.Error(violation)
+		}
+	})
+}
--- a/router/gaps/gap_test.go
+++ b/router/gaps/gap_test.go
@@ -6,14 +6,17 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/fair"
 	"ryelug/core/member"
+	"ryelug/standin/bubble"
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
 )
 
 // What the fleets of these tests are made of.
@@ -36,6 +39,19 @@
 	age    = member.DefaultDamping + settle // age is that of routers among which no cell moves by itself.
 )
 
+// withTestFleet runs body in virtual time with a fleet that is ready to serve.
+func withTestFleet(t *testing.T, conf fleet.Config, body func(ctx context.Context, t *testing.T, fl *fleet.Fleet)) {
+	t.Helper()
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl, err := fleet.StartReady(t.Context(), conf)
+		is.NoErr(err)
+		defer func() { is.NoErr(fl.Close()) }()
+		body(t.Context(), t, fl)
+	})
+}
+
 func equalFleet(seed uint64) fleet.Config {
 	conf := fleet.Config{Routers: routers, Engines: engines, Seed: seed}
 	conf.Teams = []config.Team{{Name: "kiosks", Share: 4}, {Name: "schools", Share: 1}, {Name: "clinics", Share: 1}}
@@ -103,7 +119,7 @@
 func TestEqualRequests(t *testing.T) {
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			fleettest.Run(t, equalFleet(seed), func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+			withTestFleet(t, equalFleet(seed), func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 				run := fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 60, Tokens: tokens}, fleet.Load{Team: "schools", Callers: 30, Tokens: tokens})
 				time.Sleep(age)
 				first := time.Now()
@@ -163,7 +179,7 @@
 // Two halves serve at different paces for long. When they heal, what one served
 // beyond the other is forgiven, and no team pays for it.
 func TestHealedHalves(t *testing.T) {
-	fleettest.Run(t, equalFleet(7), func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, equalFleet(7), func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		minor, major := halves(ctx, fl)
 		run := fl.Drive(ctx,
 			fleet.Load{Team: "kiosks", Callers: 60, Tokens: tokens, Routers: minor}, fleet.Load{Team: "kiosks", Callers: 60, Tokens: tokens, Routers: major},
--- a/router/hand_over_test.go
+++ b/router/hand_over_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
+	"ryelug/standin/trial"
 )
 
 // coldPause kills the dispatcher of a loaded fleet of cold engines and returns the time from
@@ -19,7 +19,7 @@
 	conf.Delay = func(netip.Addr, netip.Addr) time.Duration { return time.Millisecond }
 	conf.Engine.Cold, conf.Engine.WarmUp = true, 100_000
 	conf.Engine.TokenGap = tokenGap
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		rng := rand.New(rand.NewPCG(seed, 5))
 		run := fl.Drive(ctx, fleet.Load{Team: "kiosks", Callers: 30, Tokens: 20}, fleet.Load{Team: "schools", Callers: 30, Tokens: 20})
 		time.Sleep(6*time.Second + time.Duration(rng.Int64N(int64(time.Second))))
@@ -28,7 +28,7 @@
 		dispatcher.Kill()
 		time.Sleep(6 * time.Second)
 		pause = firstAfter(run.Stop(), killed)
-		fleettest.AssertNoExcess(t, fl)
+		assertNoExcess(t, fl)
 	})
 	return pause
 }
@@ -54,7 +54,7 @@
 			t.Run(fmt.Sprintf("token gap %v, seed %d", tokenGap, seed), func(t *testing.T) {
 				pause := coldPause(t, seed, tokenGap)
 				t.Logf("first grant after %v", pause)
-				if pause >= fleettest.HandOver {
+				if pause >= trial.HandOver {
 					t.Errorf("the first grant came %v after the dispatcher's death", pause)
 				}
 			})
@@ -67,7 +67,7 @@
 func TestIdleStakesStayCounted(t *testing.T) {
 	conf := fleet.Config{Routers: 5, Engines: 1}
 	conf.Delay = func(netip.Addr, netip.Addr) time.Duration { return 100 * time.Millisecond }
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		time.Sleep(5 * time.Second)
 		dispatcher := fl.Dispatcher(ctx, fleet.EnginePool)
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(17 * time.Millisecond) {
--- a/router/keys_test.go
+++ b/router/keys_test.go
@@ -12,7 +12,6 @@
 	"ryelug/core/result"
 	platformclient "ryelug/io/platform"
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
 	"ryelug/standin/platform"
 	"ryelug/standin/service"
 )
@@ -33,7 +32,7 @@
 func TestKeyRunsOnceInFleet(t *testing.T) {
 	conf := fleet.Config{Routers: 3, Engines: 1, Services: 2, QueueTimeout: 2 * time.Second, LongestRequest: 5 * time.Second,
 		Service: service.Config{Duration: 300 * time.Millisecond}}
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		first, second, third := fl.Routers[0], fl.Routers[1], fl.Routers[2]
 
@@ -81,7 +80,7 @@
 func TestKeyedSettings(t *testing.T) {
 	const burst = 10 // A router lets as many through at once, however low its rate.
 	conf := fleet.Config{Routers: 3, Engines: 1, Services: 1, LongestRequest: 5 * time.Second, Settings: "keyed_rate = 3\nkeyed_retention = \"10m\"\n"}
-	fleettest.Run(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, conf, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		taken := func(calls int) (count int) {
 			for n := range calls {
--- a/router/list_test.go
+++ b/router/list_test.go
@@ -8,12 +8,11 @@
 	"github.com/matryer/is"
 
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
 )
 
 // platformReads returns the calls of the platform that an idle fleet makes in 20 s.
 func platformReads(t *testing.T, routers int) (calls int64) {
-	fleettest.Run(t, fleet.Config{Routers: routers, Engines: 1}, func(_ context.Context, _ *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, fleet.Config{Routers: routers, Engines: 1}, func(_ context.Context, _ *testing.T, fl *fleet.Fleet) {
 		time.Sleep(5 * time.Second)
 		before := fl.Platform.Calls().Total()
 		time.Sleep(20 * time.Second)
@@ -31,7 +30,7 @@
 
 // A list reaches routers that can't read it themselves.
 func TestListIsHeard(t *testing.T) {
-	fleettest.Run(t, fleet.Config{Routers: 6, Engines: 1, DataCentres: []string{"dc-a"}}, func(_ context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, fleet.Config{Routers: 6, Engines: 1, DataCentres: []string{"dc-a"}}, func(_ context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		for _, m := range fl.Routers[1:] {
 			fl.CutFromPlatform(m)
--- a/router/path_test.go
+++ b/router/path_test.go
@@ -9,14 +9,13 @@
 	"ryelug/io/caller"
 	"ryelug/router"
 	"ryelug/standin/fleet"
-	"ryelug/standin/fleettest"
 )
 
 var _ caller.Handler = (*router.Router)(nil)
 
 // A request gets its whole stream whichever router it enters.
 func TestWholePath(t *testing.T) {
-	fleettest.Run(t, fleet.Config{Routers: 3, Engines: 2, Services: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
+	withTestFleet(t, fleet.Config{Routers: 3, Engines: 2, Services: 1}, func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
 		is := is.New(t)
 		for _, m := range fl.Routers {
 			reply := m.Chat(ctx, "kiosks", 5)
