Run the test of keyed calls in virtual time

Cause: TestKeyedCallsRunOnce slept in real time, used loopback sockets and switched the platform's faults every 60 ms. On a busy machine the platform's timeouts swallowed nearly all calls (45 sends where 135 are usual), and "the run must have met every kind of refusal" failed.

Ruled out: longer times, which move the limit and don't remove it. Virtual timestamps as the history's clock: many events share one, and porcupine takes events of one time for concurrent, which would be a weaker check.

Change: the test runs in a bubble on the stand-in network, with the same keys, callers, repeats, faults, seed and checks. Three things are stricter: the history's clock counts events, so that no two share a time; a dead router's reads come back no more than its writes; runs whose callers gave up are waited for and checked as well. A dead router's calls block until the check is over and then fail, so that nothing of it reaches the history. Each path has a delay of its own, so that calls meet in the same order in each run.

Conclusion: the verdict rests no longer on the machine's speed.

--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -33,6 +33,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newFakeEndpointOn(t, ln, script)
+}
+
+func newFakeEndpointOn(t testing.TB, ln net.Listener, script func(net.Conn, *fasthttp.Request, int) bool) *fakeEndpoint {
 	f := &fakeEndpoint{ln: ln, start: "s1", script: script, runs: map[string]int{}}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
--- a/router/request/key_test.go
+++ b/router/request/key_test.go
@@ -1,7 +1,9 @@
 package request_test
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -23,39 +25,60 @@
 	"ryelug/io/platform"
 	"ryelug/router/keyed"
 	"ryelug/router/request"
+	"ryelug/standin/bubble"
+	"ryelug/standin/network"
 	standin "ryelug/standin/platform"
 )
 
-// mortal is a router's way to the world; after its death nothing comes back.
+// errDead is what a dead router's calls end with once nobody is left to see it.
+var errDead = errors.New("router is dead")
+
+// mortal is a router's way to the world; after its death nothing comes back until the test is over.
 type mortal struct {
 	keyed.Records
 	request.Endpoints
 	dead atomic.Bool
+	over <-chan struct{} // over closes when all callers are done and the history is checked.
 }
 
-func (m *mortal) alive() {
-	if m.dead.Load() {
-		select {}
+// alive blocks a dead router; it returns an error when the test is over.
+func (m *mortal) alive() error {
+	if !m.dead.Load() {
+		return nil
 	}
+	<-m.over
+	return errDead
+}
+
+func (m *mortal) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if err := m.alive(); err != nil {
+		return platform.Object{}, err
+	}
+	object, err := m.Records.Get(ctx, kind, name)
+	return object, cmp.Or(m.alive(), err)
 }
 
 func (m *mortal) Create(ctx context.Context, kind platform.Kind, o platform.Object) (platform.Object, error) {
-	m.alive()
+	if err := m.alive(); err != nil {
+		return platform.Object{}, err
+	}
 	created, err := m.Records.Create(ctx, kind, o)
-	m.alive()
-	return created, err
+	return created, cmp.Or(m.alive(), err)
 }
 
 func (m *mortal) Update(ctx context.Context, kind platform.Kind, o platform.Object) (platform.Object, error) {
-	m.alive()
+	if err := m.alive(); err != nil {
+		return platform.Object{}, err
+	}
 	return m.Records.Update(ctx, kind, o)
 }
 
 func (m *mortal) Send(ctx context.Context, call endpoint.Call) (*endpoint.Answer, error) {
-	m.alive()
+	if err := m.alive(); err != nil {
+		return nil, err
+	}
 	answer, err := m.Endpoints.Send(ctx, call)
-	m.alive()
-	return answer, err
+	return answer, cmp.Or(m.alive(), err)
 }
 
 // startPlatform serves a stand-in of the platform and returns a client for each of n routers.
@@ -122,26 +145,27 @@
 	},
 }
 
-// keyHistory collects a history of concurrent calls and runs.
+// keyHistory collects a history of concurrent calls and runs. Its clock counts the
+// moments that it notes, since in virtual time many of them are at one time.
 type keyHistory struct {
+	clock atomic.Int64
 	mu    sync.Mutex
-	began time.Time
 	ops   []porcupine.Operation
 	codes map[result.Code]int
 }
 
-func (h *keyHistory) add(client int, in keyInput, call time.Time, out keyOutput) {
+func (h *keyHistory) add(client int, in keyInput, call int64, out keyOutput) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: int64(call.Sub(h.began)), Output: out, Return: int64(time.Since(h.began))})
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: h.clock.Add(1)})
 }
 
 // call sends one keyed call and notes what the caller was told; it returns whether to stop repeating.
-func (h *keyHistory) call(t testing.TB, caller int, url, key string) bool {
-	began := time.Now()
+func (h *keyHistory) call(t testing.TB, transport http.RoundTripper, caller int, url, key string) bool {
+	began := h.clock.Add(1)
 	req, _ := http.NewRequest(http.MethodPost, url, strings.NewReader(key))
 	req.Header.Set("Idempotency-Key", key)
-	client := http.Client{Timeout: 1200 * time.Millisecond}
+	client := http.Client{Transport: transport, Timeout: 1200 * time.Millisecond}
 	resp, err := client.Do(req)
 	if err != nil {
 		return false // No answer tells nothing.
@@ -176,7 +200,7 @@
 			return true
 		}
 		in := keyInput{key: string(req.Body()), attempt: requestID(req), run: true}
-		h.add(0, in, time.Now(), keyOutput{})
+		h.add(0, in, h.clock.Add(1), keyOutput{})
 		if dice < 38 {
 			return false
 		}
@@ -188,44 +212,111 @@
 	}
 }
 
-// TestKeyedCallsRunOnce repeats keyed calls through three routers that share a platform
-// with outages and lost answers; one router dies. The history is checked key by key.
-func TestKeyedCallsRunOnce(t *testing.T) {
-	const seed, keys, callers, repeats = 1, 120, 3, 8
-	is := is.New(t)
-	server, clients := startPlatform(t, 3)
-	history := &keyHistory{began: time.Now(), codes: map[result.Code]int{}}
-	service := newFakeEndpoint(t, history.unreliable(seed))
-	var urls []string
-	var routers []*mortal
-	for _, client := range clients {
-		router := &mortal{Records: client, Endpoints: endpoint.New(endpoint.Config{})}
-		routers = append(routers, router)
-		grants := &fakeGrants{endpoints: []target{service}, valid: 300 * time.Millisecond}
-		config := request.Config{Endpoints: router, Grants: grants,
-			Keys: keyed.New(keyed.Config{Records: router, Rate: 1e6, Timeout: 200 * time.Millisecond})}
-		urls = append(urls, serveCallers(t, config, request.Route{Service: true, QueueTimeout: time.Second, LongestRequest: 250 * time.Millisecond}))
+// keySite is a platform, a service and routers on a network of virtual time.
+type keySite struct {
+	*testing.T
+	network  *network.Network
+	platform *standin.Server
+	service  *fakeEndpoint
+	routers  []*mortal
+	urls     []string
+}
+
+var (
+	platformAddress = netip.MustParseAddrPort("192.0.2.1:80")
+	serviceAddress  = netip.MustParseAddrPort("192.0.2.2:80")
+)
+
+// hostAddress returns the address of host number i of a kind.
+func hostAddress(kind, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{192, 0, 2, byte(10*kind + i)})
+}
+
+const (
+	routerHosts = 1 + iota
+	callerHosts
+)
+
+// hostDelay differs from path to path, so that calls that begin together meet in the same order in each run.
+func hostDelay(from, to netip.Addr) time.Duration {
+	return time.Duration(from.As4()[3]+to.As4()[3]) * 10 * time.Microsecond
+}
+
+// startKeySite must be called in a bubble; all that it starts ends with the test.
+func startKeySite(t *testing.T, routers int, script func(net.Conn, *fasthttp.Request, int) bool) *keySite {
+	t.Helper()
+	s := &keySite{T: t, network: network.New(network.Config{Delay: hostDelay})}
+	t.Cleanup(func() { time.Sleep(2 * time.Minute) }) // Idle connections end.
+	s.platform = standin.New(standin.Config{Environment: "trial"})
+	t.Cleanup(s.platform.Close)
+	ln := s.listen(platformAddress)
+	go func() { _ = s.platform.Serve(ln) }()
+	s.service = newFakeEndpointOn(t, s.listen(serviceAddress), script)
+	over := make(chan struct{})
+	for i := range routers {
+		s.startRouter(hostAddress(routerHosts, i), over)
 	}
-	stop := make(chan struct{})
-	go func() {
-		faults := []standin.Faults{{LoseAnswers: 20}, {}, {Slow: 30 * time.Millisecond}, {LoseAnswers: 10, Slow: 20 * time.Millisecond}, {Down: true}, {Down: true}, {Down: true}, {Down: true}, {}, {}}
-		for i := 0; ; i++ {
-			server.SetFaults(faults[i%len(faults)])
-			routers[2].dead.Store(i >= 16)
-			select {
-			case <-stop:
-				return
-			case <-time.After(60 * time.Millisecond):
-			}
+	t.Cleanup(func() { close(over) })
+	return s
+}
+
+func (s *keySite) listen(address netip.AddrPort) net.Listener {
+	s.Helper()
+	ln, err := s.network.Listen(address)
+	is.New(s.T).NoErr(err)
+	return ln
+}
+
+func (s *keySite) startRouter(host netip.Addr, over <-chan struct{}) {
+	s.Helper()
+	dial := s.network.Dialer(host)
+	client := platform.New(platform.Config{Address: platformAddress, Environment: "trial", Timeout: 300 * time.Millisecond, Dial: dial})
+	s.Cleanup(client.Close)
+	router := &mortal{Records: client, Endpoints: endpoint.New(endpoint.Config{Dial: dial}), over: over}
+	s.routers = append(s.routers, router)
+	config := request.Config{
+		Endpoints: router,
+		Grants:    &fakeGrants{endpoints: []target{s.service}, valid: 300 * time.Millisecond},
+		Keys:      keyed.New(keyed.Config{Records: router, Rate: 1e6, Timeout: 200 * time.Millisecond}),
+	}
+	route := request.Route{Service: true, QueueTimeout: time.Second, LongestRequest: 250 * time.Millisecond}
+	s.urls = append(s.urls, serveCallersOn(s.T, s.listen(netip.AddrPortFrom(host, 80)), config, route))
+}
+
+// transport returns a caller's way to the routers.
+func (s *keySite) transport(host netip.Addr) *http.Transport {
+	dial := s.network.Dialer(host)
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
+		return dial(ctx, netip.MustParseAddrPort(to))
+	}}
+	s.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
+// trouble switches the faults of the platform until stop; the last router dies.
+func (s *keySite) trouble(stop <-chan struct{}) {
+	faults := []standin.Faults{{LoseAnswers: 20}, {}, {Slow: 30 * time.Millisecond}, {LoseAnswers: 10, Slow: 20 * time.Millisecond}, {Down: true}, {Down: true}, {Down: true}, {Down: true}, {}, {}}
+	for i := 0; ; i++ {
+		s.platform.SetFaults(faults[i%len(faults)])
+		s.routers[len(s.routers)-1].dead.Store(i >= 16)
+		select {
+		case <-stop:
+			return
+		case <-time.After(60 * time.Millisecond):
 		}
-	}()
+	}
+}
+
+// callAll repeats a call with each key from each caller through all routers in turn.
+func (s *keySite) callAll(history *keyHistory, keys, callers, repeats int) {
 	var group sync.WaitGroup
-	for key := range keys {
-		for caller := range callers {
+	for caller := range callers {
+		transport := s.transport(hostAddress(callerHosts, caller))
+		for key := range keys {
 			group.Go(func() {
 				time.Sleep(time.Duration(key) * 20 * time.Millisecond)
 				for n := range repeats {
-					if history.call(t, key*callers+caller+1, urls[(caller+n)%len(urls)], fmt.Sprintf("key-%d", key)) {
+					if history.call(s.T, transport, key*callers+caller+1, s.urls[(caller+n)%len(s.urls)], fmt.Sprintf("key-%d", key)) {
 						return
 					}
 					time.Sleep(100 * time.Millisecond)
@@ -234,11 +325,28 @@
 		}
 	}
 	group.Wait()
-	close(stop)
-	t.Logf("%d operations, %d sends, refusals by code %v, platform %+v", len(history.ops), service.sends(), history.codes, server.Calls())
-	is.Equal(porcupine.CheckOperationsTimeout(keyModel, history.ops, time.Minute), porcupine.Ok)
-	is.True(len(history.ops) > keys)
-	for _, code := range []result.Code{result.KeyInProgress, result.PlatformUnavailable, result.EndpointRefused, result.OutcomeUnknown, result.KeyOutcomeUnknown} {
-		is.True(history.codes[code] > 0) // The run must have met every kind of refusal.
-	}
+}
+
+// TestKeyedCallsRunOnce repeats keyed calls through three routers that share a platform
+// with outages and lost answers; one router dies. The history is checked key by key.
+func TestKeyedCallsRunOnce(t *testing.T) {
+	const seed, keys, callers, repeats, routers = 1, 120, 3, 8, 3
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		history := &keyHistory{codes: map[result.Code]int{}}
+		site := startKeySite(t, routers, history.unreliable(seed))
+		stop := make(chan struct{})
+		go site.trouble(stop)
+		site.callAll(history, keys, callers, repeats)
+		close(stop)
+		time.Sleep(5 * time.Second) // Calls whose callers gave up may still run.
+		history.mu.Lock()
+		defer history.mu.Unlock()
+		t.Logf("%d operations, %d sends, refusals by code %v, platform %+v", len(history.ops), site.service.sends(), history.codes, site.platform.Calls())
+		is.Equal(porcupine.CheckOperationsTimeout(keyModel, history.ops, time.Minute), porcupine.Ok)
+		is.True(len(history.ops) > keys)
+		for _, code := range []result.Code{result.KeyInProgress, result.PlatformUnavailable, result.EndpointRefused, result.OutcomeUnknown, result.KeyOutcomeUnknown} {
+			is.True(history.codes[code] > 0) // The run must have met every kind of refusal.
+		}
+	})
 }
