Run the other tests of requests and keys in virtual time

Cause: ten tests of router/request and two of router/keyed used loopback sockets and limits in real time, from 50 ms to 2 s, some of which a busy machine passes over: a service's answer due within 200 ms, the platform's within 100 ms, a first token within 100 ms, a refusal within 500 ms.

Nothing in the packages needs sockets.

Each check stays as it was. The cases of TestKeyedCallsCost share one platform, and a bubble has no subtests, so they are a loop whose assertions go on after a failure. TestMainPath's two cases have a service each. TestCallerLeaves checks as well that the router orders the engine to stop: without the order it passed before, since the end of the connection stopped the engine too.

Conclusion: no test of the two packages rests on real time.

--- a/router/keyed/keeper_test.go
+++ b/router/keyed/keeper_test.go
@@ -10,6 +10,7 @@
 
 	"ryelug/io/platform"
 	"ryelug/router/keyed"
+	"ryelug/standin/bubble"
 )
 
 // takenRecords takes each record and keeps when it expires.
@@ -26,13 +27,15 @@
 
 // TestRecordOutlivesAttempt keeps the record of a request that may still run, however short the retention.
 func TestRecordOutlivesAttempt(t *testing.T) {
-	is := is.New(t)
-	records := &takenRecords{}
-	keeper := keyed.New(keyed.Config{Records: records, Retention: 10 * time.Minute})
-	for _, longest := range []time.Duration{time.Minute, 24 * time.Hour} {
-		_, action := keeper.Claim(t.Context(), keyed.Request{Team: "team", Key: "key", Attempt: "1", Longest: longest})
-		is.True(action != nil)
-	}
-	is.True(time.Until(records.expires[0]) < 11*time.Minute)
-	is.True(time.Until(records.expires[1]) >= 24*time.Hour)
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		records := &takenRecords{}
+		keeper := keyed.New(keyed.Config{Records: records, Retention: 10 * time.Minute})
+		for _, longest := range []time.Duration{time.Minute, 24 * time.Hour} {
+			_, action := keeper.Claim(t.Context(), keyed.Request{Team: "team", Key: "key", Attempt: "1", Longest: longest})
+			is.True(action != nil)
+		}
+		is.True(time.Until(records.expires[0]) < 11*time.Minute)
+		is.True(time.Until(records.expires[1]) >= 24*time.Hour)
+	})
 }
--- a/router/keyed/sweeper_test.go
+++ b/router/keyed/sweeper_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"strings"
 	"testing"
@@ -12,33 +11,51 @@
 
 	"ryelug/io/platform"
 	"ryelug/router/keyed"
+	"ryelug/standin/bubble"
+	"ryelug/standin/network"
 	standin "ryelug/standin/platform"
 )
 
 // TestSweep deletes a record after its time and no other, and spares one that changed after the list.
 func TestSweep(t *testing.T) {
-	is := is.New(t)
+	bubble.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		client := startPlatform(t)
+		ctx, now := t.Context(), time.Now()
+		for name, expires := range map[string]string{"old": "1000", "new": "99999999999", "unmarked": ""} {
+			_, err := client.Create(ctx, platform.Calls, platform.Object{Name: name, Annotations: map[string]string{"expires": expires}, Data: []byte("{}")})
+			is.NoErr(err)
+		}
+		racing := &racingRecords{Client: client}
+		is.Equal(keyed.NewSweeper(keyed.SweeperConfig{Records: racing}).Sweep(ctx, now), 0)
+		is.Equal(keyed.NewSweeper(keyed.SweeperConfig{Records: client}).Sweep(ctx, now), 1)
+		list, err := client.ListNames(ctx, platform.Calls)
+		is.NoErr(err)
+		var names []string
+		for _, object := range list.Items {
+			names = append(names, object.Name)
+		}
+		is.Equal(strings.Join(names, " "), "new unmarked")
+	})
+}
+
+// startPlatform serves a stand-in of the platform in a bubble and returns a client of it.
+func startPlatform(t *testing.T) *platform.Client {
+	t.Helper()
+	n := network.New(network.Config{})
+	address := netip.MustParseAddrPort("192.0.2.1:80")
+	ln, err := n.Listen(address)
+	is.New(t).NoErr(err)
 	server := standin.New(standin.Config{Environment: "trial"})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
 	go func() { _ = server.Serve(ln) }()
-	defer server.Close()
-	client := platform.New(platform.Config{Address: netip.MustParseAddrPort(ln.Addr().String()), Environment: "trial"})
-	ctx, now := t.Context(), time.Now()
-	for name, expires := range map[string]string{"old": "1000", "new": "99999999999", "unmarked": ""} {
-		_, err := client.Create(ctx, platform.Calls, platform.Object{Name: name, Annotations: map[string]string{"expires": expires}, Data: []byte("{}")})
-		is.NoErr(err)
-	}
-	racing := &racingRecords{Client: client}
-	is.Equal(keyed.NewSweeper(keyed.SweeperConfig{Records: racing}).Sweep(ctx, now), 0)
-	is.Equal(keyed.NewSweeper(keyed.SweeperConfig{Records: client}).Sweep(ctx, now), 1)
-	list, err := client.ListNames(ctx, platform.Calls)
-	is.NoErr(err)
-	var names []string
-	for _, object := range list.Items {
-		names = append(names, object.Name)
-	}
-	is.Equal(strings.Join(names, " "), "new unmarked")
+	dial := n.Dialer(netip.MustParseAddr("192.0.2.2"))
+	client := platform.New(platform.Config{Address: address, Environment: "trial", Dial: dial})
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+		time.Sleep(time.Minute) // The cleaners of connection pools end.
+	})
+	return client
 }
 
 // racingRecords has another router delete and write anew each record between the list and the delete.
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -28,15 +28,7 @@
 	runs map[string]int // runs counts runs by request id.
 }
 
-func newFakeEndpoint(t testing.TB, script func(net.Conn, *fasthttp.Request, int) bool) *fakeEndpoint {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return newFakeEndpointOn(t, ln, script)
-}
-
-func newFakeEndpointOn(t testing.TB, ln net.Listener, script func(net.Conn, *fasthttp.Request, int) bool) *fakeEndpoint {
+func newFakeEndpoint(t testing.TB, ln net.Listener, script func(net.Conn, *fasthttp.Request, int) bool) *fakeEndpoint {
 	f := &fakeEndpoint{ln: ln, start: "s1", script: script, runs: map[string]int{}}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
--- a/router/request/key_test.go
+++ b/router/request/key_test.go
@@ -81,23 +81,6 @@
 	return answer, cmp.Or(m.alive(), err)
 }
 
-// startPlatform serves a stand-in of the platform and returns a client for each of n routers.
-func startPlatform(t testing.TB, n int) (*standin.Server, []*platform.Client) {
-	server := standin.New(standin.Config{Environment: "trial"})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = server.Serve(ln) }()
-	t.Cleanup(server.Close)
-	clients := make([]*platform.Client, n)
-	for i := range clients {
-		address := netip.MustParseAddrPort(ln.Addr().String())
-		clients[i] = platform.New(platform.Config{Address: address, Environment: "trial", Timeout: 300 * time.Millisecond})
-	}
-	return server, clients
-}
-
 // keyInput is a run at the service, or a call of a caller.
 type keyInput struct {
 	key, attempt string
@@ -251,7 +234,7 @@
 	t.Cleanup(s.platform.Close)
 	ln := s.listen(platformAddress)
 	go func() { _ = s.platform.Serve(ln) }()
-	s.service = newFakeEndpointOn(t, s.listen(serviceAddress), script)
+	s.service = newFakeEndpoint(t, s.listen(serviceAddress), script)
 	over := make(chan struct{})
 	for i := range routers {
 		s.startRouter(hostAddress(routerHosts, i), over)
--- a/router/request/once_test.go
+++ b/router/request/once_test.go
@@ -39,6 +39,11 @@
 // libraryClient sends calls as the library does by default: with its own pool and its own retries.
 type libraryClient struct{ http fasthttp.Client }
 
+func newLibraryClient(h *hosts) *libraryClient {
+	dial := func(to string) (net.Conn, error) { return h.dial(h.Context(), netip.MustParseAddrPort(to)) }
+	return &libraryClient{http: fasthttp.Client{Dial: dial}}
+}
+
 func (c *libraryClient) Send(_ context.Context, call endpoint.Call) (*endpoint.Answer, error) {
 	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
 	req.SetRequestURI("http://" + call.Address.String() + call.Path)
@@ -101,26 +106,30 @@
 	route := request.Route{Service: true, LongestRequest: 200 * time.Millisecond}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			service = newFakeEndpoint(t, c.script)
-			grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
-			url := serveCallers(t, request.Config{Grants: grants}, route)
-			_, body := post(t, url, `{}`)
-			got := parseRefusal(t, body)
-			is.Equal([]any{got.Error.Code, got.Error.NotRun}, []any{c.code, c.notRun})
-			is.True(got.Error.RetryAfterMS > 0)
-			is.Equal(service.sends(), 1)
-			is.Equal(grants.ended(1), []cell.Outcome{c.end})
-			runs := service.runsOf(service.seen[0])
-			is.True(runs <= 1)
-			is.True(runs == 0 || !got.Error.NotRun)
+			onHosts(t, func(h *hosts) {
+				is := is.New(h.T)
+				service = newFakeEndpoint(h.T, h.listen(), c.script)
+				grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
+				url := h.serveCallers(request.Config{Grants: grants}, route)
+				_, body := h.post(url, `{}`)
+				got := parseRefusal(h.T, body)
+				is.Equal([]any{got.Error.Code, got.Error.NotRun}, []any{c.code, c.notRun})
+				is.True(got.Error.RetryAfterMS > 0)
+				is.Equal(service.sends(), 1)
+				is.Equal(grants.ended(1), []cell.Outcome{c.end})
+				runs := service.runsOf(service.seen[0])
+				is.True(runs <= 1)
+				is.True(runs == 0 || !got.Error.NotRun)
+			})
 		})
 	}
 	t.Run("library defaults are seen", func(t *testing.T) {
-		service = newFakeEndpoint(t, cases[0].script)
-		grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
-		url := serveCallers(t, request.Config{Grants: grants, Endpoints: &libraryClient{}}, route)
-		post(t, url, `{}`)
-		is.New(t).True(service.sends() > 1)
+		onHosts(t, func(h *hosts) {
+			service = newFakeEndpoint(h.T, h.listen(), cases[0].script)
+			grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
+			url := h.serveCallers(request.Config{Grants: grants, Endpoints: newLibraryClient(h)}, route)
+			h.post(url, `{}`)
+			is.New(h.T).True(service.sends() > 1)
+		})
 	})
 }
--- a/router/request/panic_test.go
+++ b/router/request/panic_test.go
@@ -43,18 +43,18 @@
 
 // TestPanicEndsPermit ends the permit of a request that panics, once, and stops the engine's work.
 func TestPanicEndsPermit(t *testing.T) {
-	start := func(t *testing.T, broken bool) (*servedEngine, *fakeGrants, string) {
-		e := startEngine(t, engine.Config{Name: "e", Tokens: 200, TokenGap: 5 * time.Millisecond})
+	start := func(h *hosts, broken bool) (*servedEngine, *fakeGrants, string) {
+		e := startEngine(h, engine.Config{Name: "e", Tokens: 200, TokenGap: 5 * time.Millisecond})
 		grants := &fakeGrants{endpoints: []target{e}, valid: time.Second}
-		config := request.Config{Grants: grants, Endpoints: &brokenEndpoints{endpoint.New(endpoint.Config{})}}
+		config := request.Config{Grants: grants, Endpoints: &brokenEndpoints{h.endpoints()}}
 		if broken {
 			config.Grants = &brokenGrants{grants}
 		}
-		return e, grants, serveCallers(t, config, request.Route{Idempotent: true})
+		return e, grants, h.serveCallers(config, request.Route{Idempotent: true})
 	}
-	check := func(t *testing.T, e *servedEngine, grants *fakeGrants) {
-		t.Helper()
-		is := is.New(t)
+	check := func(h *hosts, e *servedEngine, grants *fakeGrants) {
+		h.Helper()
+		is := is.New(h.T)
 		is.Equal(grants.ended(1), []cell.Outcome{cell.Failed})
 		for deadline := time.Now().Add(2 * time.Second); e.Load().InFlight > 0 && time.Now().Before(deadline); {
 			time.Sleep(time.Millisecond)
@@ -62,41 +62,47 @@
 		is.Equal(e.Load().InFlight, 0)
 	}
 	t.Run("in a send", func(t *testing.T) {
-		e, grants, url := start(t, false)
-		_, body := post(t, url, `{"model":"panic","stream":true}`)
-		got := parseRefusal(t, body)
-		is.New(t).Equal([]any{got.Error.Code, got.Error.NotRun}, []any{result.InternalFailure, false})
-		check(t, e, grants)
-		status, _ := post(t, url, `{"model":"m"}`)
-		is.New(t).Equal(status, 200)
+		onHosts(t, func(h *hosts) {
+			e, grants, url := start(h, false)
+			_, body := h.post(url, `{"model":"panic","stream":true}`)
+			got := parseRefusal(h.T, body)
+			is.New(h.T).Equal([]any{got.Error.Code, got.Error.NotRun}, []any{result.InternalFailure, false})
+			check(h, e, grants)
+			status, _ := h.post(url, `{"model":"m"}`)
+			is.New(h.T).Equal(status, 200)
+		})
 	})
 	t.Run("in a stream", func(t *testing.T) {
-		e, grants, url := start(t, true)
-		status, body := post(t, url, `{"model":"m","stream":true}`)
-		is := is.New(t)
-		is.Equal(status, 200)
-		is.True(strings.Contains(body, "event: error\ndata: {\"error\":{\"code\":3999,"))
-		is.True(strings.Count(body, "data: ") > 10)
-		check(t, e, grants)
+		onHosts(t, func(h *hosts) {
+			e, grants, url := start(h, true)
+			status, body := h.post(url, `{"model":"m","stream":true}`)
+			is := is.New(h.T)
+			is.Equal(status, 200)
+			is.True(strings.Contains(body, "event: error\ndata: {\"error\":{\"code\":3999,"))
+			is.True(strings.Count(body, "data: ") > 10)
+			check(h, e, grants)
+		})
 	})
 }
 
 // TestPanicWithKey leaves a record that tells repeats at once that the outcome is unknown.
 func TestPanicWithKey(t *testing.T) {
-	is := is.New(t)
-	_, clients := startPlatform(t, 1)
-	grants := &fakeGrants{endpoints: []target{noAddress{}}, valid: time.Second}
-	keys := keyed.New(keyed.Config{Records: clients[0]})
-	url := serveCallers(t, request.Config{Keys: keys, Grants: grants, Endpoints: panicking{}}, request.Route{Service: true})
-	var codes []result.Code
-	for range 2 {
-		_, body := post(t, url, `{}`, "Idempotency-Key", "k")
-		got := parseRefusal(t, body)
-		is.True(!got.Error.NotRun)
-		codes = append(codes, got.Error.Code)
-		is.Equal(grants.ended(1), []cell.Outcome{cell.Failed})
-	}
-	is.Equal(codes, []result.Code{result.InternalFailure, result.KeyOutcomeUnknown})
+	onHosts(t, func(h *hosts) {
+		is := is.New(h.T)
+		_, client := h.startPlatform()
+		grants := &fakeGrants{endpoints: []target{noAddress{}}, valid: time.Second}
+		keys := keyed.New(keyed.Config{Records: client})
+		url := h.serveCallers(request.Config{Keys: keys, Grants: grants, Endpoints: panicking{}}, request.Route{Service: true})
+		var codes []result.Code
+		for range 2 {
+			_, body := h.post(url, `{}`, "Idempotency-Key", "k")
+			got := parseRefusal(h.T, body)
+			is.True(!got.Error.NotRun)
+			codes = append(codes, got.Error.Code)
+			is.Equal(grants.ended(1), []cell.Outcome{cell.Failed})
+		}
+		is.Equal(codes, []result.Code{result.InternalFailure, result.KeyOutcomeUnknown})
+	})
 }
 
 // panicking panics at every call.
--- a/router/request/record_test.go
+++ b/router/request/record_test.go
@@ -17,56 +17,57 @@
 
 // TestKeyedCallsCost repeats one call and counts what each part costs the platform.
 func TestKeyedCallsCost(t *testing.T) {
-	server, clients := startPlatform(t, 1)
-	answer := "answer"
-	service := newFakeEndpoint(t, func(conn net.Conn, req *fasthttp.Request, _ int) bool {
-		if answer == "" {
-			fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", requestID(req))
+	onHosts(t, func(h *hosts) {
+		is := is.NewRelaxed(h.T)
+		server, client := h.startPlatform()
+		answer := "answer"
+		service := newFakeEndpoint(h.T, h.listen(), func(conn net.Conn, req *fasthttp.Request, _ int) bool {
+			if answer == "" {
+				fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", requestID(req))
+				return true
+			}
+			write(conn, "text/plain", requestID(req), answer)
 			return true
+		})
+		grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
+		keys := keyed.New(keyed.Config{Records: client, MaxRecorded: 10, Timeout: 100 * time.Millisecond})
+		config := request.Config{Keys: keys, Grants: grants}
+		url := h.serveCallers(config, request.Route{Service: true})
+		settled := func(calls int64) {
+			for deadline := time.Now().Add(time.Second); server.Calls().Total() < calls && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
 		}
-		write(conn, "text/plain", requestID(req), answer)
-		return true
-	})
-	grants := &fakeGrants{endpoints: []target{service}, valid: time.Second}
-	keys := keyed.New(keyed.Config{Records: clients[0], MaxRecorded: 10, Timeout: 100 * time.Millisecond})
-	config := request.Config{Keys: keys, Grants: grants}
-	url := serveCallers(t, config, request.Route{Service: true})
-	settled := func(calls int64) {
-		for deadline := time.Now().Add(time.Second); server.Calls().Total() < calls && time.Now().Before(deadline); {
-			time.Sleep(time.Millisecond)
+		cases := []struct {
+			name, key, body, answer string
+			sends                   int
+			reads, writes           int64
+			status                  int
+			code                    result.Code
+			faults                  standin.Faults
+		}{
+			{name: "first", key: "a", body: "{}", answer: "first", status: 200, sends: 1, writes: 2},
+			{name: "repeat", key: "a", body: "{}", answer: "other", status: 200, sends: 0, reads: 1, writes: 1},
+			{name: "other body", key: "a", body: "[]", status: 422, code: result.KeyMismatch, reads: 1, writes: 1},
+			{name: "large", key: "b", body: "{}", answer: "longer than ten", status: 200, sends: 1, writes: 2},
+			{name: "large again", key: "b", body: "{}", status: 409, code: result.KeyOutcomeUnknown, reads: 1, writes: 1},
+			{name: "refused", key: "c", body: "{}", status: 503, code: result.EndpointRefused, sends: 1, writes: 2},
+			{name: "again after that", key: "c", body: "{}", answer: "now", status: 200, sends: 1, reads: 1, writes: 3},
+			{name: "lost answer", key: "d", body: "{}", answer: "now", status: 200, sends: 1, reads: 1, writes: 2, faults: standin.Faults{LoseAnswers: 1}},
+			{name: "outage", key: "e", body: "{}", status: 503, code: result.PlatformUnavailable, faults: standin.Faults{Down: true}},
 		}
-	}
-	cases := []struct {
-		name, key, body, answer string
-		sends                   int
-		reads, writes           int64
-		status                  int
-		code                    result.Code
-		faults                  standin.Faults
-	}{
-		{name: "first", key: "a", body: "{}", answer: "first", status: 200, sends: 1, writes: 2},
-		{name: "repeat", key: "a", body: "{}", answer: "other", status: 200, sends: 0, reads: 1, writes: 1},
-		{name: "other body", key: "a", body: "[]", status: 422, code: result.KeyMismatch, reads: 1, writes: 1},
-		{name: "large", key: "b", body: "{}", answer: "longer than ten", status: 200, sends: 1, writes: 2},
-		{name: "large again", key: "b", body: "{}", status: 409, code: result.KeyOutcomeUnknown, reads: 1, writes: 1},
-		{name: "refused", key: "c", body: "{}", status: 503, code: result.EndpointRefused, sends: 1, writes: 2},
-		{name: "again after that", key: "c", body: "{}", answer: "now", status: 200, sends: 1, reads: 1, writes: 3},
-		{name: "lost answer", key: "d", body: "{}", answer: "now", status: 200, sends: 1, reads: 1, writes: 2, faults: standin.Faults{LoseAnswers: 1}},
-		{name: "outage", key: "e", body: "{}", status: 503, code: result.PlatformUnavailable, faults: standin.Faults{Down: true}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
+		for _, c := range cases {
+			h.Log(c.name)
 			answer = c.answer
 			server.SetFaults(c.faults)
 			sends, before := service.sends(), server.Calls()
-			status, body := post(t, url, c.body, "Idempotency-Key", c.key)
+			status, body := h.post(url, c.body, "Idempotency-Key", c.key)
 			settled(before.Total() + c.reads + c.writes)
 			after := server.Calls()
 			is.Equal(status, c.status)
 			is.Equal(service.sends()-sends, c.sends)
 			if c.code != 0 {
-				is.Equal(parseRefusal(t, body).Error.Code, c.code)
+				is.Equal(parseRefusal(h.T, body).Error.Code, c.code)
 			}
 			if c.name == "repeat" {
 				is.Equal(body, "first")
@@ -74,6 +75,6 @@
 			if !c.faults.Down {
 				is.Equal([]int64{after.Reads - before.Reads, after.Writes - before.Writes}, []int64{c.reads, c.writes})
 			}
-		})
-	}
+		}
+	})
 }
--- a/router/request/runner_test.go
+++ b/router/request/runner_test.go
@@ -5,8 +5,9 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
+	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,19 +24,8 @@
 	"ryelug/standin/engine"
 )
 
-// serveCallers starts a callers' server before a Runner and returns its URL.
-func serveCallers(t testing.TB, config request.Config, route request.Route) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return serveCallersOn(t, ln, config, route)
-}
-
+// serveCallersOn starts a callers' server on a listener before a Runner and returns its URL.
 func serveCallersOn(t testing.TB, ln net.Listener, config request.Config, route request.Route) string {
-	if config.Endpoints == nil {
-		config.Endpoints = endpoint.New(endpoint.Config{})
-	}
 	route.Team, route.Pool = "team", "pool"
 	server := caller.New(caller.Config{Handler: &handler{request.New(config), route}})
 	go func() { _ = server.Serve(ln) }()
@@ -43,25 +33,6 @@
 	return "http://" + ln.Addr().String() + "/v1/chat/completions"
 }
 
-// post sends a body and returns the whole answer.
-func post(t testing.TB, url, body string, header ...string) (int, string) {
-	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for i := 0; i+1 < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Error(err)
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	answer, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(answer)
-}
-
 func TestMainPath(t *testing.T) {
 	script := func(conn net.Conn, req *fasthttp.Request, _ int) bool {
 		if !strings.Contains(string(req.Body()), "stream") {
@@ -73,51 +44,72 @@
 			requestID(req), len(body), body)
 		return true
 	}
-	grants := &fakeGrants{endpoints: []target{newFakeEndpoint(t, script)}, valid: time.Second}
-	url := serveCallers(t, request.Config{Grants: grants}, request.Route{Idempotent: true})
-	t.Run("whole", func(t *testing.T) {
-		status, body := post(t, url, `{"model":"m"}`)
-		is.New(t).Equal([]any{status, body}, []any{200, "whole"})
-	})
-	t.Run("stream", func(t *testing.T) {
-		status, body := post(t, url, `{"model":"m","stream":true}`)
-		is.New(t).Equal([]any{status, body}, []any{200, "id: 1\ndata: one\n\nid: 2\ndata: two\n\ndata: [DONE]\n\n"})
-	})
+	cases := []struct{ name, sent, answer string }{
+		{"whole", `{"model":"m"}`, "whole"},
+		{"stream", `{"model":"m","stream":true}`, "id: 1\ndata: one\n\nid: 2\ndata: two\n\ndata: [DONE]\n\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			onHosts(t, func(h *hosts) {
+				grants := &fakeGrants{endpoints: []target{newFakeEndpoint(h.T, h.listen(), script)}, valid: time.Second}
+				url := h.serveCallers(request.Config{Grants: grants}, request.Route{Idempotent: true})
+				status, body := h.post(url, c.sent)
+				is.New(h.T).Equal([]any{status, body}, []any{200, c.answer})
+			})
+		})
+	}
+}
+
+// orders counts the orders to stop a run; the end of a silent connection would not stop it.
+type orders struct {
+	request.Endpoints
+	sent atomic.Int64
+}
+
+func (o *orders) Cancel(ctx context.Context, address netip.AddrPort, requestID string) error {
+	o.sent.Add(1)
+	return o.Endpoints.Cancel(ctx, address, requestID)
 }
 
 // TestCallerLeaves cancels the engine's work and settles what it has cost so far.
 func TestCallerLeaves(t *testing.T) {
-	is := is.New(t)
-	e := startEngine(t, engine.Config{Name: "e", Tokens: 10_000, TokenGap: 5 * time.Millisecond})
-	grants := &fakeGrants{endpoints: []target{e}, valid: time.Second}
-	url := serveCallers(t, request.Config{Grants: grants}, request.Route{Idempotent: true})
-	resp, err := http.Post(url, "application/json", strings.NewReader(`{"model":"m","stream":true}`))
-	is.NoErr(err)
-	_, err = io.ReadFull(resp.Body, make([]byte, 500))
-	is.NoErr(err)
-	resp.Body.Close()
-	is.Equal(grants.ended(1), []cell.Outcome{cell.Cancelled})
-	is.True(grants.cost > 2 && grants.cost < 1000)
-	is.Equal(e.History().Count(standin.CancelledRun), 1)
+	onHosts(t, func(h *hosts) {
+		is := is.New(h.T)
+		e := startEngine(h, engine.Config{Name: "e", Tokens: 10_000, TokenGap: 5 * time.Millisecond})
+		grants := &fakeGrants{endpoints: []target{e}, valid: time.Second}
+		stops := &orders{Endpoints: h.endpoints()}
+		url := h.serveCallers(request.Config{Grants: grants, Endpoints: stops}, request.Route{Idempotent: true})
+		resp, err := h.client.Post(url, "application/json", strings.NewReader(`{"model":"m","stream":true}`))
+		is.NoErr(err)
+		_, err = io.ReadFull(resp.Body, make([]byte, 500))
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(grants.ended(1), []cell.Outcome{cell.Cancelled})
+		is.True(grants.cost > 2 && grants.cost < 1000)
+		is.Equal(e.History().Count(standin.CancelledRun), 1)
+		is.Equal(stops.sent.Load(), int64(1))
+	})
 }
 
 // TestLateEngine leaves an engine that does not begin in time, stops its work, and answers from another.
 func TestLateEngine(t *testing.T) {
-	is := is.New(t)
-	slow := startEngine(t, engine.Config{Name: "slow", FirstToken: time.Hour})
-	quick := startEngine(t, engine.Config{Name: "quick", Tokens: 3})
-	grants := &fakeGrants{endpoints: []target{slow, quick}, valid: time.Second}
-	client := endpoint.New(endpoint.Config{FirstTimeout: 100 * time.Millisecond, AnswerTimeout: 100 * time.Millisecond})
-	route := request.Route{Idempotent: true, QueueTimeout: 50 * time.Millisecond} // The attempt takes longer than a wait may.
-	counts := &reasons{}
-	url := serveCallers(t, request.Config{Grants: grants, Endpoints: client, Counter: counts}, route)
-	for _, body := range []string{`{"model":"m"}`, `{"model":"m","stream":true}`} {
-		status, _ := post(t, url, body)
-		is.Equal(status, 200)
-	}
-	is.Equal(grants.ended(4), []cell.Outcome{cell.Failed, cell.Completed, cell.Failed, cell.Completed})
-	is.Equal(slow.History().Count(standin.CancelledRun), 2)
-	is.Equal(counts.retried, []entry.Reason{entry.AnswerLate, entry.AnswerLate})
+	onHosts(t, func(h *hosts) {
+		is := is.New(h.T)
+		slow := startEngine(h, engine.Config{Name: "slow", FirstToken: time.Hour})
+		quick := startEngine(h, engine.Config{Name: "quick", Tokens: 3})
+		grants := &fakeGrants{endpoints: []target{slow, quick}, valid: time.Second}
+		client := endpoint.New(endpoint.Config{Dial: h.dial, FirstTimeout: 100 * time.Millisecond, AnswerTimeout: 100 * time.Millisecond})
+		route := request.Route{Idempotent: true, QueueTimeout: 50 * time.Millisecond} // The attempt takes longer than a wait may.
+		counts := &reasons{}
+		url := h.serveCallers(request.Config{Grants: grants, Endpoints: client, Counter: counts}, route)
+		for _, body := range []string{`{"model":"m"}`, `{"model":"m","stream":true}`} {
+			status, _ := h.post(url, body)
+			is.Equal(status, 200)
+		}
+		is.Equal(grants.ended(4), []cell.Outcome{cell.Failed, cell.Completed, cell.Failed, cell.Completed})
+		is.Equal(slow.History().Count(standin.CancelledRun), 2)
+		is.Equal(counts.retried, []entry.Reason{entry.AnswerLate, entry.AnswerLate})
+	})
 }
 
 // reasons is a Counter that keeps the reasons of retries of requests that follow each other.
@@ -132,28 +124,32 @@
 func TestLateGrant(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
 		t.Run(fmt.Sprintf("idempotent %t", idempotent), func(t *testing.T) {
-			is := is.New(t)
-			e := startEngine(t, engine.Config{Name: "e"})
-			grants := &fakeGrants{endpoints: []target{e}, valid: time.Second, late: 2}
-			status, _ := post(t, serveCallers(t, request.Config{Grants: grants}, request.Route{Idempotent: idempotent}), `{"model":"m"}`)
-			is.Equal(status, 200)
-			is.Equal(grants.ended(3), []cell.Outcome{cell.Unused, cell.Unused, cell.Completed})
-			is.Equal(e.History().Count(standin.Started), 1)
+			onHosts(t, func(h *hosts) {
+				is := is.New(h.T)
+				e := startEngine(h, engine.Config{Name: "e"})
+				grants := &fakeGrants{endpoints: []target{e}, valid: time.Second, late: 2}
+				status, _ := h.post(h.serveCallers(request.Config{Grants: grants}, request.Route{Idempotent: idempotent}), `{"model":"m"}`)
+				is.Equal(status, 200)
+				is.Equal(grants.ended(3), []cell.Outcome{cell.Unused, cell.Unused, cell.Completed})
+				is.Equal(e.History().Count(standin.Started), 1)
+			})
 		})
 	}
 }
 
 // TestRefusedOnUsedConnection believes an endpoint's refusal also on a connection that has carried calls.
 func TestRefusedOnUsedConnection(t *testing.T) {
-	is := is.New(t)
-	e := startEngine(t, engine.Config{Name: "e"})
-	e.Inject(nil, &standin.Refuse{})
-	url := serveCallers(t, request.Config{Grants: &fakeGrants{endpoints: []target{e}, valid: time.Second}}, request.Route{})
-	status, _ := post(t, url, `{"model":"m"}`)
-	is.Equal(status, 200)
-	_, body := post(t, url, `{"model":"m"}`)
-	got := parseRefusal(t, body).Error
-	is.Equal([]any{got.Code, got.NotRun}, []any{result.EndpointRefused, true})
+	onHosts(t, func(h *hosts) {
+		is := is.New(h.T)
+		e := startEngine(h, engine.Config{Name: "e"})
+		e.Inject(nil, &standin.Refuse{})
+		url := h.serveCallers(request.Config{Grants: &fakeGrants{endpoints: []target{e}, valid: time.Second}}, request.Route{})
+		status, _ := h.post(url, `{"model":"m"}`)
+		is.Equal(status, 200)
+		_, body := h.post(url, `{"model":"m"}`)
+		got := parseRefusal(h.T, body).Error
+		is.Equal([]any{got.Code, got.NotRun}, []any{result.EndpointRefused, true})
+	})
 }
 
 // noGrants refuses at once, or keeps every demand waiting.
@@ -181,13 +177,15 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			url := serveCallers(t, request.Config{Grants: &noGrants{c.err}}, request.Route{QueueTimeout: 50 * time.Millisecond})
-			began := time.Now()
-			_, body := post(t, url, `{}`)
-			is.True(time.Since(began) < 500*time.Millisecond)
-			got := parseRefusal(t, body).Error
-			is.Equal([]any{got.Code, got.NotRun, got.RetryAfterMS}, []any{c.code, true, c.retryAfter})
+			onHosts(t, func(h *hosts) {
+				is := is.New(h.T)
+				url := h.serveCallers(request.Config{Grants: &noGrants{c.err}}, request.Route{QueueTimeout: 50 * time.Millisecond})
+				began := time.Now()
+				_, body := h.post(url, `{}`)
+				is.True(time.Since(began) < 500*time.Millisecond)
+				got := parseRefusal(h.T, body).Error
+				is.Equal([]any{got.Code, got.NotRun, got.RetryAfterMS}, []any{c.code, true, c.retryAfter})
+			})
 		})
 	}
 }
--- a/router/request/stream_test.go
+++ b/router/request/stream_test.go
@@ -33,15 +33,13 @@
 func (e *servedEngine) address() netip.AddrPort { return e.at }
 func (e *servedEngine) startID() cell.StartID   { return cell.StartID(e.Load().Start) }
 
-func startEngine(t testing.TB, config engine.Config) *servedEngine {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+func startEngine(h *hosts, config engine.Config) *servedEngine {
+	h.Helper()
+	ln := h.listen()
 	config.WarmLimit = 10_000
 	e := &servedEngine{engine.New(config), ln.Addr().(*net.TCPAddr).AddrPort()}
 	go func() { _ = e.Serve(ln) }()
-	t.Cleanup(e.Close)
+	h.Cleanup(e.Close)
 	return e
 }
 
