Log the cells that a router dispatches, and being cut off under its part

Cause: docs/OPERATING.md promises lines of the part dispatch about cells, and of the part member about being cut off; there were none of the first, and the second stood under dispatch. Each start logged a warning, as a new router was first not cut off, then cut off. Ruled out: a line for each session (hundreds at a hand-over). Change: a line when a cell's first entry joins and its last one leaves; a router counts as cut off until it hears of the platform or of most routers; losing contact is a warning, having it an information; the parts' names come from io/operator in all places.

--- a/router/config.go
+++ b/router/config.go
@@ -12,6 +12,7 @@
 	"ryelug/core/dispatch"
 	"ryelug/core/spread"
 	"ryelug/io/caller"
+	"ryelug/io/operator"
 	"ryelug/io/peer"
 	"ryelug/router/configuration"
 	"ryelug/router/coordination"
@@ -67,7 +68,7 @@
 		DialTimeout: c.Timings.DialTimeout,
 		Listener:    c.PeerListener,
 		Dial:        c.PeerDial,
-		Log:         c.Log.WithField("part", "peer"),
+		Log:         operator.Part(c.Log, operator.PeerPart),
 	}
 }
 
@@ -78,7 +79,7 @@
 		Peer:        r.config.peerConfig(),
 		Timings:     r.config.Timings,
 		ShareKeys:   r.shareKeyedRate,
-		Log:         r.config.Log.WithField("part", "dispatch"),
+		Log:         r.config.Log,
 		Order:       r.config.Order,
 		LocalQueues: r.config.LocalQueues,
 	}
@@ -95,6 +96,6 @@
 		Platform: r.config.Platform,
 		Send:     r.coordinator.Tell,
 		Adopt:    r.adopt,
-		Log:      r.config.Log.WithField("part", "config"),
+		Log:      operator.Part(r.config.Log, operator.ConfigPart),
 	}
 }
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -13,6 +13,7 @@
 	"ryelug/core/member"
 	"ryelug/core/result"
 	"ryelug/core/spread"
+	"ryelug/io/operator"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
 	"ryelug/router/directory"
@@ -70,7 +71,7 @@
 	c := &Coordinator{
 		config:   config,
 		self:     config.Self,
-		log:      config.Log.WithField("part", "dispatch"),
+		log:      operator.Part(config.Log, operator.RouterPart),
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
@@ -85,8 +86,10 @@
 		early: time.NewTimer(tickInterval),
 	}
 	c.early.Stop()
+	c.cutOff.Store(true) // Nothing has been heard yet.
 	c.dispatch = dispatching.New(dispatching.Config{
 		Self:       config.Self,
+		Log:        operator.Part(config.Log, operator.DispatchPart),
 		StakeLease: config.Timings.StakeLease,
 		GrantValid: config.Timings.GrantValid,
 		Order:      config.Order,
@@ -219,10 +222,13 @@
 	if c.cutOff.Swap(cutOff) == cutOff {
 		return
 	}
-	c.log.WithField("cut_off", cutOff).Warn("Contact with the platform and most routers has changed.")
-	if cutOff {
-		c.lend.RefuseAll(now, result.CutOff)
+	log := operator.Part(c.config.Log, operator.MemberPart)
+	if !cutOff {
+		log.Info("This router has contact with the platform or most routers.")
+		return
 	}
+	log.Warn("This router is cut off and refuses new work.")
+	c.lend.RefuseAll(now, result.CutOff)
 }
 
 // checkMajority notes when this router loses its links to most others. Streams that
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/flight"
@@ -24,6 +26,7 @@
 	StakeLease time.Duration // StakeLease is how long a stake counts after the stamp that its entry has echoed.
 	GrantValid time.Duration // GrantValid is how long entries may use a grant.
 	Order      dispatch.Order
+	Log        logrus.FieldLogger
 	Send       func(to cell.RouterID, message wire.Message) // Send must not block.
 }
 
@@ -195,7 +198,7 @@
 		if !ok {
 			continue
 		}
-		delete(at.entries, router)
+		r.drop(at, router)
 		r.step(now, at, &dispatch.Leave{Router: router, Session: session})
 	}
 }
@@ -235,7 +238,7 @@
 	if last, joined := at.entries[from]; joined && last >= m.Session {
 		return
 	}
-	at.entries[from] = m.Session
+	r.add(at, from, m.Session)
 	r.step(now, at, &dispatch.Join{
 		Router: from, Session: m.Session, Stake: m.Stake, Unlent: m.Unlent, Flights: m.Flights, Counters: m.Counters,
 	})
@@ -245,10 +248,24 @@
 	r.config.Send(from, &wire.Accepted{Cell: m.Cell, Session: m.Session})
 }
 
+func (r *Role) add(at *state, router cell.RouterID, session cell.Session) {
+	if len(at.entries) == 0 {
+		r.config.Log.WithField("cell", at.id).Info("This router dispatches a cell.")
+	}
+	at.entries[router] = session
+}
+
+func (r *Role) drop(at *state, router cell.RouterID) {
+	delete(at.entries, router)
+	if len(at.entries) == 0 {
+		r.config.Log.WithField("cell", at.id).Info("This router dispatches a cell no more.")
+	}
+}
+
 func (r *Role) release(now time.Time, from cell.RouterID, m *wire.Release) {
 	at, ok := r.cells[m.Cell]
 	if ok && at.entries[from] == m.Session {
-		delete(at.entries, from)
+		r.drop(at, from)
 		r.step(now, at, &dispatch.Leave{Router: from, Session: m.Session})
 	}
 	r.config.Send(from, &wire.Released{Cell: m.Cell, Session: m.Session})
--- a/router/dispatching/role_test.go
+++ b/router/dispatching/role_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
 	"ryelug/core/config"
@@ -21,7 +22,7 @@
 	now := time.Now()
 	told := make(map[cell.TeamID]map[cell.RouterID]bool)
 	messages := make(map[cell.RouterID]int)
-	role := dispatching.New(dispatching.Config{Self: "host-0/1", StakeLease: time.Second, Send: func(to cell.RouterID, message wire.Message) {
+	role := dispatching.New(dispatching.Config{Self: "host-0/1", StakeLease: time.Second, Log: logrus.New(), Send: func(to cell.RouterID, message wire.Message) {
 		counters, ok := message.(*wire.Counters)
 		if !ok {
 			return
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"ryelug/core/config"
 	"ryelug/io/caller"
+	"ryelug/io/operator"
 	"ryelug/io/pause"
 	"ryelug/router/configuration"
 	"ryelug/router/coordination"
@@ -37,7 +38,7 @@
 
 // New returns a Router that Run starts.
 func New(conf Config) *Router {
-	r := &Router{config: &conf, log: conf.Log.WithField("part", "router")}
+	r := &Router{config: &conf, log: operator.Part(conf.Log, operator.RouterPart)}
 	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
 	r.runner = request.New(request.Config{
@@ -78,7 +79,7 @@
 	})
 	hosts := poll.NewHosts(poll.HostsConfig{
 		List: r.config.Hosts, Coordinator: r.coordinator, Watching: r.configuration.Watching,
-		Timings: r.config.Timings, Seed: r.config.Seed, Log: r.config.Log.WithField("part", "member"),
+		Timings: r.config.Timings, Seed: r.config.Seed, Log: operator.Part(r.config.Log, operator.MemberPart),
 	})
 	group.Go(func() error { return r.coordinator.Run(ctx, r.configuration) })
 	group.Go(func() error { return r.configuration.Run(ctx) })
