--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -55,6 +55,9 @@
 	waiting queue.Queue
 	flights *flight.Table
 	out     outbox
+	granted int // granted counts the grants since the last telling.
+	periods int // periods counts the times at which requests began to wait.
+	isBusy  bool
 }
 
 // New returns a Dispatcher that knows no policy, voter or entry yet.
@@ -85,6 +88,7 @@
 	d.flights.Expire(now)
 	d.take(now, ev)
 	d.grantWaiting(now)
+	d.countPeriods()
 	return d.out.actions
 }
 
@@ -123,6 +127,10 @@
 		}
 	case *Tick:
 		d.tick(now)
+	case *Siblings:
+		d.hearSiblings(ev)
+	case *Move:
+		d.move(ev)
 	}
 }
 
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -13,6 +13,7 @@
 	"ryelug/core/member"
 	"ryelug/core/result"
 	"ryelug/core/spread"
+	"ryelug/io/operator"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
 	"ryelug/router/directory"
@@ -51,6 +52,7 @@
 	total     int
 	signs     []cell.HostID // signs is what the peers were told last; nil until there is a configuration.
 	leaving   bool
+	majority  bool // majority tells that this router was linked to more than half of the listed hosts last.
 	cutOff    atomic.Bool
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
 	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
@@ -69,7 +71,7 @@
 	c := &Coordinator{
 		config:   config,
 		self:     config.Self,
-		log:      config.Log.WithField("part", "dispatch"),
+		log:      operator.Part(config.Log, operator.RouterPart),
 		commands: make(chan command, commandRing),
 		done:     make(chan struct{}),
 		pollNow:  make(chan struct{}, 1),
@@ -84,8 +86,10 @@
 		early: time.NewTimer(tickInterval),
 	}
 	c.early.Stop()
+	c.cutOff.Store(true) // Nothing has been heard yet.
 	c.dispatch = dispatching.New(dispatching.Config{
 		Self:       config.Self,
+		Log:        operator.Part(config.Log, operator.DispatchPart),
 		StakeLease: config.Timings.StakeLease,
 		GrantValid: config.Timings.GrantValid,
 		Order:      config.Order,
@@ -191,6 +195,7 @@
 func (c *Coordinator) tick(now time.Time) {
 	c.table.Tick(now)
 	c.checkCutOff(now)
+	c.checkMajority()
 	c.shareKeys(now)
 	c.refreshVoters(now)
 	c.lend.Tick(now, c.order(now))
@@ -217,10 +222,23 @@
 	if c.cutOff.Swap(cutOff) == cutOff {
 		return
 	}
-	c.log.WithField("cut_off", cutOff).Warn("Contact with the platform and most routers has changed.")
-	if cutOff {
-		c.lend.RefuseAll(now, result.CutOff)
+	log := operator.Part(c.config.Log, operator.MemberPart)
+	if !cutOff {
+		log.Info("This router has contact with the platform or most routers.")
+		return
+	}
+	log.Warn("This router is cut off and refuses new work.")
+	c.lend.RefuseAll(now, result.CutOff)
+}
+
+// checkMajority notes when this router loses its links to most others. Streams that
+// run go on; one that breaks is not resumed, as its place may be another's by then.
+func (c *Coordinator) checkMajority() {
+	has := c.table.HasMajority()
+	if c.majority && !has {
+		c.lend.MajorityLost()
 	}
+	c.majority = has
 }
 
 // ask passes a request's ask on, unless this router may send no new work.
