Move plain functions out of the tests of whole fleets

Ruled out: leaving assertions out. Change: the halves of a partition and its pairs of routers are functions of standin/trial, which its own faults use too; the starts between two times are a method of endpoint.History; router/changes asserts by one function that a list is empty; the figures of an outcome are one text. No check is changed. Not run again under the race detector.

--- a/router/changes/data_centre_test.go
+++ b/router/changes/data_centre_test.go
@@ -8,7 +8,6 @@
 	"github.com/matryer/is"
 
 	"ryelug/core/result"
-	"ryelug/standin/endpoint"
 	"ryelug/standin/fleet"
 )
 
@@ -26,17 +25,6 @@
 	}
 }
 
-// startsBetween counts the requests that an endpoint began to run between two times.
-func startsBetween(history endpoint.History, from, to time.Time) int {
-	count := 0
-	for _, event := range history.Events {
-		if event.Kind == endpoint.Started && event.At.After(from) && event.At.Before(to) {
-			count++
-		}
-	}
-	return count
-}
-
 // assertBusy checks that the engines with these numbers used nearly all of their capacity.
 func assertBusy(t *testing.T, fl *fleet.Fleet, from, to time.Time, numbers ...int) {
 	t.Helper()
@@ -62,15 +50,15 @@
 		time.Sleep(10 * time.Second)
 		back := time.Now()
 		for _, i := range []int{1, 4} { // The engines of dc-b.
-			is.Equal(startsBetween(fl.Engines[i].History(), out.Add(noNewWork), back), 0)
+			is.Equal(fl.Engines[i].History().StartsBetween(out.Add(noNewWork), back), 0)
 			fl.Engines[i].Restart()
 		}
 		assertBusy(t, fl, out.Add(noNewWork), back, 0, 2, 3, 5)
 		is.NoErr(fl.TakeOut(ctx, "dc-b", false))
 		time.Sleep(20 * time.Second)
 		assertBusy(t, fl, time.Now().Add(-8*time.Second), time.Now(), 0, 1, 2, 3, 4, 5)
-		assertAllWhole(t, run.Stop())
-		assertNoExcess(t, fl)
+		assertNone(t, fleet.Broken(run.Stop()))
+		assertNone(t, fl.Excesses())
 	})
 }
 
@@ -87,9 +75,9 @@
 		is.NoErr(fl.Apply(ctx, &doc))
 		left := time.Now()
 		time.Sleep(10 * time.Second)
-		is.Equal(startsBetween(fl.Engines[0].History(), left.Add(noNewWork), time.Now()), 0)
-		assertAllWhole(t, run.Stop())
-		assertNoExcess(t, fl)
+		is.Equal(fl.Engines[0].History().StartsBetween(left.Add(noNewWork), time.Now()), 0)
+		assertNone(t, fleet.Broken(run.Stop()))
+		assertNone(t, fl.Excesses())
 	})
 }
 
@@ -112,7 +100,7 @@
 		out := time.Now()
 		time.Sleep(2 * noNewWork)
 		for _, i := range []int{1, 4} {
-			is.Equal(startsBetween(fl.Engines[i].History(), out.Add(noNewWork), time.Now()), 0)
+			is.Equal(fl.Engines[i].History().StartsBetween(out.Add(noNewWork), time.Now()), 0)
 		}
 		reply := lone.Chat(ctx, "kiosks", 5)
 		is.Equal(reply.Code, result.CutOff)
@@ -124,6 +112,6 @@
 		is.True(lone.Chat(ctx, "schools", 5).Whole()) // Its peers have told it.
 		is.Equal(lone.Router().Health().Generation, uint64(2))
 		run.Stop()
-		assertNoExcess(t, fl)
+		assertNone(t, fl.Excesses())
 	})
 }
--- a/router/changes/fleet_test.go
+++ b/router/changes/fleet_test.go
@@ -24,18 +24,10 @@
 	})
 }
 
-// assertAllWhole checks that every caller got its whole answer.
-func assertAllWhole(t *testing.T, replies []*fleet.Reply) {
+// assertNone checks that nothing was found, such as fleet.Broken or fleet.Excesses.
+func assertNone[T any](t *testing.T, found []T) {
 	t.Helper()
-	for _, broken := range fleet.Broken(replies) {
-		t.Error(broken)
-	}
-}
-
-// assertNoExcess checks that no endpoint had more in flight than it bore at that time.
-func assertNoExcess(t *testing.T, fl *fleet.Fleet) {
-	t.Helper()
-	for _, excess := range fl.Excesses() {
-		t.Error(excess)
+	for _, one := range found {
+		t.Error(one)
 	}
 }
--- a/router/changes/shutdown_test.go
+++ b/router/changes/shutdown_test.go
@@ -31,8 +31,8 @@
 		}
 		replies := run.Stop()
 		is.True(len(replies) > 500)
-		assertAllWhole(t, replies)
-		assertNoExcess(t, fl)
+		assertNone(t, fleet.Broken(replies))
+		assertNone(t, fl.Excesses())
 	})
 }
 
@@ -60,7 +60,7 @@
 			time.Sleep(3 * time.Second)
 		}
 		replies := run.Stop()
-		assertAllWhole(t, replies)
+		assertNone(t, fleet.Broken(replies))
 		if longest := longestWait(replies, settled); longest >= 100*time.Millisecond {
 			t.Errorf("a request waited %v for its first event", longest)
 		}
--- a/router/faults/fault_test.go
+++ b/router/faults/fault_test.go
@@ -23,9 +23,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		outcome, err := trial.WithFaults(t.Context(), seed, false, f)
 		is.New(t).NoErr(err)
-		for _, figure := range outcome.Figures() {
-			t.Log(figure)
-		}
+		t.Log(outcome.Figures())
 		for _, violation := range outcome.Violations() {
 			t.Error(violation)
 		}
--- a/router/freezes/freeze_test.go
+++ b/router/freezes/freeze_test.go
@@ -51,9 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		outcome, err := trial.WithFreezes(t.Context(), freeze)
 		is.New(t).NoErr(err)
-		for _, figure := range outcome.Figures() {
-			t.Log(figure)
-		}
+		t.Log(outcome.Figures())
 		for _, violation := range outcome.Violations() {
 			t.Error(violation)
 		}
--- a/router/gaps/gap_test.go
+++ b/router/gaps/gap_test.go
@@ -17,6 +17,7 @@
 	"ryelug/core/member"
 	"ryelug/standin/bubble"
 	"ryelug/standin/fleet"
+	"ryelug/standin/trial"
 )
 
 // What the fleets of these tests are made of.
@@ -138,31 +139,6 @@
 	}
 }
 
-// halves are the routers of a partition: the dispatcher with one other, and the rest.
-func halves(ctx context.Context, fl *fleet.Fleet) (minor, major []int) {
-	dispatcher := fl.Dispatcher(ctx, fleet.EnginePool)
-	minor = append(minor, slices.Index(fl.Routers, dispatcher))
-	for i := range fl.Routers {
-		switch {
-		case i == minor[0]:
-		case len(minor) == 1:
-			minor = append(minor, i)
-		default:
-			major = append(major, i)
-		}
-	}
-	return minor, major
-}
-
-// between does something to each pair of routers of two halves.
-func between(fl *fleet.Fleet, minor, major []int, do func(a, b netip.Addr)) {
-	for _, i := range minor {
-		for _, j := range major {
-			do(fl.Routers[i].Address, fl.Routers[j].Address)
-		}
-	}
-}
-
 // healedBound is the bound of the gap from the moment when a partition heals, with
 // teams backlogged in both halves or in that of the dispatcher that stays. docs/DESIGN.md derives it.
 func healedBound(a, b config.Team) float64 {
@@ -180,19 +156,19 @@
 // beyond the other is forgiven, and no team pays for it.
 func TestHealedHalves(t *testing.T) {
 	withTestFleet(t, equalFleet(7), func(ctx context.Context, t *testing.T, fl *fleet.Fleet) {
-		minor, major := halves(ctx, fl)
+		minor, major := trial.Halves(ctx, fl)
 		run := fl.Drive(ctx,
 			fleet.Load{Team: "kiosks", Callers: 60, Tokens: tokens, Routers: minor}, fleet.Load{Team: "kiosks", Callers: 60, Tokens: tokens, Routers: major},
 			fleet.Load{Team: "schools", Callers: 30, Tokens: tokens, Routers: minor}, fleet.Load{Team: "schools", Callers: 30, Tokens: tokens, Routers: major},
 			fleet.Load{Team: "clinics", Callers: callers, Tokens: tokens, Routers: minor})
 		time.Sleep(age)
-		between(fl, minor, major, fl.Network.Cut)
+		trial.EachPair(fl, minor, major, fl.Network.Cut)
 		time.Sleep(settle)
 		parted := time.Now()
 		time.Sleep(40 * time.Second)
 		healed := time.Now()
 		before := fl.Dispatcher(ctx, fleet.EnginePool)
-		between(fl, minor, major, fl.Network.Heal)
+		trial.EachPair(fl, minor, major, fl.Network.Heal)
 		time.Sleep(15 * time.Second)
 		end := time.Now()
 		if now := fl.Dispatcher(ctx, fleet.EnginePool); now == before || now != fl.Routers[minor[0]] {
--- a/standin/endpoint/history.go
+++ b/standin/endpoint/history.go
@@ -77,6 +77,17 @@
 	return found
 }
 
+// StartsBetween returns the number of requests that began to run between two times.
+func (h History) StartsBetween(from, to time.Time) int {
+	count := 0
+	for _, event := range h.Events {
+		if event.Kind == Started && event.At.After(from) && event.At.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
 // HighWater returns the largest number in flight, during cold starts if cold is true and otherwise when warm.
 func (h History) HighWater(cold bool) int {
 	most := 0
--- a/standin/trial/fault.go
+++ b/standin/trial/fault.go
@@ -101,17 +101,16 @@
 
 // part cuts the routers in two halves; all of them reach the endpoints and the platform.
 func (tr *trial) part(cut, heal func(a, b netip.Addr)) func() {
-	each := func(do func(a, b netip.Addr)) {
-		for i, a := range tr.Routers {
-			for j, b := range tr.Routers {
-				if i%2 == 0 && j%2 == 1 {
-					do(a.Address, b.Address)
-				}
-			}
+	var even, odd []int
+	for i := range tr.Routers {
+		if i%2 == 0 {
+			even = append(even, i)
+		} else {
+			odd = append(odd, i)
 		}
 	}
-	each(cut)
-	return func() { each(heal) }
+	EachPair(tr.Fleet, even, odd, cut)
+	return func() { EachPair(tr.Fleet, even, odd, heal) }
 }
 
 func (tr *trial) list(m *fleet.Member) {
--- a/standin/trial/violation.go
+++ b/standin/trial/violation.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 )
 
-// Figures describes what was measured, with the bounds.
-func (o *Outcome) Figures() []string {
+// Figures describes what was measured, with the bounds, one line each.
+func (o *Outcome) Figures() string {
 	figures := []string{
 		fmt.Sprintf("most over a warm limit: %d", o.OverWarm),
 		fmt.Sprintf("%d answers, longest pause of the fleet %v from %v on, longest waits %v", o.Answers, o.Pause, o.PauseSince, o.Waits),
@@ -15,7 +16,7 @@
 	if o.Frozen != nil {
 		figures = append(figures, fmt.Sprintf("%d requests were at a frozen router, %d of them got their whole answer", o.Frozen.Requests, o.Frozen.Whole))
 	}
-	return figures
+	return strings.Join(figures, "\n")
 }
 
 // Violations says what did not hold that must hold whatever fails.
