Keep the queue of timed events of three models in one place

Cause: core/dispatch's and core/spread's models in their tests and bench/pool each had the same heap of events by time and order, about 25 lines. Ruled out: sharing the start of fleets of three test packages the same way, as it needs the testing package outside of test files. Conclusion: one heap serves all three.

--- a/bench/pool/pool.go
+++ b/bench/pool/pool.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +9,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/slice"
+	"ryelug/standin/timeline"
 )
 
 const (
@@ -79,8 +79,7 @@
 	conf     Config
 	rand     *rand.Rand
 	now      time.Time
-	queue    timeline
-	seq      int
+	queue    timeline.Queue[func()]
 	cut      []slice.Slice
 	centreOf map[cell.EndpointID]string
 	cells    []cell.ID
@@ -187,10 +186,9 @@
 
 func (p *Pool) play(until time.Duration) {
 	end := began.Add(until)
-	for len(p.queue) > 0 && !p.queue[0].at.After(end) {
-		next := heap.Pop(&p.queue).(timed)
-		p.now = next.at
-		next.do()
+	for next, ok := p.queue.Next(end); ok; next, ok = p.queue.Next(end) {
+		p.now = next.At
+		next.What()
 	}
 }
 
@@ -225,34 +223,6 @@
 // Slots returns the requests that the pool can run at once.
 func (p *Pool) Slots() int { return p.conf.Engines * p.conf.Limit }
 
-// timed is something that happens at a time.
-type timed struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type timeline []timed
-
-func (t timeline) Len() int { return len(t) }
-
-func (t timeline) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
-}
-
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push is for container/heap.
-func (t *timeline) Push(x any) { *t = append(*t, x.(timed)) }
-
-// Pop is for container/heap.
-func (t *timeline) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 func (p *Pool) after(wait time.Duration, do func()) {
-	p.seq++
-	heap.Push(&p.queue, timed{at: p.now.Add(wait), seq: p.seq, do: do})
+	p.queue.Add(p.now.Add(wait), do)
 }
--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -34,7 +34,7 @@
 	case 3: // A process freezes.
 		w.nodes[a].frozen = w.now.Add(time.Duration(f.b) * 100 * time.Millisecond)
 	case 4: // A process dies, and an empty one takes its place.
-		w.boot(a, w.seq)
+		w.boot(a, w.queue.Added())
 	case 5: // The endpoint restarts.
 		w.engine.restart()
 	case 6: // A router prefers other dispatchers.
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,6 +8,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/lend"
+	"ryelug/standin/timeline"
 )
 
 const (
@@ -23,8 +23,7 @@
 type world struct {
 	rand      *rand.Rand
 	now       time.Time
-	queue     timeline
-	seq       int
+	queue     timeline.Queue[task]
 	nodes     []*node
 	cut       map[[2]int]bool // cut holds the directions between hosts in which nothing arrives.
 	links     map[[2]int]*link
@@ -35,28 +34,12 @@
 	healthy   bool // healthy is true once nothing fails any more.
 }
 
-// timed is something that happens at a node; a frozen node does it after it wakes.
-type timed struct {
-	at   time.Time
-	seq  int
+// task is something that happens at a node; a frozen node does it after it wakes.
+type task struct {
 	node *node
 	do   func()
 }
 
-type timeline []timed
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
-}
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timeline) Push(x any)   { *t = append(*t, x.(timed)) }
-func (t *timeline) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // node is one life of a router process.
 type node struct {
 	w        *world
@@ -122,23 +105,20 @@
 }
 
 func (w *world) after(d time.Duration, at *node, do func()) {
-	w.seq++
-	heap.Push(&w.queue, timed{w.now.Add(d), w.seq, at, do})
+	w.queue.Add(w.now.Add(d), task{at, do})
 }
 
 // run lets time pass.
 func (w *world) run(d time.Duration) {
 	until := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(until) {
-		next := heap.Pop(&w.queue).(timed)
-		w.now = next.at
-		switch n := next.node; {
+	for next, ok := w.queue.Next(until); ok; next, ok = w.queue.Next(until) {
+		w.now = next.At
+		switch n := next.What.node; {
 		case n != nil && n.dead:
 		case n != nil && n.frozen.After(w.now):
-			next.at = n.frozen
-			heap.Push(&w.queue, next)
+			w.queue.Postpone(next, n.frozen)
 		default:
-			next.do()
+			next.What.do()
 		}
 	}
 	w.now = until
--- a/core/spread/world_test.go
+++ b/core/spread/world_test.go
@@ -1,7 +1,6 @@
 package spread_test
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 	"time"
@@ -11,6 +10,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/config"
 	"ryelug/core/spread"
+	"ryelug/standin/timeline"
 )
 
 const (
@@ -24,28 +24,6 @@
 	hashBytes   = 34
 )
 
-// timer is something that happens at a virtual time.
-type timer struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-// timers is a heap of timers.
-type timers []timer
-
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].order < t[j].order
-}
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // node is a router of the simulation.
 type node struct {
 	id       cell.RouterID
@@ -65,8 +43,7 @@
 type world struct {
 	*rapid.T
 	now      time.Time
-	queue    timers
-	order    int
+	queue    timeline.Queue[func()]
 	settings spread.Config
 	nodes    []*node
 	lives    int
@@ -98,17 +75,15 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.queue, timer{w.now.Add(d), w.order, do})
+	w.queue.Add(w.now.Add(d), do)
 }
 
 // run lets virtual time pass.
 func (w *world) run(d time.Duration) {
 	until := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(until) {
-		next := heap.Pop(&w.queue).(timer)
-		w.now = next.at
-		next.do()
+	for next, ok := w.queue.Next(until); ok; next, ok = w.queue.Next(until) {
+		w.now = next.At
+		next.What()
 	}
 	w.now = until
 }
@@ -243,7 +218,7 @@
 
 // lag is how long an answer of the platform is under way; one in eight is slow.
 func (w *world) lag() time.Duration {
-	if w.order%8 == 0 {
+	if w.queue.Added()%8 == 0 {
 		return slowAnswer
 	}
 	return platformLag
@@ -257,7 +232,7 @@
 	}
 	n, key := w.nodes[i], pair(from, w.nodes[i])
 	count := w.links[key]
-	delay := time.Duration(1+w.order%40) * time.Millisecond
+	delay := time.Duration(1+w.queue.Added()%40) * time.Millisecond
 	w.after(delay, func() {
 		if w.links[key] == count {
 			w.step(n, to, event)
--- /dev/null
+++ b/standin/timeline/doc.go
@@ -0,0 +1,2 @@
+// Package timeline orders what happens in a model with a virtual clock.
+package timeline
