Take the wish for reports in one place

Cause: the table of flights, the dispatching role and two places of the coordinator each kept or took the flag that a report is due out of turn; where new targets came in the same pass, it stayed set and asked for a round once more. Ruled out: one mechanism for early rounds and due reports: a report that is due while the endpoint is being asked would wait for the next poll, 250 ms, and the hand-over of a cold cell has 60 ms to spare. It needs a word from the poll that has ended. Change: the role keeps no flag; the coordinator's loop takes the tables' flags after each event. Figures: go test ./router/dispatching ./router/poll ./router ./router/faults: ok; go test -race -run TestColdHandOver ./router: ok.

--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -142,8 +142,9 @@
 			c.pollEarly(c.began)
 		}
 		c.drain()
-		if c.dispatch.WantsReports() {
+		if c.dispatch.TakeWanted() {
 			c.choosePolled()
+			c.askReports()
 		}
 	}
 }
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -83,7 +83,7 @@
 func (c *Coordinator) choosePolled() {
 	targets := c.dispatch.Targets()
 	before := c.polled.Swap(&targets)
-	if before == nil || len(*before) < len(targets) || c.dispatch.TakeWanted() {
+	if before == nil || len(*before) < len(targets) {
 		c.askReports()
 	}
 }
@@ -106,11 +106,10 @@
 	}
 }
 
-// pollEarly asks for the round that was planned.
+// pollEarly wants the reports of the round that was planned.
 func (c *Coordinator) pollEarly(now time.Time) {
 	c.earlyFrom = now.Add(-c.config.Timings.ReportLag)
 	c.dispatch.WantReports(now)
-	c.choosePolled()
 }
 
 func (c *Coordinator) handleMeasured(now time.Time, cmd measured) {
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -38,7 +38,6 @@
 	voters    []cell.HostID
 	total     int
 	leaving   bool
-	wanted    bool // wanted is true when a report has become due out of turn.
 }
 
 // state is one cell that this router may dispatch.
@@ -139,17 +138,15 @@
 func (r *Role) WantReports(now time.Time) {
 	for _, at := range r.cells {
 		at.dispatcher.WantReports(now)
-		r.wanted = at.dispatcher.TakeWanted() || r.wanted
 	}
 }
 
-// WantsReports tells whether a report has become due out of turn.
-func (r *Role) WantsReports() bool { return r.wanted }
-
 // TakeWanted tells whether a report has become due out of turn since the last call.
 func (r *Role) TakeWanted() bool {
-	wanted := r.wanted
-	r.wanted = false
+	wanted := false
+	for _, at := range r.cells {
+		wanted = at.dispatcher.TakeWanted() || wanted
+	}
 	return wanted
 }
 
@@ -290,7 +287,6 @@
 	if grants != nil {
 		r.config.Send(to, grants)
 	}
-	r.wanted = at.dispatcher.TakeWanted() || r.wanted
 }
 
 // startGrants sends the run of grants that is complete and starts the next one.
