--- a/cmd/ryelug/router.go
+++ b/cmd/ryelug/router.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"flag"
+	"os"
+	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 
@@ -12,6 +14,9 @@
 	"ryelug/router/settings"
 )
 
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "RYELUG_SETTINGS"
+
 // routerCommand runs a router.
 type routerCommand struct {
 	settings string
@@ -37,7 +42,7 @@
 
 // SetFlags sets the flags.
 func (r *routerCommand) SetFlags(flags *flag.FlagSet) {
-	flags.StringVar(&r.settings, "settings", "", "the settings file")
+	flags.StringVar(&r.settings, "settings", os.Getenv(settingsVariable), "the settings file; by default the one that RYELUG_SETTINGS names")
 }
 
 // Run implements command.Action.
@@ -52,6 +57,9 @@
 	if err != nil {
 		return err
 	}
+	if given.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(given.MemoryLimit) << 20 / 4 * 3)
+	}
 	log := operator.NewLog(operator.LogConfig{Level: given.LogLevel, Format: given.LogFormat, Output: to.Err})
 	one, err := newProcess(given, log)
 	if err != nil {
--- /dev/null
+++ b/core/admission/dispatcher.go
@@ -0,0 +1,259 @@
+package admission
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/fair"
+	"ryelug/core/limit"
+	"ryelug/core/queue"
+	"ryelug/core/result"
+	"ryelug/core/session"
+	"ryelug/core/slot"
+)
+
+const (
+	// requestWay is the longest way of a request from its grant to the endpoint, in which arrivals bunch.
+	requestWay = 200 * time.Millisecond
+	// coldWindow is the span in which the grants to a cold endpoint are counted, so that no second has more arrivals than it bears.
+	coldWindow = time.Second + requestWay
+	// stakeHorizon is how long a smaller number of stakes is not believed; any former holder's grants have arrived by then.
+	stakeHorizon = 2 * coldWindow
+	// closedRetry is the RetryAfter while no endpoint is open.
+	closedRetry = time.Second
+)
+
+// Config describes a Dispatcher.
+type Config struct {
+	Cell cell.ID
+}
+
+// Dispatcher admits the work of one cell.
+type Dispatcher struct {
+	cell   cell.ID
+	policy dispatch.Policy
+	now    time.Time
+
+	teams     []team
+	teamIndex map[cell.TeamID]int32
+	ledger    fair.Ledger
+	shares    fair.Shares
+
+	entries   *session.Table
+	waiting   queue.Queue
+	scratch   []int32 // scratch holds the slots of waiting requests while they are tried.
+	flights   slot.Slab[attempt]
+	endpoints []endpoint
+	index     map[cell.EndpointID]int32
+	stakes    limit.Stakes
+	takenAt   time.Time // takenAt is when the first entry joined; what happened before is unknown.
+	returns   returns
+	out       dispatch.Outbox
+}
+
+// team is what is known of a team's requests.
+type team struct {
+	id       cell.TeamID
+	inFlight int
+	active   time.Time
+}
+
+// New returns a Dispatcher that knows no policy, voter or entry yet.
+func New(config Config) *Dispatcher {
+	return &Dispatcher{
+		cell:      config.Cell,
+		teamIndex: make(map[cell.TeamID]int32),
+		entries:   session.New(),
+		index:     make(map[cell.EndpointID]int32),
+	}
+}
+
+// Step takes in one event at the given time and returns what is to be done; the
+// result is valid until the next Step.
+func (d *Dispatcher) Step(now time.Time, ev dispatch.Event) []dispatch.Action {
+	d.now = now
+	d.out.Reset()
+	switch ev := ev.(type) {
+	case *dispatch.Want:
+		d.want(now, ev)
+		return d.out.Actions()
+	case *dispatch.Policy:
+		d.setPolicy(now, ev)
+	case *dispatch.Voters:
+		d.stakes.SetVoters(now, ev.Hosts, ev.Total, stakeHorizon)
+	case *dispatch.Join:
+		d.join(now, ev)
+	case *dispatch.Renew:
+		d.renew(ev)
+		return d.out.Actions()
+	case *dispatch.Leave:
+		d.leave(now, ev)
+	case *dispatch.Withdraw:
+		d.withdraw(ev)
+	case *dispatch.Progressed:
+		d.progressed(now, ev)
+	case *dispatch.Ended:
+		d.ended(now, ev)
+	case *dispatch.Tick:
+	case *dispatch.Load, *dispatch.Unreachable, *dispatch.Siblings, *dispatch.Move:
+		return nil // The platform's registry takes the place of reports, and such a pool is one cell.
+	}
+	d.tryWaiting(now)
+	return d.out.Actions()
+}
+
+func (d *Dispatcher) setPolicy(now time.Time, policy *dispatch.Policy) {
+	d.policy = *policy
+	d.shares.SetRate(policy.FairRate)
+	for i := range policy.Teams {
+		d.ledger.SetShare(int(d.teamOf(policy.Teams[i].Team)), policy.Teams[i].Share)
+	}
+	for i := range d.endpoints {
+		d.endpoints[i].open = false
+	}
+	for i := range policy.Endpoints {
+		d.ensure(policy.Endpoints[i].Endpoint).set(now, &policy.Endpoints[i], policy)
+	}
+}
+
+// ensure returns an endpoint and makes one for a new name.
+func (d *Dispatcher) ensure(id cell.EndpointID) *endpoint {
+	return &d.endpoints[d.ensureIndex(id)]
+}
+
+func (d *Dispatcher) ensureIndex(id cell.EndpointID) int32 {
+	if index, ok := d.index[id]; ok {
+		return index
+	}
+	index := int32(len(d.endpoints))
+	d.endpoints = append(d.endpoints, endpoint{id: id})
+	d.index[id] = index
+	return index
+}
+
+// teamOf returns the index of a team and makes one for a new name.
+func (d *Dispatcher) teamOf(id cell.TeamID) int32 {
+	if index, ok := d.teamIndex[id]; ok {
+		return index
+	}
+	index := int32(len(d.teams))
+	d.teams = append(d.teams, team{id: id})
+	d.teamIndex[id] = index
+	d.ledger.Grow(len(d.teams))
+	d.shares.Grow(len(d.teams))
+	d.waiting.Grow(len(d.teams))
+	return index
+}
+
+func (d *Dispatcher) join(now time.Time, ev *dispatch.Join) {
+	if d.entries.Live() == 0 {
+		d.takenAt = now
+	}
+	index := d.entries.Ensure(ev.Router)
+	from := d.entries.At(index)
+	if ev.Session < from.Session || from.Live && ev.Session == from.Session {
+		return
+	}
+	d.dropWaiting(index)
+	from.Session, from.Live = ev.Session, true
+	d.stakes.Revoke(ev.Router)
+	if ev.Stake {
+		d.stakes.Lend(now.Add(-max(0, ev.Unlent)), ev.Router)
+	}
+	d.takeFlights(index, ev.Flights)
+	d.mergeCounters(now, ev.Counters)
+}
+
+// takeFlights makes an entry's account equal to what the entry says it has in flight.
+func (d *Dispatcher) takeFlights(index int32, flights []cell.Flight) {
+	listed := make(map[cell.AttemptID]bool, len(flights))
+	for i := range flights {
+		listed[flights[i].Attempt] = true
+		if _, ok := d.entries.At(index).Flights[flights[i].Attempt]; ok {
+			continue
+		}
+		at := d.ensureIndex(flights[i].Endpoint)
+		d.add(attempt{
+			entry: index, attempt: flights[i].Attempt, team: d.teamOf(flights[i].Team), endpoint: at,
+			charged: flights[i].Charged, run: d.endpoints[at].adopt(int(flights[i].Charged)),
+		})
+	}
+	for attempt, place := range d.entries.At(index).Flights {
+		if !listed[attempt] {
+			d.drop(place, &cell.End{Attempt: attempt, Outcome: cell.Unused})
+		}
+	}
+}
+
+// mergeCounters takes in the counters that an entry saw at its former dispatcher.
+func (d *Dispatcher) mergeCounters(now time.Time, counters []cell.TeamCounter) {
+	for i := range counters {
+		if counters[i].Team == dispatch.VirtualTime {
+			d.ledger.Advance(counters[i].Service)
+		}
+	}
+	for i := range counters {
+		if counters[i].Team == dispatch.VirtualTime {
+			continue
+		}
+		index := d.teamOf(counters[i].Team)
+		d.teams[index].active = now
+		d.ledger.Merge(int(index), counters[i].Service)
+	}
+}
+
+func (d *Dispatcher) renew(ev *dispatch.Renew) {
+	if _, ok := d.entries.Present(ev.Router, ev.Session); ok {
+		d.stakes.Renew(ev.Router, ev.StakeUntil)
+	}
+}
+
+func (d *Dispatcher) leave(now time.Time, ev *dispatch.Leave) {
+	index, ok := d.entries.Present(ev.Router, ev.Session)
+	if !ok {
+		return
+	}
+	d.dropWaiting(index)
+	d.entries.At(index).Live = false
+	for attempt, place := range d.entries.At(index).Flights {
+		d.drop(place, &cell.End{Attempt: attempt, Outcome: cell.Cancelled})
+	}
+	d.stakes.Revoke(ev.Router)
+	d.entries.Drop(index)
+}
+
+func (d *Dispatcher) dropWaiting(index int32) {
+	for _, place := range d.entries.At(index).Waiting {
+		d.unqueue(place)
+	}
+}
+
+func (d *Dispatcher) withdraw(ev *dispatch.Withdraw) {
+	index, ok := d.entries.Present(ev.Router, ev.Session)
+	if !ok {
+		return
+	}
+	for _, attempt := range ev.Attempts {
+		if place, queued := d.entries.At(index).Waiting[attempt]; queued {
+			d.unqueue(place)
+		}
+	}
+}
+
+// unqueue takes a waiting request out.
+func (d *Dispatcher) unqueue(place int32) {
+	request := d.waiting.At(place)
+	delete(d.entries.At(request.Entry).Waiting, request.Attempt)
+	of := request.Team
+	d.waiting.Remove(place)
+	if d.waiting.LenOf(of) == 0 {
+		d.ledger.Exit(int(of))
+	}
+}
+
+func (d *Dispatcher) refuse(place int32, code result.Code, after time.Duration) {
+	request := *d.waiting.At(place)
+	d.unqueue(place)
+	d.out.Refuse(d.entries.At(request.Entry), request.Attempt, code, after)
+}
--- /dev/null
+++ b/core/admission/dispatcher_test.go
@@ -0,0 +1,226 @@
+package admission_test
+
+import (
+	"cmp"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/admission"
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/engine"
+)
+
+const grantOf = "a/1" // grantOf is the entry of these tests.
+
+// desk is a dispatcher with one entry that lends its stake.
+type desk struct {
+	*admission.Dispatcher
+	now     time.Time
+	last    cell.AttemptID
+	running map[cell.AttemptID]time.Time // running holds when granted attempts were granted; they begin and end by themselves.
+	outcome map[cell.AttemptID]cell.Outcome
+	grants  []cell.Grant
+}
+
+const (
+	firstAfter = 100 * time.Millisecond // firstAfter is the time from a grant to the first token.
+	endAfter   = 500 * time.Millisecond // endAfter is the time from a grant to the end.
+)
+
+func newDesk(policy dispatch.Policy) *desk {
+	d := &desk{Dispatcher: admission.New(admission.Config{Cell: "chat"}), now: time.Now(), running: map[cell.AttemptID]time.Time{}, outcome: map[cell.AttemptID]cell.Outcome{}}
+	d.Step(d.now, &dispatch.Voters{Hosts: []cell.HostID{"a"}, Total: 1})
+	d.Step(d.now, &policy)
+	d.Step(d.now, &dispatch.Join{Router: grantOf, Session: 1, Stake: true, Unlent: time.Hour})
+	d.pass(10 * time.Second) // All engines are warm by now.
+	return d
+}
+
+// pass lets time pass in ticks and returns what was decided meanwhile.
+func (d *desk) pass(span time.Duration) (actions []dispatch.Action) {
+	for end := d.now.Add(span); d.now.Before(end); {
+		d.now = d.now.Add(50 * time.Millisecond)
+		d.Step(d.now, &dispatch.Renew{Router: grantOf, Session: 1, StakeUntil: d.now.Add(time.Second)})
+		d.work()
+		actions = append(actions, d.note(d.Step(d.now, &dispatch.Tick{}))...)
+	}
+	return actions
+}
+
+// work lets granted attempts begin and end.
+func (d *desk) work() {
+	for attempt, since := range d.running {
+		switch age := d.now.Sub(since); {
+		case age >= endAfter:
+			delete(d.running, attempt)
+			outcome := cmp.Or(d.outcome[attempt], cell.Completed)
+			d.note(d.Step(d.now, &dispatch.Ended{Router: grantOf, Ends: []cell.End{{Attempt: attempt, Outcome: outcome}}}))
+		case age >= firstAfter:
+			d.note(d.Step(d.now, &dispatch.Progressed{Router: grantOf, Session: 1, Progress: []cell.Progress{{Attempt: attempt, FirstToken: age}}}))
+		}
+	}
+}
+
+// note keeps actions beyond the next step and lets what was granted run.
+func (d *desk) note(actions []dispatch.Action) []dispatch.Action {
+	kept := copies(actions)
+	for _, action := range kept {
+		if grant, ok := action.(*dispatch.GrantTo); ok {
+			d.running[grant.Grant.Attempt] = d.now
+			d.grants = append(d.grants, grant.Grant)
+		}
+	}
+	return kept
+}
+
+// copies keeps actions beyond the next step.
+func copies(actions []dispatch.Action) (kept []dispatch.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case *dispatch.GrantTo:
+			one := *action
+			kept = append(kept, &one)
+		case *dispatch.RefuseTo:
+			one := *action
+			kept = append(kept, &one)
+		}
+	}
+	return kept
+}
+
+func (d *desk) ask(team cell.TeamID, prompt cell.Prompt, within time.Duration) []dispatch.Action {
+	d.last++
+	demand := cell.Demand{Attempt: d.last, Team: team, Estimate: prompt.Cost(), Prompt: prompt, Due: d.now.Add(within)}
+	return d.note(d.Step(d.now, &dispatch.Want{Router: grantOf, Session: 1, Demands: []cell.Demand{demand}}))
+}
+
+// engines returns the policy of so many engines.
+func engines(names ...cell.EndpointID) dispatch.Policy {
+	policy := dispatch.Policy{Engine: &engine.Profile{}, Predicted: true, ColdRate: 5, ColdSpan: time.Second}
+	for _, name := range names {
+		policy.Endpoints = append(policy.Endpoints, dispatch.EndpointPolicy{Endpoint: name, WarmLimit: 64, Start: "s"})
+	}
+	return policy
+}
+
+func prompt(shared uint64, tokens, own int) cell.Prompt {
+	return cell.Prompt{Parts: []cell.Part{{ID: shared, Tokens: tokens}, {ID: 1000 + shared, Tokens: own}}, Output: 100}
+}
+
+func granted(t *testing.T, actions []dispatch.Action) cell.Grant {
+	t.Helper()
+	if len(actions) == 1 {
+		if grant, ok := actions[0].(*dispatch.GrantTo); ok {
+			return grant.Grant
+		}
+	}
+	t.Fatalf("no single grant: %v", actions)
+	return cell.Grant{}
+}
+
+// Requests that share a part go to the engine that keeps it, while it answers in time.
+func TestSharedPartsStayTogether(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(engines("e1", "e2", "e3"))
+	home := granted(t, d.ask("kiosks", prompt(1, 5000, 500), time.Second)).Endpoint
+	other := granted(t, d.ask("kiosks", prompt(2, 5000, 500), time.Second)).Endpoint
+	is.True(home != other)
+	for range 5 {
+		d.pass(100 * time.Millisecond)
+		is.Equal(granted(t, d.ask("schools", prompt(1, 5000, 500), time.Second)).Endpoint, home)
+	}
+}
+
+// A request that no engine can answer in time is refused at once, with a time to come back.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(engines("e1"))
+	var refused *dispatch.RefuseTo
+	for range 20 {
+		actions := d.ask("kiosks", prompt(uint64(d.last)+10, 0, 20_000), 600*time.Millisecond)
+		is.Equal(len(actions), 1) // nothing waits for what can't come in time
+		if refusal, ok := actions[0].(*dispatch.RefuseTo); ok {
+			refused = refusal
+		}
+	}
+	is.True(refused != nil)
+	is.True(refused.RetryAfter > 0)
+}
+
+// A cold endpoint gets no more requests in any second than it bears.
+func TestColdRate(t *testing.T) {
+	is := is.New(t)
+	policy := engines("e1")
+	policy.Endpoints[0].ColdUntil = time.Now().Add(time.Minute)
+	d := newDesk(policy)
+	var times []time.Time
+	for range 400 {
+		d.pass(50 * time.Millisecond)
+		d.ask("kiosks", prompt(1, 10, 10), 200*time.Millisecond)
+		for len(times) < len(d.grants) {
+			times = append(times, d.now)
+		}
+	}
+	is.True(len(times) > 20) // it gets work all the same
+	for i := policy.ColdRate; i < len(times); i++ {
+		is.True(times[i].Sub(times[i-policy.ColdRate]) > time.Second)
+	}
+}
+
+// An endpoint that fails is left alone but for a probe now and then, and comes back when it answers.
+func TestFailingEndpoint(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(engines("e1", "e2"))
+	count := func(steps int, outcome cell.Outcome) (first int) {
+		for range steps {
+			d.pass(50 * time.Millisecond)
+			grant := granted(t, d.ask("kiosks", prompt(uint64(d.last)+10, 0, 100), time.Second))
+			if grant.Endpoint == "e1" {
+				first++
+				d.outcome[grant.Attempt] = outcome
+			}
+		}
+		return first
+	}
+	is.True(count(200, cell.Failed) < 50) // 10 s hold 25 probes and what runs before the first failure is known
+	count(100, cell.Completed)
+	is.True(count(100, cell.Completed) > 30)
+}
+
+// Requests of a team beyond its share leave room for those of the others.
+func TestFloodLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	policy := engines("e1")
+	policy.FairRate = 10_000
+	d := newDesk(policy)
+	refused := map[cell.TeamID]int{}
+	asked := map[cell.TeamID]int{}
+	for step := range 400 {
+		d.pass(50 * time.Millisecond)
+		for range 4 {
+			asked["flood"]++
+			if _, ok := first(d.ask("flood", prompt(uint64(d.last)+10, 0, 5000), 400*time.Millisecond)).(*dispatch.RefuseTo); ok {
+				refused["flood"]++
+			}
+		}
+		if step%20 == 0 {
+			asked["kiosks"]++
+			if _, ok := first(d.ask("kiosks", prompt(uint64(d.last)+10, 0, 500), 400*time.Millisecond)).(*dispatch.RefuseTo); ok {
+				refused["kiosks"]++
+			}
+		}
+	}
+	t.Logf("refused %v of %v", refused, asked)
+	is.True(refused["flood"] > asked["flood"]/3)
+	is.True(refused["kiosks"] <= 1)
+}
+
+func first(actions []dispatch.Action) dispatch.Action {
+	if len(actions) == 0 {
+		return nil
+	}
+	return actions[0]
+}
--- /dev/null
+++ b/core/admission/place.go
@@ -0,0 +1,244 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/engine"
+	"ryelug/core/limit"
+	"ryelug/core/queue"
+	"ryelug/core/result"
+	"ryelug/core/slot"
+)
+
+const (
+	// withinPart is the part of the time left that a prediction may take for a request within its team's share,
+	withinPart = 0.95
+	// beyondPart is that of the others, so that room is left for those within.
+	beyondPart = 0.6
+	// beyondSlots is the part of the slots that requests beyond their share may fill.
+	beyondSlots = 0.9
+
+	// readAgainWeight weighs the time to read shared parts again against time to the first token: reading them
+	// twice costs the engine the time and crowds out other parts.
+	readAgainWeight = 6
+	// crowdWeight is what a full batch counts for, as each request slows the tokens of all.
+	crowdWeight = 100 * time.Millisecond
+	// awayWeight is what the way to another data centre counts for.
+	awayWeight = 10 * time.Millisecond
+	// failWeightTime is what an endpoint counts for that fails always.
+	failWeightTime = 500 * time.Millisecond
+
+	mostTried = 256 // waiting requests that are tried at a time
+)
+
+// verdict says what becomes of a request now.
+type verdict int
+
+const (
+	admitted verdict = iota
+	waits            // waits: room may come in time.
+	hopeless         // hopeless: no endpoint can answer in time any more.
+	closed           // closed: no endpoint is open.
+)
+
+// want takes in demands; each is tried at once, since those that wait were tried before.
+func (d *Dispatcher) want(now time.Time, ev *dispatch.Want) {
+	index, ok := d.entries.Present(ev.Router, ev.Session)
+	if !ok {
+		return
+	}
+	for i := range ev.Demands {
+		demand := &ev.Demands[i]
+		by := d.entries.At(index)
+		if by.Knows(demand.Attempt) {
+			continue
+		}
+		of := d.teamOf(demand.Team)
+		d.teams[of].active = now
+		avoid := int32(-1)
+		if at, known := d.index[demand.Avoid]; known {
+			avoid = at
+		}
+		d.shares.Ask(now, int(of), max(1, demand.Estimate))
+		place := d.waiting.Push(queue.Request{
+			Entry: index, Attempt: demand.Attempt, Team: of, Avoid: avoid, Hint: demand.Estimate, Since: now,
+			Prompt: demand.Prompt, Due: demand.Due,
+		})
+		by.Waiting[demand.Attempt] = place
+		d.ledger.Enter(int(of), d.ledger.Virtual())
+		d.try(now, place)
+	}
+}
+
+// tryWaiting tries the requests that wait: those within their team's share first,
+// and among them those of the teams that were served least.
+func (d *Dispatcher) tryWaiting(now time.Time) {
+	d.scratch = d.scratch[:0]
+	for place := d.waiting.First(); place != slot.None && len(d.scratch) < mostTried; place = d.waiting.Next(place) {
+		d.scratch = append(d.scratch, place)
+	}
+	if len(d.scratch) > 1 {
+		slices.SortStableFunc(d.scratch, func(a, b int32) int { return d.before(now, a, b) })
+	}
+	for _, place := range d.scratch {
+		d.try(now, place)
+	}
+}
+
+func (d *Dispatcher) before(now time.Time, a, b int32) int {
+	x, y := int(d.waiting.At(a).Team), int(d.waiting.At(b).Team)
+	if x == y {
+		return 0
+	}
+	if d.shares.Within(now, x) != d.shares.Within(now, y) {
+		if d.shares.Within(now, x) {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(d.ledger.Counter(x), d.ledger.Counter(y))
+}
+
+// try grants or refuses a waiting request, or leaves it waiting.
+func (d *Dispatcher) try(now time.Time, place int32) {
+	endpoint, what := d.choose(now, d.waiting.At(place))
+	switch what {
+	case admitted:
+		d.grant(now, place, endpoint)
+	case hopeless:
+		d.refuse(place, result.QueueTimeout, d.returns.next(now))
+	case closed:
+		d.refuse(place, result.NoCapacity, closedRetry)
+	}
+}
+
+// offer is an endpoint that could take a request.
+type offer struct {
+	endpoint int32
+	cost     time.Duration
+}
+
+// choose returns the endpoint for a request, if one can answer it in time.
+func (d *Dispatcher) choose(now time.Time, request *queue.Request) (int32, verdict) {
+	within := d.shares.Within(now, int(request.Team))
+	best := offer{endpoint: -1}
+	what := closed
+	for i := range d.endpoints {
+		at := &d.endpoints[i]
+		if !at.open || int32(i) == request.Avoid && d.hasOther(int32(i)) {
+			continue
+		}
+		cost, here := d.weigh(now, at, request, within)
+		if here != admitted {
+			what = worse(what, here)
+			continue
+		}
+		if best.endpoint < 0 || cost < best.cost {
+			best = offer{int32(i), cost}
+		}
+	}
+	if best.endpoint >= 0 {
+		return best.endpoint, admitted
+	}
+	return -1, what
+}
+
+// worse joins the verdicts of two endpoints: hope at one of them is enough to wait.
+func worse(a, b verdict) verdict {
+	if a == waits || b == waits {
+		return waits
+	}
+	return min(a, b)
+}
+
+func (d *Dispatcher) hasOther(than int32) bool {
+	for i := range d.endpoints {
+		if int32(i) != than && d.endpoints[i].open {
+			return true
+		}
+	}
+	return false
+}
+
+// weigh says whether an endpoint can answer a request in time, and what choosing it costs.
+func (d *Dispatcher) weigh(now time.Time, at *endpoint, request *queue.Request, within bool) (time.Duration, verdict) {
+	left := time.Hour
+	if !request.Due.IsZero() {
+		left = request.Due.Sub(now)
+	}
+	cost := time.Duration(at.failing(now) * float64(failWeightTime))
+	if entry := d.entries.At(request.Entry); at.dataCentre != d.dataCentreOf(entry.Router) {
+		cost += awayWeight
+	}
+	cost += crowdWeight * time.Duration(at.running) / time.Duration(max(1, at.slots))
+	if left <= 0 {
+		return 0, hopeless
+	}
+	if at.isFailing(now) || at.running >= slotsFor(at.slots, within) || !d.bears(now, at) {
+		return 0, waits
+	}
+	if at.engine == nil {
+		return cost, admitted
+	}
+	seen := at.engine.Predict(now, &request.Prompt)
+	part := beyondPart
+	if within {
+		part = withinPart
+	}
+	if float64(seen.First) > part*float64(left) {
+		return 0, hopeless
+	}
+	if !seen.Fits {
+		return 0, waits
+	}
+	again := time.Duration(seen.Shared) * d.profile().Prefill
+	return cost + seen.First + readAgainWeight*again, admitted
+}
+
+func slotsFor(slots int, within bool) int {
+	if within {
+		return slots
+	}
+	return max(1, int(beyondSlots*float64(slots)))
+}
+
+// bears tells whether an endpoint that may be cold bears one more request now.
+func (d *Dispatcher) bears(now time.Time, at *endpoint) bool {
+	if !at.isCold(now, d.takenAt) {
+		return true
+	}
+	held, total := d.stakes.HeldSince(now, now.Add(-coldWindow))
+	return at.recent(now) < limit.Cap(at.coldRate, held, total)
+}
+
+func (d *Dispatcher) profile() engine.Profile { return d.policy.Engine.WithDefaults() }
+
+// dataCentreOf returns the data centre of an entry, as far as the policy tells.
+func (d *Dispatcher) dataCentreOf(router cell.RouterID) string {
+	return d.policy.EntryDataCentres[router.Host()]
+}
+
+func (d *Dispatcher) grant(now time.Time, place, to int32) {
+	request := *d.waiting.At(place)
+	d.unqueue(place)
+	at := &d.endpoints[to]
+	cost := max(1, request.Hint)
+	d.shares.Use(int(request.Team), cost)
+	d.returns.granted(now)
+	flying := attempt{entry: request.Entry, attempt: request.Attempt, team: request.Team, endpoint: to, charged: cost}
+	if at.engine != nil {
+		run := at.engine.Admit(now, &request.Prompt)
+		flying.run = &run
+	}
+	at.running++
+	at.granted(now)
+	if at.failing(now) > failLimit {
+		at.probeAt = now.Add(probeEvery)
+	}
+	d.add(flying)
+	d.out.Grant(d.entries.At(request.Entry), cell.Grant{Attempt: request.Attempt, Endpoint: at.id, Start: at.start})
+}
--- /dev/null
+++ b/core/admission/returns.go
@@ -0,0 +1,42 @@
+package admission
+
+import "time"
+
+const (
+	leastReturn = 250 * time.Millisecond // leastReturn is the shortest time to come back after.
+	mostReturn  = 3 * time.Second        // mostReturn is the longest one; callers keep to a third of the time they have.
+	returnPart  = 0.25                   // returnPart is the part of the present pace of grants that is promised to those who return.
+	leastPace   = 4.0                    // leastPace is the least number of returns a second.
+	paceSpan    = time.Second            // paceSpan is the time constant of the pace of grants.
+)
+
+// returns tells refused callers when to come back, one after the other, so that they do not come as one wave.
+type returns struct {
+	pace   float64 // pace is an average of the grants a second.
+	paceAt time.Time
+	nextAt time.Time
+}
+
+func (r *returns) granted(now time.Time) {
+	r.fade(now)
+	r.pace += 1 / paceSpan.Seconds()
+}
+
+func (r *returns) fade(now time.Time) {
+	if passed := now.Sub(r.paceAt); passed > 0 {
+		r.pace /= 1 + passed.Seconds()/paceSpan.Seconds()
+		r.paceAt = now
+	}
+}
+
+// next returns the time after which the next refused caller should come back.
+func (r *returns) next(now time.Time) time.Duration {
+	r.fade(now)
+	every := time.Duration(float64(time.Second) / max(leastPace, returnPart*r.pace))
+	r.nextAt = later(r.nextAt.Add(every), now.Add(leastReturn))
+	if after := r.nextAt.Sub(now); after < mostReturn {
+		return after
+	}
+	r.nextAt = now.Add(leastReturn) // The queue of returns is full: it begins anew, spread over the same span.
+	return mostReturn
+}
--- /dev/null
+++ b/core/admission/snapshot.go
@@ -0,0 +1,49 @@
+package admission
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/flight"
+	"ryelug/core/limit"
+)
+
+// activeSpan is how long a team counts as active after demand or service.
+const activeSpan = 10 * time.Second
+
+// Snapshot returns the state after the last Step.
+func (d *Dispatcher) Snapshot() dispatch.Snapshot {
+	shot := dispatch.Snapshot{Cell: d.cell, Entries: d.entries.Live(), Waiting: d.waiting.Len()}
+	shot.Held, shot.Total = d.stakes.HeldSince(d.now, d.now)
+	for i := range d.teams {
+		of := &d.teams[i]
+		if queued := d.waiting.LenOf(int32(i)); queued+of.inFlight > 0 {
+			shot.Teams = append(shot.Teams, dispatch.TeamSnapshot{Team: of.id, Queued: queued, InFlight: of.inFlight, Counter: d.ledger.Counter(i)})
+		}
+	}
+	for i := range d.endpoints {
+		at := &d.endpoints[i]
+		state := limit.Warm
+		if at.isCold(d.now, d.takenAt) {
+			state = limit.Cold
+		}
+		shot.Endpoints = append(shot.Endpoints, flight.State{
+			Endpoint: at.id, State: state, Open: at.open, Limit: at.slots, InFlight: at.running, Free: max(0, at.slots-at.running),
+		})
+	}
+	return shot
+}
+
+// Counters appends the settled counters of the teams with demand or service in
+// the last seconds, after the virtual time under its own name.
+func (d *Dispatcher) Counters(dst []cell.TeamCounter) []cell.TeamCounter {
+	dst = append(dst, cell.TeamCounter{Team: dispatch.VirtualTime, Service: d.ledger.SettledVirtual()})
+	for i := range d.teams {
+		of := &d.teams[i]
+		if d.waiting.LenOf(int32(i)) > 0 || of.inFlight > 0 || !of.active.IsZero() && d.now.Sub(of.active) < activeSpan {
+			dst = append(dst, cell.TeamCounter{Team: of.id, Service: d.ledger.Settled(i)})
+		}
+	}
+	return dst
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -38,6 +38,30 @@
 // Cost is an amount of service in cost units: tokens for engines, calls for services.
 type Cost int64
 
+// Part is a piece of a prompt; requests that share a part name it alike.
+type Part struct {
+	ID     uint64 `msgpack:"i"`
+	Tokens int    `msgpack:"t"`
+}
+
+// Prompt is what an engine reads for a request, and how much it may generate.
+type Prompt struct {
+	Parts  []Part `msgpack:"p"` // Parts are in the order of the prompt; the last one is the request's own.
+	Output int    `msgpack:"o"` // Output is the most tokens of the answer.
+}
+
+// Tokens returns the length of the prompt.
+func (p *Prompt) Tokens() int {
+	tokens := 0
+	for i := range p.Parts {
+		tokens += p.Parts[i].Tokens
+	}
+	return tokens
+}
+
+// Cost returns what a team is charged: a generated token costs as much as two that are read.
+func (p *Prompt) Cost() Cost { return Cost(p.Tokens() + 2*p.Output) }
+
 // Demand asks for one grant.
 type Demand struct {
 	Attempt  AttemptID  `msgpack:"a"`
@@ -45,6 +69,8 @@
 	Estimate Cost       `msgpack:"c"`           // Estimate is the caller's hint; zero when there is none.
 	Avoid    EndpointID `msgpack:"v,omitempty"` // Avoid is an endpoint that has just failed this request.
 	Moves    uint8      `msgpack:"m,omitempty"` // Moves is how often a cell of the pool has passed this request on to another.
+	Prompt   Prompt     `msgpack:"p,omitempty"` // Prompt is empty for plain calls and where it is unknown.
+	Due      time.Time  `msgpack:"d,omitempty"` // Due is when the first token, or the whole answer of a plain call, is late; zero when it never is.
 }
 
 // Service is what a cell has served a team, over the life of its dispatcher.
@@ -101,8 +127,9 @@
 
 // Progress reports the cost of an attempt so far.
 type Progress struct {
-	Attempt AttemptID `msgpack:"a"`
-	Cost    Cost      `msgpack:"c"`
+	Attempt    AttemptID     `msgpack:"a"`
+	Cost       Cost          `msgpack:"c"`
+	FirstToken time.Duration `msgpack:"f,omitempty"` // FirstToken is set in the one report of an attempt's first token: the time since the send.
 }
 
 // End reports that an attempt has ended and what it cost.
--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -8,8 +8,8 @@
 	"ryelug/core/session"
 )
 
-// outbox collects the actions of a step in memory that the next step uses again.
-type outbox struct {
+// Outbox collects the actions of a step in memory that the next step uses again.
+type Outbox struct {
 	actions  []Action
 	grants   []*GrantTo
 	refusals []*RefuseTo
@@ -19,12 +19,17 @@
 	moved    int
 }
 
-func (o *outbox) reset() {
+// Actions returns the actions of the step; they are valid until Reset.
+func (o *Outbox) Actions() []Action { return o.actions }
+
+// Reset begins a new step.
+func (o *Outbox) Reset() {
 	o.actions = o.actions[:0]
 	o.granted, o.refused, o.moved = 0, 0, 0
 }
 
-func (o *outbox) grant(to *session.Entry, grant cell.Grant) {
+// Grant adds a grant to an entry.
+func (o *Outbox) Grant(to *session.Entry, grant cell.Grant) {
 	if o.granted == len(o.grants) {
 		o.grants = append(o.grants, &GrantTo{})
 	}
@@ -34,7 +39,8 @@
 	o.actions = append(o.actions, action)
 }
 
-func (o *outbox) refuse(to *session.Entry, attempt cell.AttemptID, code result.Code, after time.Duration) {
+// Refuse adds a refusal, with the time after which the request may come back.
+func (o *Outbox) Refuse(to *session.Entry, attempt cell.AttemptID, code result.Code, after time.Duration) {
 	if o.refused == len(o.refusals) {
 		o.refusals = append(o.refusals, &RefuseTo{})
 	}
@@ -44,7 +50,8 @@
 	o.actions = append(o.actions, action)
 }
 
-func (o *outbox) move(to *session.Entry, attempt cell.AttemptID, id cell.ID) {
+// Move adds the passing on of an attempt to another cell.
+func (o *Outbox) Move(to *session.Entry, attempt cell.AttemptID, id cell.ID) {
 	if o.moved == len(o.moves) {
 		o.moves = append(o.moves, &MoveTo{})
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -54,7 +54,7 @@
 	entries *session.Table
 	waiting queue.Queue
 	flights *flight.Table
-	out     outbox
+	out     Outbox
 	granted int // granted counts the grants since the last telling.
 	periods int // periods counts the times at which requests began to wait.
 	isBusy  bool
@@ -84,12 +84,12 @@
 // result is valid until the next Step.
 func (d *Dispatcher) Step(now time.Time, ev Event) []Action {
 	d.now = now
-	d.out.reset()
+	d.out.Reset()
 	d.flights.Expire(now)
 	d.take(now, ev)
 	d.grantWaiting(now)
 	d.countPeriods()
-	return d.out.actions
+	return d.out.Actions()
 }
 
 // ReportDue returns the latest time, after one time and not after the other, from
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -55,14 +55,14 @@
 // counters of another scale starve no team.
 func (d *Dispatcher) mergeCounters(now time.Time, counters []cell.TeamCounter) {
 	for i := range counters {
-		if counters[i].Team == virtualTime {
+		if counters[i].Team == VirtualTime {
 			d.ledger.Advance(counters[i].Service)
 			d.mergedVirtual = max(d.mergedVirtual, counters[i].Service)
 		}
 	}
 	ceiling := d.ledger.Virtual() + d.spread()
 	for i := range counters {
-		if counters[i].Team == virtualTime {
+		if counters[i].Team == VirtualTime {
 			continue
 		}
 		index := d.teamOf(counters[i].Team)
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ryelug/core/cell"
+	"ryelug/core/engine"
 	"ryelug/core/result"
 )
 
@@ -22,6 +23,10 @@
 	WarmLimit int
 	ColdLimit int
 	Closed    bool // Closed endpoints get no new work: they leave or their data centre is out.
+
+	Start      cell.StartID // Start is the endpoint's present start where the platform tells it; empty where reports do.
+	DataCentre string
+	ColdUntil  time.Time // ColdUntil is when the endpoint, by the platform's word, is cold no more.
 }
 
 // Policy replaces the configuration of the cell.
@@ -33,6 +38,14 @@
 	LongestRequest time.Duration
 	LargestCost    cell.Cost
 	WarmUpRequests int
+
+	Engine    *engine.Profile // Engine describes the engines of a pool whose endpoints the platform registers; nil for plain services.
+	ColdRate  int             // ColdRate is the most requests that a cold endpoint of such a pool bears in any second; zero is no limit.
+	ColdSpan  time.Duration   // ColdSpan is how long an endpoint stays cold after its start.
+	FairRate  float64         // FairRate is the cost a second that teams share evenly; zero when it is unknown.
+	Predicted bool            // Predicted asks for placing by predicted times, as the endpoints refuse what they can't take.
+
+	EntryDataCentres map[cell.HostID]string // EntryDataCentres says where the entries are, as far as it is known.
 }
 
 // Voters replaces the hosts whose stakes count, and the number that stakes are divided by.
--- a/core/dispatch/grant.go
+++ b/core/dispatch/grant.go
@@ -50,7 +50,7 @@
 		Entry: request.Entry, Attempt: request.Attempt, Team: request.Team, Endpoint: endpoint, Start: start,
 		Charged: of.estimate.Of(request.Hint, d.policy.LargestCost), Granted: now,
 	})
-	d.out.grant(d.entries.At(request.Entry), cell.Grant{Attempt: request.Attempt, Endpoint: id, Start: start})
+	d.out.Grant(d.entries.At(request.Entry), cell.Grant{Attempt: request.Attempt, Endpoint: id, Start: start})
 }
 
 // addFlight counts a new flight at its endpoint, its entry and its team.
--- a/core/dispatch/sibling.go
+++ b/core/dispatch/sibling.go
@@ -94,7 +94,7 @@
 	}
 	request := *d.waiting.At(place)
 	d.unqueue(place)
-	d.out.move(d.entries.At(request.Entry), request.Attempt, to)
+	d.out.Move(d.entries.At(request.Entry), request.Attempt, to)
 	return true
 }
 
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -37,14 +37,14 @@
 	return shot
 }
 
-// virtualTime is the name under which Counters and Join carry the virtual time.
-const virtualTime cell.TeamID = ""
+// VirtualTime is the name under which Counters and Join carry the virtual time.
+const VirtualTime cell.TeamID = ""
 
 // Counters appends the settled counters of the teams with demand or service in
 // the last seconds, after the virtual time under the empty name. What requests in
 // flight are charged is left out, since entries bring it with their flights.
 func (d *Dispatcher) Counters(dst []cell.TeamCounter) []cell.TeamCounter {
-	dst = append(dst, cell.TeamCounter{Team: virtualTime, Service: d.ledger.SettledVirtual()})
+	dst = append(dst, cell.TeamCounter{Team: VirtualTime, Service: d.ledger.SettledVirtual()})
 	for i := range d.teams {
 		of := &d.teams[i]
 		if d.waiting.LenOf(int32(i)) > 0 || of.inFlight > 0 || !of.active.IsZero() && d.now.Sub(of.active) < activeSpan {
--- /dev/null
+++ b/core/engine/engine.go
@@ -0,0 +1,216 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ryelug/core/cell"
+)
+
+// Defaults of a Profile; the users' sheets name these speeds for their engines.
+const (
+	DefaultSlots        = 64
+	DefaultMemory       = 450_000                 // tokens
+	DefaultPrefill      = 8 * time.Microsecond    // a prompt token
+	DefaultStep         = 3270 * time.Microsecond // a step with no request
+	DefaultStepPerSlot  = 82 * time.Microsecond   // each request of the batch
+	DefaultChunk        = 2048                    // prompt tokens read in a step
+	DefaultFirstLatency = 90 * time.Millisecond   // end of the prefill to the first event
+)
+
+const (
+	latencyWeight = 8               // latencyWeight divides the newest sample's difference in the average.
+	latencyDecay  = 2 * time.Second // latencyDecay is the time constant after which a slow engine is tried again.
+	mostLatency   = 10 * time.Second
+	memoryPercent = 95 // memoryPercent of the memory is given out; beyond it engines preempt.
+)
+
+// Profile is what is known of an engine's kind beforehand; zero fields take defaults.
+type Profile struct {
+	Slots        int           // Slots is the number of requests that run at once.
+	Memory       int           // Memory holds running requests and kept parts, in tokens.
+	Prefill      time.Duration // Prefill is the time to read a prompt token.
+	Step         time.Duration // Step is the time of a step with an empty batch.
+	StepPerSlot  time.Duration // StepPerSlot is what each request of the batch adds to a step.
+	Chunk        int           // Chunk is the number of prompt tokens that one step reads.
+	FirstLatency time.Duration // FirstLatency is the time from the end of the prefill to the first event.
+}
+
+// WithDefaults returns the profile with its zero fields filled in.
+func (p Profile) WithDefaults() Profile {
+	p.Slots = cmp.Or(p.Slots, DefaultSlots)
+	p.Memory = cmp.Or(p.Memory, DefaultMemory)
+	p.Prefill = cmp.Or(p.Prefill, DefaultPrefill)
+	p.Step = cmp.Or(p.Step, DefaultStep)
+	p.StepPerSlot = cmp.Or(p.StepPerSlot, DefaultStepPerSlot)
+	p.Chunk = cmp.Or(p.Chunk, DefaultChunk)
+	p.FirstLatency = cmp.Or(p.FirstLatency, DefaultFirstLatency)
+	return p
+}
+
+// Run is one request at an engine, as the holder of the model keeps it.
+type Run struct {
+	tokens int       // tokens is the memory that the run takes at its end.
+	read   time.Time // read is when its prefill should be over.
+	begun  bool      // begun tells that its first token was seen.
+}
+
+// Prediction is what a request would find at an engine.
+type Prediction struct {
+	First  time.Duration // First is the time to the first token.
+	Shared int           // Shared is the number of tokens of shared parts that would be read again.
+	Fits   bool          // Fits tells that a slot and memory are free.
+}
+
+// Engine is the model of one engine.
+type Engine struct {
+	profile Profile
+	cache   cache
+
+	running int         // running counts the runs.
+	used    int         // used is the memory of the runs at their ends.
+	unread  []time.Time // unread holds, in order, when the prefills of the runs without a first token should be over.
+	idleAt  time.Time   // idleAt is when all admitted prompts should be read.
+	late    time.Duration
+	lateAt  time.Time // lateAt is when late was learnt last.
+}
+
+// New returns the model of an engine that keeps nothing and runs nothing.
+func New(profile Profile) *Engine {
+	return &Engine{profile: profile.WithDefaults(), cache: newCache()}
+}
+
+// Running returns the number of runs.
+func (e *Engine) Running() int { return e.running }
+
+// Slots returns the number of requests that may run at once.
+func (e *Engine) Slots() int { return e.profile.Slots }
+
+// Keeps tells whether the engine is believed to keep all shared parts of a prompt.
+func (e *Engine) Keeps(prompt *cell.Prompt) bool {
+	shared := sharedParts(prompt)
+	return e.cache.kept(shared) == len(shared)
+}
+
+// Predict tells what a request would find if it were sent now.
+func (e *Engine) Predict(now time.Time, prompt *cell.Prompt) Prediction {
+	missing, shared := e.missing(prompt)
+	tokens := prompt.Tokens() + prompt.Output
+	wait := max(0, e.idleAt.Sub(now))
+	if len(e.unread) > 0 {
+		// Prompts that should have been read and show no token hold up all that come later.
+		wait += max(0, now.Sub(e.unread[0])-e.latency(now))
+	}
+	return Prediction{
+		First:  wait + e.prefill(missing) + e.latency(now),
+		Shared: shared,
+		Fits:   e.running < e.profile.Slots && (e.used+tokens)*100 <= e.profile.Memory*memoryPercent,
+	}
+}
+
+// Admit counts a request in that is sent now.
+func (e *Engine) Admit(now time.Time, prompt *cell.Prompt) Run {
+	missing, _ := e.missing(prompt)
+	if e.idleAt.Before(now) {
+		e.idleAt = now
+	}
+	e.idleAt = e.idleAt.Add(e.prefill(missing))
+	e.unread = append(e.unread, e.idleAt)
+	run := Run{tokens: prompt.Tokens() + prompt.Output, read: e.idleAt}
+	e.count(run.tokens)
+	e.cache.use(prompt.Parts)
+	e.cache.shrink(e.profile.Memory - e.used)
+	return run
+}
+
+// Adopt counts a run in of which only its length is known.
+func (e *Engine) Adopt(tokens int) Run {
+	e.count(tokens)
+	return Run{tokens: tokens, begun: true}
+}
+
+func (e *Engine) count(tokens int) {
+	e.running++
+	e.used += tokens
+}
+
+// Begun takes in that a run has shown its first token, and learns from how late it was.
+func (e *Engine) Begun(now time.Time, run *Run) {
+	if run.begun {
+		return
+	}
+	late := now.Sub(run.read)
+	e.learn(now, late)
+	if surplus := late - e.latency(now); surplus > 0 && len(e.unread) > 1 {
+		e.idleAt = e.idleAt.Add(surplus / 2)
+	}
+	e.close(now, run)
+}
+
+// close takes a run out of those that wait for their first token.
+func (e *Engine) close(now time.Time, run *Run) {
+	run.begun = true
+	if at, ok := slices.BinarySearchFunc(e.unread, run.read, time.Time.Compare); ok {
+		e.unread = slices.Delete(e.unread, at, at+1)
+	}
+	if len(e.unread) == 0 && e.idleAt.After(now) {
+		e.idleAt = now
+	}
+}
+
+// Ended takes a run out, whether it has begun or not.
+func (e *Engine) Ended(now time.Time, run *Run) {
+	if !run.begun {
+		e.close(now, run)
+	}
+	e.running--
+	e.used -= run.tokens
+}
+
+// Forget takes in that the engine has restarted and keeps nothing.
+func (e *Engine) Forget() { e.cache = newCache() }
+
+func (e *Engine) learn(now time.Time, late time.Duration) {
+	late = min(max(0, late), mostLatency)
+	known := e.latency(now)
+	e.late, e.lateAt = known+(late-known)/latencyWeight, now
+}
+
+// latency returns the time from the end of a prefill to the first event, as it was seen of late.
+func (e *Engine) latency(now time.Time) time.Duration {
+	if e.lateAt.IsZero() {
+		return e.profile.FirstLatency
+	}
+	age := now.Sub(e.lateAt)
+	if age <= 0 {
+		return e.late
+	}
+	return e.profile.FirstLatency + time.Duration(float64(e.late-e.profile.FirstLatency)/(1+float64(age)/float64(latencyDecay)))
+}
+
+// prefill returns the time to read so many tokens beside the runs of now.
+func (e *Engine) prefill(tokens int) time.Duration {
+	if tokens == 0 {
+		return 0
+	}
+	step := e.profile.Step + time.Duration(e.running)*e.profile.StepPerSlot
+	return time.Duration(tokens)*e.profile.Prefill + time.Duration(tokens)*step/time.Duration(e.profile.Chunk)
+}
+
+// missing returns the tokens that would be read, and how many of them are of shared parts.
+func (e *Engine) missing(prompt *cell.Prompt) (tokens, shared int) {
+	kept := e.cache.kept(prompt.Parts)
+	for i := kept; i < len(prompt.Parts); i++ {
+		tokens += prompt.Parts[i].Tokens
+		if i < len(prompt.Parts)-1 {
+			shared += prompt.Parts[i].Tokens
+		}
+	}
+	return tokens, shared
+}
+
+// sharedParts returns all parts but the request's own.
+func sharedParts(prompt *cell.Prompt) []cell.Part {
+	return prompt.Parts[:max(0, len(prompt.Parts)-1)]
+}
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -46,6 +46,12 @@
 	Timeout  bool
 }
 
+// FailedAnswer tells that the endpoint itself answered that it failed; the answer is at hand.
+type FailedAnswer struct{ Endpoint cell.EndpointID }
+
+// StreamEnded tells that a stream is complete by its framing, without an event that says so.
+type StreamEnded struct{}
+
 // Whole tells that a whole answer has come.
 type Whole struct{}
 
@@ -68,6 +74,8 @@
 func (*Lapsed) event()          {}
 func (*EndpointRefused) event() {}
 func (*Broken) event()          {}
+func (*FailedAnswer) event()    {}
+func (*StreamEnded) event()     {}
 func (*Whole) event()           {}
 func (*Streamed) event()        {}
 func (*CallerGone) event()      {}
@@ -87,6 +95,7 @@
 	EndpointBusy        Reason = "endpoint_refused"
 	AnswerMissing       Reason = "answer_missing"
 	AnswerLate          Reason = "answer_late"
+	EndpointFailed      Reason = "endpoint_failed"
 	StreamResumed       Reason = "stream_resumed"
 )
 
@@ -111,8 +120,9 @@
 // Skip wants the event dropped: the caller has it already.
 type Skip struct{}
 
-// Deliver wants the whole answer, or the last event, passed on; the grant ends as completed.
-type Deliver struct{}
+// Deliver wants the whole answer, or the last event, passed on; the grant ends as
+// completed, unless End says otherwise.
+type Deliver struct{ End cell.Outcome }
 
 // Refuse wants a final answer that is not the endpoint's; the grant at hand ends with the outcome End.
 type Refuse struct {
--- a/core/entry/life.go
+++ b/core/entry/life.go
@@ -31,6 +31,9 @@
 	GiveUp        time.Time // GiveUp is the time after which no grant is asked for; zero is never.
 	MaxAttempts   int       // MaxAttempts bounds the attempts that draw on the budget, the first included.
 	MaxReasks     int       // MaxReasks bounds the grants that could not be used through nobody's failure.
+	MaxSends      int       // MaxSends bounds the endpoints that get any byte of the request; zero is no bound but MaxAttempts.
+	Elsewhere     bool      // Elsewhere lets a stream that broke off go on at another endpoint, under a new grant.
+	LastEvent     string    // LastEvent is the event after which the caller itself wants the stream to go on.
 	MaxResumes    int       // MaxResumes bounds the resumes of a stream between two events.
 }
 
@@ -39,6 +42,7 @@
 	config Config
 
 	attempts   int
+	sends      int // sends counts the endpoints that got a byte of the request.
 	reasks     int
 	resumes    int
 	granted    bool // granted tells that a grant is at hand.
@@ -53,7 +57,7 @@
 	config.MaxAttempts = cmp.Or(config.MaxAttempts, defaultMaxAttempts)
 	config.MaxReasks = cmp.Or(config.MaxReasks, defaultMaxReasks)
 	config.MaxResumes = cmp.Or(config.MaxResumes, defaultMaxResumes)
-	return &Life{config: config}
+	return &Life{config: config, lastEvent: config.LastEvent}
 }
 
 // MayHaveRun tells whether an endpoint may have run the request.
@@ -71,6 +75,9 @@
 		return &Ask{}
 	case *Granted:
 		l.granted = true
+		if l.relayed {
+			return &Send{LastEvent: l.lastEvent}
+		}
 		return &Send{}
 	case *AskRefused:
 		return l.refuse(0, ev.Code, ev.RetryAfter)
@@ -84,6 +91,10 @@
 		return l.endpointRefused(now, ev)
 	case *Broken:
 		return l.broken(now, ev)
+	case *FailedAnswer:
+		return l.failedAnswer(now, ev)
+	case *StreamEnded:
+		return l.streamEnded()
 	case *Whole:
 		return l.whole()
 	case *Streamed:
@@ -95,7 +106,7 @@
 }
 
 func (l *Life) notSent(now time.Time, ev *NotSent) Action {
-	if l.relayed {
+	if l.relayed && !l.config.Elsewhere {
 		return l.resume()
 	}
 	if ev.Expired {
@@ -105,17 +116,18 @@
 }
 
 func (l *Life) startChanged(now time.Time) Action {
-	if l.relayed {
+	if l.relayed && !l.config.Elsewhere {
 		return l.refuse(cell.StartChanged, result.StreamBroken, 0)
 	}
 	return l.askAgain(now, cell.StartChanged, EndpointRestarted)
 }
 
 func (l *Life) endpointRefused(now time.Time, ev *EndpointRefused) Action {
-	if l.relayed {
+	if l.relayed && !l.config.Elsewhere {
 		return l.resume()
 	}
-	if l.config.NonIdempotent {
+	l.sends++
+	if l.config.NonIdempotent && !l.maySendAgain() {
 		return l.refuse(cell.Refused, result.EndpointRefused, ev.RetryAfter)
 	}
 	return l.retry(now, &Ask{End: cell.Refused, Avoid: ev.Endpoint, Reason: EndpointBusy}, result.EndpointRefused, ev.RetryAfter)
@@ -123,17 +135,55 @@
 
 func (l *Life) broken(now time.Time, ev *Broken) Action {
 	l.mayHaveRun = true
-	if l.relayed {
+	l.sends++
+	if l.relayed && !l.config.Elsewhere {
 		return l.resume()
 	}
 	code, reason := result.OutcomeUnknown, AnswerMissing
 	if ev.Timeout {
 		code, reason = result.AnswerTimeout, AnswerLate
 	}
+	if l.relayed {
+		code, reason = result.StreamBroken, StreamResumed
+	}
 	if l.config.NonIdempotent {
 		return l.refuse(cell.Failed, code, 0)
 	}
-	return l.retry(now, &Ask{End: cell.Failed, Avoid: ev.Endpoint, Reason: reason}, result.RetryBudgetSpent, 0)
+	if !l.config.Elsewhere {
+		code = result.RetryBudgetSpent
+	}
+	return l.retry(now, &Ask{End: cell.Failed, Avoid: ev.Endpoint, Reason: reason}, code, 0)
+}
+
+// maySendAgain tells whether another endpoint may get the request; without a bound
+// of its own a request that is not idempotent stays with the first.
+func (l *Life) maySendAgain() bool {
+	if l.config.MaxSends == 0 {
+		return !l.config.NonIdempotent
+	}
+	return l.sends < l.config.MaxSends
+}
+
+// failedAnswer tries another endpoint, or passes the answer on.
+func (l *Life) failedAnswer(now time.Time, ev *FailedAnswer) Action {
+	l.mayHaveRun = true
+	l.sends++
+	if l.relayed {
+		return l.retry(now, &Ask{End: cell.Failed, Avoid: ev.Endpoint, Reason: StreamResumed}, result.StreamBroken, 0)
+	}
+	ask := &Ask{End: cell.Failed, Avoid: ev.Endpoint, Reason: EndpointFailed}
+	if l.config.NonIdempotent || !l.mayRetry(now, ask) {
+		l.ended = true
+		return &Deliver{End: cell.Failed}
+	}
+	return ask
+}
+
+// streamEnded delivers what was relayed; an endpoint may also end a stream without any event.
+func (l *Life) streamEnded() Action {
+	l.mayHaveRun = true
+	l.ended = true
+	return &Deliver{}
 }
 
 func (l *Life) whole() Action {
@@ -190,13 +240,22 @@
 
 // retry asks for another grant after a failure, if attempts, time and budget are left.
 func (l *Life) retry(now time.Time, ask *Ask, code result.Code, retryAfter time.Duration) Action {
-	ask.After = l.config.Backoff.NextBackOff()
-	if l.attempts >= l.config.MaxAttempts || l.late(now, ask.After) || !l.config.Budget.Spend() {
+	if !l.mayRetry(now, ask) {
 		return l.refuse(ask.End, code, retryAfter)
 	}
+	return ask
+}
+
+// mayRetry counts another attempt, if attempts, sends, time and budget are left.
+func (l *Life) mayRetry(now time.Time, ask *Ask) bool {
+	ask.After = l.config.Backoff.NextBackOff()
+	isOut := l.attempts >= l.config.MaxAttempts || l.config.MaxSends > 0 && l.sends >= l.config.MaxSends
+	if isOut || l.late(now, ask.After) || !l.config.Budget.Spend() {
+		return false
+	}
 	l.attempts++
 	l.granted = false
-	return ask
+	return true
 }
 
 func (l *Life) late(now time.Time, pause time.Duration) bool {
--- /dev/null
+++ b/core/fair/share_test.go
@@ -0,0 +1,38 @@
+package fair_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/core/fair"
+)
+
+// A flood of one team takes nothing from what the other teams ask for, and gets what they leave.
+func TestSharesUnderFlood(t *testing.T) {
+	is := is.New(t)
+	var shares fair.Shares
+	shares.SetRate(100)
+	shares.Grow(3)
+	now := time.Now()
+	within := make([]int, 3)
+	asks := []int{1, 2, 40} // requests of cost 1, each 100 ms: 10, 20 and 400 a second
+	const steps = 100
+	for range steps {
+		now = now.Add(100 * time.Millisecond)
+		for team, count := range asks {
+			for range count {
+				shares.Ask(now, team, 1)
+				if shares.Within(now, team) {
+					shares.Use(team, cell.Cost(1))
+					within[team]++
+				}
+			}
+		}
+	}
+	is.True(within[0] >= steps-5 && within[1] >= 2*steps-10) // but for the first moments
+	got := float64(within[2]) / (steps / 10)
+	is.True(got > 60 && got < 85) // 70 are left
+}
--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -30,6 +30,7 @@
 	AcceptTimeout  time.Duration // AcceptTimeout is the wait for Accepted after which a dispatcher is passed over.
 	ReleaseTimeout time.Duration // ReleaseTimeout is the wait for Released after which the link is closed.
 	Started        time.Time     // Started is when this process started; its stake is lent only after a quarantine.
+	Early          bool          // Early joins a dispatcher without the stake while the former holder may still count that.
 	Local          bool          // Local makes the lender lend to itself always, a baseline without coordination.
 }
 
@@ -230,13 +231,13 @@
 	if l.inSession() && l.present.router != target {
 		l.leaveSession(now)
 	}
-	unlent := !l.inSession() && l.isFree(now, target)
-	late := l.inSession() && !l.present.stake && l.mayLend(now)
+	unlent := !l.inSession() && (l.conf.Early || l.isFree(now, target))
+	late := l.inSession() && !l.present.stake && l.mayLend(now) && l.isFree(now, target)
 	if unlent || late {
 		l.join(now, target)
 	}
 	l.restate(now, target)
-	if !l.inSession() {
+	if !l.inSession() || !l.present.stake {
 		l.recall(now, target)
 	}
 }
@@ -363,7 +364,7 @@
 
 func (l *Lender) join(now time.Time, router cell.RouterID) {
 	l.last++
-	stake := l.mayLend(now)
+	stake := l.mayLend(now) && l.isFree(now, router)
 	l.present = present{router: router, session: l.last, stake: stake, since: now}
 	var unlent time.Duration
 	if stake {
--- a/core/lend/work.go
+++ b/core/lend/work.go
@@ -126,7 +126,7 @@
 	if !ok {
 		return
 	}
-	flight.Charged = p.Cost
+	flight.Charged = max(flight.Charged, p.Cost)
 	if l.inSession() {
 		l.act(&SendProgress{Router: l.present.router, Session: l.present.session, Progress: []cell.Progress{p}})
 	}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -16,6 +16,9 @@
 	Hint    cell.Cost // Hint is the caller's estimate; zero when there is none.
 	Since   time.Time
 	Moves   uint8 // Moves is how often another cell of the pool has passed the request on.
+
+	Prompt cell.Prompt
+	Due    time.Time // Due is when the first token is late; zero when it never is.
 }
 
 // Queue is all requests that wait. The zero value has no teams.
@@ -61,6 +64,9 @@
 // First returns the slot of the request that waits longest, slot.None if none waits.
 func (q *Queue) First() int32 { return q.arrivals.Head }
 
+// Next returns the slot of the request that came next after one, slot.None if none did.
+func (q *Queue) Next(place int32) int32 { return q.byArrival.Next(place) }
+
 // FirstOf returns the slot of a team's request that waits longest, slot.None if none waits.
 func (q *Queue) FirstOf(team int32) int32 { return q.teams[team].list.Head }
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex // mu guards the state; the handler is the only user but for misuse.
 	started bool
 	ended   bool
+	broken  bool // broken tells that the stream must not look complete.
+	cuts    bool // cuts tells that a refusal of a begun stream closes the connection.
 }
 
 func newExchange(buffer int) *exchange {
@@ -58,6 +60,18 @@
 	return nil
 }
 
+// Start implements Writer.
+func (x *exchange) Start(answer Answer) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.started || x.ended {
+		return ErrAnswered
+	}
+	x.started = true
+	x.head <- head{stream: true, answer: &answer}
+	return nil
+}
+
 // Event implements Writer.
 func (x *exchange) Event(event Event) error {
 	x.mu.Lock()
@@ -74,7 +88,7 @@
 		return ErrGone
 	default:
 	}
-	event.Data = append([]byte(nil), event.Data...)
+	event.Data, event.Raw = bytes.Clone(event.Data), bytes.Clone(event.Raw)
 	select {
 	case x.events <- event:
 		return nil
@@ -110,21 +124,45 @@
 	if !started {
 		return nil
 	}
+	if x.cuts {
+		return x.cut()
+	}
 	if err := x.Event(Event{Name: "error", Data: refusal.encode()}); err != nil {
 		return err
 	}
 	return x.Close()
 }
 
+// cut ends a stream so that it looks broken off.
+func (x *exchange) cut() error {
+	x.mu.Lock()
+	x.broken = true
+	x.mu.Unlock()
+	return x.Close()
+}
+
+func (x *exchange) isBroken() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.broken
+}
+
 // end makes sure that a handler that returns without an answer leaves none open.
 func (x *exchange) end() {
 	_ = x.Refuse(Refusal{Code: result.InternalFailure, Detail: "the router ended the request without an answer"})
 }
 
-// stream returns the function that writes the events; ended is called when it has no more use for the connection.
-func (x *exchange) stream(ended func()) fasthttp.StreamWriter {
+// stream returns the function that writes the events. When it has no more use for
+// the connection it calls ended, or broke if the stream was cut.
+func (x *exchange) stream(ended, broke func()) fasthttp.StreamWriter {
 	return func(w *bufio.Writer) {
-		defer ended()
+		defer func() {
+			if x.isBroken() {
+				_ = w.Flush() // What came whole may still reach the caller.
+				broke()
+			}
+			ended()
+		}()
 		defer close(x.gone)
 		for event := range x.events {
 			err := writeEvent(w, event)
@@ -141,6 +179,10 @@
 
 // writeEvent needs to look at the last error only, since the writer keeps the first one.
 func writeEvent(w *bufio.Writer, event Event) error {
+	if event.Raw != nil {
+		_, err := w.Write(event.Raw)
+		return err
+	}
 	if event.ID != "" {
 		writeField(w, "id: ", event.ID)
 	}
@@ -167,14 +209,25 @@
 		h.refusal.write(rc)
 		return
 	}
-	rc.SetStatusCode(h.answer.Status)
-	rc.SetContentType(h.answer.ContentType)
+	h.answer.writeHead(rc)
 	if h.answer.Replayed {
 		rc.Response.Header.Set(headerReplayed, "true")
 	}
 	rc.SetBody(h.answer.Body)
 }
 
+// writeHead puts the status and the header into the library's response.
+func (a *Answer) writeHead(rc *fasthttp.RequestCtx) {
+	rc.SetStatusCode(a.Status)
+	if a.Header == nil {
+		rc.SetContentType(a.ContentType)
+		return
+	}
+	for _, field := range a.Header {
+		rc.Response.Header.Add(field.Name, field.Value)
+	}
+}
+
 func (r Refusal) write(rc *fasthttp.RequestCtx) {
 	info, _ := result.Lookup(r.Code)
 	rc.SetStatusCode(info.Status)
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -6,6 +6,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/result"
+	"ryelug/io/header"
 )
 
 // Handler serves requests of callers.
@@ -36,6 +37,12 @@
 	NonIdempotent  bool      // NonIdempotent is the caller's demand to be sent at most once.
 	Hint           cell.Cost // Hint is the caller's guess of the cost, zero when there is none.
 	Received       time.Time
+
+	Host      string
+	Header    []header.Field // Header is what passes on to the endpoint; only in a protocol that passes headers on.
+	Prompt    cell.Prompt
+	LastEvent string    // LastEvent is the event after which the caller wants the stream to go on.
+	Deadline  time.Time // Deadline is when the caller waits no more; zero when it does not say.
 }
 
 // Answer is a whole answer of an endpoint.
@@ -43,7 +50,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
-	Replayed    bool // Replayed tells that the answer is the recorded one of an earlier request.
+	Header      []header.Field // Header takes the place of ContentType if it is not nil.
+	Replayed    bool           // Replayed tells that the answer is the recorded one of an earlier request.
 }
 
 // Event is one server-sent event.
@@ -51,6 +59,7 @@
 	ID   string
 	Name string
 	Data []byte
+	Raw  []byte // Raw takes the place of the other fields if it is not nil.
 }
 
 // Refusal is a final answer that is not the endpoint's.
@@ -62,7 +71,11 @@
 }
 
 // Writer takes the answer to one request: one Whole, or one Refuse, or Events that Close or Refuse ends.
+//
+// Start may come before the first Event.
 type Writer interface {
+	// Start begins a stream with an endpoint's head.
+	Start(Answer) error
 	// Whole sends a whole answer.
 	Whole(Answer) error
 	// Event adds an event to the stream and starts it if need be. It blocks while the
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -48,10 +49,19 @@
 	MaxBody      int               // MaxBody bounds a request's body, in bytes.
 	Buffer       int               // Buffer bounds the events that wait for a slow caller.
 	MaxConns     int               // MaxConns bounds the callers' connections.
+	Protocol     *Protocol         // Protocol is the product's own when it is nil.
 	Refused      func(result.Code) // Refused is told of requests that never reach the handler.
 	Panicked     func(Panic)       // Panicked is told of handlers that panic.
 }
 
+// Protocol is what differs between the callers of deployments.
+type Protocol struct {
+	// Decode reads a request's header into req, whose method, path, host and body are filled in already.
+	Decode func(from *fasthttp.RequestHeader, req *Request)
+	// Refuse writes a refusal; req is nil where the request could not be read.
+	Refuse func(to *fasthttp.Response, req *Request, refusal Refusal)
+}
+
 // Server answers callers.
 type Server struct {
 	config Config
@@ -59,6 +69,8 @@
 	prefix string
 	serial atomic.Uint64
 
+	leaving atomic.Bool
+
 	closing context.Context // closing ends with Shutdown.
 	close   context.CancelFunc
 }
@@ -88,6 +100,8 @@
 		MaxRequestBodySize:           config.MaxBody,
 		Concurrency:                  config.MaxConns,
 		NoDefaultServerHeader:        true,
+		NoDefaultDate:                config.Protocol != nil,
+		NoDefaultContentType:         config.Protocol != nil,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
 		SecureErrorLogMessage:        true,
@@ -112,6 +126,9 @@
 	return err
 }
 
+// Leave asks callers, with each answer, to come back on another connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Shutdown stops accepting and waits until all requests are answered or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.close() // The library closes only listeners that it has seen.
@@ -121,27 +138,48 @@
 // serve runs the handler beside the library's goroutine, which writes the answer.
 func (s *Server) serve(rc *fasthttp.RequestCtx) {
 	req := s.request(rc)
-	rc.Response.Header.Set(headerRequestID, req.ID)
+	if s.config.Protocol == nil {
+		rc.Response.Header.Set(headerRequestID, req.ID)
+	}
+	if s.leaving.Load() {
+		rc.SetConnectionClose()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ex := newExchange(s.config.Buffer)
-	stop := func() {}
+	ex.cuts = s.config.Protocol != nil
+	stop, broke := func() {}, func() {}
 	if link, ok := rc.Conn().(*conn); ok {
 		stop = link.watch(cancel)
+		broke = func() { link.Close() }
 	}
 	go s.handle(ctx, req, ex)
-	if head := <-ex.head; !head.stream {
+	head := <-ex.head
+	if !head.stream {
 		stop()
 		cancel()
-		head.write(rc)
+		s.write(rc, req, head)
 		return
 	}
-	rc.SetContentType("text/event-stream")
-	rc.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	if head.answer != nil {
+		head.answer.writeHead(rc)
+	} else {
+		rc.SetContentType("text/event-stream")
+		rc.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	}
 	rc.Response.ImmediateHeaderFlush = true
 	rc.SetBodyStreamWriter(ex.stream(func() {
 		stop()
 		cancel()
-	}))
+	}, broke))
+}
+
+// write puts an answer or a refusal into the library's response.
+func (s *Server) write(rc *fasthttp.RequestCtx, req *Request, h head) {
+	if h.answer == nil && s.config.Protocol != nil {
+		s.config.Protocol.Refuse(&rc.Response, req, h.refusal)
+		return
+	}
+	h.write(rc)
 }
 
 // handle runs the handler. A handler that panics ends its own request and no other.
@@ -163,6 +201,9 @@
 
 // request copies what the handler needs, since the library reuses its own request.
 func (s *Server) request(rc *fasthttp.RequestCtx) *Request {
+	if s.config.Protocol != nil {
+		return s.decode(rc)
+	}
 	header := &rc.Request.Header
 	req := &Request{
 		ID:             s.prefix + "-" + strconv.FormatUint(s.serial.Add(1), 10),
@@ -186,6 +227,19 @@
 	return req
 }
 
+// decode leaves the header to the protocol.
+func (s *Server) decode(rc *fasthttp.RequestCtx) *Request {
+	req := &Request{
+		Method:   string(rc.Method()),
+		Path:     string(rc.RequestURI()),
+		Host:     string(rc.Request.Header.Host()),
+		Body:     bytes.Clone(rc.Request.Body()),
+		Received: time.Now(),
+	}
+	s.config.Protocol.Decode(&rc.Request.Header, req)
+	return req
+}
+
 func bearerKey(authorization string) string {
 	if len(authorization) <= len(bearerPrefix) || !strings.EqualFold(authorization[:len(bearerPrefix)], bearerPrefix) {
 		return ""
@@ -213,5 +267,5 @@
 		code = result.TooLarge
 	}
 	s.config.Refused(code)
-	head{refusal: Refusal{Code: code, NotRun: true}}.write(rc)
+	s.write(rc, nil, head{refusal: Refusal{Code: code, NotRun: true}})
 }
--- a/io/endpoint/call.go
+++ b/io/endpoint/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ryelug/core/cell"
+	"ryelug/io/header"
 )
 
 // Call is one attempt at one endpoint.
@@ -18,9 +19,11 @@
 	Path        string
 	ContentType string
 	Body        []byte
-	LastEvent   string    // LastEvent resumes a stream after the event of this id.
-	Fresh       bool      // Fresh demands a connection that is new or was used a short time ago.
-	Expires     time.Time // Expires is checked right before the first byte; zero never expires.
+	LastEvent   string         // LastEvent resumes a stream after the event of this id.
+	Fresh       bool           // Fresh demands a connection that is new or was used a short time ago.
+	Header      []header.Field // Header is passed on as it is.
+	Deadline    time.Time      // Deadline is told to endpoints that stop by themselves; zero is none.
+	Expires     time.Time      // Expires is checked right before the first byte; zero never expires.
 }
 
 // Answer is an endpoint's answer: whole in Body, or a stream in Events.
@@ -29,6 +32,7 @@
 	ContentType string
 	RequestID   string // RequestID is the id that the endpoint echoed, empty when it echoed none.
 	RetryAfter  time.Duration
+	Header      []header.Field // Header is what the endpoint wrote, but for fields of one connection; only in a dialect that keeps it.
 	Body        []byte
 	Events      *Events // Events is nil for a whole answer; the reader must close it.
 }
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -29,6 +29,7 @@
 
 // Config sets up a Client; zero fields take defaults.
 type Config struct {
+	Dialect        Dialect // Dialect is that of the product's own endpoints when it is zero.
 	Dial           func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	ConnectTimeout time.Duration // ConnectTimeout bounds the dialling and the first report on a connection.
 	AnswerTimeout  time.Duration // AnswerTimeout bounds the wait for the head of an answer; zero leaves it to the context.
@@ -70,6 +71,9 @@
 	config.MaxHeader = cmp.Or(config.MaxHeader, defaultMaxHeader)
 	config.MaxBody = cmp.Or(config.MaxBody, defaultMaxBody)
 	config.MaxEvent = cmp.Or(config.MaxEvent, defaultMaxEvent)
+	if config.Dialect == (Dialect{}) {
+		config.Dialect = ownDialect
+	}
 	if config.Dial == nil {
 		config.Dial = dialTCP
 	}
@@ -161,6 +165,9 @@
 	if err != nil {
 		return nil, &ErrNotSent{Endpoint: call.Endpoint, Err: err}
 	}
+	if !c.config.Dialect.Reports {
+		link.load.Start = call.Start // The endpoint itself refuses calls for another start.
+	}
 	if call.Start != "" && link.load.Start != call.Start {
 		c.park(link.key(), link)
 		return nil, &ErrStartChanged{Endpoint: call.Endpoint, Want: call.Start, Have: link.load.Start}
@@ -176,11 +183,12 @@
 			return nil
 		}
 		idle := time.Since(link.used)
-		if !link.quiet() || (call.Fresh && idle > c.config.IdleReuse) {
+		isOver := link.keep > 0 && idle > link.keep-keepMargin
+		if !link.quiet() || isOver || (call.Fresh && idle > c.config.IdleReuse) {
 			link.close()
 			continue
 		}
-		if idle <= c.config.IdleReuse || (c.askAgain(ctx, link) && link.load.Start == call.Start) {
+		if !c.config.Dialect.Reports || idle <= c.config.IdleReuse || (c.askAgain(ctx, link) && link.load.Start == call.Start) {
 			return link
 		}
 		link.close()
@@ -206,6 +214,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !c.config.Dialect.Reports {
+		return link, nil
+	}
 	stop := context.AfterFunc(ctx, link.close)
 	defer stop()
 	if err := link.askLoad(); err != nil {
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -36,8 +36,9 @@
 	raw     net.Conn
 	address netip.AddrPort
 	reader  *bufio.Reader
-	sent    int  // sent counts the bytes of the present call that the operating system took.
-	served  bool // served tells that the connection has carried a call already.
+	sent    int           // sent counts the bytes of the present call that the operating system took.
+	keep    time.Duration // keep is how long the endpoint keeps the connection when it is idle; zero when unknown.
+	served  bool          // served tells that the connection has carried a call already.
 	load    Load
 	used    time.Time
 	watched chan error
@@ -134,7 +135,7 @@
 // exchange sends the call and reads the answer's head, and its body unless that is a stream.
 func (c *Client) exchange(link *conn, call Call, stop func() bool) (*Answer, error) {
 	_ = link.raw.SetWriteDeadline(time.Now().Add(c.config.WriteTimeout))
-	if err := link.send(link.callRequest(call)); err != nil {
+	if err := link.send(link.callRequest(call, &c.config.Dialect)); err != nil {
 		if link.sent == 0 {
 			return nil, &ErrNotSent{Endpoint: call.Endpoint, Err: err}
 		}
@@ -143,11 +144,7 @@
 	if c.config.AnswerTimeout > 0 {
 		_ = link.raw.SetReadDeadline(time.Now().Add(c.config.AnswerTimeout))
 	}
-	resp := &fasthttp.Response{StreamBody: true}
-	if err := resp.ReadLimitBody(link.reader, c.config.MaxBody); err != nil {
-		return nil, unknown(call, err)
-	}
-	answer, err := link.head(call, resp)
+	resp, answer, err := c.awaitHead(link, call)
 	if err != nil {
 		return nil, err
 	}
@@ -158,15 +155,55 @@
 	return answer, c.whole(link, call, resp, answer, stop)
 }
 
-func (c *conn) callRequest(call Call) *fasthttp.Request {
+// mostStray bounds the late answers to earlier calls that are passed over on a connection.
+const mostStray = 3
+
+// awaitHead reads the head of the answer; answers to earlier calls that come before it are passed over.
+func (c *Client) awaitHead(link *conn, call Call) (*fasthttp.Response, *Answer, error) {
+	for stray := 0; ; stray++ {
+		resp := &fasthttp.Response{StreamBody: true}
+		if err := resp.ReadLimitBody(link.reader, c.config.MaxBody); err != nil {
+			return nil, nil, unknown(call, err)
+		}
+		answer, err := link.head(call, resp, &c.config.Dialect)
+		if err == nil {
+			return resp, answer, nil
+		}
+		isFramed := resp.Header.ContentLength() >= -1
+		if !c.config.Dialect.Verbatim || !isFramed || stray >= mostStray || answer == nil {
+			return nil, nil, err
+		}
+		if stream := resp.BodyStream(); stream != nil {
+			if _, drained := io.Copy(io.Discard, io.LimitReader(stream, int64(c.config.MaxBody))); drained != nil {
+				return nil, nil, unknown(call, drained)
+			}
+		}
+	}
+}
+
+func (c *conn) callRequest(call Call, dialect *Dialect) *fasthttp.Request {
 	req := c.newRequest(call.Method, call.Path)
-	req.Header.SetUserAgent(userAgent)
-	req.Header.Set(headerRequestID, call.RequestID)
+	if dialect.Verbatim {
+		req.Header.SetNoDefaultContentType(true)
+		for _, field := range call.Header {
+			req.Header.Add(field.Name, field.Value)
+		}
+	} else {
+		req.Header.SetUserAgent(userAgent)
+	}
+	req.Header.Set(dialect.RequestID, call.RequestID)
+	if dialect.Start != "" {
+		req.Header.Set(dialect.Start, string(call.Endpoint))
+	}
+	if dialect.Deadline != "" && !call.Deadline.IsZero() {
+		left := max(1, time.Until(call.Deadline).Milliseconds())
+		req.Header.Set(dialect.Deadline, strconv.FormatInt(left, 10))
+	}
 	if call.ContentType != "" {
 		req.Header.SetContentType(call.ContentType)
 	}
 	if call.LastEvent != "" {
-		req.Header.Set(headerLastEvent, call.LastEvent)
+		req.Header.Set(dialect.LastEvent, call.LastEvent)
 	}
 	if len(call.Body) > 0 {
 		req.SetBodyRaw(call.Body)
@@ -176,18 +213,31 @@
 
 // head checks that the answer belongs to the call. A connection that carried calls
 // before could bring a late answer to one of them, so there the id must be echoed.
-func (c *conn) head(call Call, resp *fasthttp.Response) (*Answer, error) {
-	echoed := string(resp.Header.Peek(headerRequestID))
-	crossed := echoed != "" && echoed != call.RequestID
-	if crossed || (echoed == "" && c.served) {
-		return nil, unknown(call, fmt.Errorf("answer is for request %q, not %q", echoed, call.RequestID))
-	}
-	return &Answer{
+//
+// An answer of another call is returned with its error; a broken one is not.
+func (c *conn) head(call Call, resp *fasthttp.Response, dialect *Dialect) (*Answer, error) {
+	echoed := string(resp.Header.Peek(dialect.RequestID))
+	answer := &Answer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
 		RequestID:   echoed,
 		RetryAfter:  retryAfter(resp),
-	}, nil
+	}
+	crossed := echoed != "" && echoed != call.RequestID
+	if crossed || (echoed == "" && c.served) {
+		return answer, unknown(call, fmt.Errorf("answer is for request %q, not %q", echoed, call.RequestID))
+	}
+	if !dialect.Verbatim {
+		return answer, nil
+	}
+	if encoding := resp.Header.Peek(fasthttp.HeaderContentEncoding); len(encoding) > 0 {
+		return nil, unknown(call, fmt.Errorf("answer has the encoding %q, which nobody asked for", encoding))
+	}
+	if answer.Status < 300 && len(resp.Header.Peek(dialect.Seal)) == 0 {
+		return nil, unknown(call, fmt.Errorf("answer with status %d lacks %s", answer.Status, dialect.Seal))
+	}
+	answer.Header = verbatim(resp)
+	return answer, nil
 }
 
 // whole reads the rest of an answer that is no stream.
@@ -197,7 +247,7 @@
 		if err != nil {
 			return unknown(call, err)
 		}
-		if resp.Header.ContentLength() < -1 {
+		if resp.Header.ContentLength() < -1 && !c.config.Dialect.Verbatim {
 			return unknown(call, errors.New("answer has no length, so its end can't be told"))
 		}
 		if len(body) > c.config.MaxBody {
@@ -206,7 +256,10 @@
 		answer.Body = body
 	}
 	c.release(link, answer, resp, stop)
-	if answer.Status == fasthttp.StatusServiceUnavailable && string(resp.Header.Peek(headerNotRun)) == "true" {
+	if c.config.Dialect.Start != "" && answer.Status == fasthttp.StatusMisdirectedRequest {
+		return &ErrStartChanged{Endpoint: call.Endpoint, Want: call.Start}
+	}
+	if c.config.Dialect.refused(resp) {
 		return &ErrRefused{Endpoint: call.Endpoint, Status: answer.Status, RetryAfter: answer.RetryAfter}
 	}
 	return nil
@@ -215,7 +268,9 @@
 // release keeps a connection whose answer was read to its end, if late answers on it could be told apart.
 func (c *Client) release(link *conn, answer *Answer, resp *fasthttp.Response, stop func() bool) {
 	intact := stop()
-	if !intact || answer.RequestID == "" || resp.ConnectionClose() || link.reader.Buffered() > 0 {
+	link.keep = keepAlive(resp)
+	isUnframed := resp.Header.ContentLength() < -1
+	if !intact || isUnframed || answer.RequestID == "" || resp.ConnectionClose() || link.reader.Buffered() > 0 {
 		link.close()
 		return
 	}
--- a/io/endpoint/events.go
+++ b/io/endpoint/events.go
@@ -23,6 +23,7 @@
 	ID   string
 	Name string
 	Data []byte // Data is valid until the next call of Next.
+	Raw  []byte // Raw is the event as it came, in a dialect that keeps it; valid until the next call of Next.
 }
 
 // Events reads the events of one streamed answer; one goroutine may use it.
@@ -35,6 +36,7 @@
 	reader *bufio.Reader
 	answer Answer
 	data   []byte
+	raw    []byte
 	begun  bool
 	done   bool
 	closed bool
@@ -70,20 +72,36 @@
 	_ = e.link.raw.SetReadDeadline(time.Now().Add(timeout))
 	event, err := e.parse()
 	if err != nil {
+		if e.client.config.Dialect.Verbatim && err == io.EOF { //nolint:errorlint // A wrapped io.EOF tells of broken framing.
+			return e.last()
+		}
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return Event{}, unknown(e.call, err)
 	}
 	e.begun = true
+	if e.client.config.Dialect.Verbatim {
+		event.Raw = e.raw
+		return event, nil
+	}
 	e.done = string(event.Data) == Done
 	return event, nil
 }
 
+// last ends a stream that is complete by its framing; bytes after the last event belong to it.
+func (e *Events) last() (Event, error) {
+	e.done = true
+	if len(e.raw) == 0 {
+		return Event{}, io.EOF
+	}
+	return Event{Raw: e.raw}, nil
+}
+
 // parse reads lines up to the empty line that ends an event; an event without data is skipped.
 func (e *Events) parse() (Event, error) {
 	var event Event
-	e.data = e.data[:0]
+	e.data, e.raw = e.data[:0], e.raw[:0]
 	size, hasData := 0, false
 	for {
 		line, err := e.line(e.client.config.MaxEvent - size)
@@ -91,6 +109,7 @@
 			return Event{}, err
 		}
 		size += len(line) + 1
+		line = e.keepRaw(line)
 		field, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(field) {
@@ -114,19 +133,28 @@
 	}
 }
 
-// line reads a line of at most limit bytes, without its end.
+// line reads a line of at most limit bytes.
 func (e *Events) line(limit int) ([]byte, error) {
 	line, err := e.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		line, err = e.longLine(limit, line)
 	}
-	if len(line) > limit {
+	if len(line) > limit+len("\r\n") {
 		return nil, fmt.Errorf("event is longer than %d bytes", e.client.config.MaxEvent)
 	}
 	if err != nil {
+		e.keepRaw(line)
 		return nil, err
 	}
-	return bytes.TrimRight(line, "\r\n"), nil
+	return line, nil
+}
+
+// keepRaw notes a line as it came, and returns it without its end.
+func (e *Events) keepRaw(line []byte) []byte {
+	if e.client.config.Dialect.Verbatim {
+		e.raw = append(e.raw, line...)
+	}
+	return bytes.TrimRight(line, "\r\n")
 }
 
 // longLine goes on with a line that is longer than the reader's buffer.
--- a/io/greeting/greeting.go
+++ b/io/greeting/greeting.go
@@ -14,7 +14,7 @@
 )
 
 // Version is the version of the protocol; both ends of a link must have the same.
-const Version = 2
+const Version = 3
 
 // MaxFrame bounds a frame of a greeting, in bytes.
 const MaxFrame = 2 << 10
--- a/io/peer/fault_test.go
+++ b/io/peer/fault_test.go
@@ -132,7 +132,7 @@
 		answer := make([]byte, 64)
 		n, err := conn.Read(answer)
 		is.NoErr(err)
-		is.True(strings.HasPrefix(string(answer[1:n]), "ryelug\x02"))
+		is.True(strings.HasPrefix(string(answer[1:n]), "ryelug\x03"))
 	})
 }
 
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -164,9 +164,21 @@
 		Team:     cell.TeamID(d.name()),
 		Estimate: cell.Cost(d.int()),
 		Avoid:    cell.EndpointID(d.name()),
+		Prompt:   cell.Prompt{Parts: decodeSlice(d, (*Decoder).part), Output: int(d.int())},
+		Due:      d.due(),
 	}
 }
 
+func (d *Decoder) part() cell.Part { return cell.Part{ID: d.uint(), Tokens: int(d.int())} }
+
+func (d *Decoder) due() time.Time {
+	left := d.duration()
+	if left == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(left)
+}
+
 func (d *Decoder) grant() cell.Grant {
 	return cell.Grant{
 		Attempt:  d.attempt(),
@@ -190,7 +202,7 @@
 }
 
 func (d *Decoder) progress() cell.Progress {
-	return cell.Progress{Attempt: d.attempt(), Cost: cell.Cost(d.int())}
+	return cell.Progress{Attempt: d.attempt(), Cost: cell.Cost(d.int()), FirstToken: d.duration()}
 }
 
 func (d *Decoder) end() cell.End {
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -121,6 +121,23 @@
 	e.name(string(d.Team))
 	e.int(int64(d.Estimate))
 	e.name(string(d.Avoid))
+	encodeSlice(e, d.Prompt.Parts, (*Encoder).part)
+	e.int(int64(d.Prompt.Output))
+	e.due(d.Due)
+}
+
+func (e *Encoder) part(p *cell.Part) {
+	e.uint(p.ID)
+	e.int(int64(p.Tokens))
+}
+
+// due writes how much time is left, since clocks of hosts differ; zero stands for no limit.
+func (e *Encoder) due(at time.Time) {
+	if at.IsZero() {
+		e.int(0)
+		return
+	}
+	e.int(max(1, time.Until(at).Milliseconds()))
 }
 
 func (e *Encoder) grant(g *cell.Grant) {
@@ -146,6 +163,7 @@
 func (e *Encoder) progress(p *cell.Progress) {
 	e.attempt(&p.Attempt)
 	e.int(int64(p.Cost))
+	e.duration(p.FirstToken)
 }
 
 func (e *Encoder) end(end *cell.End) {
--- a/router/config.go
+++ b/router/config.go
@@ -16,6 +16,7 @@
 	"ryelug/io/peer"
 	"ryelug/router/configuration"
 	"ryelug/router/coordination"
+	"ryelug/router/directory"
 	"ryelug/router/keyed"
 	"ryelug/router/poll"
 	"ryelug/router/request"
@@ -27,6 +28,14 @@
 	poll.Endpoints
 }
 
+// Source tells what is in force where a platform registers the endpoints.
+type Source interface {
+	// Run calls adopt with each change, one at a time, until ctx ends.
+	Run(ctx context.Context, adopt func(*directory.Directory)) error
+	// Stale tells that what was told may be out of force, so that no request with a key may be sent.
+	Stale() bool
+}
+
 // Config sets up a Router.
 type Config struct {
 	Host         cell.HostID
@@ -40,6 +49,7 @@
 	Callers      caller.Config // Callers lacks its handler, which is the Router.
 	CallersOn    net.Listener  // CallersOn may be nil in tests that call Serve.
 	Platform     configuration.Platform
+	Source       Source // Source takes the place of the environment's document; it may be nil.
 	Hosts        poll.Lister
 	Endpoints    Endpoints
 	Counter      request.Counter
@@ -47,7 +57,9 @@
 	KeyedRate    float64          // KeyedRate bounds the fleet's requests with a key, a second.
 	OldRecords   keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
 	Timings      coordination.Timings
-	BalancerLag  time.Duration // BalancerLag is the time in which the balancer notices that this router leaves.
+	Retries      request.Config // Retries bounds retries; its other fields are not used.
+	Grace        time.Duration  // Grace bounds the shutdown; zero is no bound.
+	BalancerLag  time.Duration  // BalancerLag is the time in which the balancer notices that this router leaves.
 	Log          logrus.FieldLogger
 
 	Order       dispatch.Order // Order is nil for fair service; another one is a baseline for measurements.
@@ -79,6 +91,7 @@
 		Peer:        r.config.peerConfig(),
 		Timings:     r.config.Timings,
 		ShareKeys:   r.shareKeyedRate,
+		Registered:  r.config.Source != nil,
 		Log:         r.config.Log,
 		Order:       r.config.Order,
 		LocalQueues: r.config.LocalQueues,
--- a/router/coordination/command.go
+++ b/router/coordination/command.go
@@ -26,6 +26,13 @@
 	end  cell.End
 }
 
+// begun tells of the first token of a granted attempt.
+type begun struct {
+	cell    cell.ID
+	attempt cell.AttemptID
+	first   time.Duration
+}
+
 // adopt puts a generation of the configuration in force.
 type adopt struct{ directory *directory.Directory }
 
@@ -62,6 +69,7 @@
 func (ask) command()      {}
 func (withdraw) command() {}
 func (finish) command()   {}
+func (begun) command()    {}
 func (adopt) command()    {}
 func (listed) command()   {}
 func (measured) command() {}
--- a/router/coordination/config.go
+++ b/router/coordination/config.go
@@ -27,6 +27,7 @@
 	ShareKeys  func(routers int) // ShareKeys is told among how many routers the rate of keyed requests is shared; it may be nil.
 	Log        logrus.FieldLogger
 
+	Registered  bool           // Registered tells that a platform registers the endpoints: dispatchers grant what needs no stake before they hold one, and a router that is cut off goes on with its own.
 	Order       dispatch.Order // Order is nil for fair service.
 	LocalQueues bool           // LocalQueues makes this router dispatch for itself, a baseline.
 }
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -100,6 +100,7 @@
 		Started:    time.Now(),
 		StakeLease: config.Timings.StakeLease,
 		GrantValid: config.Timings.GrantValid,
+		Early:      config.Registered,
 		Local:      config.LocalQueues,
 		Send:       c.toDispatcher,
 		Disconnect: c.links.Disconnect,
@@ -175,6 +176,8 @@
 		c.lend.Withdraw(now, cmd.Ask)
 	case finish:
 		c.lend.Finish(now, cmd.cell, cmd.end)
+	case begun:
+		c.lend.Begun(now, cmd.cell, cmd.attempt, cmd.first)
 	case adopt:
 		c.adopt(now, cmd.directory)
 	case listed:
@@ -219,7 +222,7 @@
 // checkCutOff notes whether this router may send new work at all. What waits
 // when it is cut off is refused at once, since nothing of it has run.
 func (c *Coordinator) checkCutOff(now time.Time) {
-	cutOff := c.table.CutOff(now)
+	cutOff := c.table.CutOff(now) && !c.config.Registered
 	if c.cutOff.Swap(cutOff) == cutOff {
 		return
 	}
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -31,6 +31,11 @@
 // Finish tells that a granted attempt has ended.
 func (c *Coordinator) Finish(id cell.ID, end cell.End) { c.postAlways(finish{cell: id, end: end}) }
 
+// Begun tells of the first token of a granted attempt, so much after its send.
+func (c *Coordinator) Begun(id cell.ID, attempt cell.AttemptID, first time.Duration) {
+	c.postAlways(begun{cell: id, attempt: attempt, first: first})
+}
+
 // Tell sends a message to a router, or to all linked ones if to is empty.
 func (c *Coordinator) Tell(to cell.RouterID, message wire.Message) {
 	c.postAlways(tell{to: to, message: message})
--- a/router/directory/directory.go
+++ b/router/directory/directory.go
@@ -1,8 +1,6 @@
 package directory
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -27,6 +25,8 @@
 	addresses  map[cell.EndpointID]netip.AddrPort
 	members    map[cell.ID][]cell.EndpointID
 	policies   map[cell.ID]*dispatch.Policy
+	registered map[routeKey]*Route // registered is nil unless a platform registers the endpoints.
+	teamHeader string
 }
 
 // New indexes a document.
@@ -112,8 +112,7 @@
 
 // Team returns the team that the key belongs to.
 func (d *Directory) Team(key string) (cell.TeamID, bool) {
-	sum := sha256.Sum256([]byte(key))
-	team, ok := d.teams[hex.EncodeToString(sum[:])]
+	team, ok := d.teams[KeyHash(key)]
 	return team, ok
 }
 
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ryelug/core/admission"
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/flight"
@@ -40,10 +41,26 @@
 	leaving   bool
 }
 
+// dispatcher decides for one cell.
+type dispatcher interface {
+	Step(now time.Time, ev dispatch.Event) []dispatch.Action
+	Snapshot() dispatch.Snapshot
+	Counters(dst []cell.TeamCounter) []cell.TeamCounter
+}
+
+// reported is a dispatcher whose decisions rest on the endpoints' own reports.
+type reported interface {
+	Need(endpoint cell.EndpointID) flight.Need
+	ReportDue(after, by time.Time) time.Time
+	TakeWanted() bool
+	WantReports(now time.Time)
+}
+
 // state is one cell that this router may dispatch.
 type state struct {
 	id         cell.ID
-	dispatcher *dispatch.Dispatcher
+	dispatcher dispatcher
+	reported   reported                       // reported is nil if the dispatcher needs no reports.
 	entries    map[cell.RouterID]cell.Session // entries are those that have joined.
 	counters   []cell.TeamCounter
 	counterAt  int // counterAt is where the next round of counters starts.
@@ -68,12 +85,12 @@
 }
 
 func (r *Role) open(now time.Time, id cell.ID) {
-	at := &state{
-		id: id,
-		dispatcher: dispatch.New(dispatch.Config{
-			Cell: id, GrantValid: r.config.GrantValid, Order: r.config.Order,
-		}),
-		entries: make(map[cell.RouterID]cell.Session),
+	at := &state{id: id, entries: make(map[cell.RouterID]cell.Session)}
+	if r.directory.Policy(id).Predicted {
+		at.dispatcher = admission.New(admission.Config{Cell: id})
+	} else {
+		one := dispatch.New(dispatch.Config{Cell: id, GrantValid: r.config.GrantValid, Order: r.config.Order})
+		at.dispatcher, at.reported = one, one
 	}
 	r.cells[id] = at
 	r.step(now, at, &dispatch.Voters{Hosts: r.voters, Total: r.total})
@@ -110,12 +127,12 @@
 func (r *Role) Targets() []Target {
 	var targets []Target
 	for id, at := range r.cells {
-		if len(at.entries) == 0 {
+		if len(at.entries) == 0 || at.reported == nil {
 			continue
 		}
 		for _, endpoint := range r.directory.Endpoints(id) {
 			targets = append(targets, Target{
-				Cell: id, Endpoint: endpoint, Address: r.directory.Address(endpoint), Need: at.dispatcher.Need(endpoint),
+				Cell: id, Endpoint: endpoint, Address: r.directory.Address(endpoint), Need: at.reported.Need(endpoint),
 			})
 		}
 	}
@@ -127,7 +144,10 @@
 func (r *Role) ReportDue(after, by time.Time) time.Time {
 	var last time.Time
 	for _, at := range r.cells {
-		if due := at.dispatcher.ReportDue(after, by); due.After(last) {
+		if at.reported == nil {
+			continue
+		}
+		if due := at.reported.ReportDue(after, by); due.After(last) {
 			last = due
 		}
 	}
@@ -137,7 +157,9 @@
 // WantReports makes the reports due that let further stakes count at cold endpoints.
 func (r *Role) WantReports(now time.Time) {
 	for _, at := range r.cells {
-		at.dispatcher.WantReports(now)
+		if at.reported != nil {
+			at.reported.WantReports(now)
+		}
 	}
 }
 
@@ -145,7 +167,7 @@
 func (r *Role) TakeWanted() bool {
 	wanted := false
 	for _, at := range r.cells {
-		wanted = at.dispatcher.TakeWanted() || wanted
+		wanted = at.reported != nil && at.reported.TakeWanted() || wanted
 	}
 	return wanted
 }
--- a/router/grants.go
+++ b/router/grants.go
@@ -21,12 +21,15 @@
 }
 
 // Ask implements request.Grants.
-func (g *grants) Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
+func (g *grants) Ask(ctx context.Context, wanted request.Wanted) (request.Permit, error) {
 	attempt := cell.AttemptID(g.last.Add(1))
 	ask := lending.Ask{
-		Cell:   pool,
-		Demand: cell.Demand{Attempt: attempt, Team: team, Estimate: hint, Avoid: avoid},
-		Reply:  make(chan lending.Decision, 1),
+		Cell: wanted.Pool,
+		Demand: cell.Demand{
+			Attempt: attempt, Team: wanted.Team, Estimate: wanted.Hint, Avoid: wanted.Avoid,
+			Prompt: wanted.Prompt, Due: wanted.Due,
+		},
+		Reply: make(chan lending.Decision, 1),
 	}
 	if !g.coordinator.Ask(ctx, ask) {
 		return nil, ctx.Err()
@@ -85,6 +88,9 @@
 // confirmPause is the time between two looks at whether an attempt is confirmed.
 const confirmPause = 10 * time.Millisecond
 
+// Begun implements request.Permit.
+func (p *permit) Begun(first time.Duration) { p.coordinator.Begun(p.cell, p.attempt, first) }
+
 // Progress implements request.Permit; the coordinator reads the cost when it reports next.
 func (p *permit) Progress(cost cell.Cost) { p.decided.Cost.Set(cost) }
 
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -18,6 +18,7 @@
 	Started    time.Time
 	StakeLease time.Duration
 	GrantValid time.Duration
+	Early      bool                                         // Early joins dispatchers before the stake can be lent to them.
 	Local      bool                                         // Local makes this router dispatch for itself, a baseline.
 	Send       func(to cell.RouterID, message wire.Message) // Send must not block.
 	Disconnect func(router cell.RouterID)                   // Disconnect closes the link to a dispatcher that does not answer.
@@ -86,6 +87,7 @@
 			StakeLease: r.config.StakeLease,
 			GrantValid: r.config.GrantValid,
 			Started:    r.config.Started,
+			Early:      r.config.Early,
 			Local:      r.config.Local,
 		}),
 		backlog: backlog.New(),
@@ -171,6 +173,13 @@
 	})
 }
 
+// Begun notes the first token of a granted attempt, so much after its send.
+func (r *Role) Begun(now time.Time, id cell.ID, attempt cell.AttemptID, first time.Duration) {
+	if at, ok := r.cells[id]; ok {
+		r.step(now, at, &lend.Progress{Progress: cell.Progress{Attempt: attempt, FirstToken: max(first, time.Millisecond)}})
+	}
+}
+
 // Ask notes a request that waits for a grant.
 func (r *Role) Ask(now time.Time, request Ask) {
 	at, ok := r.cells[request.Cell]
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -16,9 +16,11 @@
 	"ryelug/io/endpoint"
 	"ryelug/io/operator"
 	"ryelug/io/platform"
+	users "ryelug/platform"
 	"ryelug/router"
 	"ryelug/router/coordination"
 	"ryelug/router/keyed"
+	"ryelug/router/request"
 	"ryelug/router/settings"
 )
 
@@ -43,6 +45,7 @@
 	config   Config
 	vars     *operator.Vars
 	platform *platform.Client
+	registry *users.Registry // registry is nil unless the platform registers the endpoints.
 	router   *router.Router
 	operator *operator.Server
 }
@@ -113,14 +116,7 @@
 		MaxBody:     given.MaxBody,
 		MaxConns:    given.MaxCallers,
 	}
-	endpoints := endpoint.New(endpoint.Config{
-		Dial:           p.config.Dial,
-		ConnectTimeout: given.ConnectTimeout,
-		AnswerTimeout:  given.AnswerTimeout,
-		EventTimeout:   given.EventTimeout,
-		IdleReuse:      given.IdleReuse,
-	})
-	return router.New(router.Config{
+	own := router.Config{
 		Host:         given.Host,
 		Incarnation:  uuid.NewString(),
 		DataCentre:   given.DataCentre,
@@ -133,7 +129,7 @@
 		CallersOn:    p.config.Callers,
 		Platform:     p.platform,
 		Hosts:        &hosts{platform: p.platform},
-		Endpoints:    endpoints,
+		Endpoints:    p.newEndpoints(endpoint.Dialect{}),
 		Counter:      &counter{vars: p.vars},
 		Keys:         keyed.New(keyed.Config{Records: p.platform, Retention: given.KeyedRetention}),
 		KeyedRate:    float64(given.KeyedRate),
@@ -143,6 +139,54 @@
 		Log:          p.config.Log,
 		Order:        p.config.Order,
 		LocalQueues:  p.config.LocalQueues,
+		Retries:      request.Config{RetryRatio: given.RetryRatio, RetryBurst: given.RetryBurst},
+		Grace:        given.Grace,
+	}
+	if given.Registered {
+		p.register(&own)
+	}
+	return router.New(own)
+}
+
+// routersShare is the number of routers that share the retries of the fleet; each has
+// a fixed part, so that none must know what the others spend.
+const routersShare = 8
+
+// register makes the router take what is in force from the users' platform.
+func (p *Process) register(own *router.Config) {
+	given := p.config.Settings
+	p.registry = users.New(users.Config{
+		Store:       given.PlatformAddress,
+		Dial:        p.config.Dial,
+		Self:        users.Entry{Host: given.Host, Address: given.PeerAddress, DataCentre: given.DataCentre},
+		Cold:        users.ColdBound{Factor: given.ColdFactor, Slack: given.ColdSlack},
+		RevokeBound: given.RevokeBound,
+		Log:         operator.Part(p.config.Log, operator.ConfigPart),
+	})
+	own.Source, own.Hosts = p.registry, p.registry
+	own.Callers.Protocol = users.Callers()
+	own.Endpoints = p.newEndpoints(users.Endpoints())
+	own.Keys, own.OldRecords = nil, nil // The platform's callers send no Idempotency-Key.
+	own.Retries.RetryBurst /= routersShare
+	own.Retries.BackoffStart, own.Retries.BackoffLimit = firstRetry, slowestRetry
+}
+
+// Pauses before a request goes to another endpoint, whose objective is a few hundred milliseconds.
+const (
+	firstRetry   = time.Millisecond
+	slowestRetry = 50 * time.Millisecond
+)
+
+func (p *Process) newEndpoints(dialect endpoint.Dialect) *endpoint.Client {
+	given := p.config.Settings
+	return endpoint.New(endpoint.Config{
+		Dialect:        dialect,
+		Dial:           p.config.Dial,
+		ConnectTimeout: given.ConnectTimeout,
+		AnswerTimeout:  given.AnswerTimeout,
+		FirstTimeout:   max(given.EventTimeout, given.AnswerTimeout),
+		EventTimeout:   given.EventTimeout,
+		IdleReuse:      given.IdleReuse,
 	})
 }
 
--- a/router/request/budget_test.go
+++ b/router/request/budget_test.go
@@ -39,6 +39,7 @@
 // lastWord notes only whether a refusal came.
 type lastWord struct{ refused bool }
 
+func (*lastWord) Start(caller.Answer) error     { return nil }
 func (w *lastWord) Whole(caller.Answer) error   { return nil }
 func (w *lastWord) Event(caller.Event) error    { return nil }
 func (w *lastWord) Close() error                { return nil }
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -110,14 +110,14 @@
 	cost  cell.Cost // cost is that of the latest end.
 }
 
-func (g *fakeGrants) Ask(_ context.Context, _ cell.ID, _ cell.TeamID, _ cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
+func (g *fakeGrants) Ask(_ context.Context, wanted request.Wanted) (request.Permit, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for range g.endpoints {
 		n := g.asked % len(g.endpoints)
 		g.asked++
 		id := cell.EndpointID(fmt.Sprintf("e%d", n))
-		if id != avoid || len(g.endpoints) == 1 {
+		if id != wanted.Avoid || len(g.endpoints) == 1 {
 			expires := time.Now()
 			if g.late--; g.late < 0 {
 				expires = expires.Add(g.valid)
@@ -151,8 +151,9 @@
 func (p *fakePermit) Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID) {
 	return p.id, p.endpoint.address(), p.start
 }
-func (p *fakePermit) Expires() time.Time { return p.expires }
-func (p *fakePermit) Progress(cell.Cost) {}
+func (p *fakePermit) Expires() time.Time  { return p.expires }
+func (p *fakePermit) Begun(time.Duration) {}
+func (p *fakePermit) Progress(cell.Cost)  {}
 
 func (p *fakePermit) AwaitCounted(context.Context) bool { return true }
 func (p *fakePermit) End(outcome cell.Outcome, cost cell.Cost, _ time.Duration) {
--- a/router/request/panic_test.go
+++ b/router/request/panic_test.go
@@ -36,8 +36,8 @@
 // brokenGrants gives brokenPermits.
 type brokenGrants struct{ request.Grants }
 
-func (b *brokenGrants) Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (request.Permit, error) {
-	permit, err := b.Grants.Ask(ctx, pool, team, hint, avoid)
+func (b *brokenGrants) Ask(ctx context.Context, wanted request.Wanted) (request.Permit, error) {
+	permit, err := b.Grants.Ask(ctx, wanted)
 	return &brokenPermit{permit}, err
 }
 
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -1,8 +1,11 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"time"
 
 	"ryelug/core/cell"
@@ -25,11 +28,14 @@
 	writer caller.Writer
 	life   *entry.Life
 	giveUp time.Time
+	until  time.Time // until is when the caller or the route ends the request; zero when neither does.
+	due    time.Time // due is when the first event is late; zero when it never is.
 	fresh  bool
 
 	permit     Permit
 	answer     *endpoint.Answer
 	event      endpoint.Event
+	started    bool // started tells that the caller has the head of a stream.
 	sent       bool // sent tells that bytes went to the endpoint under the permit.
 	sendAt     time.Time
 	firstToken time.Duration
@@ -77,7 +83,7 @@
 	case *entry.Skip:
 		return r.next()
 	case *entry.Deliver:
-		r.deliver()
+		r.deliver(action.End)
 	case *entry.Refuse:
 		r.refuse(action)
 	case *entry.Abandon:
@@ -98,7 +104,7 @@
 	}
 	queue, cancel := context.WithDeadline(ctx, r.queueUntil(time.Now()))
 	defer cancel()
-	permit, err := r.runner.config.Grants.Ask(queue, r.route.Pool, r.route.Team, r.req.Hint, ask.Avoid)
+	permit, err := r.runner.config.Grants.Ask(queue, r.wanted(ask.Avoid))
 	if err != nil {
 		return refusedBy(err)
 	}
@@ -108,10 +114,21 @@
 	if r.key != nil {
 		ctx = context.WithoutCancel(ctx)
 	}
-	r.attempt, r.endAttempt = context.WithTimeout(ctx, r.route.LongestRequest)
+	longest := earliest(time.Now().Add(r.route.LongestRequest), r.until)
+	r.attempt, r.endAttempt = context.WithDeadline(ctx, longest)
 	return &entry.Granted{}
 }
 
+func (r *run) wanted(avoid cell.EndpointID) Wanted {
+	wanted := Wanted{
+		Pool: r.route.Pool, Team: r.route.Team, Hint: r.req.Hint, Avoid: avoid, Prompt: r.req.Prompt, Due: r.due,
+	}
+	if r.life.MayHaveRun() {
+		wanted.Due = r.until // What has begun goes on, also late.
+	}
+	return wanted
+}
+
 // queueUntil returns the time until which a grant is waited for.
 func (r *run) queueUntil(now time.Time) time.Time {
 	until := now.Add(r.route.QueueTimeout)
@@ -127,7 +144,7 @@
 	if !pause.For(ctx, send.After) {
 		return &entry.CallerGone{Sent: r.sent}
 	}
-	if send.LastEvent != "" && !r.permit.AwaitCounted(r.attempt) {
+	if send.LastEvent != "" && !r.route.Verbatim && !r.permit.AwaitCounted(r.attempt) {
 		return &entry.Lapsed{}
 	}
 	call := r.call(send.LastEvent)
@@ -143,6 +160,9 @@
 	if answer.Events != nil {
 		return r.next()
 	}
+	if r.route.Verbatim && answer.Status >= http.StatusInternalServerError {
+		return &entry.FailedAnswer{Endpoint: call.Endpoint}
+	}
 	return &entry.Whole{}
 }
 
@@ -160,7 +180,15 @@
 		LastEvent:   lastEvent,
 		Fresh:       r.fresh,
 	}
-	if lastEvent == "" {
+	if r.route.Verbatim {
+		call.Header = append(r.req.Header[:len(r.req.Header):len(r.req.Header)], r.route.Header...)
+		call.Deadline = r.until
+		call.ContentType = ""
+		if lastEvent == "" {
+			call.LastEvent = r.req.LastEvent
+		}
+	}
+	if lastEvent == "" || r.route.Verbatim {
 		call.Expires = r.permit.Expires() // A resumed stream goes on with what the permit has started.
 	}
 	return call
@@ -190,12 +218,17 @@
 // next waits for the stream's next event.
 func (r *run) next() entry.Event {
 	event, err := r.answer.Events.Next()
+	if errors.Is(err, io.EOF) && r.route.Verbatim {
+		return &entry.StreamEnded{}
+	}
 	if err != nil {
-		return r.failed(endpoint.Call{}, err)
+		id, _, _ := r.permit.Endpoint()
+		return r.failed(endpoint.Call{Endpoint: id}, err)
 	}
 	r.event = event
 	if r.firstToken == 0 {
 		r.firstToken = time.Since(r.sendAt)
+		r.permit.Begun(r.firstToken)
 	}
 	return &entry.Streamed{ID: event.ID, Done: string(event.Data) == endpoint.Done}
 }
@@ -205,34 +238,55 @@
 	if r.meter.events%progressEvery == 0 {
 		r.permit.Progress(r.meter.cost())
 	}
+	if err := r.startStream(); err != nil {
+		return &entry.CallerGone{Sent: true}
+	}
 	if err := r.writer.Event(r.outgoing()); err != nil {
 		return &entry.CallerGone{Sent: true}
 	}
 	return r.next()
 }
 
+// startStream passes the head of the first endpoint on; a stream that goes on elsewhere keeps it.
+func (r *run) startStream() error {
+	if !r.route.Verbatim || r.started {
+		return nil
+	}
+	r.started = true
+	return r.writer.Start(r.outgoingAnswer())
+}
+
+func (r *run) outgoingAnswer() caller.Answer {
+	return caller.Answer{
+		Status:      r.answer.Status,
+		ContentType: r.answer.ContentType,
+		Header:      r.answer.Header,
+		Body:        r.answer.Body,
+	}
+}
+
 func (r *run) outgoing() caller.Event {
-	return caller.Event{ID: r.event.ID, Name: r.event.Name, Data: r.event.Data}
+	return caller.Event{ID: r.event.ID, Name: r.event.Name, Data: r.event.Data, Raw: r.event.Raw}
 }
 
 // deliver hands over a whole answer, or the last event of a stream. The permit ends
 // first, since the endpoint is done and a slow caller must not hold its place.
-func (r *run) deliver() {
+func (r *run) deliver(end cell.Outcome) {
 	answer := r.answer
 	r.meter.whole(answer.Body)
-	r.end(cell.Completed)
+	r.end(cmp.Or(end, cell.Completed))
 	if answer.Events != nil {
 		r.key.Streamed(answer.Status)
-		_ = r.writer.Event(r.outgoing()) // A caller that has gone needs no last event.
+		if r.route.Verbatim {
+			_ = r.startStream()
+		} else {
+			_ = r.writer.Event(r.outgoing()) // A caller that has gone needs no last event.
+		}
 		_ = r.writer.Close()
 		r.closeStream()
 	} else {
 		r.key.Answered(answer.Status, answer.ContentType, answer.Body)
-		_ = r.writer.Whole(caller.Answer{
-			Status:      answer.Status,
-			ContentType: answer.ContentType,
-			Body:        answer.Body,
-		})
+		_ = r.writer.Whole(r.outgoingAnswer())
 	}
 	r.runner.config.Counter.Completed()
 }
@@ -262,7 +316,7 @@
 
 // stop tells the endpoint by an order of its own, since the end of a silent connection does not reach it.
 func (r *run) stop(wanted bool) {
-	if !wanted || r.route.Service || r.permit == nil {
+	if !wanted || r.route.Service || r.route.Verbatim || r.permit == nil {
 		return
 	}
 	_, address, _ := r.permit.Endpoint()
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -15,6 +15,7 @@
 	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
+	"ryelug/io/header"
 	"ryelug/router/keyed"
 )
 
@@ -29,7 +30,17 @@
 // Grants gives permits to send.
 type Grants interface {
 	// Ask waits for a permit; a RefusedError says that none comes. When ctx ends, the demand is withdrawn.
-	Ask(ctx context.Context, pool cell.ID, team cell.TeamID, hint cell.Cost, avoid cell.EndpointID) (Permit, error)
+	Ask(ctx context.Context, wanted Wanted) (Permit, error)
+}
+
+// Wanted is what a permit is asked for.
+type Wanted struct {
+	Pool   cell.ID
+	Team   cell.TeamID
+	Hint   cell.Cost // Hint is the caller's estimate of the cost; zero when there is none.
+	Avoid  cell.EndpointID
+	Prompt cell.Prompt
+	Due    time.Time // Due is when the first token is late; zero when it never is.
 }
 
 // Permit is one grant at hand; End must be called once.
@@ -40,6 +51,8 @@
 	Expires() time.Time
 	// AwaitCounted waits until the attempt is known to hold its place still, and tells whether it does.
 	AwaitCounted(ctx context.Context) bool
+	// Begun reports the first token, so much after the send.
+	Begun(first time.Duration)
 	// Progress reports the cost so far.
 	Progress(cost cell.Cost)
 	// End reports how the attempt ended and what it cost.
@@ -74,6 +87,13 @@
 	Idempotent     bool
 	QueueTimeout   time.Duration // QueueTimeout bounds each wait for a grant.
 	LongestRequest time.Duration // LongestRequest bounds an attempt.
+
+	Verbatim  bool           // Verbatim passes answers on as the endpoint wrote them.
+	Streams   bool           // Streams tells that answers are streams whose first event counts.
+	MaxSends  int            // MaxSends bounds the endpoints that get the request; zero is no bound.
+	Timeout   time.Duration  // Timeout bounds the time to the final answer, from the arrival of the request; zero is no bound.
+	Objective time.Duration  // Objective is the time from the arrival in which the first event, or the whole answer, is on time.
+	Header    []header.Field // Header is added to what passes on to the endpoint.
 }
 
 // Defaults of a Config.
@@ -148,11 +168,16 @@
 
 func (r *Runner) newRun(route Route, req *caller.Request, w caller.Writer) *run {
 	nonIdempotent := !route.Idempotent || req.NonIdempotent || req.IdempotencyKey != ""
-	giveUp := time.Now().Add(route.QueueTimeout)
+	now := time.Now()
+	giveUp := now.Add(route.QueueTimeout)
 	if !nonIdempotent {
 		giveUp = giveUp.Add(route.LongestRequest) // An attempt that fails late leaves time for another.
 	}
+	until := earliest(req.Deadline, withTimeout(req.Received, route.Timeout))
+	giveUp = earliest(giveUp, until)
 	return &run{
+		until:  until,
+		due:    withTimeout(req.Received, route.Objective),
 		runner: r,
 		route:  route,
 		req:    req,
@@ -164,10 +189,29 @@
 			Budget:        r.budget(route.Pool),
 			Backoff:       r.backoff(),
 			GiveUp:        giveUp,
+			MaxSends:      route.MaxSends,
+			Elsewhere:     route.Verbatim,
+			LastEvent:     req.LastEvent,
 		}),
 	}
 }
 
+// withTimeout returns the time after a timeout; zero if there is none.
+func withTimeout(since time.Time, timeout time.Duration) time.Time {
+	if timeout == 0 {
+		return time.Time{}
+	}
+	return since.Add(timeout)
+}
+
+// earliest returns the earlier of two times, of which a zero one is none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (r *Runner) budget(pool cell.ID) *entry.Budget {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/router/request/runner_test.go
+++ b/router/request/runner_test.go
@@ -155,7 +155,7 @@
 // noGrants refuses at once, or keeps every demand waiting.
 type noGrants struct{ err error }
 
-func (g *noGrants) Ask(ctx context.Context, _ cell.ID, _ cell.TeamID, _ cell.Cost, _ cell.EndpointID) (request.Permit, error) {
+func (g *noGrants) Ask(ctx context.Context, _ request.Wanted) (request.Permit, error) {
 	if g.err != nil {
 		return nil, g.err
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,11 @@
 		Grants:    &grants{coordinator: r.coordinator},
 		Counter:   conf.Counter,
 		Keys:      conf.Keys,
+
+		RetryRatio:   conf.Retries.RetryRatio,
+		RetryBurst:   conf.Retries.RetryBurst,
+		BackoffStart: conf.Retries.BackoffStart,
+		BackoffLimit: conf.Retries.BackoffLimit,
 	})
 	conf.Callers.Handler = r
 	conf.Callers.Refused = conf.Counter.Refused
@@ -77,12 +82,20 @@
 	loads := poll.NewLoads(poll.LoadsConfig{
 		Endpoints: r.config.Endpoints, Coordinator: r.coordinator, Timings: r.config.Timings,
 	})
+	watching := r.configuration.Watching
+	if r.config.Source != nil {
+		watching = func() bool { return true } // The list is at hand here.
+	}
 	hosts := poll.NewHosts(poll.HostsConfig{
-		List: r.config.Hosts, Coordinator: r.coordinator, Watching: r.configuration.Watching,
+		List: r.config.Hosts, Coordinator: r.coordinator, Watching: watching,
 		Timings: r.config.Timings, Seed: r.config.Seed, Log: operator.Part(r.config.Log, operator.MemberPart),
 	})
 	group.Go(func() error { return r.coordinator.Run(ctx, r.configuration) })
-	group.Go(func() error { return r.configuration.Run(ctx) })
+	if r.config.Source != nil {
+		group.Go(func() error { return r.config.Source.Run(ctx, r.put) })
+	} else {
+		group.Go(func() error { return r.configuration.Run(ctx) })
+	}
 	group.Go(func() error { return loads.Run(ctx) })
 	group.Go(func() error { return hosts.Run(ctx) })
 	r.startSweeper(ctx, group)
@@ -95,11 +108,17 @@
 // dispatcher role is given away, and all requests finish.
 func (r *Router) shutDown(ctx context.Context) {
 	r.log.Info("The router leaves.")
+	if r.config.Grace > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.config.Grace)
+		defer cancel()
+	}
 	r.leaving.Store(true)
+	r.callers.Leave()
 	r.coordinator.Depart(ctx)
 	pause.For(ctx, r.config.BalancerLag)
 	r.closeGate()
-	r.requests.Wait()
+	r.awaitRequests(ctx)
 	if r.config.CallersOn != nil {
 		if err := r.callers.Shutdown(ctx); err != nil {
 			r.log.WithError(err).Warn("The callers' server did not close in order.")
@@ -108,7 +127,21 @@
 	pause.For(ctx, lastWords)
 	r.coordinator.Farewell(ctx)
 	pause.For(ctx, lastWords)
-	r.log.Info("All requests are finished.")
+	r.log.Info("The router has left.")
+}
+
+// awaitRequests waits until all requests are finished, or the grace is over.
+func (r *Router) awaitRequests(ctx context.Context) {
+	finished := make(chan struct{})
+	go func() {
+		r.requests.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+	case <-ctx.Done():
+		r.log.Warn("Requests still run at the end of the grace.")
+	}
 }
 
 // lastWords is the time in which the last messages reach the other routers.
@@ -122,16 +155,27 @@
 
 // adopt puts a generation of the configuration in force.
 func (r *Router) adopt(generation uint64, doc *config.Document) {
-	next := directory.New(generation, doc)
+	r.put(directory.New(generation, doc))
+}
+
+func (r *Router) put(next *directory.Directory) {
 	r.directory.Store(next)
 	r.coordinator.Adopt(next)
 }
 
+// isCutOff tells whether what is in force here may be out of date, or the fleet out of reach.
+func (r *Router) isCutOff() bool {
+	if r.config.Source != nil {
+		return r.config.Source.Stale()
+	}
+	return r.coordinator.CutOff()
+}
+
 // Health tells the balancer whether this router takes requests.
 func (r *Router) Health() Health {
 	return Health{
 		Leaving:    r.leaving.Load(),
-		CutOff:     r.coordinator.CutOff(),
+		CutOff:     r.isCutOff(),
 		Configured: r.directory.Load() != nil,
 		Generation: r.generation(),
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -11,6 +11,7 @@
 	"ryelug/core/config"
 	"ryelug/core/result"
 	"ryelug/io/caller"
+	"ryelug/io/header"
 	"ryelug/router/directory"
 	"ryelug/router/request"
 )
@@ -68,7 +69,10 @@
 	if d == nil {
 		return request.Route{}, result.NoConfiguration
 	}
-	if r.coordinator.CutOff() {
+	if d.IsRegistered() {
+		return r.resolveRegistered(d, req)
+	}
+	if r.isCutOff() {
 		return request.Route{}, result.CutOff
 	}
 	team, ok := d.Team(req.Key)
@@ -90,3 +94,45 @@
 		LongestRequest: pool.LongestRequest,
 	}, result.OK
 }
+
+// noTeam is charged for requests on public routes.
+const noTeam cell.TeamID = "-"
+
+// grantWait bounds the wait for a dispatcher's word on a request, should it not come.
+const grantWait = 2 * time.Second
+
+// resolveRegistered finds the route of a request by its host and path.
+func (r *Router) resolveRegistered(d *directory.Directory, req *caller.Request) (request.Route, result.Code) {
+	found, ok := d.Route(req.Host, req.Path)
+	if !ok {
+		return request.Route{}, result.UnknownRoute
+	}
+	route := request.Route{
+		Team:           noTeam,
+		Idempotent:     found.Idempotent,
+		QueueTimeout:   grantWait,
+		LongestRequest: found.Timeout,
+		Verbatim:       true,
+		Streams:        found.Streams,
+		MaxSends:       found.MaxSends,
+		Timeout:        found.Timeout,
+		Objective:      found.Objective,
+	}
+	if !found.Public {
+		if r.isCutOff() {
+			return request.Route{}, result.CutOff
+		}
+		team, known := d.Team(req.Key)
+		if !known {
+			return request.Route{}, result.Unauthorized
+		}
+		route.Team = team
+		route.Header = []header.Field{{Name: d.TeamHeader(), Value: string(team)}}
+	}
+	pool, isEngine, ok := d.Pool(found)
+	if !ok {
+		return request.Route{}, result.NoCapacity
+	}
+	route.Pool, route.Service = pool, !isEngine
+	return route, result.OK
+}
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -84,6 +84,18 @@
 		2*time.Second, 100*time.Millisecond, 5*time.Minute, func(s *Settings) *time.Duration { return &s.ListLag }),
 	durationKey("cut_off_after", "Time without the platform and without most other routers after which new requests are refused.",
 		2*time.Second, 500*time.Millisecond, time.Minute, func(s *Settings) *time.Duration { return &s.CutOffAfter }),
+	flagKey("registered", "Whether the platform itself registers the endpoints and holds the configuration, as the adapter in `platform/` reads it; otherwise the environment's document says it all.",
+		func(s *Settings) *bool { return &s.Registered }),
+	durationKey("revoke_bound", "Time after which a key that was taken away must not be served anywhere; a router that has no newer word from the platform refuses requests with a key.",
+		5*time.Second, time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.RevokeBound }),
+	durationKey("grace", "Time from the signal to stop to the end of the process, whatever still runs then.",
+		10*time.Minute, time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Grace }),
+	numberKey("retry_ratio", "Retries that each request of a pool earns, in the whole fleet.", 0.2, 0, 10, func(s *Settings) *float64 { return &s.RetryRatio }),
+	numberKey("retry_burst", "Retries of a pool that may be saved up, in the whole fleet.", 20, 0, 100_000, func(s *Settings) *float64 { return &s.RetryBurst }),
+	numberKey("cold_factor", "Factor of the rate of requests that the configuration allows a cold endpoint.", 1, 0.01, 100, func(s *Settings) *float64 { return &s.ColdFactor }),
+	numberKey("cold_slack", "Requests a second that a cold endpoint bears beyond that.", 0, 0, 10_000, func(s *Settings) *float64 { return &s.ColdSlack }),
+	intKey("memory_limit", "Memory of the process, in MiB; the garbage collector works harder when three quarters of it are in use. Zero is no limit.",
+		0, 0, 1_000_000, func(s *Settings) *int { return &s.MemoryLimit }),
 	intKey("keyed_rate", "Most requests with an `Idempotency-Key` a second in the whole fleet; each costs the platform three writes; the same in the whole environment.",
 		100, 1, 10_000, func(s *Settings) *int { return &s.KeyedRate }),
 	durationKey("keyed_retention", "How long the outcome of a request with an `Idempotency-Key` is kept; a repeat after that runs again.",
@@ -156,6 +168,33 @@
 	}
 }
 
+func flagKey(name, text string, field func(*Settings) *bool) Key {
+	return Key{
+		Name: name, Text: text, initial: "false", Allowed: "true or false",
+		preset: func(s *Settings) { *field(s) = false },
+		set:    func(s *Settings, v toml.Value) bool { return v.Flag(field(s)) },
+	}
+}
+
+// numberKey makes a key of a number that may have a fraction, written in quotes.
+func numberKey(name, text string, initial, least, most float64, field func(*Settings) *float64) Key {
+	form := func(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+	return Key{
+		Name: name, Text: text, initial: form(initial),
+		Allowed: fmt.Sprintf(`a quoted number from "%s" to "%s"`, form(least), form(most)),
+		preset:  func(s *Settings) { *field(s) = initial },
+		set: func(s *Settings, v toml.Value) bool {
+			var given string
+			if !v.Text(&given) {
+				return false
+			}
+			number, err := strconv.ParseFloat(given, 64)
+			*field(s) = number
+			return err == nil && number >= least && number <= most
+		},
+	}
+}
+
 func peerKeyKey() Key {
 	return Key{
 		Name: "peer_key", Secret: true,
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -36,6 +36,15 @@
 	ListLag     time.Duration
 	CutOffAfter time.Duration
 
+	Registered  bool
+	RevokeBound time.Duration
+	Grace       time.Duration
+	RetryRatio  float64
+	RetryBurst  float64
+	ColdFactor  float64
+	ColdSlack   float64
+	MemoryLimit int // MemoryLimit is in MiB; zero is no limit.
+
 	KeyedRate      int // KeyedRate bounds the keyed requests of the fleet, a second.
 	KeyedRetention time.Duration
 
--- a/standin/fleet/caller.go
+++ b/standin/fleet/caller.go
@@ -107,6 +107,13 @@
 	return nil
 }
 
+// Start implements caller.Writer.
+func (w *writer) Start(answer caller.Answer) error {
+	w.first()
+	w.reply.Status = answer.Status
+	return nil
+}
+
 // Event implements caller.Writer.
 func (w *writer) Event(event caller.Event) error {
 	w.first()
