--- a/io/endpoint/events.go
+++ b/io/endpoint/events.go
@@ -50,7 +50,7 @@
 		resp:   resp,
 		stop:   stop,
 		reader: bufio.NewReader(resp.BodyStream()),
-		answer: Answer{RequestID: string(resp.Header.Peek(headerRequestID))},
+		answer: Answer{RequestID: string(resp.Header.Peek(client.config.Dialect.RequestID))},
 		begun:  call.LastEvent != "",
 	}
 }
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -274,6 +274,9 @@
 func (r *run) deliver(end cell.Outcome) {
 	answer := r.answer
 	r.meter.whole(answer.Body)
+	if answer.Events != nil {
+		answer.Events.Close() // The end of the attempt would close a connection that is still in use.
+	}
 	r.end(cmp.Or(end, cell.Completed))
 	if answer.Events != nil {
 		r.key.Streamed(answer.Status)
