--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -24,7 +24,9 @@
 
 	// readAgainWeight weighs the time to read shared parts again against time to the first token: reading them
 	// twice costs the engine the time and crowds out other parts.
-	readAgainWeight = 6
+	readAgainWeight = 15
+	// patientPart is the part of its time for which a request waits for an engine that keeps its shared parts.
+	patientPart = 0.4
 	// crowdWeight is what a full batch counts for, as each request slows the tokens of all.
 	crowdWeight = 100 * time.Millisecond
 	// awayWeight is what the way to another data centre counts for.
@@ -116,35 +118,56 @@
 	}
 }
 
-// offer is an endpoint that could take a request.
-type offer struct {
-	endpoint int32
+// offers are the best endpoints for a request among some of them.
+type offers struct {
+	endpoint int32 // endpoint has the least cost of those that admit the request; negative if none does.
 	cost     time.Duration
+	verdict  verdict
 }
 
-// choose returns the endpoint for a request, if one can answer it in time.
+func noOffers() offers { return offers{endpoint: -1, verdict: closed} }
+
+func (o *offers) add(endpoint int32, cost time.Duration, what verdict) {
+	if what != admitted {
+		o.verdict = worse(o.verdict, what)
+		return
+	}
+	if o.endpoint < 0 || cost < o.cost {
+		o.endpoint, o.cost = endpoint, cost
+	}
+}
+
+// choose returns the endpoint for a request, if one can answer it in time. While an
+// engine that keeps the shared parts may still take it in time, no other one reads them again.
 func (d *Dispatcher) choose(now time.Time, request *queue.Request) (int32, verdict) {
 	within := d.shares.Within(now, int(request.Team))
-	best := offer{endpoint: -1}
-	what := closed
+	keepers, others := noOffers(), noOffers()
 	for i := range d.endpoints {
 		at := &d.endpoints[i]
 		if !at.open || int32(i) == request.Avoid && d.hasOther(int32(i)) {
 			continue
 		}
-		cost, here := d.weigh(now, at, request, within)
-		if here != admitted {
-			what = worse(what, here)
-			continue
-		}
-		if best.endpoint < 0 || cost < best.cost {
-			best = offer{int32(i), cost}
+		cost, what := d.weigh(now, at, request, within)
+		if at.engine != nil && at.engine.Keeps(&request.Prompt) {
+			keepers.add(int32(i), cost, what)
+		} else {
+			others.add(int32(i), cost, what)
 		}
 	}
-	if best.endpoint >= 0 {
-		return best.endpoint, admitted
+	switch {
+	case keepers.endpoint >= 0:
+		return keepers.endpoint, admitted
+	case keepers.verdict == waits && d.isPatient(now, request):
+		return -1, waits
+	case others.endpoint >= 0:
+		return others.endpoint, admitted
 	}
-	return -1, what
+	return -1, worse(keepers.verdict, others.verdict)
+}
+
+// isPatient tells whether a request has time to wait for an engine that keeps its shared parts.
+func (d *Dispatcher) isPatient(now time.Time, request *queue.Request) bool {
+	return float64(now.Sub(request.Since)) < patientPart*float64(request.Due.Sub(request.Since))
 }
 
 // worse joins the verdicts of two endpoints: hope at one of them is enough to wait.
