--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -118,10 +118,29 @@
 	case KindMembers:
 		return &Members{decodeSlice(d, func(d *Decoder) cell.HostID { return cell.HostID(d.string()) })}
 	}
+	return d.objects(kind)
+}
+
+func (d *Decoder) objects(kind Kind) Message {
+	switch kind {
+	case KindObjectsAsk:
+		return &ObjectsAsk{d.uint(), decodeSlice(d, (*Decoder).shelf)}
+	case KindObjectsTold:
+		return &ObjectsTold{
+			Shelf: d.shelf(), Number: d.uint(), Age: d.duration(), Since: d.uint(),
+			Names: decodeSlice(d, (*Decoder).string), Objects: decodeSlice(d, (*Decoder).object),
+		}
+	}
 	d.fail(ErrKind)
 	return nil
 }
 
+func (d *Decoder) shelf() Shelf { return Shelf{Kind: d.name(), Revision: d.uint()} }
+
+func (d *Decoder) object() Object {
+	return Object{Name: d.string(), Revision: d.uint(), Value: d.bytes(math.MaxInt)}
+}
+
 func (d *Decoder) join() Message {
 	m := &Join{}
 	m.Cell, m.Session = d.head()
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -90,6 +90,16 @@
 	case *Listed:
 		e.keep(e.enc.EncodeBool(m.Changed))
 		encodeSlice(e, m.Hosts, (*Encoder).host)
+	case *ObjectsAsk:
+		e.uint(m.Number)
+		encodeSlice(e, m.Shelves, (*Encoder).shelf)
+	case *ObjectsTold:
+		e.shelf(&m.Shelf)
+		e.uint(m.Number)
+		e.duration(m.Age)
+		e.uint(m.Since)
+		encodeSlice(e, m.Names, func(e *Encoder, name *string) { e.string(*name) })
+		encodeSlice(e, m.Objects, (*Encoder).object)
 	case *ConfigPart:
 		e.string(m.Hash)
 		e.keep(e.enc.EncodeBytes(m.Data))
@@ -173,6 +183,17 @@
 	e.duration(end.FirstToken)
 }
 
+func (e *Encoder) shelf(s *Shelf) {
+	e.name(s.Kind)
+	e.uint(s.Revision)
+}
+
+func (e *Encoder) object(o *Object) {
+	e.string(o.Name)
+	e.uint(o.Revision)
+	e.keep(e.enc.EncodeBytes(o.Value))
+}
+
 func (e *Encoder) host(h *Host) {
 	e.string(string(h.Host))
 	e.string(h.Address.String())
--- a/io/wire/message.go
+++ b/io/wire/message.go
@@ -129,6 +129,35 @@
 	Hosts   []Host
 }
 
+// Shelf names a sort of objects of the platform and the revision up to which a router knows them.
+type Shelf struct {
+	Kind     string
+	Revision uint64
+}
+
+// ObjectsAsk asks a router for what it knows of the platform's objects beyond the given revisions.
+type ObjectsAsk struct {
+	Number  uint64 // Number is that of the question, for its answers.
+	Shelves []Shelf
+}
+
+// ObjectsTold answers ObjectsAsk, a message for each kind.
+type ObjectsTold struct {
+	Shelf
+	Number  uint64        // Number is that of the question.
+	Age     time.Duration // Age is how long ago the sender knew that this was the newest state.
+	Since   uint64        // Since is the revision that was asked with.
+	Names   []string      // Names are those of all objects; none unless something has changed.
+	Objects []Object      // Objects are those that changed after Since.
+}
+
+// Object is one object of the platform.
+type Object struct {
+	Name     string
+	Revision uint64
+	Value    []byte
+}
+
 // Kind numbers a type of message on the wire; numbers are never reused.
 type Kind uint8
 
@@ -153,6 +182,8 @@
 	KindMembers
 	KindDeparted
 	KindListed
+	KindObjectsAsk
+	KindObjectsTold
 
 	KindCount // KindCount is the number of kinds.
 )
@@ -160,7 +191,7 @@
 var kindNames = [KindCount]string{
 	"heartbeat", "join", "accepted", "release", "released", "want", "withdraw", "grants",
 	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part", "members",
-	"departed", "listed",
+	"departed", "listed", "objects_ask", "objects_told",
 }
 
 // Forms are the high bits of a kind on the wire; each leaves out what the other end can tell.
@@ -199,3 +230,6 @@
 func (*ConfigAsk) kind() Kind  { return KindConfigAsk }
 func (*ConfigPart) kind() Kind { return KindConfigPart }
 func (*Members) kind() Kind    { return KindMembers }
+
+func (*ObjectsAsk) kind() Kind  { return KindObjectsAsk }
+func (*ObjectsTold) kind() Kind { return KindObjectsTold }
--- a/router/config.go
+++ b/router/config.go
@@ -14,6 +14,7 @@
 	"ryelug/io/caller"
 	"ryelug/io/operator"
 	"ryelug/io/peer"
+	"ryelug/io/wire"
 	"ryelug/router/configuration"
 	"ryelug/router/coordination"
 	"ryelug/router/directory"
@@ -32,6 +33,14 @@
 type Source interface {
 	// Run calls adopt with each change, one at a time, until ctx ends.
 	Run(ctx context.Context, adopt func(*directory.Directory)) error
+	// Received takes a message about the platform's objects of another router; it must not block.
+	Received(from cell.RouterID, message wire.Message)
+	// PeerUp tells that a router can be reached.
+	PeerUp(router cell.RouterID)
+	// PeerDown tells that no link to a router is left.
+	PeerDown(router cell.RouterID)
+	// Connect gives the source its way to other routers; send must not block.
+	Connect(send func(to cell.RouterID, message wire.Message))
 	// Stale tells that what was told may be out of force, so that no request with a key may be sent.
 	Stale() bool
 }
@@ -112,3 +121,9 @@
 		Log:      operator.Part(r.config.Log, operator.ConfigPart),
 	}
 }
+
+// sourceNews passes what the configuration duty would hear of other routers to the source.
+type sourceNews struct{ Source }
+
+// SetMembers implements coordination.News; the source knows the routers already.
+func (sourceNews) SetMembers([]spread.Member) {}
--- a/router/coordination/links.go
+++ b/router/coordination/links.go
@@ -93,7 +93,7 @@
 		c.refreshVoters(now)
 	case *wire.Members:
 		c.told(now, from, message.Hosts)
-	case *wire.ConfigNews, *wire.ConfigAsk, *wire.ConfigPart:
+	case *wire.ConfigNews, *wire.ConfigAsk, *wire.ConfigPart, *wire.ObjectsAsk, *wire.ObjectsTold:
 		c.news.Received(from, message)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -90,7 +90,12 @@
 		List: r.config.Hosts, Coordinator: r.coordinator, Watching: watching,
 		Timings: r.config.Timings, Seed: r.config.Seed, Log: operator.Part(r.config.Log, operator.MemberPart),
 	})
-	group.Go(func() error { return r.coordinator.Run(ctx, r.configuration) })
+	var news coordination.News = r.configuration
+	if r.config.Source != nil {
+		r.config.Source.Connect(r.coordinator.Tell)
+		news = sourceNews{r.config.Source}
+	}
+	group.Go(func() error { return r.coordinator.Run(ctx, news) })
 	if r.config.Source != nil {
 		group.Go(func() error { return r.config.Source.Run(ctx, r.put) })
 	} else {
