Read the settings again at SIGHUP

Change: SIGHUP reads the settings again; the log's level changes at once, the rest is told. Test: TestProcesses, 'settings that are read again', fails without the change.

--- a/cmd/ryelug/process_test.go
+++ b/cmd/ryelug/process_test.go
@@ -262,6 +262,13 @@
 			t.Errorf("status %d, error %v, body %s", got.status, got.err, got.body)
 		}
 	})
+	t.Run("settings that are read again", func(t *testing.T) {
+		is := is.New(t)
+		running := stream(entry.callers, 50)
+		is.NoErr(entry.Process.Signal(syscall.SIGHUP))
+		checkWhole(t, <-running, 50)
+		checkWhole(t, chat(entry.callers, 5, nil), 5)
+	})
 	t.Run("a dispatcher that is stopped and goes on", func(t *testing.T) {
 		is := is.New(t)
 		running := stream(entry.callers, 50)
--- a/cmd/ryelug/router.go
+++ b/cmd/ryelug/router.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -65,9 +67,33 @@
 	if err != nil {
 		return err
 	}
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	go r.reload(ctx, given, log, hangUps)
+	log.WithFields(logrus.Fields{"settings": r.settings, "host": given.Host}).Info("The router starts.")
 	return one.Run(ctx)
 }
 
+// reload reads the settings anew at each SIGHUP. The level of the log changes at once; what
+// else has changed is told, and counts from the next start on. Wrong settings change nothing.
+func (r *routerCommand) reload(ctx context.Context, given *settings.Settings, log *logrus.Logger, hangUps <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+		}
+		next, err := settings.Load(r.settings)
+		if err != nil {
+			log.WithError(err).Error("The settings can't be read again; the former ones stay in force.")
+			continue
+		}
+		log.SetLevel(next.LogLevel)
+		log.WithField("changed", settings.Changes(given, next)).Info("The settings were read again.")
+	}
+}
+
 // newProcess opens the listeners of a router, so that an address in use is told at once.
 func newProcess(given *settings.Settings, log logrus.FieldLogger) (*process.Process, error) {
 	listeners, err := process.ListenAll(given.CallersAddress, given.OperatorAddress, given.PeerAddress)
