Take endpoints for cold by the platform's word and by failures alone

Change: an endpoint is cold while its entry says so and a second more, after its data centre returned, and after a connection to it could not be made.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -47,7 +47,6 @@
 	endpoints []endpoint
 	index     map[cell.EndpointID]int32
 	stakes    limit.Stakes
-	takenAt   time.Time // takenAt is when the first entry joined; what happened before is unknown.
 	returns   returns
 	out       dispatch.Outbox
 }
@@ -79,7 +78,7 @@
 		d.want(now, ev)
 		return d.out.Actions()
 	case *dispatch.Policy:
-		d.setPolicy(now, ev)
+		d.setPolicy(ev)
 	case *dispatch.Voters:
 		d.stakes.SetVoters(now, ev.Hosts, ev.Total, stakeHorizon)
 	case *dispatch.Join:
@@ -103,7 +102,7 @@
 	return d.out.Actions()
 }
 
-func (d *Dispatcher) setPolicy(now time.Time, policy *dispatch.Policy) {
+func (d *Dispatcher) setPolicy(policy *dispatch.Policy) {
 	d.policy = *policy
 	d.shares.SetRate(policy.FairRate)
 	for i := range policy.Teams {
@@ -113,7 +112,7 @@
 		d.endpoints[i].open = false
 	}
 	for i := range policy.Endpoints {
-		d.ensure(policy.Endpoints[i].Endpoint).set(now, &policy.Endpoints[i], policy)
+		d.ensure(policy.Endpoints[i].Endpoint).set(&policy.Endpoints[i], policy)
 	}
 }
 
@@ -147,9 +146,6 @@
 }
 
 func (d *Dispatcher) join(now time.Time, ev *dispatch.Join) {
-	if d.entries.Live() == 0 {
-		d.takenAt = now
-	}
 	index := d.entries.Ensure(ev.Router)
 	from := d.entries.At(index)
 	if ev.Session < from.Session || from.Live && ev.Session == from.Session {
--- a/core/admission/endpoint.go
+++ b/core/admission/endpoint.go
@@ -39,11 +39,10 @@
 }
 
 // set takes in what the platform says of the endpoint.
-func (e *endpoint) set(now time.Time, at *dispatch.EndpointPolicy, policy *dispatch.Policy) {
+func (e *endpoint) set(at *dispatch.EndpointPolicy, policy *dispatch.Policy) {
 	if e.start != at.Start {
 		e.start, e.fails, e.probeAt = at.Start, 0, time.Time{}
-		e.coldSpan = policy.ColdSpan
-		e.mayBeCold(now)
+		e.coldSpan, e.coldUntil = policy.ColdSpan, time.Time{}
 		e.engine = nil
 		if policy.Engine != nil {
 			e.engine = engine.New(*policy.Engine)
@@ -52,7 +51,9 @@
 	}
 	e.dataCentre = at.DataCentre
 	e.coldRate = policy.ColdRate
-	e.coldUntil = later(e.coldUntil, at.ColdUntil)
+	if !at.ColdUntil.IsZero() {
+		e.coldUntil = later(e.coldUntil, at.ColdUntil.Add(coldMargin))
+	}
 	e.open = !at.Closed
 	e.slots = at.WarmLimit
 }
@@ -62,10 +63,8 @@
 	e.coldUntil = later(e.coldUntil, now.Add(e.coldSpan+coldMargin))
 }
 
-// isCold tells whether the endpoint may be cold. What a new dispatcher has not seen counts as cold.
-func (e *endpoint) isCold(now, takenAt time.Time) bool {
-	return e.coldRate > 0 && (now.Before(e.coldUntil) || now.Before(takenAt.Add(e.coldSpan+coldMargin)))
-}
+// isCold tells whether the endpoint may be cold.
+func (e *endpoint) isCold(now time.Time) bool { return e.coldRate > 0 && now.Before(e.coldUntil) }
 
 // granted notes a grant for the count of the cold window.
 func (e *endpoint) granted(now time.Time) {
--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -231,7 +231,7 @@
 
 // bears tells whether an endpoint that may be cold bears one more request now.
 func (d *Dispatcher) bears(now time.Time, at *endpoint) bool {
-	if !at.isCold(now, d.takenAt) {
+	if !at.isCold(now) {
 		return true
 	}
 	held, total := d.stakes.HeldSince(now, now.Add(-coldWindow))
--- a/core/admission/snapshot.go
+++ b/core/admission/snapshot.go
@@ -25,7 +25,7 @@
 	for i := range d.endpoints {
 		at := &d.endpoints[i]
 		state := limit.Warm
-		if at.isCold(d.now, d.takenAt) {
+		if at.isCold(d.now) {
 			state = limit.Cold
 		}
 		shot.Endpoints = append(shot.Endpoints, flight.State{
