--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -17,9 +17,8 @@
 const (
 	// withinPart is the part of the time left that a prediction may take for a request within its team's share,
 	withinPart = 0.95
-	// beyondWait is the part of the time left that the others may wait for prompts before theirs, so that room is
-	// left for those within. What their own prompts take does not count, or long ones would never be admitted.
-	beyondWait = 0.35
+	// beyondPart is that of the others, so that room is left for those within.
+	beyondPart = 0.6
 	// beyondSlots is the part of the slots that requests beyond their share may fill.
 	beyondSlots = 0.9
 
@@ -209,9 +208,11 @@
 		return cost, admitted
 	}
 	seen := at.engine.Predict(now, &request.Prompt)
-	isLate := float64(seen.First) > withinPart*float64(left)
-	isCrowded := !within && float64(seen.Wait) > beyondWait*float64(left)
-	if isLate || isCrowded {
+	part := beyondPart
+	if within {
+		part = withinPart
+	}
+	if float64(seen.First) > part*float64(left) {
 		return 0, hopeless
 	}
 	if !seen.Fits {
