--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -26,7 +26,7 @@
 	// twice costs the engine the time and crowds out other parts.
 	readAgainWeight = 15
 	// patientPart is the part of its time for which a request waits for an engine that keeps its shared parts.
-	patientPart = 0.4
+	patientPart = 0.55
 	// crowdWeight is what a full batch counts for, as each request slows the tokens of all.
 	crowdWeight = 100 * time.Millisecond
 	// awayWeight is what the way to another data centre counts for.
