--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -27,8 +27,6 @@
 	readAgainWeight = 15
 	// patientPart is the part of its time for which a request waits for an engine that keeps its shared parts.
 	patientPart = 0.55
-	// lightPart is the part of its slots up to which an engine takes requests beyond their share whose shared parts another keeps.
-	lightPart = 0.7
 	// crowdWeight is what a full batch counts for, as each request slows the tokens of all.
 	crowdWeight = 100 * time.Millisecond
 	// awayWeight is what the way to another data centre counts for.
@@ -161,17 +159,12 @@
 		return keepers.endpoint, admitted
 	case keepers.verdict == waits && d.isPatient(now, request):
 		return -1, waits
-	case others.endpoint >= 0 && (within || d.isLight(&d.endpoints[others.endpoint]) || keepers.verdict == closed):
+	case others.endpoint >= 0:
 		return others.endpoint, admitted
 	}
 	return -1, worse(keepers.verdict, others.verdict)
 }
 
-// isLight tells whether an engine has so much room that reading parts again there keeps nobody waiting.
-func (d *Dispatcher) isLight(at *endpoint) bool {
-	return float64(at.running) < lightPart*float64(at.slots)
-}
-
 // isPatient tells whether a request has time to wait for an engine that keeps its shared parts.
 func (d *Dispatcher) isPatient(now time.Time, request *queue.Request) bool {
 	return float64(now.Sub(request.Since)) < patientPart*float64(request.Due.Sub(request.Since))
