Count shared parts of prompts once in the model's memory

Cause: the model counted the shared parts of each run anew, so it took parts for gone that engines kept, and had them read elsewhere; the rest of the tokens read again did not depend on where requests go. Change: a run takes its own part and its output; shared parts are in the cache once, and all of a run's parts were used at its end.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -51,9 +51,10 @@
 
 // Run is one request at an engine, as the holder of the model keeps it.
 type Run struct {
-	tokens int       // tokens is the memory that the run takes at its end.
-	read   time.Time // read is when its prefill should be over.
-	begun  bool      // begun tells that its first token was seen.
+	prompt *cell.Prompt // prompt is nil if only the length of the run is known.
+	tokens int          // tokens is the memory that the run takes at its end, without the shared parts of its prompt.
+	read   time.Time    // read is when its prefill should be over.
+	begun  bool         // begun tells that its first token was seen.
 }
 
 // Prediction is what a request would find at an engine.
@@ -100,7 +101,7 @@
 	if fetch {
 		missing -= shared
 	}
-	tokens := prompt.Tokens() + prompt.Output
+	tokens := ownTokens(prompt) + prompt.Output
 	wait := max(0, e.idleAt.Sub(now))
 	if len(e.unread) > 0 {
 		// Prompts that should have been read and show no token hold up all that come later.
@@ -124,10 +125,9 @@
 	}
 	e.idleAt = e.idleAt.Add(e.prefill(missing))
 	e.unread = append(e.unread, e.idleAt)
-	run := Run{tokens: prompt.Tokens() + prompt.Output, read: e.idleAt}
+	run := Run{prompt: prompt, tokens: ownTokens(prompt) + prompt.Output, read: e.idleAt}
 	e.count(run.tokens)
-	e.cache.use(prompt.Parts)
-	e.cache.shrink(e.profile.Memory - e.used)
+	e.keep(sharedParts(prompt))
 	return run
 }
 
@@ -168,11 +168,21 @@
 
 // Ended takes a run out, whether it has begun or not.
 func (e *Engine) Ended(now time.Time, run *Run) {
-	if !run.begun {
+	wasBegun := run.begun
+	if !wasBegun {
 		e.close(now, run)
 	}
 	e.running--
 	e.used -= run.tokens
+	if wasBegun && run.prompt != nil {
+		e.keep(run.prompt.Parts)
+	}
+}
+
+// keep notes parts as used just now; older ones yield to them and to the runs.
+func (e *Engine) keep(parts []cell.Part) {
+	e.cache.use(parts)
+	e.cache.shrink(e.profile.Memory - e.used)
 }
 
 // Forget takes in that the engine has restarted and keeps nothing.
@@ -217,6 +227,14 @@
 	return tokens, shared
 }
 
+// ownTokens returns the length of the part that no other request has.
+func ownTokens(prompt *cell.Prompt) int {
+	if len(prompt.Parts) == 0 {
+		return 0
+	}
+	return prompt.Parts[len(prompt.Parts)-1].Tokens
+}
+
 // sharedParts returns all parts but the request's own.
 func sharedParts(prompt *cell.Prompt) []cell.Part {
 	return prompt.Parts[:max(0, len(prompt.Parts)-1)]
