--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -159,6 +159,11 @@
 	}
 	d.takeFlights(index, ev.Flights)
 	d.mergeCounters(now, ev.Counters)
+	for i := range ev.Kept {
+		if at, known := d.index[ev.Kept[i].Endpoint]; known && d.endpoints[at].engine != nil {
+			d.endpoints[at].engine.Keep(ev.Kept[i].Part)
+		}
+	}
 }
 
 // takeFlights makes an entry's account equal to what the entry says it has in flight.
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -112,6 +112,13 @@
 	Charged  Cost       `msgpack:"c"` // Charged is the cost counted so far.
 }
 
+// Kept tells that a request which read a part of a prompt was sent to an engine, which should keep it.
+type Kept struct {
+	Endpoint EndpointID
+	Part     Part
+	Age      time.Duration // Age is how long ago that was.
+}
+
 // Outcome says how an attempt ended.
 type Outcome uint8
 
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -62,6 +62,7 @@
 	Unlent   time.Duration // Unlent is the time until now in which no dispatcher counted the stake or granted to the entry.
 	Flights  []cell.Flight
 	Counters []cell.TeamCounter
+	Kept     []cell.Kept // Kept tells which engines should keep which parts, the oldest first.
 }
 
 // Renew tells until when, on this host's clock, an entry's stake may be counted on.
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -179,6 +179,9 @@
 	}
 }
 
+// Keep takes in that the engine should keep a part, by the word of one that sent it there.
+func (e *Engine) Keep(part cell.Part) { e.keep([]cell.Part{part}) }
+
 // keep notes parts as used just now; older ones yield to them and to the runs.
 func (e *Engine) keep(parts []cell.Part) {
 	e.cache.use(parts)
--- a/core/lend/event.go
+++ b/core/lend/event.go
@@ -106,6 +106,7 @@
 	Unlent   time.Duration // Unlent is the time until now in which no dispatcher counted the stake or granted to this entry.
 	Flights  []cell.Flight
 	Counters []cell.TeamCounter
+	Kept     []cell.Kept // Kept tells where this entry sent parts of prompts of late, the oldest first.
 }
 
 // Release ends a session; the dispatcher answers Released.
--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -55,6 +55,7 @@
 	flights  map[cell.AttemptID]*cell.Flight
 	former   map[cell.RouterID]*former
 	counters map[cell.TeamID]counter
+	placed   map[uint64]placed // placed holds where shared parts of prompts were sent last.
 }
 
 // present is the session in force; a zero one is none.
@@ -91,6 +92,7 @@
 		flights:  make(map[cell.AttemptID]*cell.Flight),
 		former:   make(map[cell.RouterID]*former),
 		counters: make(map[cell.TeamID]counter),
+		placed:   make(map[uint64]placed),
 	}
 }
 
@@ -379,6 +381,7 @@
 		Unlent:   unlent,
 		Flights:  l.flightList(nil),
 		Counters: l.counterList(now),
+		Kept:     l.keptList(now),
 	})
 	if demands := l.pending.list(); len(demands) > 0 {
 		l.act(&SendWant{Router: router, Session: l.last, Demands: demands})
--- a/core/lend/work.go
+++ b/core/lend/work.go
@@ -99,6 +99,7 @@
 	l.granted = now
 	delete(l.pending.byAttempt, g.Attempt)
 	l.flights[g.Attempt] = &cell.Flight{Attempt: g.Attempt, Team: d.Team, Endpoint: g.Endpoint, Start: g.Start}
+	l.place(now, g.Endpoint, &d.Prompt)
 	l.act(&Granted{Attempt: g.Attempt, Endpoint: g.Endpoint, Start: g.Start, Fetch: g.Fetch, Expires: echoed.Add(l.conf.GrantValid)})
 }
 
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -148,9 +148,14 @@
 	m.Unlent = d.duration()
 	m.Flights = decodeSlice(d, (*Decoder).flight)
 	m.Counters = d.counters()
+	m.Kept = decodeSlice(d, (*Decoder).kept)
 	return m
 }
 
+func (d *Decoder) kept() cell.Kept {
+	return cell.Kept{Endpoint: cell.EndpointID(d.name()), Part: d.part(), Age: d.duration()}
+}
+
 func (d *Decoder) head() (cell.ID, cell.Session) {
 	if !d.takeForm(formSame) {
 		d.history.cell, d.history.session = cell.ID(d.name()), cell.Session(d.uint())
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -45,6 +45,7 @@
 		e.int(m.Unlent.Milliseconds()) // A part of a millisecond is left out: more would be a false claim.
 		encodeSlice(e, m.Flights, (*Encoder).flight)
 		e.counters(m.Counters)
+		encodeSlice(e, m.Kept, (*Encoder).kept)
 	case *Accepted:
 		e.head(m.Cell, m.Session)
 	case *Release:
@@ -136,6 +137,12 @@
 	e.due(d.Due)
 }
 
+func (e *Encoder) kept(k *cell.Kept) {
+	e.name(string(k.Endpoint))
+	e.part(&k.Part)
+	e.duration(k.Age)
+}
+
 func (e *Encoder) part(p *cell.Part) {
 	e.uint(p.ID)
 	e.int(int64(p.Tokens))
--- a/io/wire/message.go
+++ b/io/wire/message.go
@@ -18,6 +18,7 @@
 	Unlent   time.Duration // Unlent is the time until now in which no dispatcher counted the stake or granted to the sender.
 	Flights  []cell.Flight
 	Counters []cell.TeamCounter
+	Kept     []cell.Kept
 }
 
 // Accepted answers Join.
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -259,7 +259,7 @@
 	}
 	r.add(at, from, m.Session)
 	r.step(now, at, &dispatch.Join{
-		Router: from, Session: m.Session, Stake: m.Stake, Unlent: m.Unlent, Flights: m.Flights, Counters: m.Counters,
+		Router: from, Session: m.Session, Stake: m.Stake, Unlent: m.Unlent, Flights: m.Flights, Counters: m.Counters, Kept: m.Kept,
 	})
 	if !echoed.IsZero() {
 		r.renewSession(now, at, from, m.Session, echoed)
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -260,7 +260,7 @@
 		case *lend.Join:
 			r.config.Send(a.Router, &wire.Join{
 				Cell: at.id, Session: a.Session, Stake: a.Stake, Unlent: a.Unlent,
-				Flights: slices.Clone(a.Flights), Counters: slices.Clone(a.Counters),
+				Flights: slices.Clone(a.Flights), Counters: slices.Clone(a.Counters), Kept: a.Kept,
 			})
 		case *lend.Release:
 			r.config.Send(a.Router, &wire.Release{Cell: at.id, Session: a.Session})
