Log each decision on a request, and show latencies

Cause: the users' engineers have only logs and metrics. Change: a line for each decision on a request at its entry, a line for each refusal at the dispatcher with what was predicted, both with the attempt's number; lines go to standard output through a bounded ring that drops and counts; /debug/vars shows histograms of latencies by pool and the dropped lines.

--- a/cmd/ryelug/router.go
+++ b/cmd/ryelug/router.go
@@ -62,8 +62,10 @@
 	if given.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(given.MemoryLimit) << 20 / 4 * 3)
 	}
-	log := operator.NewLog(operator.LogConfig{Level: given.LogLevel, Format: given.LogFormat, Output: to.Err})
-	one, err := newProcess(given, log)
+	ring := operator.NewRing(to.Out)
+	defer ring.Close()
+	log := operator.NewLog(operator.LogConfig{Level: given.LogLevel, Format: given.LogFormat, Output: ring})
+	one, err := newProcess(given, log, ring)
 	if err != nil {
 		return err
 	}
@@ -95,7 +97,7 @@
 }
 
 // newProcess opens the listeners of a router, so that an address in use is told at once.
-func newProcess(given *settings.Settings, log logrus.FieldLogger) (*process.Process, error) {
+func newProcess(given *settings.Settings, log logrus.FieldLogger, ring *operator.Ring) (*process.Process, error) {
 	listeners, err := process.ListenAll(given.CallersAddress, given.OperatorAddress, given.PeerAddress)
 	if err != nil {
 		return nil, err
@@ -106,5 +108,6 @@
 		Operator: listeners[1],
 		Peers:    listeners[2],
 		Log:      log,
+		Ring:     ring,
 	}), nil
 }
--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -256,5 +256,12 @@
 func (d *Dispatcher) refuse(place int32, code result.Code, after time.Duration) {
 	request := *d.waiting.At(place)
 	d.unqueue(place)
-	d.out.Refuse(d.entries.At(request.Entry), request.Attempt, code, after)
+	grounds := dispatch.Grounds{
+		Team: d.teams[request.Team].id, Within: d.shares.Within(d.now, int(request.Team)), Best: d.best(&request),
+		Waited: d.now.Sub(request.Since),
+	}
+	if !request.Due.IsZero() {
+		grounds.Left = request.Due.Sub(d.now)
+	}
+	d.out.Refuse(d.entries.At(request.Entry), request.Attempt, code, after, grounds)
 }
--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -182,6 +182,21 @@
 	return -1
 }
 
+// best returns the least time to the first token that is predicted at any open engine.
+func (d *Dispatcher) best(request *queue.Request) time.Duration {
+	var best time.Duration
+	for i := range d.endpoints {
+		at := &d.endpoints[i]
+		if !at.open || at.engine == nil {
+			continue
+		}
+		if first := at.engine.Predict(d.now, &request.Prompt, false).First; best == 0 || first < best {
+			best = first
+		}
+	}
+	return best
+}
+
 // isPatient tells whether a request has time to wait for an engine that keeps its shared parts.
 func (d *Dispatcher) isPatient(now time.Time, request *queue.Request) bool {
 	return float64(now.Sub(request.Since)) < patientPart*float64(request.Due.Sub(request.Since))
--- a/core/dispatch/action.go
+++ b/core/dispatch/action.go
@@ -40,13 +40,13 @@
 }
 
 // Refuse adds a refusal, with the time after which the request may come back.
-func (o *Outbox) Refuse(to *session.Entry, attempt cell.AttemptID, code result.Code, after time.Duration) {
+func (o *Outbox) Refuse(to *session.Entry, attempt cell.AttemptID, code result.Code, after time.Duration, grounds Grounds) {
 	if o.refused == len(o.refusals) {
 		o.refusals = append(o.refusals, &RefuseTo{})
 	}
 	action := o.refusals[o.refused]
 	o.refused++
-	*action = RefuseTo{Router: to.Router, Session: to.Session, Attempt: attempt, Code: code, RetryAfter: after}
+	*action = RefuseTo{Router: to.Router, Session: to.Session, Attempt: attempt, Code: code, RetryAfter: after, Grounds: grounds}
 	o.actions = append(o.actions, action)
 }
 
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -154,6 +154,16 @@
 	Attempt    cell.AttemptID
 	Code       result.Code
 	RetryAfter time.Duration
+	Grounds    Grounds
+}
+
+// Grounds is what a refusal rests on, for the log; zero where the dispatcher does not predict.
+type Grounds struct {
+	Team   cell.TeamID
+	Within bool          // Within tells that the request lies within its team's share.
+	Left   time.Duration // Left is the time until the first token is late.
+	Best   time.Duration // Best is the least time to the first token that was predicted; zero if nothing was.
+	Waited time.Duration
 }
 
 func (*GrantTo) action()  {}
--- a/core/dispatch/team.go
+++ b/core/dispatch/team.go
@@ -64,9 +64,9 @@
 	}
 	switch {
 	case d.isClosed():
-		d.out.Refuse(by, demand.Attempt, result.NoCapacity, closedRetry)
+		d.out.Refuse(by, demand.Attempt, result.NoCapacity, closedRetry, Grounds{})
 	case d.isFull(of):
-		d.out.Refuse(by, demand.Attempt, result.TeamQueueFull, d.drainTime(now, of))
+		d.out.Refuse(by, demand.Attempt, result.TeamQueueFull, d.drainTime(now, of), Grounds{})
 	default:
 		avoid := noEndpoint
 		if at, ok := d.flights.Find(demand.Avoid); ok {
@@ -155,5 +155,5 @@
 func (d *Dispatcher) refuseWaiting(place int32, code result.Code, after time.Duration) {
 	request := *d.waiting.At(place)
 	d.unqueue(place)
-	d.out.Refuse(d.entries.At(request.Entry), request.Attempt, code, after)
+	d.out.Refuse(d.entries.At(request.Entry), request.Attempt, code, after, Grounds{})
 }
--- a/io/operator/log.go
+++ b/io/operator/log.go
@@ -18,11 +18,12 @@
 	DispatchPart Prefix = "dispatch" // DispatchPart: sessions and cells that this router dispatches.
 	ConfigPart   Prefix = "config"   // ConfigPart: generations and their adoption.
 	OperatorPart Prefix = "operator" // OperatorPart: this package.
+	RequestPart  Prefix = "request"  // RequestPart: decisions on requests.
 )
 
 // Prefixes returns all prefixes.
 func Prefixes() []Prefix {
-	return []Prefix{RouterPart, PeerPart, MemberPart, DispatchPart, ConfigPart, OperatorPart}
+	return []Prefix{RouterPart, PeerPart, MemberPart, DispatchPart, ConfigPart, OperatorPart, RequestPart}
 }
 
 const partField = "part"
--- a/router/bare_test.go
+++ b/router/bare_test.go
@@ -40,9 +40,9 @@
 	b.codes = append(b.codes, code)
 }
 
-func (*brokenCounter) Retried(entry.Reason) {}
-func (*brokenCounter) Completed()           {}
-func (*brokenCounter) Abandoned()           {}
+func (*brokenCounter) Retried(entry.Reason)      {}
+func (*brokenCounter) Completed(request.Latency) {}
+func (*brokenCounter) Abandoned()                {}
 
 // noHosts is a list of hosts that is always empty.
 type noHosts struct{}
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -10,6 +10,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/flight"
+	"ryelug/core/result"
 	"ryelug/io/wire"
 	"ryelug/router/directory"
 )
@@ -303,6 +304,7 @@
 			}
 			grants.Grants = append(grants.Grants, action.Grant)
 		case *dispatch.RefuseTo:
+			r.logRefusal(at, action)
 			r.config.Send(action.Router, refusals(at, action))
 		}
 	}
@@ -311,6 +313,21 @@
 	}
 }
 
+// logRefusal tells what a refusal by prediction rests on; the entry's log names the request of the attempt.
+func (r *Role) logRefusal(at *state, action *dispatch.RefuseTo) {
+	if at.reported != nil {
+		return
+	}
+	grounds := &action.Grounds
+	info, _ := result.Lookup(action.Code)
+	r.config.Log.WithFields(logrus.Fields{
+		"cell": at.id, "entry": action.Router, "attempt": action.Attempt, "code": info.Name, "team": grounds.Team,
+		"within_share": grounds.Within, "left_ms": grounds.Left.Milliseconds(), "best_ms": grounds.Best.Milliseconds(),
+		"waited_ms": grounds.Waited.Milliseconds(), "retry_after_ms": action.RetryAfter.Milliseconds(),
+		"generation": r.directory.Generation,
+	}).Info("A request is refused.")
+}
+
 // startGrants sends the run of grants that is complete and starts the next one.
 func (r *Role) startGrants(at *state, to cell.RouterID, done *wire.Grants, next *dispatch.GrantTo) *wire.Grants {
 	if done != nil {
--- a/router/grants.go
+++ b/router/grants.go
@@ -45,7 +45,7 @@
 
 func (g *grants) permit(ask lending.Ask, decided lending.Decision) (request.Permit, error) {
 	if refusal := decided.Refusal; refusal != nil {
-		return nil, &request.RefusedError{Code: result.Code(refusal.Code), RetryAfter: refusal.RetryAfter}
+		return nil, &request.RefusedError{Attempt: ask.Demand.Attempt, Code: result.Code(refusal.Code), RetryAfter: refusal.RetryAfter}
 	}
 	return &permit{
 		coordinator: g.coordinator,
@@ -63,6 +63,9 @@
 	decided     lending.Decision
 }
 
+// Attempt implements request.Permit.
+func (p *permit) Attempt() cell.AttemptID { return p.attempt }
+
 // Endpoint implements request.Permit.
 func (p *permit) Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID) {
 	return p.decided.Endpoint, p.decided.Address, p.decided.Start
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -34,6 +34,7 @@
 	Operator    net.Listener
 	Peers       net.Listener
 	Log         logrus.FieldLogger
+	Ring        *operator.Ring // Ring is what the log is written to; it may be nil.
 	Seed        uint64         // Seed sets the jitter; zero draws one.
 	Dial        Dial           // Dial opens all connections; TCP when nil.
 	Order       dispatch.Order // Order is nil for fair service; another one is a baseline.
@@ -42,12 +43,13 @@
 
 // Process is a router with all that belongs to its process.
 type Process struct {
-	config   Config
-	vars     *operator.Vars
-	platform *platform.Client
-	registry *users.Registry // registry is nil unless the platform registers the endpoints.
-	router   *router.Router
-	operator *operator.Server
+	config    Config
+	vars      *operator.Vars
+	platform  *platform.Client
+	registry  *users.Registry // registry is nil unless the platform registers the endpoints.
+	router    *router.Router
+	latencies *latencies
+	operator  *operator.Server
 }
 
 // New returns a process that Run starts.
@@ -58,7 +60,7 @@
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
-	process := &Process{config: config, vars: operator.NewVars()}
+	process := &Process{config: config, vars: operator.NewVars(), latencies: newLatencies()}
 	process.platform = platform.New(platform.Config{
 		Address:     config.Settings.PlatformAddress,
 		Environment: config.Settings.Environment,
@@ -97,6 +99,14 @@
 	return p.router
 }
 
+// platformCalls returns the number of calls to the platform so far.
+func (p *Process) platformCalls() int64 {
+	if p.registry != nil {
+		return p.registry.Calls()
+	}
+	return p.platform.Calls()
+}
+
 // Health tells whether the balancer should send requests.
 func (p *Process) Health() operator.Health {
 	health := p.router.Health()
@@ -130,7 +140,7 @@
 		Platform:     p.platform,
 		Hosts:        &hosts{platform: p.platform},
 		Endpoints:    p.newEndpoints(endpoint.Dialect{}),
-		Counter:      &counter{vars: p.vars},
+		Counter:      &counter{vars: p.vars, latencies: p.latencies},
 		Keys:         keyed.New(keyed.Config{Records: p.platform, Retention: given.KeyedRetention}),
 		KeyedRate:    float64(given.KeyedRate),
 		OldRecords:   p.platform,
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -11,6 +11,7 @@
 	"ryelug/io/operator"
 	"ryelug/io/stamped"
 	"ryelug/router/coordination"
+	"ryelug/router/request"
 )
 
 // viewTimeout bounds the wait for the coordination state, so that a busy router still shows its counters.
@@ -19,12 +20,13 @@
 // retryReasons have a counter from the start.
 var retryReasons = []entry.Reason{
 	entry.GrantExpired, entry.EndpointRestarted, entry.EndpointUnreachable, entry.EndpointBusy,
-	entry.AnswerMissing, entry.AnswerLate, entry.StreamResumed,
+	entry.AnswerMissing, entry.AnswerLate, entry.StreamResumed, entry.EndpointFailed,
 }
 
 // counter counts what happens to requests.
 type counter struct {
-	vars *operator.Vars
+	vars      *operator.Vars
+	latencies *latencies
 }
 
 // Refused implements request.Counter.
@@ -38,7 +40,8 @@
 }
 
 // Completed implements request.Counter.
-func (c *counter) Completed() {
+func (c *counter) Completed(latency request.Latency) {
+	c.latencies.add(latency)
 	c.vars.Finished(result.OK)
 }
 
@@ -60,13 +63,23 @@
 // gauges returns the variables that are read when they are asked for.
 func (p *Process) gauges() map[string]func() any {
 	return map[string]func() any{
+		"latency":        func() any { return p.latencies.read() },
+		"log_dropped":    func() any { return p.dropped() },
 		"health":         func() any { return p.Health() },
-		"platform_calls": func() any { return p.platform.Calls() },
+		"platform_calls": func() any { return p.platformCalls() },
 		"peers":          func() any { return p.peers() },
 		"cells":          func() any { return p.cells() },
 	}
 }
 
+// dropped returns the number of log lines that were dropped.
+func (p *Process) dropped() int64 {
+	if p.config.Ring == nil {
+		return 0
+	}
+	return p.config.Ring.Dropped()
+}
+
 func (p *Process) view() (coordination.View, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), viewTimeout)
 	defer cancel()
--- a/router/request/key.go
+++ b/router/request/key.go
@@ -48,7 +48,7 @@
 		Body:        answer.Body,
 		Replayed:    true,
 	})
-	r.runner.config.Counter.Completed()
+	r.runner.config.Counter.Completed(r.latency())
 }
 
 // final refuses a request that has not been sent; not_run speaks of this request, not of earlier ones with its key.
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -40,6 +40,7 @@
 	sendAt     time.Time
 	firstToken time.Duration
 	meter      meter
+	lastError  error           // lastError is the cause of the latest failure, until it is logged.
 	key        *keyed.Hold     // key is nil for a request without an Idempotency-Key.
 	attempt    context.Context // attempt ends when the caller has gone or the attempt takes too long.
 	endAttempt context.CancelFunc
@@ -54,7 +55,9 @@
 		if ctx.Err() != nil && !r.detached() {
 			ev = &entry.CallerGone{Sent: r.sent}
 		}
-		ev = r.do(ctx, r.life.Step(time.Now(), ev))
+		action := r.life.Step(time.Now(), ev)
+		r.decided(ev, action)
+		ev = r.do(ctx, action)
 	}
 }
 
@@ -106,6 +109,7 @@
 	defer cancel()
 	permit, err := r.runner.config.Grants.Ask(queue, r.wanted(ask.Avoid))
 	if err != nil {
+		r.lastError = err
 		return refusedBy(err)
 	}
 	r.permit = permit
@@ -197,6 +201,7 @@
 
 // failed turns an error of a send into an event.
 func (r *run) failed(call endpoint.Call, err error) entry.Event {
+	r.lastError = err
 	var (
 		notSent *endpoint.ErrNotSent
 		start   *endpoint.ErrStartChanged
@@ -274,6 +279,7 @@
 // first, since the endpoint is done and a slow caller must not hold its place.
 func (r *run) deliver(end cell.Outcome) {
 	answer := r.answer
+	latency := r.latency()
 	r.meter.whole(answer.Body)
 	if answer.Events != nil {
 		answer.Events.Close() // The end of the attempt would close a connection that is still in use.
@@ -292,7 +298,16 @@
 		r.key.Answered(answer.Status, answer.ContentType, answer.Body)
 		_ = r.writer.Whole(r.outgoingAnswer())
 	}
-	r.runner.config.Counter.Completed()
+	r.runner.config.Counter.Completed(latency)
+}
+
+// latency returns the times of a request that ends now.
+func (r *run) latency() Latency {
+	latency := Latency{Pool: r.route.Pool, Whole: time.Since(r.req.Received)}
+	if r.firstToken > 0 {
+		latency.First = r.sendAt.Add(r.firstToken).Sub(r.req.Received)
+	}
+	return latency
 }
 
 func (r *run) refuse(refuse *entry.Refuse) {
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
 	"ryelug/core/entry"
@@ -45,6 +46,8 @@
 
 // Permit is one grant at hand; End must be called once.
 type Permit interface {
+	// Attempt returns the number under which the dispatcher knows the attempt.
+	Attempt() cell.AttemptID
 	// Endpoint returns the endpoint, its address and the start that the permit holds for.
 	Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID)
 	// Fetch returns where an engine listens that keeps shared parts of the prompt; it is invalid for none.
@@ -63,6 +66,7 @@
 
 // RefusedError tells that no permit comes.
 type RefusedError struct {
+	Attempt    cell.AttemptID // Attempt is the number under which the dispatcher knows the demand.
 	Code       result.Code
 	RetryAfter time.Duration
 }
@@ -77,10 +81,17 @@
 type Counter interface {
 	Refused(code result.Code)
 	Retried(reason entry.Reason)
-	Completed()
+	Completed(latency Latency)
 	Abandoned()
 }
 
+// Latency is how long a request took that was answered, from its arrival here.
+type Latency struct {
+	Pool  cell.ID
+	First time.Duration // First is the time to the first event; zero for an answer that is no stream.
+	Whole time.Duration
+}
+
 // Route is what the configuration says of one request.
 type Route struct {
 	Team           cell.TeamID
@@ -90,12 +101,13 @@
 	QueueTimeout   time.Duration // QueueTimeout bounds each wait for a grant.
 	LongestRequest time.Duration // LongestRequest bounds an attempt.
 
-	Verbatim  bool           // Verbatim passes answers on as the endpoint wrote them.
-	Streams   bool           // Streams tells that answers are streams whose first event counts.
-	MaxSends  int            // MaxSends bounds the endpoints that get the request; zero is no bound.
-	Timeout   time.Duration  // Timeout bounds the time to the final answer, from the arrival of the request; zero is no bound.
-	Objective time.Duration  // Objective is the time from the arrival in which the first event, or the whole answer, is on time.
-	Header    []header.Field // Header is added to what passes on to the endpoint.
+	Verbatim   bool           // Verbatim passes answers on as the endpoint wrote them.
+	Streams    bool           // Streams tells that answers are streams whose first event counts.
+	MaxSends   int            // MaxSends bounds the endpoints that get the request; zero is no bound.
+	Timeout    time.Duration  // Timeout bounds the time to the final answer, from the arrival of the request; zero is no bound.
+	Objective  time.Duration  // Objective is the time from the arrival in which the first event, or the whole answer, is on time.
+	Generation uint64         // Generation is that of the configuration in which the route was found.
+	Header     []header.Field // Header is added to what passes on to the endpoint.
 }
 
 // Defaults of a Config.
@@ -113,10 +125,11 @@
 type Config struct {
 	Endpoints    Endpoints
 	Grants       Grants
-	Counter      Counter       // Counter may be nil.
-	RetryRatio   float64       // RetryRatio is the number of retries that each request of a pool earns.
-	RetryBurst   float64       // RetryBurst bounds the retries saved up for a pool.
-	Keys         *keyed.Keeper // Keys may be nil; then requests with an Idempotency-Key are refused.
+	Counter      Counter            // Counter may be nil.
+	Log          logrus.FieldLogger // Log gets a line for each decision on a request; it may be nil.
+	RetryRatio   float64            // RetryRatio is the number of retries that each request of a pool earns.
+	RetryBurst   float64            // RetryBurst bounds the retries saved up for a pool.
+	Keys         *keyed.Keeper      // Keys may be nil; then requests with an Idempotency-Key are refused.
 	BackoffStart time.Duration
 	BackoffLimit time.Duration
 }
@@ -151,7 +164,7 @@
 func (uncounted) Retried(entry.Reason) {}
 
 // Completed implements Counter.
-func (uncounted) Completed() {}
+func (uncounted) Completed(Latency) {}
 
 // Abandoned implements Counter.
 func (uncounted) Abandoned() {}
--- a/router/request/runner_test.go
+++ b/router/request/runner_test.go
@@ -117,7 +117,7 @@
 
 func (r *reasons) Retried(reason entry.Reason) { r.retried = append(r.retried, reason) }
 func (*reasons) Refused(result.Code)           {}
-func (*reasons) Completed()                    {}
+func (*reasons) Completed(request.Latency)     {}
 func (*reasons) Abandoned()                    {}
 
 // TestLateGrant hands back grants that came too late, and sends under the next one in time.
--- a/router/router.go
+++ b/router/router.go
@@ -24,6 +24,7 @@
 type Router struct {
 	config        *Config
 	log           logrus.FieldLogger
+	requestLog    logrus.FieldLogger
 	coordinator   *coordination.Coordinator
 	configuration *configuration.Duty
 	runner        *request.Runner
@@ -38,7 +39,11 @@
 
 // New returns a Router that Run starts.
 func New(conf Config) *Router {
-	r := &Router{config: &conf, log: operator.Part(conf.Log, operator.RouterPart)}
+	r := &Router{
+		config:     &conf,
+		log:        operator.Part(conf.Log, operator.RouterPart),
+		requestLog: operator.Part(conf.Log, operator.RequestPart),
+	}
 	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
 	r.runner = request.New(request.Config{
@@ -46,6 +51,7 @@
 		Grants:    &grants{coordinator: r.coordinator},
 		Counter:   conf.Counter,
 		Keys:      conf.Keys,
+		Log:       r.requestLog,
 
 		RetryRatio:   conf.Retries.RetryRatio,
 		RetryBurst:   conf.Retries.RetryBurst,
--- a/router/serve.go
+++ b/router/serve.go
@@ -28,6 +28,10 @@
 	defer r.requests.Done()
 	route, code := r.resolve(req)
 	if code != result.OK {
+		info, _ := result.Lookup(code)
+		r.requestLog.WithFields(logrus.Fields{
+			"request": req.ID, "code": info.Name, "not_run": true, "generation": r.generation(), "host": req.Host, "decision": "refuse",
+		}).Info("A request is refused before anything was asked for.")
 		r.refuse(w, code)
 		return
 	}
@@ -89,6 +93,7 @@
 		Team:           team,
 		Pool:           cell.ID(pool.Name),
 		Service:        pool.Kind == config.Service,
+		Generation:     d.Generation,
 		Idempotent:     idempotent,
 		QueueTimeout:   pool.QueueTimeout,
 		LongestRequest: pool.LongestRequest,
@@ -113,6 +118,7 @@
 		QueueTimeout:   grantWait,
 		LongestRequest: found.Timeout,
 		Verbatim:       true,
+		Generation:     d.Generation,
 		Streams:        found.Streams,
 		MaxSends:       found.MaxSends,
 		Timeout:        found.Timeout,
