--- a/router/process/process.go
+++ b/router/process/process.go
@@ -34,11 +34,12 @@
 	Operator    net.Listener
 	Peers       net.Listener
 	Log         logrus.FieldLogger
-	Ring        *operator.Ring // Ring is what the log is written to; it may be nil.
-	Seed        uint64         // Seed sets the jitter; zero draws one.
-	Dial        Dial           // Dial opens all connections; TCP when nil.
-	Order       dispatch.Order // Order is nil for fair service; another one is a baseline.
-	LocalQueues bool           // LocalQueues makes the router dispatch for itself, a baseline.
+	Ring        *operator.Ring       // Ring is what the log is written to; it may be nil.
+	Seed        uint64               // Seed sets the jitter; zero draws one.
+	Now         func() time.Duration // Now is the clock that counts suspensions; that of the machine when nil.
+	Dial        Dial                 // Dial opens all connections; TCP when nil.
+	Order       dispatch.Order       // Order is nil for fair service; another one is a baseline.
+	LocalQueues bool                 // LocalQueues makes the router dispatch for itself, a baseline.
 }
 
 // Process is a router with all that belongs to its process.
@@ -171,6 +172,7 @@
 		Self:        users.Entry{Host: given.Host, Address: given.PeerAddress, DataCentre: given.DataCentre},
 		Cold:        users.ColdBound{Factor: given.ColdFactor, Slack: given.ColdSlack},
 		RevokeBound: given.RevokeBound,
+		Now:         p.config.Now,
 		Log:         operator.Part(p.config.Log, operator.ConfigPart),
 	})
 	own.Source, own.Hosts = p.registry, p.registry
