Test the model of engines, lives of requests and endpoints' answers on the platform

Also learn faster that an engine is slow: a quarter of each new difference, not an eighth (TestSlowEngineIsTriedAgain fails with an eighth).

--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -224,3 +224,107 @@
 	}
 	return actions[0]
 }
+
+// A request goes elsewhere with a word on where its shared parts are, if the engine that keeps them is full.
+func TestSharedPartsAreFetched(t *testing.T) {
+	is := is.New(t)
+	policy := engines("e1", "e2")
+	policy.Endpoints[0].WarmLimit, policy.Endpoints[1].WarmLimit = 4, 4
+	d := newDesk(policy)
+	home := granted(t, d.ask("kiosks", prompt(1, 5000, 500), time.Second)).Endpoint
+	d.pass(time.Second)
+	for range 4 {
+		d.ask("kiosks", prompt(1, 5000, 500), time.Second)
+	}
+	d.ask("kiosks", prompt(1, 5000, 500), time.Second)
+	d.pass(200 * time.Millisecond)
+	last := d.grants[len(d.grants)-1]
+	is.True(last.Endpoint != home)
+	is.Equal(last.Fetch, home)
+	is.Equal(d.grants[0].Fetch, cell.EndpointID("")) // The first of all had nothing to fetch.
+}
+
+// A new dispatcher learns from its entries which engine keeps what.
+func TestKeptPartsAreTold(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(engines("e1", "e2", "e3"))
+	d.Step(d.now, &dispatch.Join{Router: "b/1", Session: 1, Kept: []cell.Kept{
+		{Endpoint: "e3", Part: cell.Part{ID: 7, Tokens: 5000}, Age: time.Second}, {Endpoint: "gone", Part: cell.Part{ID: 8, Tokens: 10}},
+	}})
+	is.Equal(granted(t, d.ask("kiosks", prompt(7, 5000, 500), time.Second)).Endpoint, cell.EndpointID("e3"))
+}
+
+// A dispatcher that holds no stake grants what needs none, and nothing to a cold endpoint.
+func TestWithoutStake(t *testing.T) {
+	is := is.New(t)
+	policy := engines("cold", "warm")
+	policy.Endpoints[0].ColdUntil = time.Now().Add(time.Hour)
+	d := &desk{Dispatcher: admission.New(admission.Config{Cell: "chat"}), now: time.Now(), running: map[cell.AttemptID]time.Time{}}
+	d.Step(d.now, &dispatch.Voters{Hosts: []cell.HostID{"a", "b"}, Total: 2})
+	d.Step(d.now, &policy)
+	d.Step(d.now, &dispatch.Join{Router: grantOf, Session: 1})
+	for range 20 {
+		d.pass(50 * time.Millisecond)
+		is.Equal(granted(t, d.ask("kiosks", prompt(uint64(d.last)+10, 0, 100), time.Second)).Endpoint, cell.EndpointID("warm"))
+	}
+}
+
+// Dispatchers that share the stakes of the fleet give a cold endpoint together no more than it bears.
+func TestColdRateOfRivals(t *testing.T) {
+	is := is.New(t)
+	const hosts, bears = 7, 29
+	policy := engines("e1")
+	policy.ColdRate = bears
+	policy.Endpoints[0].ColdUntil = time.Now().Add(time.Hour)
+	var voters []cell.HostID
+	for n := range hosts {
+		voters = append(voters, cell.HostID(string(rune('a'+n))))
+	}
+	now := time.Now()
+	for _, split := range []int{1, 2, 3} { // The first dispatcher holds so many stakes, the other the rest.
+		total := 0
+		for _, held := range []int{split, hosts - split} {
+			d := admission.New(admission.Config{Cell: "chat"})
+			d.Step(now, &dispatch.Voters{Hosts: voters, Total: hosts})
+			d.Step(now, &policy)
+			for n := range held {
+				router := cell.RouterID(voters[n]) + "/1"
+				d.Step(now, &dispatch.Join{Router: router, Session: 1, Stake: true, Unlent: time.Hour})
+				d.Step(now, &dispatch.Renew{Router: router, Session: 1, StakeUntil: now.Add(time.Hour)})
+			}
+			for attempt := range cell.AttemptID(100) {
+				demand := cell.Demand{Attempt: attempt + 1, Team: "kiosks", Prompt: prompt(uint64(attempt), 0, 1), Due: now.Add(time.Second)}
+				for _, action := range d.Step(now, &dispatch.Want{Router: "a/1", Session: 1, Demands: []cell.Demand{demand}}) {
+					if _, ok := action.(*dispatch.GrantTo); ok {
+						total++
+					}
+				}
+			}
+		}
+		is.True(total <= bears)
+		is.True(total >= bears-hosts)
+	}
+}
+
+// A step in the steady state allocates next to nothing and takes microseconds with 60 engines.
+func BenchmarkAdmission(b *testing.B) {
+	names := make([]cell.EndpointID, 60)
+	for i := range names {
+		names[i] = cell.EndpointID(string(rune('a'+i/26)) + string(rune('a'+i%26)))
+	}
+	d := admission.New(admission.Config{Cell: "chat"})
+	now := time.Now()
+	policy := engines(names...)
+	d.Step(now, &policy)
+	d.Step(now, &dispatch.Join{Router: grantOf, Session: 1})
+	demands := make([]cell.Demand, 1)
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		attempt := cell.AttemptID(i + 1)
+		demands[0] = cell.Demand{Attempt: attempt, Team: "kiosks", Estimate: 600, Prompt: prompt(uint64(i%200), 500, 50), Due: now.Add(time.Second)}
+		d.Step(now, &dispatch.Want{Router: grantOf, Session: 1, Demands: demands})
+		d.Step(now, &dispatch.Progressed{Router: grantOf, Session: 1, Progress: []cell.Progress{{Attempt: attempt, FirstToken: time.Millisecond}}})
+		d.Step(now, &dispatch.Ended{Router: grantOf, Ends: []cell.End{{Attempt: attempt, Outcome: cell.Completed}}})
+	}
+}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	latencyWeight = 8               // latencyWeight divides the newest sample's difference in the average.
+	latencyWeight = 4               // latencyWeight divides the newest sample's difference in the average.
 	latencyDecay  = 2 * time.Second // latencyDecay is the time constant after which a slow engine is tried again.
 	mostLatency   = 10 * time.Second
 	memoryPercent = 95 // memoryPercent of the memory is given out; beyond it engines preempt.
--- /dev/null
+++ b/core/engine/engine_test.go
@@ -0,0 +1,100 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/core/engine"
+)
+
+var began = time.Unix(1000, 0)
+
+func prompt(shared uint64, tokens, own int) *cell.Prompt {
+	return &cell.Prompt{Parts: []cell.Part{{ID: shared, Tokens: tokens}, {ID: shared + 1000, Tokens: own}}, Output: 100}
+}
+
+// Prompts are read one after the other; what is kept is not read again.
+func TestPrefill(t *testing.T) {
+	is := is.New(t)
+	e := engine.New(engine.Profile{Prefill: 10 * time.Microsecond, Step: time.Nanosecond, StepPerSlot: time.Nanosecond, FirstLatency: 50 * time.Millisecond})
+	is.Equal(e.Predict(began, prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 150*time.Millisecond)
+	run := e.Admit(began, prompt(1, 6000, 4000), false)
+	seen := e.Predict(began, prompt(1, 6000, 4000), false)
+	is.Equal(seen.Shared, 0)
+	is.Equal(seen.First.Round(time.Millisecond), 190*time.Millisecond)
+	other := e.Predict(began, prompt(2, 6000, 4000), true) // Its shared part is copied.
+	is.Equal(other.First.Round(time.Millisecond), 190*time.Millisecond)
+	now := began.Add(150 * time.Millisecond)
+	e.Begun(now, &run)
+	e.Ended(now.Add(time.Second), &run)
+	is.Equal(e.Running(), 0)
+	is.Equal(e.Predict(now.Add(time.Second), prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 50*time.Millisecond) // All of it is kept.
+}
+
+// Prompts that should have been read and show no token hold up what comes later.
+func TestSilentEngine(t *testing.T) {
+	is := is.New(t)
+	e := engine.New(engine.Profile{})
+	run := e.Admit(began, prompt(1, 100, 100), false)
+	soon := e.Predict(began.Add(100*time.Millisecond), prompt(2, 100, 100), false).First
+	late := e.Predict(began.Add(2*time.Second), prompt(2, 100, 100), false).First
+	is.True(late > soon+1500*time.Millisecond)
+	e.Ended(began.Add(2*time.Second), &run)
+	is.True(e.Predict(began.Add(2*time.Second), prompt(2, 100, 100), false).First < 200*time.Millisecond)
+}
+
+// An engine that was slow is believed to be slow, and tried again after a while.
+func TestSlowEngineIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	e := engine.New(engine.Profile{})
+	now := began
+	for range 20 {
+		run := e.Admit(now, prompt(1, 100, 100), false)
+		now = now.Add(time.Second)
+		e.Begun(now, &run)
+		e.Ended(now, &run)
+	}
+	slow := e.Predict(now, prompt(1, 100, 100), false).First
+	is.True(slow > 500*time.Millisecond)
+	is.True(e.Predict(now.Add(10*time.Second), prompt(1, 100, 100), false).First < slow/2)
+}
+
+// Shared parts take memory once, however many runs use them; own parts and answers take theirs each.
+func TestMemory(t *testing.T) {
+	is := is.New(t)
+	e := engine.New(engine.Profile{Memory: 10_000})
+	var runs []engine.Run
+	for e.Predict(began, prompt(1, 5000, 400), false).Fits {
+		runs = append(runs, e.Admit(began, prompt(1, 5000, 400), false))
+	}
+	is.Equal(len(runs), 19) // of 500 tokens each, in 95 in 100 of the memory
+	is.True(!e.Keeps(prompt(1, 5000, 400)))
+	for i := range runs {
+		e.Begun(began, &runs[i])
+		e.Ended(began, &runs[i])
+	}
+	is.True(e.Predict(began, prompt(1, 5000, 400), false).Fits)
+}
+
+// The parts used least recently yield first, and a part helps only if all before it are kept.
+func TestPartsYield(t *testing.T) {
+	is := is.New(t)
+	e := engine.New(engine.Profile{Memory: 1000})
+	for id := range uint64(3) {
+		e.Keep(cell.Part{ID: id + 1, Tokens: 400})
+	}
+	chain := func(ids ...uint64) *cell.Prompt {
+		prompt := &cell.Prompt{}
+		for _, id := range append(ids, 99) {
+			prompt.Parts = append(prompt.Parts, cell.Part{ID: id, Tokens: 400})
+		}
+		return prompt
+	}
+	is.True(!e.Keeps(chain(1)))
+	is.True(e.Keeps(chain(2, 3)))
+	is.True(!e.Keeps(chain(1, 3)))
+	is.Equal(e.Predict(began, chain(1, 3), false).Shared, 800)
+}
--- a/core/entry/life_test.go
+++ b/core/entry/life_test.go
@@ -142,3 +142,51 @@
 		}
 	})
 }
+
+// Requests whose endpoints the platform bounds: a limit of endpoints, streams that go on
+// elsewhere, and endpoints' own failures.
+func TestLifeElsewhere(t *testing.T) {
+	granted, first, broken := &entry.Granted{}, &entry.Streamed{ID: "1"}, &entry.Broken{Endpoint: "e"}
+	failed, refused := &entry.FailedAnswer{Endpoint: "e"}, &entry.EndpointRefused{Endpoint: "e"}
+	two, one := entry.Config{Elsewhere: true, MaxSends: 2}, entry.Config{Elsewhere: true, MaxSends: 1}
+	once := entry.Config{Elsewhere: true, MaxSends: 1, NonIdempotent: true}
+	retry := func(end cell.Outcome, reason entry.Reason) entry.Action {
+		return &entry.Ask{End: end, Avoid: "e", After: time.Second, Reason: reason}
+	}
+	refuse := func(end cell.Outcome, code result.Code, notRun bool) entry.Action {
+		return &entry.Refuse{End: end, Code: code, NotRun: notRun, RetryAfter: time.Second}
+	}
+	cases := []struct {
+		name   string
+		config entry.Config
+		events []entry.Event
+		want   entry.Action
+	}{
+		{"broken stream", two, []entry.Event{granted, first, broken}, retry(cell.Failed, entry.StreamResumed)},
+		{"broken stream, granted again", two, []entry.Event{granted, first, broken, granted}, &entry.Send{LastEvent: "1"}},
+		{"broken stream, no endpoint left", one, []entry.Event{granted, first, broken}, refuse(cell.Failed, result.StreamBroken, false)},
+		{"broken stream that runs once", once, []entry.Event{granted, first, broken}, refuse(cell.Failed, result.StreamBroken, false)},
+		{"broken twice", two, []entry.Event{granted, first, broken, granted, broken}, refuse(cell.Failed, result.StreamBroken, false)},
+		{"stream of the caller's own resume", entry.Config{Elsewhere: true, MaxSends: 2, LastEvent: "4"}, []entry.Event{granted, &entry.Streamed{ID: "5"}}, &entry.Relay{}},
+		{"stream's end", one, []entry.Event{granted, first, &entry.StreamEnded{}}, &entry.Deliver{}},
+		{"failed", two, []entry.Event{granted, failed}, retry(cell.Failed, entry.EndpointFailed)},
+		{"failed, no endpoint left", one, []entry.Event{granted, failed}, &entry.Deliver{End: cell.Failed}},
+		{"failed twice", two, []entry.Event{granted, failed, granted, failed}, &entry.Deliver{End: cell.Failed}},
+		{"failed, runs once", once, []entry.Event{granted, failed}, &entry.Deliver{End: cell.Failed}},
+		{"refused, no endpoint left", one, []entry.Event{granted, refused}, refuse(cell.Refused, result.EndpointRefused, true)},
+		{"refused", two, []entry.Event{granted, refused}, retry(cell.Refused, entry.EndpointBusy)},
+		{"unreached does not count as sent", one, []entry.Event{granted, &entry.NotSent{Endpoint: "e"}}, retry(cell.Unreached, entry.EndpointUnreachable)},
+		{"broken, then refused: no promise", two, []entry.Event{granted, broken, granted, refused}, refuse(cell.Refused, result.RetryBudgetSpent, false)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			life := newLife(c.config)
+			got := life.Step(start, &entry.Begin{})
+			for _, ev := range c.events {
+				got = life.Step(start, ev)
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
