Let a router that is cut off count no votes

Ruled out: a longer shrink_delay. Change: no vote counts during a cut-off, unless the list loses no host by mistake, as on the users' platform.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -42,6 +42,7 @@
 	Lag         time.Duration // Lag bounds the age of a list, the pause between two reads included.
 	ShrinkDelay time.Duration // ShrinkDelay is how long a host counts after the last sign of it; more than CutOffAfter and Lag together.
 	Damping     time.Duration // Damping is how long a link must hold after repeated losses, and a process must run, to come first in an order.
+	Durable     bool          // Durable tells that the list loses no host by mistake, so that votes count during a cut-off too.
 	CutOffAfter time.Duration // CutOffAfter is how long a router may go on without a fresh list and without most of its peers.
 }
 
@@ -57,6 +58,7 @@
 	voters    []cell.HostID
 	total     int
 	settled   time.Time // settled is the time of the last settle.
+	silenced  bool      // silenced tells that no vote counts here, as the others may have forgotten hosts that this router remembers.
 }
 
 // record is one host.
@@ -296,8 +298,11 @@
 		reordered = reordered || live != r.live || settled != r.settled
 		r.live, r.settled = live, settled
 	}
+	if cutOff := t.CutOff(now) && !t.conf.Durable; cutOff != t.silenced {
+		t.silenced, revoted = cutOff, true
+	}
 	if revoted {
-		t.voters = t.collect(func(r *record) bool { return r.voter })
+		t.voters = t.collect(func(r *record) bool { return r.voter && !t.silenced })
 	}
 	t.total = total
 	if reordered {
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -81,6 +81,7 @@
 			Started:     time.Now(),
 			Lag:         config.Timings.ListLag,
 			CutOffAfter: config.Timings.CutOffAfter,
+			Durable:     config.Registered,
 		}),
 		links: links.New(),
 		early: time.NewTimer(tickInterval),
