--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -29,6 +29,10 @@
 	fetchWeight = 40 * time.Millisecond
 	// patientPart is the part of its time for which a request waits for an engine that keeps its shared parts.
 	patientPart = 0.1
+	// lightPart is the part of its slots below which an engine has much room.
+	lightPart = 0.5
+	// longWait is the longest wait at an engine for a prompt that is too long to be answered in time anywhere.
+	longWait = 100 * time.Millisecond
 	// crowdWeight is what a full batch counts for, as each request slows the tokens of all.
 	crowdWeight = 100 * time.Millisecond
 	// awayWeight is what the way to another data centre counts for.
@@ -240,11 +244,7 @@
 		return cost, admitted
 	}
 	seen := at.engine.Predict(now, &request.Prompt, fetch)
-	part := beyondPart
-	if within {
-		part = withinPart
-	}
-	if float64(seen.First) > part*float64(left) {
+	if !mayAnswer(at, seen, left, within) {
 		return 0, hopeless
 	}
 	if !seen.Fits {
@@ -257,6 +257,17 @@
 	return cost + seen.First + readAgainWeight*again, admitted
 }
 
+// mayAnswer tells whether an engine should answer a request that has so much time left. An engine with
+// much room takes all that it can answer in time, and also what no engine can: late, but at once.
+func mayAnswer(at *endpoint, seen engine.Prediction, left time.Duration, within bool) bool {
+	isLight := float64(at.running) < lightPart*float64(at.slots)
+	part := beyondPart
+	if within || isLight {
+		part = withinPart
+	}
+	return float64(seen.First) <= part*float64(left)
+}
+
 func slotsFor(slots int, within bool) int {
 	if within {
 		return slots
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -60,6 +60,7 @@
 // Prediction is what a request would find at an engine.
 type Prediction struct {
 	First  time.Duration // First is the time to the first token.
+	Wait   time.Duration // Wait is the part of it that passes before the request's own prompt is read.
 	Shared int           // Shared is the number of tokens of shared parts that would be read again.
 	Fits   bool          // Fits tells that a slot and memory are free.
 }
@@ -108,6 +109,7 @@
 		wait += max(0, now.Sub(e.unread[0])-e.latency(now))
 	}
 	return Prediction{
+		Wait:   wait,
 		First:  wait + e.prefill(missing) + e.latency(now),
 		Shared: shared,
 		Fits:   e.running < e.profile.Slots && (e.used+tokens)*100 <= e.profile.Memory*memoryPercent,
