Keep long prompts from holding up the tokens of others

Cause: a step that reads a chunk of a long prompt takes longer with each token before it; above some 30,000 tokens all runs of the engine pause longer between events than their routes allow. Change: the model counts that in the time of a prefill and predicts the pause; a prompt that would cause one is not admitted beside more than four runs.

--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -31,8 +31,10 @@
 	patientPart = 0.1
 	// lightPart is the part of its slots below which an engine has much room.
 	lightPart = 0.5
-	// longWait is the longest wait at an engine for a prompt that is too long to be answered in time anywhere.
-	longWait = 100 * time.Millisecond
+	// gapPart is the part of the pause between events that a prompt may take up beside other runs.
+	gapPart = 0.9
+	// fewRuns is the number of runs that a long prompt may hold up.
+	fewRuns = 4
 	// crowdWeight is what a full batch counts for, as each request slows the tokens of all.
 	crowdWeight = 100 * time.Millisecond
 	// awayWeight is what the way to another data centre counts for.
@@ -244,7 +246,7 @@
 		return cost, admitted
 	}
 	seen := at.engine.Predict(now, &request.Prompt, fetch)
-	if !mayAnswer(at, seen, left, within) {
+	if !mayAnswer(at, seen, left, within) || d.disturbs(at, seen) {
 		return 0, hopeless
 	}
 	if !seen.Fits {
@@ -268,6 +270,11 @@
 	return float64(seen.First) <= part*float64(left)
 }
 
+// disturbs tells whether reading a prompt would hold up the events of more than a few runs for too long.
+func (d *Dispatcher) disturbs(at *endpoint, seen engine.Prediction) bool {
+	return d.policy.Gap > 0 && at.running > fewRuns && float64(seen.Gap) > gapPart*float64(d.policy.Gap)
+}
+
 func slotsFor(slots int, within bool) int {
 	if within {
 		return slots
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -42,6 +42,7 @@
 	Engine    *engine.Profile // Engine describes the engines of a pool whose endpoints the platform registers; nil for plain services.
 	ColdRate  int             // ColdRate is the most requests that a cold endpoint of such a pool bears in any second; zero is no limit.
 	ColdSpan  time.Duration   // ColdSpan is how long an endpoint stays cold after its start.
+	Gap       time.Duration   // Gap is the longest pause between events of a stream that is on time; zero is no limit.
 	FairRate  float64         // FairRate is the cost a second that teams share evenly; zero when it is unknown.
 	Predicted bool            // Predicted asks for placing by predicted times, as the endpoints refuse what they can't take.
 
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -16,6 +16,8 @@
 	DefaultStep         = 3270 * time.Microsecond // a step with no request
 	DefaultStepPerSlot  = 82 * time.Microsecond   // each request of the batch
 	DefaultChunk        = 2048                    // prompt tokens read in a step
+	DefaultPairs        = 263 * time.Nanosecond   // a thousand pairs of a prompt token that is read and one before it
+	DefaultStride       = 7                       // tokens of an event
 	DefaultFirstLatency = 90 * time.Millisecond   // end of the prefill to the first event
 )
 
@@ -34,6 +36,8 @@
 	Step         time.Duration // Step is the time of a step with an empty batch.
 	StepPerSlot  time.Duration // StepPerSlot is what each request of the batch adds to a step.
 	Chunk        int           // Chunk is the number of prompt tokens that one step reads.
+	Pairs        time.Duration // Pairs is the time for a thousand pairs of a token that is read and one before it.
+	Stride       int           // Stride is the number of tokens in an event.
 	FirstLatency time.Duration // FirstLatency is the time from the end of the prefill to the first event.
 }
 
@@ -45,6 +49,8 @@
 	p.Step = cmp.Or(p.Step, DefaultStep)
 	p.StepPerSlot = cmp.Or(p.StepPerSlot, DefaultStepPerSlot)
 	p.Chunk = cmp.Or(p.Chunk, DefaultChunk)
+	p.Pairs = cmp.Or(p.Pairs, DefaultPairs)
+	p.Stride = cmp.Or(p.Stride, DefaultStride)
 	p.FirstLatency = cmp.Or(p.FirstLatency, DefaultFirstLatency)
 	return p
 }
@@ -61,6 +67,7 @@
 type Prediction struct {
 	First  time.Duration // First is the time to the first token.
 	Wait   time.Duration // Wait is the part of it that passes before the request's own prompt is read.
+	Gap    time.Duration // Gap is the longest pause between events of the runs beside it while its prompt is read.
 	Shared int           // Shared is the number of tokens of shared parts that would be read again.
 	Fits   bool          // Fits tells that a slot and memory are free.
 }
@@ -110,7 +117,8 @@
 	}
 	return Prediction{
 		Wait:   wait,
-		First:  wait + e.prefill(missing) + e.latency(now),
+		First:  wait + e.prefill(missing, prompt.Tokens()) + e.latency(now),
+		Gap:    e.gap(missing, prompt.Tokens()),
 		Shared: shared,
 		Fits:   e.running < e.profile.Slots && (e.used+tokens)*100 <= e.profile.Memory*memoryPercent,
 	}
@@ -125,7 +133,7 @@
 	if e.idleAt.Before(now) {
 		e.idleAt = now
 	}
-	e.idleAt = e.idleAt.Add(e.prefill(missing))
+	e.idleAt = e.idleAt.Add(e.prefill(missing, prompt.Tokens()))
 	e.unread = append(e.unread, e.idleAt)
 	run := Run{prompt: prompt, tokens: ownTokens(prompt) + prompt.Output, read: e.idleAt}
 	e.count(run.tokens)
@@ -211,13 +219,29 @@
 	return e.profile.FirstLatency + time.Duration(float64(e.late-e.profile.FirstLatency)/(1+float64(age)/float64(latencyDecay)))
 }
 
-// prefill returns the time to read so many tokens beside the runs of now.
-func (e *Engine) prefill(tokens int) time.Duration {
+// prefill returns the time to read the last tokens of a prompt of a length, beside the runs of now.
+func (e *Engine) prefill(tokens, length int) time.Duration {
 	if tokens == 0 {
 		return 0
 	}
-	step := e.profile.Step + time.Duration(e.running)*e.profile.StepPerSlot
-	return time.Duration(tokens)*e.profile.Prefill + time.Duration(tokens)*step/time.Duration(e.profile.Chunk)
+	middle := length - tokens/2
+	return time.Duration(tokens)*(e.profile.Prefill+e.attention(middle)) + time.Duration(tokens)*e.step()/time.Duration(e.profile.Chunk)
+}
+
+// gap returns the longest pause between events of the runs beside a prompt of a length of which so much is read.
+func (e *Engine) gap(tokens, length int) time.Duration {
+	chunk := time.Duration(min(tokens, e.profile.Chunk))
+	return time.Duration(e.profile.Stride) * (e.step() + chunk*(e.profile.Prefill+e.attention(length)))
+}
+
+// step returns the time of a step that reads no prompt.
+func (e *Engine) step() time.Duration {
+	return e.profile.Step + time.Duration(e.running)*e.profile.StepPerSlot
+}
+
+// attention returns what reading a token takes longer for the tokens before it.
+func (e *Engine) attention(before int) time.Duration {
+	return time.Duration(before) * e.profile.Pairs / 1000
 }
 
 // missing returns the tokens that would be read, and how many of them are of shared parts.
--- a/router/directory/registry.go
+++ b/router/directory/registry.go
@@ -36,6 +36,7 @@
 	Public     bool // Public routes need no key.
 	MaxSends   int  // MaxSends bounds the endpoints that one request is sent to.
 	Timeout    time.Duration
+	Gap        time.Duration // Gap is the longest pause between events of a stream that is on time; zero is no limit.
 	Objective  time.Duration // Objective is the time in which an answer, or the first event of it, is on time.
 }
 
@@ -102,6 +103,7 @@
 }
 
 func (d *Directory) indexRegisteredPools(r *Registry) {
+	gaps := leastGaps(r.Routes)
 	teams := teamPolicies(&config.Document{Teams: r.Teams})
 	for i := range r.Pools {
 		pool := &r.Pools[i]
@@ -112,12 +114,25 @@
 		}
 		if pool.Engine != nil {
 			d.pools[pool.ID].Kind = config.Engine
-			policy.FairRate = r.FairRate
+			policy.FairRate, policy.Gap = r.FairRate, gaps[pool.ID]
 		}
 		d.policies[pool.ID] = policy
 	}
 }
 
+// leastGaps returns the shortest pause between events that a route of each pool allows.
+func leastGaps(routes []Route) map[cell.ID]time.Duration {
+	gaps := make(map[cell.ID]time.Duration)
+	for i := range routes {
+		for _, target := range routes[i].Targets {
+			if least, known := gaps[target.Pool]; routes[i].Gap > 0 && (!known || routes[i].Gap < least) {
+				gaps[target.Pool] = routes[i].Gap
+			}
+		}
+	}
+	return gaps
+}
+
 // IsRegistered tells whether a platform registers the endpoints, and routes go by host and prefix.
 func (d *Directory) IsRegistered() bool { return d.registered != nil }
 
