--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -19,7 +19,7 @@
 // Prompts are read one after the other; what is kept is not read again.
 func TestPrefill(t *testing.T) {
 	is := is.New(t)
-	e := engine.New(engine.Profile{Prefill: 10 * time.Microsecond, Step: time.Nanosecond, StepPerSlot: time.Nanosecond, Pairs: time.Nanosecond / 1000, FirstLatency: 50 * time.Millisecond})
+	e := engine.New(engine.Profile{Prefill: 10 * time.Microsecond, Step: time.Nanosecond, StepPerSlot: time.Nanosecond, Pairs: time.Nanosecond, FirstLatency: 50 * time.Millisecond})
 	is.Equal(e.Predict(began, prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 150*time.Millisecond)
 	run := e.Admit(began, prompt(1, 6000, 4000), false)
 	seen := e.Predict(began, prompt(1, 6000, 4000), false)
