Use endpoints that all fail, and give no room to queues

Change: endpoints that all fail are all used; room is few runs and a wait below a quarter of the time left. Tests: TestAllFail fails without the change.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -46,6 +46,7 @@
 	flights   slot.Slab[attempt]
 	endpoints []endpoint
 	index     map[cell.EndpointID]int32
+	allFail   bool // allFail tells, during a choice, that each open endpoint fails.
 	stakes    limit.Stakes
 	returns   returns
 	out       dispatch.Outbox
--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -328,3 +328,19 @@
 		d.Step(now, &dispatch.Ended{Router: grantOf, Ends: []cell.End{{Attempt: attempt, Outcome: cell.Completed}}})
 	}
 }
+
+// Endpoints that all fail are all used: a service that fails for a part of its calls still serves the rest.
+func TestAllFail(t *testing.T) {
+	is := is.New(t)
+	policy := dispatch.Policy{Predicted: true}
+	for _, name := range []cell.EndpointID{"e1", "e2"} {
+		policy.Endpoints = append(policy.Endpoints, dispatch.EndpointPolicy{Endpoint: name, WarmLimit: 6, Start: "s"})
+	}
+	d := newDesk(policy)
+	for range 100 {
+		d.pass(50 * time.Millisecond)
+		grant := granted(t, d.ask("kiosks", cell.Prompt{}, 150*time.Millisecond))
+		d.outcome[grant.Attempt] = cell.Failed
+	}
+	is.Equal(len(d.grants), 100)
+}
--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -31,6 +31,8 @@
 	patientPart = 0.1
 	// lightPart is the part of its slots below which an engine has much room.
 	lightPart = 0.5
+	// lightWait is the part of the time left that passes there at most before a prompt is read.
+	lightWait = 0.25
 	// gapPart is the part of the pause between events that a prompt may take up beside other runs.
 	gapPart = 0.9
 	// fewRuns is the number of runs that a long prompt may hold up.
@@ -151,6 +153,7 @@
 	within := d.shares.Within(now, int(request.Team))
 	keepers, others := noOffers(), noOffers()
 	fetch := d.keeper(now, &request.Prompt) >= 0
+	d.allFail = d.doAllFail(now)
 	for i := range d.endpoints {
 		at := &d.endpoints[i]
 		if !at.open || int32(i) == request.Avoid && d.hasOther(int32(i)) {
@@ -216,6 +219,16 @@
 	return min(a, b)
 }
 
+// doAllFail tells whether each open endpoint fails; then none is worse than the others, and all are used.
+func (d *Dispatcher) doAllFail(now time.Time) bool {
+	for i := range d.endpoints {
+		if at := &d.endpoints[i]; at.open && !at.isFailing(now) {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *Dispatcher) hasOther(than int32) bool {
 	for i := range d.endpoints {
 		if int32(i) != than && d.endpoints[i].open {
@@ -239,7 +252,7 @@
 	if left <= 0 {
 		return 0, hopeless
 	}
-	if at.isFailing(now) || at.running >= slotsFor(at.slots, within) || !d.bears(now, at) {
+	if at.isFailing(now) && !d.allFail || at.running >= slotsFor(at.slots, within) || !d.bears(now, at) {
 		return 0, waits
 	}
 	if at.engine == nil {
@@ -260,9 +273,9 @@
 }
 
 // mayAnswer tells whether an engine should answer a request that has so much time left. An engine with
-// much room takes all that it can answer in time, and also what no engine can: late, but at once.
+// much room takes all that it can answer in time; otherwise requests beyond their share leave some for the others.
 func mayAnswer(at *endpoint, seen engine.Prediction, left time.Duration, within bool) bool {
-	isLight := float64(at.running) < lightPart*float64(at.slots)
+	isLight := float64(at.running) < lightPart*float64(at.slots) && float64(seen.Wait) < lightWait*float64(left)
 	part := beyondPart
 	if within || isLight {
 		part = withinPart
