--- a/core/admission/endpoint.go
+++ b/core/admission/endpoint.go
@@ -27,6 +27,7 @@
 	slots      int
 	engine     *engine.Engine // engine is nil at a plain service.
 
+	missing engine.Missing // missing is what the engine lacks of the prompt that is being placed.
 	running int
 	fails   float64 // fails is a moving average of failures, from 0 to 1, that fades with time.
 	fadedAt time.Time
--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -160,7 +160,7 @@
 func (d *Dispatcher) choose(now time.Time, request *queue.Request) (int32, verdict) {
 	within := d.shares.Within(now, int(request.Team))
 	keepers, others := noOffers(), noOffers()
-	fetch := d.keeper(now, &request.Prompt) >= 0
+	fetch := d.look(now, &request.Prompt) >= 0
 	d.allFail = d.doAllFail(now)
 	for i := range d.endpoints {
 		at := &d.endpoints[i]
@@ -168,7 +168,7 @@
 			continue
 		}
 		cost, what := d.weigh(now, at, request, within, fetch)
-		if at.engine != nil && at.engine.Keeps(&request.Prompt) {
+		if at.engine != nil && at.missing.Shared == 0 {
 			keepers.add(int32(i), cost, what)
 		} else {
 			others.add(int32(i), cost, what)
@@ -185,18 +185,21 @@
 	return -1, worse(keepers.verdict, others.verdict)
 }
 
-// keeper returns an open engine that keeps the shared parts of a prompt and answers; negative if there is none.
-func (d *Dispatcher) keeper(now time.Time, prompt *cell.Prompt) int32 {
-	if len(prompt.Parts) < 2 {
-		return -1
-	}
+// look notes what each engine lacks of a prompt, and returns an open one that keeps its
+// shared parts and answers; negative if there is none.
+func (d *Dispatcher) look(now time.Time, prompt *cell.Prompt) int32 {
+	keeper := int32(-1)
 	for i := range d.endpoints {
 		at := &d.endpoints[i]
-		if at.open && at.engine != nil && at.engine.Keeps(prompt) && at.failing(now) <= failLimit {
-			return int32(i)
+		if !at.open || at.engine == nil {
+			continue
+		}
+		at.missing = at.engine.Missing(prompt)
+		if keeper < 0 && len(prompt.Parts) > 1 && at.missing.Shared == 0 && at.failing(now) <= failLimit {
+			keeper = int32(i)
 		}
 	}
-	return -1
+	return keeper
 }
 
 // best returns the least time to the first token that is predicted at any open engine.
@@ -207,7 +210,7 @@
 		if !at.open || at.engine == nil {
 			continue
 		}
-		if first := at.engine.Predict(d.now, &request.Prompt, false).First; best == 0 || first < best {
+		if first := at.engine.Predict(d.now, &request.Prompt, at.engine.Missing(&request.Prompt), false).First; best == 0 || first < best {
 			best = first
 		}
 	}
@@ -266,17 +269,17 @@
 	if at.engine == nil {
 		return cost, admitted
 	}
-	seen := at.engine.Predict(now, &request.Prompt, fetch)
+	seen := at.engine.Predict(now, &request.Prompt, at.missing, fetch)
 	if !mayAnswer(at, seen, left, within) || d.disturbs(at, seen) {
 		return 0, hopeless
 	}
 	if !seen.Fits {
 		return 0, waits
 	}
-	if seen.Shared > 0 && fetch {
+	if at.missing.Shared > 0 && fetch {
 		return cost + seen.First + fetchWeight, admitted
 	}
-	again := time.Duration(seen.Shared) * d.profile().Prefill
+	again := time.Duration(at.missing.Shared) * d.profile().Prefill
 	return cost + seen.First + readAgainWeight*again, admitted
 }
 
@@ -329,8 +332,7 @@
 	flying := attempt{entry: request.Entry, attempt: request.Attempt, team: request.Team, endpoint: to, charged: cost}
 	given := cell.Grant{Attempt: request.Attempt, Endpoint: at.id, Start: at.start}
 	if at.engine != nil {
-		keeper := d.keeper(now, &request.Prompt)
-		if keeper >= 0 && !at.engine.Keeps(&request.Prompt) {
+		if keeper := d.look(now, &request.Prompt); keeper >= 0 && at.missing.Shared > 0 {
 			given.Fetch = d.endpoints[keeper].id
 		}
 		run := at.engine.Admit(now, &request.Prompt, given.Fetch != "")
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -65,11 +65,10 @@
 
 // Prediction is what a request would find at an engine.
 type Prediction struct {
-	First  time.Duration // First is the time to the first token.
-	Wait   time.Duration // Wait is the part of it that passes before the request's own prompt is read.
-	Gap    time.Duration // Gap is the longest pause between events of the runs beside it while its prompt is read.
-	Shared int           // Shared is the number of tokens of shared parts that would be read again.
-	Fits   bool          // Fits tells that a slot and memory are free.
+	First time.Duration // First is the time to the first token.
+	Wait  time.Duration // Wait is the part of it that passes before the request's own prompt is read.
+	Gap   time.Duration // Gap is the longest pause between events of the runs beside it while its prompt is read.
+	Fits  bool          // Fits tells that a slot and memory are free.
 }
 
 // Engine is the model of one engine.
@@ -96,19 +95,28 @@
 // Slots returns the number of requests that may run at once.
 func (e *Engine) Slots() int { return e.profile.Slots }
 
-// Keeps tells whether the engine is believed to keep all shared parts of a prompt.
-func (e *Engine) Keeps(prompt *cell.Prompt) bool {
-	shared := sharedParts(prompt)
-	return e.cache.kept(shared) == len(shared)
+// Missing is what an engine would have to read of a prompt.
+type Missing struct {
+	Tokens int // Tokens counts all parts that are not kept.
+	Shared int // Shared counts those of them that other requests share.
+}
+
+// Missing returns what the engine is believed not to keep of a prompt.
+func (e *Engine) Missing(prompt *cell.Prompt) Missing {
+	var missing Missing
+	for i := e.cache.kept(prompt.Parts); i < len(prompt.Parts); i++ {
+		missing.Tokens += prompt.Parts[i].Tokens
+		if i < len(prompt.Parts)-1 {
+			missing.Shared += prompt.Parts[i].Tokens
+		}
+	}
+	return missing
 }
 
 // Predict tells what a request would find if it were sent now. With fetch, shared
 // parts that are missing are copied from another engine.
-func (e *Engine) Predict(now time.Time, prompt *cell.Prompt, fetch bool) Prediction {
-	missing, shared := e.missing(prompt)
-	if fetch {
-		missing -= shared
-	}
+func (e *Engine) Predict(now time.Time, prompt *cell.Prompt, missing Missing, fetch bool) Prediction {
+	reads := missing.reads(fetch)
 	tokens := ownTokens(prompt) + prompt.Output
 	wait := max(0, e.idleAt.Sub(now))
 	if len(e.unread) > 0 {
@@ -116,24 +124,20 @@
 		wait += max(0, now.Sub(e.unread[0])-e.latency(now))
 	}
 	return Prediction{
-		Wait:   wait,
-		First:  wait + e.prefill(missing, prompt.Tokens()) + e.latency(now),
-		Gap:    e.gap(missing, prompt.Tokens()),
-		Shared: shared,
-		Fits:   e.running < e.profile.Slots && (e.used+tokens)*100 <= e.profile.Memory*memoryPercent,
+		Wait:  wait,
+		First: wait + e.prefill(reads, prompt.Tokens()) + e.latency(now),
+		Gap:   e.gap(reads, prompt.Tokens()),
+		Fits:  e.running < e.profile.Slots && (e.used+tokens)*100 <= e.profile.Memory*memoryPercent,
 	}
 }
 
 // Admit counts a request in that is sent now.
 func (e *Engine) Admit(now time.Time, prompt *cell.Prompt, fetch bool) Run {
-	missing, shared := e.missing(prompt)
-	if fetch {
-		missing -= shared
-	}
+	reads := e.Missing(prompt).reads(fetch)
 	if e.idleAt.Before(now) {
 		e.idleAt = now
 	}
-	e.idleAt = e.idleAt.Add(e.prefill(missing, prompt.Tokens()))
+	e.idleAt = e.idleAt.Add(e.prefill(reads, prompt.Tokens()))
 	e.unread = append(e.unread, e.idleAt)
 	run := Run{prompt: prompt, tokens: ownTokens(prompt) + prompt.Output, read: e.idleAt}
 	e.count(run.tokens)
@@ -244,16 +248,12 @@
 	return time.Duration(before) * e.profile.Pairs / 1000
 }
 
-// missing returns the tokens that would be read, and how many of them are of shared parts.
-func (e *Engine) missing(prompt *cell.Prompt) (tokens, shared int) {
-	kept := e.cache.kept(prompt.Parts)
-	for i := kept; i < len(prompt.Parts); i++ {
-		tokens += prompt.Parts[i].Tokens
-		if i < len(prompt.Parts)-1 {
-			shared += prompt.Parts[i].Tokens
-		}
+// reads returns the tokens that are read; shared parts that are copied are not.
+func (m Missing) reads(fetch bool) int {
+	if fetch {
+		return m.Tokens - m.Shared
 	}
-	return tokens, shared
+	return m.Tokens
 }
 
 // ownTokens returns the length of the part that no other request has.
--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -16,22 +16,26 @@
 	return &cell.Prompt{Parts: []cell.Part{{ID: shared, Tokens: tokens}, {ID: shared + 1000, Tokens: own}}, Output: 100}
 }
 
+func predict(e *engine.Engine, now time.Time, prompt *cell.Prompt, fetch bool) engine.Prediction {
+	return e.Predict(now, prompt, e.Missing(prompt), fetch)
+}
+
 // Prompts are read one after the other; what is kept is not read again.
 func TestPrefill(t *testing.T) {
 	is := is.New(t)
 	e := engine.New(engine.Profile{Prefill: 10 * time.Microsecond, Step: time.Nanosecond, StepPerSlot: time.Nanosecond, Pairs: time.Nanosecond, FirstLatency: 50 * time.Millisecond})
-	is.Equal(e.Predict(began, prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 150*time.Millisecond)
+	is.Equal(predict(e, began, prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 150*time.Millisecond)
 	run := e.Admit(began, prompt(1, 6000, 4000), false)
-	seen := e.Predict(began, prompt(1, 6000, 4000), false)
-	is.Equal(seen.Shared, 0)
+	seen := predict(e, began, prompt(1, 6000, 4000), false)
+	is.Equal(e.Missing(prompt(1, 6000, 4000)), engine.Missing{Tokens: 4000})
 	is.Equal(seen.First.Round(time.Millisecond), 190*time.Millisecond)
-	other := e.Predict(began, prompt(2, 6000, 4000), true) // Its shared part is copied.
+	other := predict(e, began, prompt(2, 6000, 4000), true) // Its shared part is copied.
 	is.Equal(other.First.Round(time.Millisecond), 190*time.Millisecond)
 	now := began.Add(150 * time.Millisecond)
 	e.Begun(now, &run)
 	e.Ended(now.Add(time.Second), &run)
 	is.Equal(e.Running(), 0)
-	is.Equal(e.Predict(now.Add(time.Second), prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 50*time.Millisecond) // All of it is kept.
+	is.Equal(predict(e, now.Add(time.Second), prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 50*time.Millisecond) // All of it is kept.
 }
 
 // Prompts that should have been read and show no token hold up what comes later.
@@ -39,11 +43,11 @@
 	is := is.New(t)
 	e := engine.New(engine.Profile{})
 	run := e.Admit(began, prompt(1, 100, 100), false)
-	soon := e.Predict(began.Add(100*time.Millisecond), prompt(2, 100, 100), false).First
-	late := e.Predict(began.Add(2*time.Second), prompt(2, 100, 100), false).First
+	soon := predict(e, began.Add(100*time.Millisecond), prompt(2, 100, 100), false).First
+	late := predict(e, began.Add(2*time.Second), prompt(2, 100, 100), false).First
 	is.True(late > soon+1500*time.Millisecond)
 	e.Ended(began.Add(2*time.Second), &run)
-	is.True(e.Predict(began.Add(2*time.Second), prompt(2, 100, 100), false).First < 200*time.Millisecond)
+	is.True(predict(e, began.Add(2*time.Second), prompt(2, 100, 100), false).First < 200*time.Millisecond)
 }
 
 // An engine that was slow is believed to be slow, and tried again after a while.
@@ -57,9 +61,9 @@
 		e.Begun(now, &run)
 		e.Ended(now, &run)
 	}
-	slow := e.Predict(now, prompt(1, 100, 100), false).First
+	slow := predict(e, now, prompt(1, 100, 100), false).First
 	is.True(slow > 500*time.Millisecond)
-	is.True(e.Predict(now.Add(10*time.Second), prompt(1, 100, 100), false).First < slow/2)
+	is.True(predict(e, now.Add(10*time.Second), prompt(1, 100, 100), false).First < slow/2)
 }
 
 // Shared parts take memory once, however many runs use them; own parts and answers take theirs each.
@@ -67,16 +71,16 @@
 	is := is.New(t)
 	e := engine.New(engine.Profile{Memory: 10_000})
 	var runs []engine.Run
-	for e.Predict(began, prompt(1, 5000, 400), false).Fits {
+	for predict(e, began, prompt(1, 5000, 400), false).Fits {
 		runs = append(runs, e.Admit(began, prompt(1, 5000, 400), false))
 	}
 	is.Equal(len(runs), 19) // of 500 tokens each, in 95 in 100 of the memory
-	is.True(!e.Keeps(prompt(1, 5000, 400)))
+	is.True(!(e.Missing(prompt(1, 5000, 400)).Shared == 0))
 	for i := range runs {
 		e.Begun(began, &runs[i])
 		e.Ended(began, &runs[i])
 	}
-	is.True(e.Predict(began, prompt(1, 5000, 400), false).Fits)
+	is.True(predict(e, began, prompt(1, 5000, 400), false).Fits)
 }
 
 // The parts used least recently yield first, and a part helps only if all before it are kept.
@@ -93,8 +97,8 @@
 		}
 		return prompt
 	}
-	is.True(!e.Keeps(chain(1)))
-	is.True(e.Keeps(chain(2, 3)))
-	is.True(!e.Keeps(chain(1, 3)))
-	is.Equal(e.Predict(began, chain(1, 3), false).Shared, 800)
+	is.True(!(e.Missing(chain(1)).Shared == 0))
+	is.True((e.Missing(chain(2, 3)).Shared == 0))
+	is.True(!(e.Missing(chain(1, 3)).Shared == 0))
+	is.Equal(e.Missing(chain(1, 3)).Shared, 800)
 }
