Admit the long requests of a kind half as often as the others at least

Change: while long requests are admitted less than 0.75 times as often, those that are not the very longest count as within their team's share.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -50,6 +50,7 @@
 	allFail   bool // allFail tells, during a choice, that each open endpoint fails.
 	stakes    limit.Stakes
 	returns   returns
+	sizes     map[string]*sizes // sizes is by the class of requests.
 	out       dispatch.Outbox
 }
 
@@ -67,6 +68,7 @@
 		teamIndex: make(map[cell.TeamID]int32),
 		entries:   session.New(),
 		index:     make(map[cell.EndpointID]int32),
+		sizes:     make(map[string]*sizes),
 	}
 }
 
--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -20,6 +20,7 @@
 	*admission.Dispatcher
 	now     time.Time
 	last    cell.AttemptID
+	class   string                       // class is that of the requests to come.
 	running map[cell.AttemptID]time.Time // running holds when granted attempts were granted; they begin and end by themselves.
 	outcome map[cell.AttemptID]cell.Outcome
 	grants  []cell.Grant
@@ -93,7 +94,9 @@
 
 func (d *desk) ask(team cell.TeamID, prompt cell.Prompt, within time.Duration) []dispatch.Action {
 	d.last++
-	demand := cell.Demand{Attempt: d.last, Team: team, Estimate: prompt.Cost(), Prompt: prompt, Due: d.now.Add(within)}
+	demand := cell.Demand{
+		Attempt: d.last, Team: team, Class: d.class, Estimate: prompt.Cost(), Prompt: prompt, Due: d.now.Add(within),
+	}
 	return d.note(d.Step(d.now, &dispatch.Want{Router: grantOf, Session: 1, Demands: []cell.Demand{demand}}))
 }
 
@@ -344,3 +347,30 @@
 	}
 	is.Equal(len(d.grants), 100)
 }
+
+// In an overload the long requests of a kind are admitted half as often as the others at least.
+func TestLongRequestsAreAdmitted(t *testing.T) {
+	is := is.New(t)
+	policy := engines("e1", "e2")
+	policy.FairRate = 1000 // All teams ask for more than their share.
+	d := newDesk(policy)
+	d.class = "plan"
+	asked, admitted := [2]int{}, [2]int{}
+	for step := range 2000 {
+		d.pass(50 * time.Millisecond)
+		for i := range 4 {
+			long, tokens := 0, 3000
+			if (step+i)%10 == 0 {
+				long, tokens = 1, 20_000
+			}
+			asked[long]++
+			if _, ok := first(d.ask("kiosks", prompt(uint64(d.last)+10, 0, tokens), 600*time.Millisecond)).(*dispatch.GrantTo); ok {
+				admitted[long]++
+			}
+		}
+	}
+	part := func(of int) float64 { return float64(admitted[of]) / float64(asked[of]) }
+	t.Logf("admitted %v of %v", admitted, asked)
+	is.True(part(0) < 0.95) // an overload
+	is.True(part(1) >= part(0)/2)
+}
--- a/core/admission/place.go
+++ b/core/admission/place.go
@@ -46,7 +46,8 @@
 
 	fewWaiting = 4                     // waiting requests that are tried at each event
 	tryPause   = 10 * time.Millisecond // between two tries of more of them
-	mostTried  = 256                   // waiting requests that are tried at a time
+
+	mostTried = 256 // waiting requests that are tried at a time
 )
 
 // verdict says what becomes of a request now.
@@ -80,7 +81,7 @@
 		d.shares.Ask(now, int(of), max(1, demand.Estimate))
 		place := d.waiting.Push(queue.Request{
 			Entry: index, Attempt: demand.Attempt, Team: of, Avoid: avoid, Hint: demand.Estimate, Since: now,
-			Prompt: demand.Prompt, Due: demand.Due,
+			Class: demand.Class, Prompt: demand.Prompt, Due: demand.Due,
 		})
 		by.Waiting[demand.Attempt] = place
 		d.ledger.Enter(int(of), d.ledger.Virtual())
@@ -128,14 +129,26 @@
 	endpoint, what := d.choose(now, d.waiting.At(place))
 	switch what {
 	case admitted:
+		d.sizesOf(d.waiting.At(place)).decided(d.waiting.At(place).Hint, true)
 		d.grant(now, place, endpoint)
 	case hopeless:
+		d.sizesOf(d.waiting.At(place)).decided(d.waiting.At(place).Hint, false)
 		d.refuse(place, result.QueueTimeout, d.returns.next(now))
 	case closed:
 		d.refuse(place, result.NoCapacity, closedRetry)
 	}
 }
 
+// sizesOf returns what is known of the sizes of a request's kind.
+func (d *Dispatcher) sizesOf(request *queue.Request) *sizes {
+	of, known := d.sizes[request.Class]
+	if !known {
+		of = &sizes{}
+		d.sizes[request.Class] = of
+	}
+	return of
+}
+
 // offers are the best endpoints for a request among some of them.
 type offers struct {
 	endpoint int32 // endpoint has the least cost of those that admit the request; negative if none does.
@@ -159,6 +172,7 @@
 // engine that keeps the shared parts may still take it in time, no other one reads them again.
 func (d *Dispatcher) choose(now time.Time, request *queue.Request) (int32, verdict) {
 	within := d.shares.Within(now, int(request.Team))
+	within = within || request.Class != "" && d.sizesOf(request).favours(request.Hint)
 	keepers, others := noOffers(), noOffers()
 	fetch := d.look(now, &request.Prompt) >= 0
 	d.allFail = d.doAllFail(now)
@@ -167,7 +181,7 @@
 		if !at.open || int32(i) == request.Avoid && d.hasOther(int32(i)) {
 			continue
 		}
-		cost, what := d.weigh(now, at, request, within, fetch)
+		cost, what := d.weigh(now, at, request, terms{within, fetch})
 		if at.engine != nil && at.missing.Shared == 0 {
 			keepers.add(int32(i), cost, what)
 		} else {
@@ -249,8 +263,14 @@
 	return false
 }
 
+// terms are what a request is weighed on at each endpoint.
+type terms struct {
+	within bool // within tells that the request lies within its team's share, or counts as if it did.
+	fetch  bool // fetch tells that another engine keeps the shared parts.
+}
+
 // weigh says whether an endpoint can answer a request in time, and what choosing it costs.
-func (d *Dispatcher) weigh(now time.Time, at *endpoint, request *queue.Request, within, fetch bool) (time.Duration, verdict) {
+func (d *Dispatcher) weigh(now time.Time, at *endpoint, request *queue.Request, on terms) (time.Duration, verdict) {
 	left := time.Hour
 	if !request.Due.IsZero() {
 		left = request.Due.Sub(now)
@@ -263,20 +283,20 @@
 	if left <= 0 {
 		return 0, hopeless
 	}
-	if at.isFailing(now) && !d.allFail || at.running >= slotsFor(at.slots, within) || !d.bears(now, at) {
+	if at.isFailing(now) && !d.allFail || at.running >= slotsFor(at.slots, on.within) || !d.bears(now, at) {
 		return 0, waits
 	}
 	if at.engine == nil {
 		return cost, admitted
 	}
-	seen := at.engine.Predict(now, &request.Prompt, at.missing, fetch)
-	if !mayAnswer(at, seen, left, within) || d.disturbs(at, seen) {
+	seen := at.engine.Predict(now, &request.Prompt, at.missing, on.fetch)
+	if d.disturbs(at, seen) || !mayAnswer(at, seen, left, on.within) {
 		return 0, hopeless
 	}
 	if !seen.Fits {
 		return 0, waits
 	}
-	if at.missing.Shared > 0 && fetch {
+	if at.missing.Shared > 0 && on.fetch {
 		return cost + seen.First + fetchWeight, admitted
 	}
 	again := time.Duration(at.missing.Shared) * d.profile().Prefill
--- /dev/null
+++ b/core/admission/sizes.go
@@ -0,0 +1,45 @@
+package admission
+
+import "ryelug/core/cell"
+
+const (
+	sizeStep      = 0.02 // sizeStep is the relative step of the estimated quantile.
+	sizeTail      = 0.1  // sizeTail is the part of the requests of a kind that counts as long.
+	allWeight     = 64   // allWeight divides the newest decision's difference in the part that is admitted,
+	longWeight    = 16   // longWeight in that of the long ones.
+	longestFactor = 3    // longestFactor times the length of a long request is too long.
+	favouredGap   = 0.75 // favouredGap is the part of the others' admissions below which long ones are favoured.
+)
+
+// sizes keeps the long requests of a kind from being refused far more often than the
+// others: each long prompt costs more than it brings, so that in overload none would be left.
+type sizes struct {
+	long        cell.Cost // long is the cost that one in ten requests exceeds.
+	all, ofLong float64   // parts that were admitted, of all and of the long ones
+	isBegun     bool
+}
+
+// favours tells whether a long request counts as within its team's share. The longest are left
+// out, as each of them takes the place of several.
+func (s *sizes) favours(cost cell.Cost) bool {
+	return s.isBegun && cost >= s.long && cost < longestFactor*s.long && s.ofLong < favouredGap*s.all
+}
+
+// decided takes in what became of a request.
+func (s *sizes) decided(cost cell.Cost, admitted bool) {
+	part := 0.0
+	if admitted {
+		part = 1
+	}
+	if !s.isBegun {
+		s.isBegun, s.long, s.all, s.ofLong = true, cost, part, part
+		return
+	}
+	s.all += (part - s.all) / allWeight
+	if cost >= s.long {
+		s.ofLong += (part - s.ofLong) / longWeight
+		s.long += 1 + cell.Cost((1-sizeTail)*sizeStep*float64(s.long))
+		return
+	}
+	s.long -= cell.Cost(sizeTail * sizeStep * float64(s.long))
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -69,6 +69,7 @@
 	Estimate Cost       `msgpack:"c"`           // Estimate is the caller's hint; zero when there is none.
 	Avoid    EndpointID `msgpack:"v,omitempty"` // Avoid is an endpoint that has just failed this request.
 	Moves    uint8      `msgpack:"m,omitempty"` // Moves is how often a cell of the pool has passed this request on to another.
+	Class    string     `msgpack:"k,omitempty"` // Class names requests of one kind, whose sizes are compared; empty where it is unknown.
 	Prompt   Prompt     `msgpack:"p,omitempty"` // Prompt is empty for plain calls and where it is unknown.
 	Due      time.Time  `msgpack:"d,omitempty"` // Due is when the first token, or the whole answer of a plain call, is late; zero when it never is.
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -17,6 +17,7 @@
 	Since   time.Time
 	Moves   uint8 // Moves is how often another cell of the pool has passed the request on.
 
+	Class  string // Class names requests of one kind.
 	Prompt cell.Prompt
 	Due    time.Time // Due is when the first token is late; zero when it never is.
 }
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -188,6 +188,7 @@
 		Team:     cell.TeamID(d.name()),
 		Estimate: cell.Cost(d.int()),
 		Avoid:    cell.EndpointID(d.name()),
+		Class:    d.name(),
 		Prompt:   cell.Prompt{Parts: decodeSlice(d, (*Decoder).part), Output: int(d.int())},
 		Due:      d.due(),
 	}
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -132,6 +132,7 @@
 	e.name(string(d.Team))
 	e.int(int64(d.Estimate))
 	e.name(string(d.Avoid))
+	e.name(d.Class)
 	encodeSlice(e, d.Prompt.Parts, (*Encoder).part)
 	e.int(int64(d.Prompt.Output))
 	e.due(d.Due)
--- a/router/grants.go
+++ b/router/grants.go
@@ -26,7 +26,7 @@
 	ask := lending.Ask{
 		Cell: wanted.Pool,
 		Demand: cell.Demand{
-			Attempt: attempt, Team: wanted.Team, Estimate: wanted.Hint, Avoid: wanted.Avoid,
+			Attempt: attempt, Team: wanted.Team, Estimate: wanted.Hint, Avoid: wanted.Avoid, Class: wanted.Class,
 			Prompt: wanted.Prompt, Due: wanted.Due,
 		},
 		Reply: make(chan lending.Decision, 1),
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -126,7 +126,7 @@
 
 func (r *run) wanted(avoid cell.EndpointID) Wanted {
 	wanted := Wanted{
-		Pool: r.route.Pool, Team: r.route.Team, Hint: r.req.Hint, Avoid: avoid, Prompt: r.req.Prompt, Due: r.due,
+		Pool: r.route.Pool, Team: r.route.Team, Hint: r.req.Hint, Avoid: avoid, Class: r.route.Class, Prompt: r.req.Prompt, Due: r.due,
 	}
 	if r.life.MayHaveRun() {
 		wanted.Due = r.until // What has begun goes on, also late.
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -40,6 +40,7 @@
 	Team   cell.TeamID
 	Hint   cell.Cost // Hint is the caller's estimate of the cost; zero when there is none.
 	Avoid  cell.EndpointID
+	Class  string // Class names requests of one kind.
 	Prompt cell.Prompt
 	Due    time.Time // Due is when the first token is late; zero when it never is.
 }
@@ -106,6 +107,7 @@
 	MaxSends   int            // MaxSends bounds the endpoints that get the request; zero is no bound.
 	Timeout    time.Duration  // Timeout bounds the time to the final answer, from the arrival of the request; zero is no bound.
 	Objective  time.Duration  // Objective is the time from the arrival in which the first event, or the whole answer, is on time.
+	Class      string         // Class names the requests of the route, whose sizes are compared.
 	Generation uint64         // Generation is that of the configuration in which the route was found.
 	Header     []header.Field // Header is added to what passes on to the endpoint.
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -118,6 +118,7 @@
 		QueueTimeout:   grantWait,
 		LongestRequest: found.Timeout,
 		Verbatim:       true,
+		Class:          found.Prefix,
 		Generation:     d.Generation,
 		Streams:        found.Streams,
 		MaxSends:       found.MaxSends,
