Split placing from admission, and allocate nothing for a decision

Cause: core/admission had grown to 1,007 lines and held the health and cold rate of endpoints, the sizes of requests and the times to return besides its own duty; each grant allocated the run of the model and a copy of the request.

Ruled out: another table beside core/flight's with its own caps; the platform's endpoints know no load reports, so flight's bounds do not apply.

Change: core/placing chooses the endpoint; limit.Health and limit.Rate, fair.Sizes and queue.Returns take what belongs to state. Behaviour is as before.

--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -5,23 +5,20 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
-	"ryelug/core/engine"
+	"ryelug/core/placing"
 )
 
 // attempt is a granted attempt that has not been seen to end.
 type attempt struct {
-	entry    int32
-	attempt  cell.AttemptID
-	team     int32
-	endpoint int32
-	start    cell.StartID
-	charged  cell.Cost
-	run      *engine.Run // run is nil at a plain service.
+	entry   int32
+	attempt cell.AttemptID
+	team    int32
+	placed  placing.Placed
+	charged cell.Cost
 }
 
 // add counts a new flight at its entry and its team.
 func (d *Dispatcher) add(flying attempt) {
-	flying.start = d.endpoints[flying.endpoint].start
 	d.entries.At(flying.entry).Flights[flying.attempt] = d.flights.Put(flying)
 	d.teams[flying.team].inFlight++
 	d.ledger.Charge(int(flying.team), flying.charged)
@@ -39,15 +36,7 @@
 	d.teams[flying.team].inFlight--
 	delete(d.entries.At(flying.entry).Flights, flying.attempt)
 	d.entries.Drop(flying.entry)
-	at := &d.endpoints[flying.endpoint]
-	if at.start != flying.start {
-		return
-	}
-	at.running--
-	if at.engine != nil && flying.run != nil {
-		at.engine.Ended(d.now, flying.run)
-	}
-	at.seen(d.now, end.Outcome)
+	d.places.Ended(d.now, &flying.placed, end.Outcome)
 }
 
 func (d *Dispatcher) progressed(now time.Time, ev *dispatch.Progressed) {
@@ -62,10 +51,7 @@
 		}
 		flying := d.flights.At(place)
 		d.teams[flying.team].active = now
-		at := &d.endpoints[flying.endpoint]
-		if at.engine != nil && flying.run != nil && at.start == flying.start {
-			at.engine.Begun(now, flying.run)
-		}
+		d.places.Begun(now, &flying.placed)
 	}
 }
 
--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -7,6 +7,7 @@
 	"ryelug/core/dispatch"
 	"ryelug/core/fair"
 	"ryelug/core/limit"
+	"ryelug/core/placing"
 	"ryelug/core/queue"
 	"ryelug/core/result"
 	"ryelug/core/session"
@@ -14,12 +15,8 @@
 )
 
 const (
-	// requestWay is the longest way of a request from its grant to the endpoint, in which arrivals bunch.
-	requestWay = 200 * time.Millisecond
-	// coldWindow is the span in which the grants to a cold endpoint are counted, so that no second has more arrivals than it bears.
-	coldWindow = time.Second + requestWay
 	// stakeHorizon is how long a smaller number of stakes is not believed; any former holder's grants have arrived by then.
-	stakeHorizon = 2 * coldWindow
+	stakeHorizon = 2 * limit.RateWindow
 	// closedRetry is the RetryAfter while no endpoint is open.
 	closedRetry = time.Second
 )
@@ -31,27 +28,26 @@
 
 // Dispatcher admits the work of one cell.
 type Dispatcher struct {
-	cell   cell.ID
-	policy dispatch.Policy
-	now    time.Time
+	cell cell.ID
+	now  time.Time
 
 	teams     []team
 	teamIndex map[cell.TeamID]int32
 	ledger    fair.Ledger
 	shares    fair.Shares
 
-	entries   *session.Table
-	waiting   queue.Queue
-	scratch   []int32   // scratch holds the slots of waiting requests while they are tried.
-	triedAt   time.Time // triedAt is when the waiting requests were tried last.
-	flights   slot.Slab[attempt]
-	endpoints []endpoint
-	index     map[cell.EndpointID]int32
-	allFail   bool // allFail tells, during a choice, that each open endpoint fails.
-	stakes    limit.Stakes
-	returns   returns
-	sizes     map[string]*sizes // sizes is by the class of requests.
-	out       dispatch.Outbox
+	entries     *session.Table
+	dataCentres map[cell.HostID]string // dataCentres says where the entries are, as far as it is known.
+	waiting     queue.Queue
+	scratch     []int32   // scratch holds the slots of waiting requests while they are tried.
+	triedAt     time.Time // triedAt is when the waiting requests were tried last.
+	returns     queue.Returns
+	sizes       map[string]*fair.Sizes // sizes is by the class of requests.
+
+	flights slot.Slab[attempt]
+	places  *placing.Table
+	stakes  limit.Stakes
+	out     dispatch.Outbox
 }
 
 // team is what is known of a team's requests.
@@ -63,13 +59,14 @@
 
 // New returns a Dispatcher that knows no policy, voter or entry yet.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		cell:      config.Cell,
 		teamIndex: make(map[cell.TeamID]int32),
 		entries:   session.New(),
-		index:     make(map[cell.EndpointID]int32),
-		sizes:     make(map[string]*sizes),
+		sizes:     make(map[string]*fair.Sizes),
 	}
+	d.places = placing.New(&d.stakes)
+	return d
 }
 
 // Step takes in one event at the given time and returns what is to be done; the
@@ -107,32 +104,12 @@
 }
 
 func (d *Dispatcher) setPolicy(policy *dispatch.Policy) {
-	d.policy = *policy
+	d.dataCentres = policy.EntryDataCentres
 	d.shares.SetRate(policy.FairRate)
 	for i := range policy.Teams {
 		d.ledger.SetShare(int(d.teamOf(policy.Teams[i].Team)), policy.Teams[i].Share)
 	}
-	for i := range d.endpoints {
-		d.endpoints[i].open = false
-	}
-	for i := range policy.Endpoints {
-		d.ensure(policy.Endpoints[i].Endpoint).set(&policy.Endpoints[i], policy)
-	}
-}
-
-// ensure returns an endpoint and makes one for a new name.
-func (d *Dispatcher) ensure(id cell.EndpointID) *endpoint {
-	return &d.endpoints[d.ensureIndex(id)]
-}
-
-func (d *Dispatcher) ensureIndex(id cell.EndpointID) int32 {
-	if index, ok := d.index[id]; ok {
-		return index
-	}
-	index := int32(len(d.endpoints))
-	d.endpoints = append(d.endpoints, endpoint{id: id})
-	d.index[id] = index
-	return index
+	d.places.SetPolicy(policy)
 }
 
 // teamOf returns the index of a team and makes one for a new name.
@@ -164,9 +141,7 @@
 	d.takeFlights(index, ev.Flights)
 	d.mergeCounters(now, ev.Counters)
 	for i := range ev.Kept {
-		if at, known := d.index[ev.Kept[i].Endpoint]; known && d.endpoints[at].engine != nil {
-			d.endpoints[at].engine.Keep(ev.Kept[i].Part)
-		}
+		d.places.Keep(ev.Kept[i])
 	}
 }
 
@@ -178,10 +153,9 @@
 		if _, ok := d.entries.At(index).Flights[flights[i].Attempt]; ok {
 			continue
 		}
-		at := d.ensureIndex(flights[i].Endpoint)
 		d.add(attempt{
-			entry: index, attempt: flights[i].Attempt, team: d.teamOf(flights[i].Team), endpoint: at,
-			charged: flights[i].Charged, run: d.endpoints[at].adopt(int(flights[i].Charged)),
+			entry: index, attempt: flights[i].Attempt, team: d.teamOf(flights[i].Team), charged: flights[i].Charged,
+			placed: d.places.Adopt(d.places.Ensure(flights[i].Endpoint), int(flights[i].Charged)),
 		})
 	}
 	for attempt, place := range d.entries.At(index).Flights {
@@ -261,7 +235,7 @@
 	request := *d.waiting.At(place)
 	d.unqueue(place)
 	grounds := dispatch.Grounds{
-		Team: d.teams[request.Team].id, Within: d.shares.Within(d.now, int(request.Team)), Best: d.best(&request),
+		Team: d.teams[request.Team].id, Within: d.shares.Within(d.now, int(request.Team)), Best: d.places.Best(d.now, &request.Prompt),
 		Waited: d.now.Sub(request.Since),
 	}
 	if !request.Due.IsZero() {
--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -320,15 +320,23 @@
 	policy := engines(names...)
 	d.Step(now, &policy)
 	d.Step(now, &dispatch.Join{Router: grantOf, Session: 1})
-	demands := make([]cell.Demand, 1)
+	prompts := make([]cell.Prompt, 200)
+	for i := range prompts {
+		prompts[i] = prompt(uint64(i), 500, 50)
+	}
+	want := dispatch.Want{Router: grantOf, Session: 1, Demands: make([]cell.Demand, 1)}
+	begun := dispatch.Progressed{Router: grantOf, Session: 1, Progress: make([]cell.Progress, 1)}
+	ended := dispatch.Ended{Router: grantOf, Ends: make([]cell.End, 1)}
 	b.ReportAllocs()
 	for i := range b.N {
 		now = now.Add(time.Millisecond)
 		attempt := cell.AttemptID(i + 1)
-		demands[0] = cell.Demand{Attempt: attempt, Team: "kiosks", Estimate: 600, Prompt: prompt(uint64(i%200), 500, 50), Due: now.Add(time.Second)}
-		d.Step(now, &dispatch.Want{Router: grantOf, Session: 1, Demands: demands})
-		d.Step(now, &dispatch.Progressed{Router: grantOf, Session: 1, Progress: []cell.Progress{{Attempt: attempt, FirstToken: time.Millisecond}}})
-		d.Step(now, &dispatch.Ended{Router: grantOf, Ends: []cell.End{{Attempt: attempt, Outcome: cell.Completed}}})
+		want.Demands[0] = cell.Demand{Attempt: attempt, Team: "kiosks", Estimate: 600, Prompt: prompts[i%200], Due: now.Add(time.Second)}
+		begun.Progress[0] = cell.Progress{Attempt: attempt, FirstToken: time.Millisecond}
+		ended.Ends[0] = cell.End{Attempt: attempt, Outcome: cell.Completed}
+		d.Step(now, &want)
+		d.Step(now, &begun)
+		d.Step(now, &ended)
 	}
 }
 
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -1,5 +1,5 @@
 // Package admission dispatches a cell whose endpoints the platform registers: it
-// admits a request to the endpoint that should answer it in time, and refuses at
+// admits a request to the endpoint that core/placing chooses, lets it wait, or refuses at
 // once what none can answer in time.
 //
 // The load that its decisions answer is an overload by some tens of percent, with
--- a/core/admission/snapshot.go
+++ b/core/admission/snapshot.go
@@ -5,8 +5,6 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
-	"ryelug/core/flight"
-	"ryelug/core/limit"
 )
 
 // activeSpan is how long a team counts as active after demand or service.
@@ -22,16 +20,7 @@
 			shot.Teams = append(shot.Teams, dispatch.TeamSnapshot{Team: of.id, Queued: queued, InFlight: of.inFlight, Counter: d.ledger.Counter(i)})
 		}
 	}
-	for i := range d.endpoints {
-		at := &d.endpoints[i]
-		state := limit.Warm
-		if at.isCold(d.now) {
-			state = limit.Cold
-		}
-		shot.Endpoints = append(shot.Endpoints, flight.State{
-			Endpoint: at.id, State: state, Open: at.open, Limit: at.slots, InFlight: at.running, Free: max(0, at.slots-at.running),
-		})
-	}
+	shot.Endpoints = d.places.States(d.now, nil)
 	return shot
 }
 
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -57,10 +57,10 @@
 
 // Run is one request at an engine, as the holder of the model keeps it.
 type Run struct {
-	prompt *cell.Prompt // prompt is nil if only the length of the run is known.
-	tokens int          // tokens is the memory that the run takes at its end, without the shared parts of its prompt.
-	read   time.Time    // read is when its prefill should be over.
-	begun  bool         // begun tells that its first token was seen.
+	parts  []cell.Part // parts are those of the prompt; none if only the length of the run is known.
+	tokens int         // tokens is the memory that the run takes at its end, without the shared parts of its prompt.
+	read   time.Time   // read is when its prefill should be over.
+	begun  bool        // begun tells that its first token was seen.
 }
 
 // Prediction is what a request would find at an engine.
@@ -139,7 +139,7 @@
 	}
 	e.idleAt = e.idleAt.Add(e.prefill(reads, prompt.Tokens()))
 	e.unread = append(e.unread, e.idleAt)
-	run := Run{prompt: prompt, tokens: ownTokens(prompt) + prompt.Output, read: e.idleAt}
+	run := Run{parts: prompt.Parts, tokens: ownTokens(prompt) + prompt.Output, read: e.idleAt}
 	e.count(run.tokens)
 	e.keep(sharedParts(prompt))
 	return run
@@ -188,8 +188,8 @@
 	}
 	e.running--
 	e.used -= run.tokens
-	if wasBegun && run.prompt != nil {
-		e.keep(run.prompt.Parts)
+	if wasBegun {
+		e.keep(run.parts)
 	}
 }
 
--- a/core/admission/sizes.go
+++ b/core/fair/sizes.go
@@ -1,4 +1,4 @@
-package admission
+package fair
 
 import "ryelug/core/cell"
 
@@ -11,22 +11,22 @@
 	favouredGap   = 0.75 // favouredGap is the part of the others' admissions below which long ones are favoured.
 )
 
-// sizes keeps the long requests of a kind from being refused far more often than the
+// Sizes keeps the long requests of a kind from being refused far more often than the
 // others: each long prompt costs more than it brings, so that in overload none would be left.
-type sizes struct {
+type Sizes struct {
 	long        cell.Cost // long is the cost that one in ten requests exceeds.
 	all, ofLong float64   // parts that were admitted, of all and of the long ones
 	isBegun     bool
 }
 
-// favours tells whether a long request counts as within its team's share. The longest are left
+// Favours tells whether a long request counts as within its team's share. The longest are left
 // out, as each of them takes the place of several.
-func (s *sizes) favours(cost cell.Cost) bool {
+func (s *Sizes) Favours(cost cell.Cost) bool {
 	return s.isBegun && cost >= s.long && cost < longestFactor*s.long && s.ofLong < favouredGap*s.all
 }
 
-// decided takes in what became of a request.
-func (s *sizes) decided(cost cell.Cost, admitted bool) {
+// Decide takes in what became of a request.
+func (s *Sizes) Decide(cost cell.Cost, admitted bool) {
 	part := 0.0
 	if admitted {
 		part = 1
--- /dev/null
+++ b/core/placing/table.go
@@ -0,0 +1,221 @@
+package placing
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/engine"
+	"ryelug/core/flight"
+	"ryelug/core/limit"
+)
+
+// Table is the endpoints of a cell, each at a place that it keeps.
+type Table struct {
+	policy    dispatch.Policy
+	stakes    *limit.Stakes
+	endpoints []endpoint
+	places    map[cell.EndpointID]int32
+}
+
+// New returns an empty Table that bounds what it gives to cold endpoints by the stakes.
+func New(stakes *limit.Stakes) *Table {
+	return &Table{stakes: stakes, places: make(map[cell.EndpointID]int32)}
+}
+
+// SetPolicy replaces the configuration of the cell.
+func (t *Table) SetPolicy(policy *dispatch.Policy) {
+	t.policy = *policy
+	for i := range t.endpoints {
+		t.endpoints[i].open = false
+	}
+	for i := range policy.Endpoints {
+		t.endpoints[t.Ensure(policy.Endpoints[i].Endpoint)].set(&policy.Endpoints[i], policy)
+	}
+}
+
+// Ensure returns the place of an endpoint and makes one for a new name.
+func (t *Table) Ensure(id cell.EndpointID) int32 {
+	if place, ok := t.places[id]; ok {
+		return place
+	}
+	place := int32(len(t.endpoints))
+	t.endpoints = append(t.endpoints, endpoint{id: id})
+	t.places[id] = place
+	return place
+}
+
+// Find returns the place of an endpoint, negative if it is not known.
+func (t *Table) Find(id cell.EndpointID) int32 {
+	if place, ok := t.places[id]; ok {
+		return place
+	}
+	return -1
+}
+
+// Keep notes that an engine should keep a part of prompts.
+func (t *Table) Keep(kept cell.Kept) {
+	if place := t.Find(kept.Endpoint); place >= 0 && t.endpoints[place].engine != nil {
+		t.endpoints[place].engine.Keep(kept.Part)
+	}
+}
+
+// Choose returns the place of the endpoint for a request, if one can answer it in time. While an
+// engine that keeps the shared parts may still take it in time, no other one reads them again.
+func (t *Table) Choose(now time.Time, request *Request) (int32, Verdict) {
+	keepers, others := noOffers(), noOffers()
+	on := terms{fetch: t.look(now, request.Prompt) >= 0, allFail: t.doAllFail(now)}
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if !at.open || int32(i) == request.Avoid && t.hasOther(int32(i)) {
+			continue
+		}
+		cost, what := t.weigh(now, at, request, on)
+		if at.engine != nil && at.missing.Shared == 0 {
+			keepers.add(int32(i), cost, what)
+		} else {
+			others.add(int32(i), cost, what)
+		}
+	}
+	switch {
+	case keepers.endpoint >= 0:
+		return keepers.endpoint, Admitted
+	case keepers.verdict == Waits && request.isPatient(now):
+		return -1, Waits
+	case others.endpoint >= 0:
+		return others.endpoint, Admitted
+	}
+	return -1, keepers.verdict.join(others.verdict)
+}
+
+// look notes what each engine lacks of a prompt, and returns an open one that keeps its
+// shared parts and answers; negative if there is none.
+func (t *Table) look(now time.Time, prompt *cell.Prompt) int32 {
+	keeper := int32(-1)
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if !at.open || at.engine == nil {
+			continue
+		}
+		at.missing = at.engine.Missing(prompt)
+		if keeper < 0 && len(prompt.Parts) > 1 && at.missing.Shared == 0 && !at.health.IsFailing(now) {
+			keeper = int32(i)
+		}
+	}
+	return keeper
+}
+
+// Best returns the least time to the first token that is predicted at any open engine.
+func (t *Table) Best(now time.Time, prompt *cell.Prompt) time.Duration {
+	var best time.Duration
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if !at.open || at.engine == nil {
+			continue
+		}
+		if first := at.engine.Predict(now, prompt, at.engine.Missing(prompt), false).First; best == 0 || first < best {
+			best = first
+		}
+	}
+	return best
+}
+
+func (t *Table) doAllFail(now time.Time) bool {
+	for i := range t.endpoints {
+		if at := &t.endpoints[i]; at.open && !at.health.IsOut(now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) hasOther(than int32) bool {
+	for i := range t.endpoints {
+		if int32(i) != than && t.endpoints[i].open {
+			return true
+		}
+	}
+	return false
+}
+
+// bears tells whether an endpoint that may be cold bears one more request now.
+func (t *Table) bears(now time.Time, at *endpoint) bool {
+	if !at.cold.IsCold(now) {
+		return true
+	}
+	held, total := t.stakes.HeldSince(now, now.Add(-limit.RateWindow))
+	return at.cold.Bears(now, held, total)
+}
+
+// Placed is a request at an endpoint.
+type Placed struct {
+	Place int32
+	Start cell.StartID // Start is the start of the endpoint that was to run the request.
+	run   engine.Run
+	isRun bool // isRun is false at a plain service.
+}
+
+// Grant places a request at an endpoint and returns the grant for it.
+func (t *Table) Grant(now time.Time, place int32, prompt *cell.Prompt) (Placed, cell.Grant) {
+	at := &t.endpoints[place]
+	placed, grant := Placed{Place: place, Start: at.start}, cell.Grant{Endpoint: at.id, Start: at.start}
+	if at.engine != nil {
+		if keeper := t.look(now, prompt); keeper >= 0 && at.missing.Shared > 0 {
+			grant.Fetch = t.endpoints[keeper].id
+		}
+		placed.run, placed.isRun = at.engine.Admit(now, prompt, grant.Fetch != ""), true
+	}
+	at.running++
+	at.cold.Granted(now)
+	at.health.Tried(now)
+	return placed, grant
+}
+
+// Adopt counts a request in that another dispatcher has granted.
+func (t *Table) Adopt(place int32, tokens int) Placed {
+	at := &t.endpoints[place]
+	at.running++
+	placed := Placed{Place: place, Start: at.start}
+	if at.engine != nil {
+		placed.run, placed.isRun = at.engine.Adopt(tokens), true
+	}
+	return placed
+}
+
+// Begun notes the first token of a request.
+func (t *Table) Begun(now time.Time, placed *Placed) {
+	if at := &t.endpoints[placed.Place]; placed.isRun && at.engine != nil && at.start == placed.Start {
+		at.engine.Begun(now, &placed.run)
+	}
+}
+
+// Ended counts a request no more, with what its end says of the endpoint.
+func (t *Table) Ended(now time.Time, placed *Placed, outcome cell.Outcome) {
+	at := &t.endpoints[placed.Place]
+	if at.start != placed.Start {
+		return
+	}
+	at.running--
+	if at.engine != nil && placed.isRun {
+		at.engine.Ended(now, &placed.run)
+	}
+	at.health.Seen(now, outcome)
+	if outcome == cell.Unreached || outcome == cell.StartChanged {
+		at.cold.Doubt(now)
+	}
+}
+
+// States appends the state of each endpoint.
+func (t *Table) States(now time.Time, dst []flight.State) []flight.State {
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		state := limit.Warm
+		if at.cold.IsCold(now) {
+			state = limit.Cold
+		}
+		dst = append(dst, flight.State{
+			Endpoint: at.id, State: state, Open: at.open, Limit: at.slots, InFlight: at.running, Free: max(0, at.slots-at.running),
+		})
+	}
+	return dst
+}
--- a/core/admission/returns.go
+++ b/core/queue/returns.go
@@ -1,4 +1,4 @@
-package admission
+package queue
 
 import "time"
 
@@ -10,30 +10,34 @@
 	paceSpan    = time.Second            // paceSpan is the time constant of the pace of grants.
 )
 
-// returns tells refused callers when to come back, one after the other, so that they do not come as one wave.
-type returns struct {
+// Returns tells refused callers when to come back, one after the other, so that they do not come as one wave.
+type Returns struct {
 	pace   float64 // pace is an average of the grants a second.
 	paceAt time.Time
 	nextAt time.Time
 }
 
-func (r *returns) granted(now time.Time) {
+// Granted counts a grant, of which the pace of the returns is a part.
+func (r *Returns) Granted(now time.Time) {
 	r.fade(now)
 	r.pace += 1 / paceSpan.Seconds()
 }
 
-func (r *returns) fade(now time.Time) {
+func (r *Returns) fade(now time.Time) {
 	if passed := now.Sub(r.paceAt); passed > 0 {
 		r.pace /= 1 + passed.Seconds()/paceSpan.Seconds()
 		r.paceAt = now
 	}
 }
 
-// next returns the time after which the next refused caller should come back.
-func (r *returns) next(now time.Time) time.Duration {
+// Next returns the time after which the next refused caller should come back.
+func (r *Returns) Next(now time.Time) time.Duration {
 	r.fade(now)
 	every := time.Duration(float64(time.Second) / max(leastPace, returnPart*r.pace))
-	r.nextAt = later(r.nextAt.Add(every), now.Add(leastReturn))
+	r.nextAt = r.nextAt.Add(every)
+	if least := now.Add(leastReturn); r.nextAt.Before(least) {
+		r.nextAt = least
+	}
 	if after := r.nextAt.Sub(now); after < mostReturn {
 		return after
 	}
