--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -193,6 +193,54 @@
 	is.True(count(100, cell.Completed) > 30)
 }
 
+// An endpoint that fails gets a probe now and then, also while the others are full.
+func TestFailingEndpointIsProbed(t *testing.T) {
+	is := is.New(t)
+	policy := engines("e1", "e2")
+	policy.Endpoints[1].WarmLimit = 1
+	d := newDesk(policy)
+	probes := 0
+	for range 200 {
+		d.pass(50 * time.Millisecond)
+		for range 2 {
+			d.ask("kiosks", prompt(uint64(d.last)+10, 0, 100), 200*time.Millisecond)
+		}
+		for _, grant := range d.grants {
+			if grant.Endpoint == "e1" {
+				probes++
+				d.outcome[grant.Attempt] = cell.Failed
+			}
+		}
+		d.grants = nil
+	}
+	is.True(probes < 50) // 10 s hold 25 probes and what runs before the first failure is known
+}
+
+// Requests of teams beyond their shares leave a few slots to the others.
+func TestFloodLeavesSlots(t *testing.T) {
+	is := is.New(t)
+	policy := engines("e1")
+	policy.Engine, policy.FairRate = nil, 1000
+	policy.Endpoints[0].WarmLimit = 20
+	d := newDesk(policy)
+	served := 0
+	for step := range 400 {
+		d.pass(50 * time.Millisecond)
+		for range 30 {
+			d.ask("flood", prompt(1, 0, 500), 50*time.Millisecond)
+		}
+		is.True(step < 10 || len(d.running) >= 10) // The flood fills what it may.
+		if step%10 > 0 {
+			continue
+		}
+		if _, ok := first(d.ask("kiosks", prompt(2, 0, 10), 50*time.Millisecond)).(*dispatch.GrantTo); ok {
+			served++
+		}
+	}
+	t.Logf("%d of 40", served)
+	is.True(served >= 36)
+}
+
 // Requests of a team beyond its share leave room for those of the others.
 func TestFloodLeavesRoom(t *testing.T) {
 	is := is.New(t)
--- a/core/entry/life.go
+++ b/core/entry/life.go
@@ -127,7 +127,7 @@
 		return l.resume()
 	}
 	l.sends++
-	if l.config.NonIdempotent && !l.maySendAgain() {
+	if l.config.NonIdempotent && l.config.MaxSends == 0 { // Without a bound of its own it stays with the first endpoint.
 		return l.refuse(cell.Refused, result.EndpointRefused, ev.RetryAfter)
 	}
 	return l.retry(now, &Ask{End: cell.Refused, Avoid: ev.Endpoint, Reason: EndpointBusy}, result.EndpointRefused, ev.RetryAfter)
@@ -155,15 +155,6 @@
 	return l.retry(now, &Ask{End: cell.Failed, Avoid: ev.Endpoint, Reason: reason}, code, 0)
 }
 
-// maySendAgain tells whether another endpoint may get the request; without a bound
-// of its own a request that is not idempotent stays with the first.
-func (l *Life) maySendAgain() bool {
-	if l.config.MaxSends == 0 {
-		return !l.config.NonIdempotent
-	}
-	return l.sends < l.config.MaxSends
-}
-
 // failedAnswer tries another endpoint, or passes the answer on.
 func (l *Life) failedAnswer(now time.Time, ev *FailedAnswer) Action {
 	l.mayHaveRun = true
--- a/core/entry/life_test.go
+++ b/core/entry/life_test.go
@@ -149,7 +149,7 @@
 	granted, first, broken := &entry.Granted{}, &entry.Streamed{ID: "1"}, &entry.Broken{Endpoint: "e"}
 	failed, refused := &entry.FailedAnswer{Endpoint: "e"}, &entry.EndpointRefused{Endpoint: "e"}
 	two, one := entry.Config{Elsewhere: true, MaxSends: 2}, entry.Config{Elsewhere: true, MaxSends: 1}
-	once := entry.Config{Elsewhere: true, MaxSends: 1, NonIdempotent: true}
+	once := entry.Config{Elsewhere: true, MaxSends: 2, NonIdempotent: true}
 	retry := func(end cell.Outcome, reason entry.Reason) entry.Action {
 		return &entry.Ask{End: end, Avoid: "e", After: time.Second, Reason: reason}
 	}
@@ -174,6 +174,9 @@
 		{"failed twice", two, []entry.Event{granted, failed, granted, failed}, &entry.Deliver{End: cell.Failed}},
 		{"failed, runs once", once, []entry.Event{granted, failed}, &entry.Deliver{End: cell.Failed}},
 		{"refused, no endpoint left", one, []entry.Event{granted, refused}, refuse(cell.Refused, result.EndpointRefused, true)},
+		{"refused, runs once", once, []entry.Event{granted, refused}, retry(cell.Refused, entry.EndpointBusy)},
+		{"refused twice, runs once", once, []entry.Event{granted, refused, granted, refused}, refuse(cell.Refused, result.EndpointRefused, true)},
+		{"broken, runs once", once, []entry.Event{granted, broken}, refuse(cell.Failed, result.OutcomeUnknown, false)},
 		{"refused", two, []entry.Event{granted, refused}, retry(cell.Refused, entry.EndpointBusy)},
 		{"unreached does not count as sent", one, []entry.Event{granted, &entry.NotSent{Endpoint: "e"}}, retry(cell.Unreached, entry.EndpointUnreachable)},
 		{"broken, then refused: no promise", two, []entry.Event{granted, broken, granted, refused}, refuse(cell.Refused, result.RetryBudgetSpent, false)},
