Ask engines what they keep when a router begins to dispatch

Cause: after a loss of power of all routers, and after each change of the dispatcher, nobody knew what the engines keep beyond the last 10 s; shared parts were read again at other engines, while all callers came back.

Ruled out: a longer memory of the entries, which all start empty as well; a note in the store, a priced write for each part.

Change: a router that has dispatched a cell for 0.1 s asks each engine once which parts it keeps (the duty that asks for load reports does it), and the model takes those in as used longest ago.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -95,6 +95,9 @@
 		d.progressed(now, ev)
 	case *dispatch.Ended:
 		d.ended(now, ev)
+	case *dispatch.Holds:
+		d.places.Learn(ev.Endpoint, ev.Parts)
+		return nil
 	case *dispatch.Tick:
 	case *dispatch.Load, *dispatch.Unreachable, *dispatch.Siblings, *dispatch.Move:
 		return nil // The platform's registry takes the place of reports, and such a pool is one cell.
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -66,6 +66,12 @@
 	Kept     []cell.Kept // Kept tells which engines should keep which parts, the oldest first.
 }
 
+// Holds tells which parts of prompts an engine keeps by its own word.
+type Holds struct {
+	Endpoint cell.EndpointID
+	Parts    []cell.Part
+}
+
 // Renew tells until when, on this host's clock, an entry's stake may be counted on.
 type Renew struct {
 	Router     cell.RouterID
@@ -128,6 +134,7 @@
 func (*Policy) event()      {}
 func (*Voters) event()      {}
 func (*Join) event()        {}
+func (*Holds) event()       {}
 func (*Renew) event()       {}
 func (*Leave) event()       {}
 func (*Want) event()        {}
--- a/core/engine/cache.go
+++ b/core/engine/cache.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// learn adds parts that were used longer ago than all that are known.
+func (c *cache) learn(parts []cell.Part) {
+	for _, part := range parts {
+		if _, known := c.parts[part.ID]; !known {
+			c.parts[part.ID] = c.recent.PushBack(part)
+			c.tokens += part.Tokens
+		}
+	}
+}
+
 // shrink drops the least recently used parts until the rest fits.
 func (c *cache) shrink(room int) {
 	for c.tokens > room {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -196,6 +196,12 @@
 // Keep takes in that the engine should keep a part, by the word of one that sent it there.
 func (e *Engine) Keep(part cell.Part) { e.keep([]cell.Part{part}) }
 
+// Learn takes in what the engine itself says that it keeps; how long ago each part was used is not known.
+func (e *Engine) Learn(parts []cell.Part) {
+	e.cache.learn(parts)
+	e.cache.shrink(e.profile.Memory - e.used)
+}
+
 // keep notes parts as used just now; older ones yield to them and to the runs.
 func (e *Engine) keep(parts []cell.Part) {
 	e.cache.use(parts)
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// Learn takes in which parts an engine keeps by its own word.
+func (t *Table) Learn(id cell.EndpointID, parts []cell.Part) {
+	if place := t.Find(id); place >= 0 && t.endpoints[place].engine != nil {
+		t.endpoints[place].engine.Learn(parts)
+	}
+}
+
 // Choose returns the place of the endpoint for a request, if one can answer it in time. While an
 // engine that keeps the shared parts may still take it in time, no other one reads them again.
 func (t *Table) Choose(now time.Time, request *Request) (int32, Verdict) {
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"ryelug/core/cell"
 )
 
@@ -135,6 +137,32 @@
 	return load, nil
 }
 
+// Kept asks the engine at address which parts of prompts it keeps, on a connection of its own.
+func (c *Client) Kept(ctx context.Context, address netip.AddrPort) ([]cell.Part, error) {
+	form := c.config.Dialect.Kept
+	if form == nil {
+		return nil, nil
+	}
+	link, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer link.close()
+	stop := context.AfterFunc(ctx, link.close)
+	defer stop()
+	if err := link.send(link.newRequest(fasthttp.MethodGet, form.Path())); err != nil {
+		return nil, err
+	}
+	resp := &fasthttp.Response{}
+	if err := resp.ReadLimitBody(link.reader, c.config.MaxBody); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, fmt.Errorf("engine at %s answers the question what it keeps with status %d", address, resp.StatusCode())
+	}
+	return form.Read(resp.Body())
+}
+
 // reportConnections stands for a start in the key of connections that carry reports only.
 const reportConnections cell.StartID = "\x00reports"
 
--- a/io/endpoint/dialect.go
+++ b/io/endpoint/dialect.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"ryelug/core/cell"
 	"ryelug/io/header"
 )
 
@@ -21,10 +22,20 @@
 	Fetch     string // Fetch carries where an engine listens that keeps parts of the prompt.
 	Seal      string // Seal is in each genuine answer that counts as a success.
 
+	Kept KeptForm // Kept asks engines what they keep; nil if they don't tell.
+
 	Reports  bool // Reports tells that endpoints answer requests for their load, and orders to cancel.
 	Verbatim bool // Verbatim keeps headers and events as the endpoint wrote them; a stream ends with its framing.
 }
 
+// KeptForm is how engines tell which parts of prompts they keep.
+type KeptForm interface {
+	// Path returns the path of the question.
+	Path() string
+	// Read returns the parts that an answer tells of.
+	Read(body []byte) ([]cell.Part, error)
+}
+
 // ownDialect is that of the product's own endpoints.
 var ownDialect = Dialect{
 	RequestID: headerRequestID, LastEvent: headerLastEvent, NotRun: headerNotRun, Reports: true,
--- a/router/coordination/command.go
+++ b/router/coordination/command.go
@@ -51,6 +51,14 @@
 	err      error
 }
 
+// holds tells which parts an engine keeps, or that this is not known.
+type holds struct {
+	cell     cell.ID
+	endpoint cell.EndpointID
+	parts    []cell.Part
+	err      error
+}
+
 // tell sends a message to a router, or to all linked ones if to is empty.
 type tell struct {
 	to      cell.RouterID
@@ -73,6 +81,7 @@
 func (adopt) command()    {}
 func (listed) command()   {}
 func (measured) command() {}
+func (holds) command()    {}
 func (tell) command()     {}
 func (depart) command()   {}
 func (farewell) command() {}
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -183,6 +183,8 @@
 		c.adopt(now, cmd.directory)
 	case listed:
 		c.handleListed(now, cmd)
+	case holds:
+		c.handleHolds(now, cmd)
 	case measured:
 		c.handleMeasured(now, cmd)
 	case tell:
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -82,11 +82,16 @@
 	c.post(ctx, measured{cell: target.Cell, endpoint: target.Endpoint, load: load, sampled: sampled, err: err})
 }
 
+// Holds takes which parts an engine keeps, or why that is not known.
+func (c *Coordinator) Holds(ctx context.Context, target dispatching.Target, parts []cell.Part, err error) {
+	c.post(ctx, holds{cell: target.Cell, endpoint: target.Endpoint, parts: parts, err: err})
+}
+
 // choosePolled publishes the endpoints whose reports the dispatchers here need.
 // Those of a cell that is new here are asked at once, since without a report
 // its endpoints get no work.
 func (c *Coordinator) choosePolled() {
-	targets := c.dispatch.Targets()
+	targets := c.dispatch.Targets(time.Now())
 	before := c.polled.Swap(&targets)
 	if before == nil || len(*before) < len(targets) {
 		c.askReports()
@@ -132,6 +137,16 @@
 	})
 }
 
+func (c *Coordinator) handleHolds(now time.Time, cmd holds) {
+	log := c.log.WithField("cell", cmd.cell).WithField("endpoint", cmd.endpoint)
+	if cmd.err != nil {
+		log.WithError(cmd.err).Warn("What an engine keeps is not known.")
+		return
+	}
+	log.WithField("parts", len(cmd.parts)).Info("An engine tells what it keeps.")
+	c.dispatch.Report(now, cmd.cell, &dispatch.Holds{Endpoint: cmd.endpoint, Parts: cmd.parts})
+}
+
 // shareKeys notes this router's part of the work on the records of keys.
 func (c *Coordinator) shareKeys(now time.Time) {
 	order := c.table.Order(now, sweepOrder)
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -64,9 +64,14 @@
 	reported   reported                       // reported is nil if the dispatcher needs no reports.
 	entries    map[cell.RouterID]cell.Session // entries are those that have joined.
 	counters   []cell.TeamCounter
-	counterAt  int // counterAt is where the next round of counters starts.
+	counterAt  int       // counterAt is where the next round of counters starts.
+	since      time.Time // since is when the first of the present entries joined.
 }
 
+// keptAfter is how long a router dispatches a cell before it asks the engines what they keep: after a start of
+// all routers several dispatch for a moment.
+const keptAfter = 100 * time.Millisecond
+
 // New returns a Role without cells.
 func New(config Config) *Role {
 	return &Role{config: config, cells: make(map[cell.ID]*state)}
@@ -122,13 +127,18 @@
 	Endpoint cell.EndpointID
 	Address  netip.AddrPort
 	Need     flight.Need
+	Kept     bool // Kept asks, once, for what the engine keeps, in place of its load.
 }
 
 // Targets returns the endpoints of the cells that entries have joined.
-func (r *Role) Targets() []Target {
+func (r *Role) Targets(now time.Time) []Target {
 	var targets []Target
 	for id, at := range r.cells {
-		if len(at.entries) == 0 || at.reported == nil {
+		if len(at.entries) == 0 {
+			continue
+		}
+		if at.reported == nil {
+			targets = append(targets, r.keepers(now, at)...)
 			continue
 		}
 		for _, endpoint := range r.directory.Endpoints(id) {
@@ -140,6 +150,21 @@
 	return targets
 }
 
+// keepers returns the engines of a cell that this router has begun to dispatch, since it can't know what they keep.
+func (r *Role) keepers(now time.Time, at *state) (targets []Target) {
+	policy := r.directory.Policy(at.id)
+	if policy.Engine == nil || now.Sub(at.since) < keptAfter {
+		return nil
+	}
+	for i := range policy.Endpoints {
+		one := &policy.Endpoints[i]
+		if !one.Closed {
+			targets = append(targets, Target{Cell: at.id, Endpoint: one.Endpoint, Address: r.directory.Address(one.Endpoint), Kept: true})
+		}
+	}
+	return targets
+}
+
 // ReportDue returns the latest time, after one time and not after the other, from
 // which on reports let further stakes count at cold endpoints; zero if there is none.
 func (r *Role) ReportDue(after, by time.Time) time.Time {
@@ -258,7 +283,7 @@
 	if last, joined := at.entries[from]; joined && last >= m.Session {
 		return
 	}
-	r.add(at, from, m.Session)
+	r.add(now, at, from, m.Session)
 	r.step(now, at, &dispatch.Join{
 		Router: from, Session: m.Session, Stake: m.Stake, Unlent: m.Unlent, Flights: m.Flights, Counters: m.Counters, Kept: m.Kept,
 	})
@@ -268,8 +293,9 @@
 	r.config.Send(from, &wire.Accepted{Cell: m.Cell, Session: m.Session})
 }
 
-func (r *Role) add(at *state, router cell.RouterID, session cell.Session) {
+func (r *Role) add(now time.Time, at *state, router cell.RouterID, session cell.Session) {
 	if len(at.entries) == 0 {
+		at.since = now
 		r.config.Log.WithField("cell", at.id).Info("This router dispatches a cell.")
 	}
 	at.entries[router] = session
--- a/router/poll/loads.go
+++ b/router/poll/loads.go
@@ -28,6 +28,8 @@
 type Endpoints interface {
 	// Load asks an endpoint for its report.
 	Load(ctx context.Context, address netip.AddrPort) (endpoint.Load, error)
+	// Kept asks an engine which parts of prompts it keeps.
+	Kept(ctx context.Context, address netip.AddrPort) ([]cell.Part, error)
 }
 
 // rarePoll is the interval between the reports of an endpoint that are rarely needed.
@@ -95,7 +97,11 @@
 			return next
 		}
 		group.Go(func() {
-			p.poll(ctx, target)
+			if target.Kept {
+				p.askKept(ctx, target)
+			} else {
+				p.poll(ctx, target)
+			}
 			p.end(target.Endpoint)
 			<-slots
 		})
@@ -107,6 +113,9 @@
 func (p *Loads) due(target dispatching.Target) time.Time {
 	asked := p.asked[target.Endpoint]
 	interval := p.config.Timings.LoadPoll
+	if target.Kept && !asked.IsZero() {
+		return time.Now().Add(interval) // It is asked once.
+	}
 	if target.Need.Rare {
 		interval = max(interval, rarePoll)
 	}
@@ -150,6 +159,17 @@
 	delete(p.busy, endpoint)
 }
 
+// askKept asks an engine what it keeps.
+func (p *Loads) askKept(ctx context.Context, target dispatching.Target) {
+	asking, cancel := context.WithTimeout(ctx, keptTimeout)
+	defer cancel()
+	parts, err := p.config.Endpoints.Kept(asking, target.Address)
+	p.config.Coordinator.Holds(ctx, target, parts, err)
+}
+
+// keptTimeout bounds a question for what an engine keeps, which is long and comes from an engine at work.
+const keptTimeout = time.Second
+
 // poll asks one endpoint. The report can be as old as the report lag when it is written.
 func (p *Loads) poll(ctx context.Context, target dispatching.Target) {
 	asking, cancel := context.WithTimeout(ctx, p.config.Timings.LoadTimeout)
