--- a/router/poll/loads.go
+++ b/router/poll/loads.go
@@ -113,8 +113,8 @@
 func (p *Loads) due(target dispatching.Target) time.Time {
 	asked := p.asked[target.Endpoint]
 	interval := p.config.Timings.LoadPoll
-	if target.Kept {
-		interval = 2 * time.Second
+	if target.Kept && !asked.IsZero() {
+		return time.Now().Add(interval) // It is asked once.
 	}
 	if target.Need.Rare {
 		interval = max(interval, rarePoll)
