Share the fleet's retries among as many routers as there are

Cause: each router had an eighth of the retries that the fleet may save up, at any number of routers; twenty routers would have had two and a half times what is allowed. Ruled out: a count of the others' retries, which would need a message a retry. Change: the part is one in the number of members, and an eighth at most, as a router that has just started knows few of them. The hook that shares the rate of keyed requests tells the number. Test: TestRetriesOfFleet, 405 sends in place of 402 at 20 routers without the change.

--- a/core/entry/budget.go
+++ b/core/entry/budget.go
@@ -23,6 +23,14 @@
 	return &Budget{config: config, saved: config.Burst}
 }
 
+// SetBurst sets another bound on the retries saved up; those beyond it are lost.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config.Burst = burst
+	b.saved = min(b.saved, burst)
+}
+
 // Earn adds what one request earns.
 func (b *Budget) Earn() {
 	b.mu.Lock()
--- a/router/config.go
+++ b/router/config.go
@@ -99,7 +99,7 @@
 		DataCentre:  r.config.DataCentre,
 		Peer:        r.config.peerConfig(),
 		Timings:     r.config.Timings,
-		ShareKeys:   r.shareKeyedRate,
+		Share:       r.share,
 		Registered:  r.config.Source != nil,
 		Log:         r.config.Log,
 		Order:       r.config.Order,
--- a/router/coordination/config.go
+++ b/router/coordination/config.go
@@ -24,7 +24,7 @@
 	DataCentre string
 	Peer       peer.Config
 	Timings    Timings
-	ShareKeys  func(routers int) // ShareKeys is told among how many routers the rate of keyed requests is shared; it may be nil.
+	Share      func(routers int) // Share is told among how many routers what the fleet has is shared; it may be nil.
 	Log        logrus.FieldLogger
 
 	Registered  bool           // Registered tells that a platform registers the endpoints: dispatchers grant what needs no stake before they hold one, and a router that is cut off goes on with its own.
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -55,7 +55,7 @@
 	majority  bool // majority tells that this router was linked to more than half of the listed hosts last.
 	cutOff    atomic.Bool
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
-	keyShares int         // keyShares is the number of routers that the rate of keyed requests was shared among last.
+	shares    int         // shares is the number of routers that what the fleet has was shared among last.
 	polled    atomic.Pointer[[]dispatching.Target]
 	listedAt  atomic.Pointer[time.Time] // listedAt is when a list of hosts came last, read here or by a watcher.
 	pollNow   chan struct{}             // pollNow asks for a round of load reports before the next one is due.
@@ -203,7 +203,7 @@
 	c.table.Tick(now)
 	c.checkCutOff(now)
 	c.checkMajority()
-	c.shareKeys(now)
+	c.share(now)
 	c.refreshVoters(now)
 	c.lend.Tick(now, c.order(now))
 	c.dispatch.Tick(now)
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -147,14 +147,14 @@
 	c.dispatch.Report(now, cmd.cell, &dispatch.Holds{Endpoint: cmd.endpoint, Parts: cmd.parts})
 }
 
-// shareKeys notes this router's part of the work on the records of keys.
-func (c *Coordinator) shareKeys(now time.Time) {
+// share notes this router's part of what the fleet shares, and of the work on the records of keys.
+func (c *Coordinator) share(now time.Time) {
 	order := c.table.Order(now, sweepOrder)
 	c.sweeps.Store(len(order) > 0 && order[0] == c.self.Host())
 	_, total := c.table.Voters()
-	if c.config.ShareKeys == nil || total == 0 || total == c.keyShares {
+	if c.config.Share == nil || total == 0 || total == c.shares {
 		return
 	}
-	c.keyShares = total
-	c.config.ShareKeys(total)
+	c.shares = total
+	c.config.Share(total)
 }
--- a/router/keys.go
+++ b/router/keys.go
@@ -8,8 +8,9 @@
 	"ryelug/router/keyed"
 )
 
-// shareKeyedRate gives this router its part of the rate of keyed requests.
-func (r *Router) shareKeyedRate(routers int) {
+// share gives this router its part of what the fleet shares: the rate of keyed requests, and the retries.
+func (r *Router) share(routers int) {
+	r.runner.Share(routers)
 	if r.config.Keys != nil {
 		r.config.Keys.SetRate(r.config.KeyedRate / float64(routers))
 	}
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -159,9 +159,9 @@
 	return router.New(own)
 }
 
-// routersShare is the number of routers that share the retries of the fleet; each has
-// a fixed part, so that none must know what the others spend.
-const routersShare = 8
+// leastShares is the least number of routers that share the retries of the fleet: a router that has just
+// started does not know of all the others, and the usual deployments have six or seven.
+const leastShares = 8
 
 // register makes the router take what is in force from the users' platform.
 func (p *Process) register(own *router.Config) {
@@ -179,7 +179,7 @@
 	own.Callers.Protocol = users.Callers()
 	own.Endpoints = p.newEndpoints(users.Endpoints())
 	own.Keys, own.OldRecords = nil, nil // The platform's callers send no Idempotency-Key.
-	own.Retries.RetryBurst /= routersShare
+	own.Retries.LeastShares = leastShares
 	own.Retries.BackoffStart, own.Retries.BackoffLimit = firstRetry, slowestRetry
 }
 
--- a/router/request/budget_test.go
+++ b/router/request/budget_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,8 +46,9 @@
 func (w *lastWord) Close() error                { return nil }
 func (w *lastWord) Refuse(caller.Refusal) error { w.refused = true; return nil }
 
-// load sends n idempotent requests to a pool whose endpoint e0 is dead and returns sends and refusals.
-func load(n int, endpoints int, config request.Config) (sends, refused int) {
+// load sends n idempotent requests to a pool whose endpoint e0 is dead, through one of some routers, and
+// returns sends and refusals.
+func load(n, routers, endpoints int, config request.Config) (sends, refused int) {
 	dead := &deadEndpoints{}
 	grants := &fakeGrants{valid: time.Second}
 	for range endpoints {
@@ -54,6 +56,7 @@
 	}
 	config.Endpoints, config.Grants, config.BackoffStart = dead, grants, time.Nanosecond
 	runner := request.New(config)
+	runner.Share(routers)
 	for range n {
 		word := &lastWord{}
 		runner.Serve(context.Background(), request.Route{Idempotent: true}, &caller.Request{}, word)
@@ -73,8 +76,8 @@
 	for name, endpoints := range map[string]int{"all dead": 1, "one of three dead": 3} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			with, _ := load(n, endpoints, request.Config{RetryRatio: ratio, RetryBurst: burst})
-			without, _ := load(n, endpoints, request.Config{RetryRatio: unlimited, RetryBurst: unlimited})
+			with, _ := load(n, 1, endpoints, request.Config{RetryRatio: ratio, RetryBurst: burst})
+			without, _ := load(n, 1, endpoints, request.Config{RetryRatio: unlimited, RetryBurst: unlimited})
 			t.Logf("%d requests: %d sends with the budget, %d without", n, with, without)
 			is.True(float64(with) <= bound)
 			is.True(float64(without) > bound) // The baseline must break the bound.
@@ -82,11 +85,23 @@
 	}
 }
 
+// TestRetriesOfFleet bounds the sends of each of many routers by its part of the fleet's.
+func TestRetriesOfFleet(t *testing.T) {
+	const n, burst, leastShares = 400, 40, 8
+	for routers, most := range map[int]int{1: burst / leastShares, 8: burst / leastShares, 20: burst / 20} {
+		t.Run(strconv.Itoa(routers), func(t *testing.T) {
+			is := is.New(t)
+			sends, _ := load(n, routers, 1, request.Config{RetryRatio: 1e-9, RetryBurst: burst, LeastShares: leastShares})
+			is.Equal(sends, n+most)
+		})
+	}
+}
+
 // BenchmarkDeadEndpoint reports sends and refusals for each request when one endpoint of three is dead.
 func BenchmarkDeadEndpoint(b *testing.B) {
 	for name, config := range map[string]request.Config{"budget": {}, "no budget": {RetryRatio: unlimited, RetryBurst: unlimited}} {
 		b.Run(name, func(b *testing.B) {
-			sends, refused := load(b.N, 3, config)
+			sends, refused := load(b.N, 1, 3, config)
 			b.ReportMetric(float64(sends)/float64(b.N), "sends/request")
 			b.ReportMetric(float64(refused)/float64(b.N), "refusals/request")
 		})
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -131,6 +131,7 @@
 	Log          logrus.FieldLogger // Log gets a line for each decision on a request; it may be nil.
 	RetryRatio   float64            // RetryRatio is the number of retries that each request of a pool earns.
 	RetryBurst   float64            // RetryBurst bounds the retries saved up for a pool.
+	LeastShares  int                // LeastShares is the least number of routers that RetryBurst is shared among; zero if it is this router's own.
 	Keys         *keyed.Keeper      // Keys may be nil; then requests with an Idempotency-Key are refused.
 	BackoffStart time.Duration
 	BackoffLimit time.Duration
@@ -142,6 +143,7 @@
 
 	mu      sync.Mutex
 	budgets map[cell.ID]*entry.Budget
+	burst   float64 // burst is this router's part of the retries saved up for a pool.
 }
 
 // New returns a Runner.
@@ -153,7 +155,22 @@
 	if config.Counter == nil {
 		config.Counter = uncounted{}
 	}
-	return &Runner{config: config, budgets: make(map[cell.ID]*entry.Budget)}
+	r := &Runner{config: config, budgets: make(map[cell.ID]*entry.Budget)}
+	r.Share(1)
+	return r
+}
+
+// Share notes among how many routers the retries of the fleet are shared.
+func (r *Runner) Share(routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.burst = r.config.RetryBurst
+	if r.config.LeastShares > 0 {
+		r.burst /= float64(max(r.config.LeastShares, routers))
+	}
+	for _, budget := range r.budgets {
+		budget.SetBurst(r.burst)
+	}
 }
 
 // uncounted is the Counter of a Runner without one.
@@ -234,7 +251,7 @@
 	defer r.mu.Unlock()
 	budget, ok := r.budgets[pool]
 	if !ok {
-		budget = entry.NewBudget(entry.BudgetConfig{Ratio: r.config.RetryRatio, Burst: r.config.RetryBurst})
+		budget = entry.NewBudget(entry.BudgetConfig{Ratio: r.config.RetryRatio, Burst: r.burst})
 		r.budgets[pool] = budget
 	}
 	return budget
--- a/router/router.go
+++ b/router/router.go
@@ -55,6 +55,7 @@
 
 		RetryRatio:   conf.Retries.RetryRatio,
 		RetryBurst:   conf.Retries.RetryBurst,
+		LeastShares:  conf.Retries.LeastShares,
 		BackoffStart: conf.Retries.BackoffStart,
 		BackoffLimit: conf.Retries.BackoffLimit,
 	})
