--- a/cmd/ryelug/command/command.go
+++ b/cmd/ryelug/command/command.go
@@ -99,6 +99,7 @@
 	result.AddressInUse:    "End the process that listens there, or choose another address.",
 	result.BadArguments:    "Run \"ryelug help COMMAND\" for the flags and an example.",
 	result.UnknownName:     "Correct the name as the line before says.",
+	result.BadPlan:         "Correct the plan; bench/overload/plans has samples.",
 	result.InternalFailure: "If it comes back, report it with this text.",
 }
 
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -102,6 +102,8 @@
 	Endpoint EndpointID `msgpack:"e"`
 	Start    StartID    `msgpack:"s"`           // Start is the endpoint start that the grant holds for.
 	Fetch    EndpointID `msgpack:"f,omitempty"` // Fetch is an engine that keeps shared parts of the prompt, which the endpoint is to copy from there.
+
+	Predicted time.Duration `msgpack:"p,omitempty"` // Predicted is the time to the first token that the endpoint was chosen for; zero where nothing is predicted.
 }
 
 // Flight is a granted attempt that has not been seen to end.
--- a/core/lend/event.go
+++ b/core/lend/event.go
@@ -152,6 +152,8 @@
 	Start    cell.StartID
 	Fetch    cell.EndpointID // Fetch is an engine to copy shared parts of the prompt from; empty for none.
 	Expires  time.Time
+
+	Predicted time.Duration // Predicted is the time to the first token that the endpoint was chosen for; zero where nothing is predicted.
 }
 
 // Refused tells that an attempt gets no grant.
--- a/core/lend/work.go
+++ b/core/lend/work.go
@@ -100,7 +100,10 @@
 	delete(l.pending.byAttempt, g.Attempt)
 	l.flights[g.Attempt] = &cell.Flight{Attempt: g.Attempt, Team: d.Team, Endpoint: g.Endpoint, Start: g.Start}
 	l.place(now, g.Endpoint, &d.Prompt)
-	l.act(&Granted{Attempt: g.Attempt, Endpoint: g.Endpoint, Start: g.Start, Fetch: g.Fetch, Expires: echoed.Add(l.conf.GrantValid)})
+	l.act(&Granted{
+		Attempt: g.Attempt, Endpoint: g.Endpoint, Start: g.Start, Fetch: g.Fetch, Predicted: g.Predicted,
+		Expires: echoed.Add(l.conf.GrantValid),
+	})
 }
 
 func (l *Lender) handBack(router cell.RouterID, attempt cell.AttemptID) {
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -170,6 +170,7 @@
 		if keeper := t.look(now, prompt); keeper >= 0 && at.missing.Shared > 0 {
 			grant.Fetch = t.endpoints[keeper].id
 		}
+		grant.Predicted = at.engine.Predict(now, prompt, at.missing, grant.Fetch != "").First
 		placed.run, placed.isRun = at.engine.Admit(now, prompt, grant.Fetch != ""), true
 	}
 	at.running++
--- a/core/result/code.go
+++ b/core/result/code.go
@@ -40,6 +40,7 @@
 	AddressInUse    Code = 3005
 	BadArguments    Code = 3006
 	UnknownName     Code = 3007
+	BadPlan         Code = 3008
 	InternalFailure Code = 3999
 )
 
@@ -108,5 +109,6 @@
 	AddressInUse:        {"address_in_use", "the address is in use", false, 0, exitFailure},
 	BadArguments:        {"bad_arguments", "the command line is not valid", false, 0, exitUsage},
 	UnknownName:         {"unknown_name", "there is no such name, or no document yet", false, 0, exitInput},
+	BadPlan:             {"bad_plan", "the plan of an experiment is not valid", false, 0, exitInput},
 	InternalFailure:     {"internal_failure", "an error that has no number of its own", false, http.StatusInternalServerError, exitFailure},
 }
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -210,6 +210,8 @@
 		Endpoint: cell.EndpointID(d.name()),
 		Start:    cell.StartID(d.name()),
 		Fetch:    cell.EndpointID(d.name()),
+
+		Predicted: d.duration(),
 	}
 }
 
--- a/io/wire/decode_test.go
+++ b/io/wire/decode_test.go
@@ -24,7 +24,7 @@
 		&Accepted{"chat", 3}, &Release{"chat", 3}, &Released{"chat", 3},
 		&Want{"chat", 3, []cell.Demand{{Attempt: 9, Team: "kiosks", Estimate: -1}}},
 		&Withdraw{"chat", 3, []cell.AttemptID{9, math.MaxUint64, 0, 1 << 63, 7}},
-		&Grants{"chat", 3, []cell.Grant{{Attempt: 9, Endpoint: "e", Start: "s"}}},
+		&Grants{"chat", 3, []cell.Grant{{Attempt: 9, Endpoint: "e", Start: "s", Fetch: "e2", Predicted: 120 * time.Millisecond}}},
 		&Refusals{"chat", 3, []cell.Refusal{{Attempt: 9, Code: 1006}}},
 		&Progress{"chat", 3, []cell.Progress{{Attempt: 9, Cost: 120}}},
 		&Ends{"chat", []cell.End{{Attempt: 9, Outcome: cell.Failed}}},
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -163,6 +163,7 @@
 	e.name(string(g.Endpoint))
 	e.name(string(g.Start))
 	e.name(string(g.Fetch))
+	e.int(g.Predicted.Milliseconds())
 }
 
 func (e *Encoder) flight(f *cell.Flight) {
--- a/router/grants.go
+++ b/router/grants.go
@@ -74,6 +74,9 @@
 // Fetch implements request.Permit.
 func (p *permit) Fetch() netip.AddrPort { return p.decided.Fetch }
 
+// Predicted implements request.Permit.
+func (p *permit) Predicted() time.Duration { return p.decided.Predicted }
+
 // Expires implements request.Permit.
 func (p *permit) Expires() time.Time { return p.decided.Expires }
 
--- a/router/lending/ask.go
+++ b/router/lending/ask.go
@@ -28,6 +28,8 @@
 	Cost     *Cost
 	Hold     Hold
 	Refusal  *cell.Refusal
+
+	Predicted time.Duration // Predicted is the time to the first token that the endpoint was chosen for; zero where nothing is predicted.
 }
 
 // Refuse answers an ask that nothing was decided about.
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -298,6 +298,8 @@
 		Expires:  a.Expires,
 		Cost:     at.costs.open(a.Attempt),
 		Hold:     at.counted.hold(r.config.GrantValid),
+
+		Predicted: a.Predicted,
 	}
 }
 
--- a/router/request/log.go
+++ b/router/request/log.go
@@ -31,6 +31,7 @@
 		id, _, start := r.permit.Endpoint()
 		fields["endpoint"], fields["start"] = string(id), string(start)
 		fields["granted_ms"] = r.grantedAt.Sub(r.req.Received).Milliseconds()
+		fields["predicted_ms"] = r.permit.Predicted().Milliseconds()
 	}
 	if r.lastError != nil {
 		fields["cause"] = r.lastError.Error()
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -53,6 +53,8 @@
 	Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID)
 	// Fetch returns where an engine listens that keeps shared parts of the prompt; it is invalid for none.
 	Fetch() netip.AddrPort
+	// Predicted returns the time to the first token that the endpoint was chosen for; zero where nothing is predicted.
+	Predicted() time.Duration
 	// Expires returns the time by which the first byte must be sent.
 	Expires() time.Time
 	// AwaitCounted waits until the attempt is known to hold its place still, and tells whether it does.
