Lose an engine's requests in their order in the experiment

Cause: two plays of one plan differed by a few requests once an engine stopped: its requests were lost in a map's order. Test: TestPlaysAreEqual plays past the stop now, and failed. Conclusion: plays depend on the plan alone.

--- a/bench/overload/overload_test.go
+++ b/bench/overload/overload_test.go
@@ -69,7 +69,7 @@
 func TestPlaysAreEqual(t *testing.T) {
 	is := is.New(t)
 	plan := sample(t, 4)
-	plan.Length = Span(5 * time.Second)
+	plan.Length = Span(20 * time.Second) // The engine that stops has stopped by then.
 	one, other := Play(plan, "ryelug"), Play(plan, "ryelug")
 	is.Equal([]float64{one.Worth, one.Team, float64(one.Read)}, []float64{other.Worth, other.Team, float64(other.Read)})
 }
--- a/bench/overload/world.go
+++ b/bench/overload/world.go
@@ -1,7 +1,9 @@
 package overload
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ryelug/core/cell"
@@ -197,12 +199,17 @@
 		return
 	}
 	w.engines[at].Clear()
+	var lost []*request
 	for job, r := range w.jobs {
 		if r.engine == at {
 			delete(w.jobs, job)
-			w.lose(r, cell.Failed)
+			lost = append(lost, r)
 		}
 	}
+	slices.SortFunc(lost, func(a, b *request) int { return cmp.Compare(a.id, b.id) }) // A map has no order.
+	for _, r := range lost {
+		w.lose(r, cell.Failed)
+	}
 }
 
 func (w *world) endFault(fault *Fault) {
