--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -32,7 +32,7 @@
 	now  time.Time
 
 	teams     []team
-	teamIndex map[cell.TeamID]int32
+	teamIndex slot.Index[cell.TeamID]
 	ledger    fair.Ledger
 	shares    fair.Shares
 
@@ -61,7 +61,7 @@
 func New(config Config) *Dispatcher {
 	d := &Dispatcher{
 		cell:      config.Cell,
-		teamIndex: make(map[cell.TeamID]int32),
+		teamIndex: slot.NewIndex[cell.TeamID](),
 		entries:   session.New(),
 		sizes:     make(map[string]*fair.Sizes),
 	}
@@ -117,16 +117,14 @@
 
 // teamOf returns the index of a team and makes one for a new name.
 func (d *Dispatcher) teamOf(id cell.TeamID) int32 {
-	if index, ok := d.teamIndex[id]; ok {
-		return index
-	}
-	index := int32(len(d.teams))
-	d.teams = append(d.teams, team{id: id})
-	d.teamIndex[id] = index
-	d.ledger.Grow(len(d.teams))
-	d.shares.Grow(len(d.teams))
-	d.waiting.Grow(len(d.teams))
-	return index
+	place, isNew := d.teamIndex.Ensure(id)
+	if isNew {
+		d.teams = append(d.teams, team{id: id})
+		d.ledger.Grow(len(d.teams))
+		d.shares.Grow(len(d.teams))
+		d.waiting.Grow(len(d.teams))
+	}
+	return place
 }
 
 func (d *Dispatcher) join(now time.Time, ev *dispatch.Join) {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"ryelug/core/flight"
 	"ryelug/core/queue"
 	"ryelug/core/session"
+	"ryelug/core/slot"
 )
 
 // Order says which waiting request goes next; a Config without one means Fair.
@@ -46,7 +47,7 @@
 	now    time.Time
 
 	teams         []team
-	teamIndex     map[cell.TeamID]int32
+	teamIndex     slot.Index[cell.TeamID]
 	leastShare    int
 	ledger        fair.Ledger
 	mergedVirtual float64 // mergedVirtual is the greatest virtual time that an entry brought.
@@ -74,7 +75,7 @@
 	return &Dispatcher{
 		cell:      config.Cell,
 		order:     config.Order,
-		teamIndex: make(map[cell.TeamID]int32),
+		teamIndex: slot.NewIndex[cell.TeamID](),
 		entries:   session.New(),
 		flights:   flight.New(flight.Config{Window: config.GrantValid + config.StakeMargin}),
 	}
--- a/core/dispatch/team.go
+++ b/core/dispatch/team.go
@@ -31,15 +31,13 @@
 
 // teamOf returns the index of a team and makes one for a new name.
 func (d *Dispatcher) teamOf(id cell.TeamID) int32 {
-	if index, ok := d.teamIndex[id]; ok {
-		return index
+	place, isNew := d.teamIndex.Ensure(id)
+	if isNew {
+		d.teams = append(d.teams, team{id: id})
+		d.ledger.Grow(len(d.teams))
+		d.waiting.Grow(len(d.teams))
 	}
-	index := int32(len(d.teams))
-	d.teams = append(d.teams, team{id: id})
-	d.teamIndex[id] = index
-	d.ledger.Grow(len(d.teams))
-	d.waiting.Grow(len(d.teams))
-	return index
+	return place
 }
 
 func (d *Dispatcher) want(now time.Time, ev *Want) {
--- a/core/flight/rest.go
+++ b/core/flight/rest.go
@@ -18,7 +18,7 @@
 
 // Need returns how soon the report of an endpoint is needed.
 func (t *Table) Need(id cell.EndpointID) Need {
-	index, ok := t.index[id]
+	index, ok := t.index.Find(id)
 	if !ok {
 		return Need{}
 	}
--- a/core/flight/table.go
+++ b/core/flight/table.go
@@ -30,7 +30,7 @@
 	slots   int
 
 	endpoints []endpoint
-	index     map[cell.EndpointID]int32
+	index     slot.Index[cell.EndpointID]
 	wanted    bool      // wanted is true when a report has become due.
 	room      fair.Heap // room orders the endpoints that may take work by their load.
 
@@ -46,7 +46,7 @@
 
 // New returns a Table without endpoints and stakes.
 func New(config Config) *Table {
-	return &Table{window: config.Window, index: make(map[cell.EndpointID]int32)}
+	return &Table{window: config.Window, index: slot.NewIndex[cell.EndpointID]()}
 }
 
 // SetLimits replaces the configuration; endpoints that it lacks are closed.
@@ -72,19 +72,16 @@
 
 // Find returns the index of an endpoint.
 func (t *Table) Find(id cell.EndpointID) (index int32, ok bool) {
-	index, ok = t.index[id]
-	return index, ok
+	return t.index.Find(id)
 }
 
 // Ensure returns the index of an endpoint; one that is unknown so far is closed.
 func (t *Table) Ensure(id cell.EndpointID) int32 {
-	if index, ok := t.index[id]; ok {
-		return index
+	index, isNew := t.index.Ensure(id)
+	if isNew {
+		t.endpoints = append(t.endpoints, endpoint{id: id})
+		t.room.Grow(len(t.endpoints))
 	}
-	index := int32(len(t.endpoints))
-	t.endpoints = append(t.endpoints, endpoint{id: id})
-	t.index[id] = index
-	t.room.Grow(len(t.endpoints))
 	return index
 }
 
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -8,6 +8,7 @@
 	"ryelug/core/engine"
 	"ryelug/core/flight"
 	"ryelug/core/limit"
+	"ryelug/core/slot"
 )
 
 // Table is the endpoints of a cell, each at a place that it keeps.
@@ -15,12 +16,12 @@
 	policy    dispatch.Policy
 	stakes    *limit.Stakes
 	endpoints []endpoint
-	places    map[cell.EndpointID]int32
+	places    slot.Index[cell.EndpointID]
 }
 
 // New returns an empty Table that bounds what it gives to cold endpoints by the stakes.
 func New(stakes *limit.Stakes) *Table {
-	return &Table{stakes: stakes, places: make(map[cell.EndpointID]int32)}
+	return &Table{stakes: stakes, places: slot.NewIndex[cell.EndpointID]()}
 }
 
 // SetPolicy replaces the configuration of the cell.
@@ -36,18 +37,16 @@
 
 // Ensure returns the place of an endpoint and makes one for a new name.
 func (t *Table) Ensure(id cell.EndpointID) int32 {
-	if place, ok := t.places[id]; ok {
-		return place
+	place, isNew := t.places.Ensure(id)
+	if isNew {
+		t.endpoints = append(t.endpoints, endpoint{id: id})
 	}
-	place := int32(len(t.endpoints))
-	t.endpoints = append(t.endpoints, endpoint{id: id})
-	t.places[id] = place
 	return place
 }
 
 // Find returns the place of an endpoint, negative if it is not known.
 func (t *Table) Find(id cell.EndpointID) int32 {
-	if place, ok := t.places[id]; ok {
+	if place, ok := t.places.Find(id); ok {
 		return place
 	}
 	return -1
