Count dropped messages about the platform's objects, and show how old the configuration's confirmation is

Cause: a full inbox dropped messages unseen; an operator could not tell why requests with keys were refused before the bound was passed.

--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -62,7 +62,7 @@
 
 // gauges returns the variables that are read when they are asked for.
 func (p *Process) gauges() map[string]func() any {
-	return map[string]func() any{
+	gauges := map[string]func() any{
 		"latency":        func() any { return p.latencies.read() },
 		"log_dropped":    func() any { return p.dropped() },
 		"health":         func() any { return p.Health() },
@@ -70,6 +70,11 @@
 		"peers":          func() any { return p.peers() },
 		"cells":          func() any { return p.cells() },
 	}
+	if p.registry != nil {
+		gauges["told_dropped"] = func() any { return p.registry.Dropped() }
+		gauges["confirmed_ms_ago"] = func() any { return p.registry.ConfirmedAgo().Milliseconds() }
+	}
+	return gauges
 }
 
 // dropped returns the number of log lines that were dropped.
