--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -88,7 +88,7 @@
 		d.renew(ev)
 		return d.out.Actions()
 	case *dispatch.Leave:
-		d.leave(now, ev)
+		d.leave(ev)
 	case *dispatch.Withdraw:
 		d.withdraw(ev)
 	case *dispatch.Progressed:
@@ -189,7 +189,7 @@
 	}
 }
 
-func (d *Dispatcher) leave(now time.Time, ev *dispatch.Leave) {
+func (d *Dispatcher) leave(ev *dispatch.Leave) {
 	index, ok := d.entries.Present(ev.Router, ev.Session)
 	if !ok {
 		return
--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -314,6 +314,6 @@
 	}
 	part := func(of int) float64 { return float64(admitted[of]) / float64(asked[of]) }
 	t.Logf("admitted %v of %v", admitted, asked)
-	is.True(part(0) < 0.95) // an overload
+	is.True(part(0) < 0.95)         // an overload
 	is.True(part(1) >= part(0)*3/4) // Half is due, and long ones are lost more often once they run.
 }
--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -75,7 +75,7 @@
 		runs = append(runs, e.Admit(began, prompt(1, 5000, 400), false))
 	}
 	is.Equal(len(runs), 19) // of 500 tokens each, in 95 in 100 of the memory
-	is.True(!(e.Missing(prompt(1, 5000, 400)).Shared == 0))
+	is.True(e.Missing(prompt(1, 5000, 400)).Shared > 0)
 	for i := range runs {
 		e.Begun(began, &runs[i])
 		e.Ended(began, &runs[i])
@@ -97,8 +97,8 @@
 		}
 		return prompt
 	}
-	is.True(!(e.Missing(chain(1)).Shared == 0))
+	is.True(e.Missing(chain(1)).Shared > 0)
 	is.True((e.Missing(chain(2, 3)).Shared == 0))
-	is.True(!(e.Missing(chain(1, 3)).Shared == 0))
+	is.True(e.Missing(chain(1, 3)).Shared > 0)
 	is.Equal(e.Missing(chain(1, 3)).Shared, 800)
 }
