Ask engines what they keep only for most of the entries

Cause: each router that dispatched for 0.1 s asked all engines. After a start of all routers each does so for a moment; at 101 routers and 900 engines that is up to 90,900 questions, each of which costs an engine time. Ruled out: a longer pause; prompts are misplaced meanwhile. Change: a router asks once more than half of the listed routers have joined it.

--- a/router/dispatching/reports.go
+++ b/router/dispatching/reports.go
@@ -12,8 +12,8 @@
 	"ryelug/core/result"
 )
 
-// keptAfter is how long a router dispatches a cell before it asks the engines what they keep: after a start of
-// all routers several dispatch for a moment.
+// keptAfter is how long a router dispatches a cell before it asks the engines what they keep. It does so for most
+// entries only: after a start of all routers each of them dispatches for a moment, and an answer costs the engine time.
 const keptAfter = 100 * time.Millisecond
 
 // Target is an endpoint whose report is needed here.
@@ -48,7 +48,8 @@
 // keepers returns the engines of a cell that this router has begun to dispatch, since it can't know what they keep.
 func (r *Role) keepers(now time.Time, at *state) (targets []Target) {
 	policy := r.directory.Policy(at.id)
-	if policy.Engine == nil || now.Sub(at.since) < keptAfter {
+	isMost := 2*len(at.entries) > len(policy.EntryDataCentres)
+	if policy.Engine == nil || now.Sub(at.since) < keptAfter || !isMost {
 		return nil
 	}
 	for i := range policy.Endpoints {
