Let a stream with a gap go on at another endpoint

Cause: an event that is missing from a stream counts as a break, but the break named no endpoint, so the next grant avoided none. The engine that keeps the prompt is the best choice again, leaves the event out again, and the stream ends broken off.

Ruled out: two runs at a time; the former one is closed when its grant ends, and once more before the next send.

Change: a streamed event carries its endpoint, and the break of a gap names it.

--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -57,8 +57,9 @@
 
 // Streamed tells that an event of a stream has come.
 type Streamed struct {
-	ID   string
-	Done bool // Done marks the last event.
+	Endpoint cell.EndpointID
+	ID       string
+	Done     bool // Done marks the last event.
 }
 
 // CallerGone tells that the caller waits no more.
--- a/core/entry/life.go
+++ b/core/entry/life.go
@@ -193,7 +193,7 @@
 	case duplicate:
 		return &Skip{}
 	case gap:
-		return l.broken(now, &Broken{})
+		return l.broken(now, &Broken{Endpoint: ev.Endpoint})
 	}
 	if ev.ID != "" {
 		l.lastEvent = ev.ID
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -228,8 +228,8 @@
 	if errors.Is(err, io.EOF) && r.route.Verbatim {
 		return &entry.StreamEnded{}
 	}
+	id, _, _ := r.permit.Endpoint()
 	if err != nil {
-		id, _, _ := r.permit.Endpoint()
 		return r.failed(endpoint.Call{Endpoint: id}, err)
 	}
 	r.event = event
@@ -237,7 +237,7 @@
 		r.firstToken = time.Since(r.sendAt)
 		r.permit.Begun(r.firstToken)
 	}
-	return &entry.Streamed{ID: event.ID, Done: string(event.Data) == endpoint.Done}
+	return &entry.Streamed{Endpoint: id, ID: event.ID, Done: string(event.Data) == endpoint.Done}
 }
 
 func (r *run) relay() entry.Event {
