Keep accepting when descriptors are short

The new setting max_descriptors bounds callers' connections to half of the descriptors, since each request may need one to an endpoint.

--- a/io/operator/log.go
+++ b/io/operator/log.go
@@ -18,12 +18,13 @@
 	DispatchPart Prefix = "dispatch" // DispatchPart: sessions and cells that this router dispatches.
 	ConfigPart   Prefix = "config"   // ConfigPart: generations and their adoption.
 	OperatorPart Prefix = "operator" // OperatorPart: this package.
+	ListenerPart Prefix = "listener" // ListenerPart: io/listener.
 	RequestPart  Prefix = "request"  // RequestPart: decisions on requests.
 )
 
 // Prefixes returns all prefixes.
 func Prefixes() []Prefix {
-	return []Prefix{RouterPart, PeerPart, MemberPart, DispatchPart, ConfigPart, OperatorPart, RequestPart}
+	return []Prefix{RouterPart, PeerPart, MemberPart, DispatchPart, ConfigPart, OperatorPart, ListenerPart, RequestPart}
 }
 
 const partField = "part"
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
 	"time"
 
@@ -96,8 +94,3 @@
 	}
 	_ = m.runLink(ctx, link, theirs) // Its end is logged there, and the link is dialed anew.
 }
-
-func isTemporary(err error) bool {
-	var netErr net.Error
-	return !errors.Is(err, net.ErrClosed) && errors.As(err, &netErr)
-}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -13,7 +13,6 @@
 
 	"ryelug/core/cell"
 	"ryelug/io/greeting"
-	"ryelug/io/pause"
 	"ryelug/io/stamped"
 )
 
@@ -96,9 +95,6 @@
 			return ctx.Err()
 		}
 		if err != nil {
-			if isTemporary(err) && pause.For(ctx, m.conf.Redial) {
-				continue
-			}
 			return err
 		}
 		select {
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -14,6 +14,7 @@
 	"ryelug/core/dispatch"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
+	"ryelug/io/listener"
 	"ryelug/io/operator"
 	"ryelug/io/platform"
 	users "ryelug/platform"
@@ -61,6 +62,9 @@
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
+	for _, one := range []*net.Listener{&config.Callers, &config.Operator, &config.Peers} {
+		*one = listener.New(listener.Config{Listener: *one, Log: operator.Part(config.Log, operator.ListenerPart)})
+	}
 	process := &Process{config: config, vars: operator.NewVars(), latencies: newLatencies()}
 	process.platform = platform.New(platform.Config{
 		Address:     config.Settings.PlatformAddress,
@@ -119,13 +123,21 @@
 	}
 }
 
+// mostCallers bounds the callers' connections, so that each request at hand may have one to an endpoint.
+func mostCallers(given *settings.Settings) int {
+	if given.MaxDescriptors == 0 {
+		return given.MaxCallers
+	}
+	return min(given.MaxCallers, given.MaxDescriptors/2)
+}
+
 func (p *Process) newRouter() *router.Router {
 	given := p.config.Settings
 	callers := caller.Config{
 		ReadTimeout: given.BodyTimeout,
 		MaxHeader:   given.MaxHeader,
 		MaxBody:     given.MaxBody,
-		MaxConns:    given.MaxCallers,
+		MaxConns:    mostCallers(given),
 	}
 	own := router.Config{
 		Host:         given.Host,
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -96,6 +96,8 @@
 	numberKey("cold_slack", "Requests a second that a cold endpoint bears beyond that.", 0, 0, 10_000, func(s *Settings) *float64 { return &s.ColdSlack }),
 	intKey("memory_limit", "Memory of the process, in MiB; the garbage collector works harder when three quarters of it are in use. Zero is no limit.",
 		0, 0, 1_000_000, func(s *Settings) *int { return &s.MemoryLimit }),
+	intKey("max_descriptors", "Descriptors that the process may open; callers get half of them at most, since each request may need one to an endpoint. Zero is no limit.",
+		0, 0, 10_000_000, func(s *Settings) *int { return &s.MaxDescriptors }),
 	intKey("keyed_rate", "Most requests with an `Idempotency-Key` a second in the whole fleet; each costs the platform three writes; the same in the whole environment.",
 		100, 1, 10_000, func(s *Settings) *int { return &s.KeyedRate }),
 	durationKey("keyed_retention", "How long the outcome of a request with an `Idempotency-Key` is kept; a repeat after that runs again.",
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -56,6 +56,7 @@
 	MaxHeader      int
 	MaxBody        int
 	MaxCallers     int
+	MaxDescriptors int
 }
 
 // Load reads and checks a settings file.
