Measure strain by the queue of goroutines, and learn nothing of engines from slow routers

Two causes by its log: a goroutine that a timer wakes runs next, so its ticks came in time while work waited; and what the flooded router was slow to send or to tell of made engines look slow: its prompts without a token counted as holding all later ones up, so the dispatcher refused other routers' requests with best_ms 614 while the engines were idle.

A first token tells that all earlier prompts of the engine have been read, since it reads in the order of arrival; a run that was overtaken teaches nothing.

TestSlowRouter failed before the change of core/engine.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -156,11 +156,19 @@
 	e.used += tokens
 }
 
-// Begun takes in that a run has shown its first token, and learns from how late it was.
+// Begun takes in that a run has shown its first token, and learns from how late it was. Prompts are read in
+// the order of arrival, so those before it hold nothing up any more: a router that is slow to send them, or to
+// tell of their tokens, must not make the engine look slow.
 func (e *Engine) Begun(now time.Time, run *Run) {
 	if run.begun {
 		return
 	}
+	at, isNext := slices.BinarySearchFunc(e.unread, run.read, time.Time.Compare)
+	if !isNext {
+		run.begun = true // A later one has begun before it.
+		return
+	}
+	e.unread = slices.Delete(e.unread, 0, at)
 	late := now.Sub(run.read)
 	e.learn(now, late)
 	if surplus := late - e.latency(now); surplus > 0 && len(e.unread) > 1 {
--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -50,6 +50,22 @@
 	is.True(predict(e, began.Add(2*time.Second), prompt(2, 100, 100), false).First < 200*time.Millisecond)
 }
 
+// What a router is slow to tell says nothing of the engine, at which later requests of others have begun.
+func TestSlowRouter(t *testing.T) {
+	is := is.New(t)
+	e := engine.New(engine.Profile{})
+	slow := e.Admit(began, prompt(1, 100, 100), false)
+	now := began.Add(500 * time.Millisecond)
+	is.True(predict(e, now, prompt(2, 100, 100), false).First > 400*time.Millisecond)
+	other := e.Admit(now, prompt(2, 100, 100), false)
+	now = now.Add(100 * time.Millisecond)
+	e.Begun(now, &other)
+	is.True(predict(e, now, prompt(3, 100, 100), false).First < 150*time.Millisecond)
+	e.Begun(now.Add(3*time.Second), &slow)
+	e.Ended(now.Add(3*time.Second), &slow)
+	is.True(predict(e, now.Add(3*time.Second), prompt(3, 100, 100), false).First < 150*time.Millisecond)
+}
+
 // An engine that was slow is believed to be slow, and tried again after a while.
 func TestSlowEngineIsTriedAgain(t *testing.T) {
 	is := is.New(t)
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -63,7 +63,9 @@
 		config.Seed = rand.Uint64()
 	}
 	for _, one := range []*net.Listener{&config.Callers, &config.Operator, &config.Peers} {
-		*one = listener.New(listener.Config{Listener: *one, Log: operator.Part(config.Log, operator.ListenerPart)})
+		if *one != nil {
+			*one = listener.New(listener.Config{Listener: *one, Log: operator.Part(config.Log, operator.ListenerPart)})
+		}
 	}
 	process := &Process{config: config, vars: operator.NewVars(), latencies: newLatencies()}
 	process.platform = platform.New(platform.Config{
--- a/router/router.go
+++ b/router/router.go
@@ -210,18 +210,6 @@
 	Generation uint64
 }
 
-// watchStrain ticks until ctx ends, and logs when the process begins and ends to be strained.
-func (r *Router) watchStrain(ctx context.Context) error {
-	strained := false
-	for pause.For(ctx, r.strain.Tick(time.Now())) {
-		if now := r.strain.IsStrained(time.Now()); now != strained {
-			strained = now
-			r.log.WithField("strained", strained).Warn("Whether this router keeps up with its work has changed.")
-		}
-	}
-	return nil
-}
-
 func (r *Router) generation() uint64 {
 	if d := r.directory.Load(); d != nil {
 		return d.Generation
--- /dev/null
+++ b/router/strain.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"context"
+	"math"
+	"runtime/metrics"
+	"time"
+
+	"ryelug/io/pause"
+)
+
+const (
+	// schedulerWaits is the runtime's histogram of how long goroutines that could run have waited.
+	schedulerWaits = "/sched/latencies:seconds"
+	// waitPart is the part of the waits that a process's wait is not shorter than; work passes through several
+	// goroutines, so most of it meets the longest.
+	waitPart = 0.9
+)
+
+// watchStrain ticks until ctx ends, and logs when the process begins and ends to be strained.
+func (r *Router) watchStrain(ctx context.Context) error {
+	strained := false
+	waits := newWaits()
+	for pause.For(ctx, r.strain.Tick(time.Now(), waits.next())) {
+		if now := r.strain.IsStrained(time.Now()); now != strained {
+			strained = now
+			r.log.WithField("strained", strained).Warn("Whether this router keeps up with its work has changed.")
+		}
+	}
+	return nil
+}
+
+// waits reads how long goroutines wait for the processor.
+type waits struct {
+	sample []metrics.Sample
+	counts []uint64 // counts are those of the histogram at the last reading.
+}
+
+func newWaits() *waits {
+	return &waits{sample: []metrics.Sample{{Name: schedulerWaits}}}
+}
+
+// next returns the wait that most goroutines did not exceed since the last reading; zero if none is known.
+func (w *waits) next() time.Duration {
+	metrics.Read(w.sample)
+	if w.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0
+	}
+	histogram := w.sample[0].Value.Float64Histogram()
+	return time.Duration(w.quantile(histogram) * float64(time.Second))
+}
+
+// quantile returns the lower bound of the bucket, in seconds, in which waitPart of the new waits is reached.
+func (w *waits) quantile(histogram *metrics.Float64Histogram) float64 {
+	if len(w.counts) != len(histogram.Counts) {
+		w.counts = make([]uint64, len(histogram.Counts))
+	}
+	var total uint64
+	for i, count := range histogram.Counts {
+		w.counts[i], total = count-w.counts[i], total+count-w.counts[i]
+	}
+	defer copy(w.counts, histogram.Counts)
+	var below uint64
+	for i, count := range w.counts {
+		below += count
+		if count > 0 && float64(below) >= waitPart*float64(total) {
+			return max(0, math.Min(histogram.Buckets[i], math.MaxInt32))
+		}
+	}
+	return 0
+}
