--- a/io/peer/fault_test.go
+++ b/io/peer/fault_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"ryelug/core/cell"
+	"ryelug/io/greeting"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
 	"ryelug/standin/bubble"
@@ -132,7 +133,7 @@
 		answer := make([]byte, 64)
 		n, err := conn.Read(answer)
 		is.NoErr(err)
-		is.True(strings.HasPrefix(string(answer[1:n]), "ryelug\x03"))
+		is.True(strings.HasPrefix(string(answer[1:n]), "ryelug"+string(rune(greeting.Version))))
 	})
 }
 
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -127,7 +127,7 @@
 		return &ObjectsAsk{d.uint(), decodeSlice(d, (*Decoder).shelf)}
 	case KindObjectsTold:
 		return &ObjectsTold{
-			Shelf: d.shelf(), Number: d.uint(), Age: d.duration(), Since: d.uint(),
+			Shelf: d.shelf(), Number: d.uint(), Age: d.duration(), Lost: d.bool(), Since: d.uint(),
 			Names: decodeSlice(d, (*Decoder).string), Objects: decodeSlice(d, (*Decoder).object),
 		}
 	}
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -98,6 +98,7 @@
 		e.shelf(&m.Shelf)
 		e.uint(m.Number)
 		e.duration(m.Age)
+		e.keep(e.enc.EncodeBool(m.Lost))
 		e.uint(m.Since)
 		encodeSlice(e, m.Names, func(e *Encoder, name *string) { e.string(*name) })
 		encodeSlice(e, m.Objects, (*Encoder).object)
--- a/io/wire/message.go
+++ b/io/wire/message.go
@@ -147,6 +147,7 @@
 	Shelf
 	Number  uint64        // Number is that of the question.
 	Age     time.Duration // Age is how long ago the sender knew that this was the newest state.
+	Lost    bool          // Lost tells that the sender's calls to the platform fail.
 	Since   uint64        // Since is the revision that was asked with.
 	Names   []string      // Names are those of all objects; none unless something has changed.
 	Objects []Object      // Objects are those that changed after Since.
