Let hosts with the most processor time dispatch

The dispatcher takes part in each request of its cell, hosts differ by a factor of four in processor time, and the order of dispatchers did not know: a queue of demands grew past their deadlines.

Ruled out: the decision itself (6.9 us, BenchmarkAdmission). Tried: 64 in place of 256 waiting requests at a time; TestLongRequestsAreAdmitted fails (475 of 800 in place of 608), so it is 256 again.

The dispatcher's log of refusals is bounded to 100 lines a second; the entry logs each.

TestStrongHostsDispatch is new.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -37,6 +37,7 @@
 	PeerAddress netip.AddrPort
 	DataCentre  string
 	Leaving     bool
+	Processor   int // Processor is the router's part of its host's processor, in thousandths of a core; zero if not known.
 }
 
 // Config sets a Table; zero durations get their defaults.
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -233,6 +233,27 @@
 	b.assertVoters(7, 7)
 }
 
+// Hosts with much less of a processor than others dispatch only when none of those is live.
+func TestStrongHostsDispatch(t *testing.T) {
+	b := newBench(t, 6)
+	list := members(7)
+	for i := range list {
+		list[i].Processor = 192
+	}
+	list[2].Processor, list[5].Processor = 700, 800
+	b.Listed(b.now, list)
+	for n := range 20 {
+		order := b.Order(b.now, cell.ID(fmt.Sprint("cell-", n)))
+		b.Equal(len(order), 7)
+		b.True(order[0] == "h2" && order[1] == "h5" || order[0] == "h5" && order[1] == "h2")
+	}
+	b.Leaving(b.now, "h2")
+	b.Equal(b.Order(b.now, "chat")[0], host(5))
+	b.Leaving(b.now, "h5")
+	order := b.Order(b.now, "chat")
+	b.True(order[0] != "h2" && order[0] != "h5")
+}
+
 // The loss of a host moves only the cells that it dispatched.
 func TestLossMovesFewCells(t *testing.T) {
 	b := newBench(t, 9)
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -249,6 +249,7 @@
 		d.fail(ErrShape)
 	}
 	h.Address, h.DataCentre, h.Leaving = address, d.string(), d.bool()
+	h.Processor = d.uint()
 	return h
 }
 
--- a/io/wire/decode_test.go
+++ b/io/wire/decode_test.go
@@ -30,7 +30,7 @@
 		&Ends{"chat", []cell.End{{Attempt: 9, Outcome: cell.Failed}}},
 		&Counters{"chat", counters}, &Leaving{}, &ConfigNews{12, []byte("{}")},
 		&ConfigAsk{[]string{"ab"}}, &ConfigPart{"ab", []byte("part")}, &Members{[]cell.HostID{"a"}}, &Departed{},
-		&Listed{true, []Host{{"a", netip.MustParseAddrPort("192.0.2.1:7000"), "dc-a", true}}},
+		&Listed{true, []Host{{"a", netip.MustParseAddrPort("192.0.2.1:7000"), "dc-a", true, 192}}},
 		&ObjectsAsk{7, []Shelf{{"config", 12}, {"servers", 0}}},
 		&ObjectsTold{Shelf{"config", 14}, 7, 3 * time.Millisecond, true, 12, []string{"main"}, []Object{{"main", 14, []byte("{}")}}},
 	}
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -210,6 +210,7 @@
 	e.string(h.Address.String())
 	e.string(h.DataCentre)
 	e.keep(e.enc.EncodeBool(h.Leaving))
+	e.uint(h.Processor)
 }
 
 // counters writes the least counter, and of each how far it is above it.
--- a/io/wire/message.go
+++ b/io/wire/message.go
@@ -121,6 +121,7 @@
 	Address    netip.AddrPort // Address is where its router listens for its peers.
 	DataCentre string
 	Leaving    bool
+	Processor  uint64 // Processor is its part of the host's processor, in thousandths of a core; zero if not known.
 }
 
 // Listed tells that the sender has just read the platform's list of hosts. It
--- a/router/dispatching/reports.go
+++ b/router/dispatching/reports.go
@@ -99,8 +99,8 @@
 
 // logRefusal tells what a refusal by prediction rests on; the entry's log names the request of the attempt.
 func (r *Role) logRefusal(at *state, action *dispatch.RefuseTo) {
-	if at.reported != nil {
-		return
+	if at.reported != nil || !r.refusalLines.Allow() {
+		return // The entry logs each refusal.
 	}
 	grounds := &action.Grounds
 	info, _ := result.Lookup(action.Code)
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"ryelug/core/admission"
 	"ryelug/core/cell"
@@ -38,8 +39,14 @@
 	voters    []cell.HostID
 	total     int
 	leaving   bool
+
+	refusalLines *rate.Limiter // refusalLines bounds the log's lines on refusals.
 }
 
+// refusalRate is how many lines a second a dispatcher logs on refusals, and at once; a flood of them must not cost
+// more than the decisions.
+const refusalRate = 100
+
 // dispatcher decides for one cell.
 type dispatcher interface {
 	Step(now time.Time, ev dispatch.Event) []dispatch.Action
@@ -68,7 +75,7 @@
 
 // New returns a Role without cells.
 func New(config Config) *Role {
-	return &Role{config: config, cells: make(map[cell.ID]*state)}
+	return &Role{config: config, cells: make(map[cell.ID]*state), refusalLines: rate.NewLimiter(refusalRate, refusalRate)}
 }
 
 // Adopt puts a generation of the configuration in force.
--- a/router/links/list.go
+++ b/router/links/list.go
@@ -14,7 +14,7 @@
 	hosts := make([]wire.Host, 0, len(members))
 	for _, m := range members {
 		hosts = append(hosts, wire.Host{
-			Host: m.Host, Address: m.PeerAddress, DataCentre: m.DataCentre, Leaving: m.Leaving,
+			Host: m.Host, Address: m.PeerAddress, DataCentre: m.DataCentre, Leaving: m.Leaving, Processor: uint64(m.Processor),
 		})
 	}
 	for _, link := range s.dialed {
@@ -43,7 +43,7 @@
 	members := make([]member.Member, 0, len(hosts))
 	for _, h := range hosts {
 		members = append(members, member.Member{
-			Host: h.Host, PeerAddress: h.Address, DataCentre: h.DataCentre, Leaving: h.Leaving,
+			Host: h.Host, PeerAddress: h.Address, DataCentre: h.DataCentre, Leaving: h.Leaving, Processor: int(h.Processor),
 		})
 	}
 	return members, known
--- a/router/process/hosts.go
+++ b/router/process/hosts.go
@@ -23,6 +23,7 @@
 	PeerAddress netip.AddrPort `json:"peer_address"`
 	DataCentre  string         `json:"data_centre"`
 	Leaving     bool           `json:"leaving"`
+	Processor   int            `json:"processor"` // Processor is in thousandths of a core.
 }
 
 // Hosts implements poll.Lister.
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -185,7 +185,7 @@
 	p.registry = users.New(users.Config{
 		Store:       given.PlatformAddress,
 		Dial:        p.config.Dial,
-		Self:        users.Entry{Host: given.Host, Address: given.PeerAddress, DataCentre: given.DataCentre},
+		Self:        users.Entry{Host: given.Host, Address: given.PeerAddress, DataCentre: given.DataCentre, Processor: int(given.ProcessorShare * 1000)},
 		Cold:        users.ColdBound{Factor: given.ColdFactor, Slack: given.ColdSlack},
 		RevokeBound: given.RevokeBound,
 		Now:         p.config.Now,
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -92,6 +92,8 @@
 		5*time.Second, time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.RevokeBound }),
 	durationKey("grace", "Time from the signal to stop to the end of the process, whatever still runs then.",
 		10*time.Minute, time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Grace }),
+	numberKey("processor_share", "Cores that the process may use; hosts with the most of them dispatch. Zero is not known.",
+		0, 0, 1024, func(s *Settings) *float64 { return &s.ProcessorShare }),
 	numberKey("retry_ratio", "Retries that each request of a pool earns, in the whole fleet.", 0.2, 0, 10, func(s *Settings) *float64 { return &s.RetryRatio }),
 	numberKey("retry_burst", "Retries of a pool that may be saved up, in the whole fleet.", 20, 0, 100_000, func(s *Settings) *float64 { return &s.RetryBurst }),
 	numberKey("cold_factor", "Factor of the rate of requests that the configuration allows a cold endpoint.", 1, 0.01, 100, func(s *Settings) *float64 { return &s.ColdFactor }),
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -27,15 +27,17 @@
 
 	BalancerLag time.Duration
 	StrainLate  time.Duration
-	Heartbeat   time.Duration
-	LinkSilent  time.Duration
-	DialTimeout time.Duration
-	StakeLease  time.Duration
-	GrantValid  time.Duration
-	LoadPoll    time.Duration
-	ReportLag   time.Duration
-	ListLag     time.Duration
-	CutOffAfter time.Duration
+
+	ProcessorShare float64
+	Heartbeat      time.Duration
+	LinkSilent     time.Duration
+	DialTimeout    time.Duration
+	StakeLease     time.Duration
+	GrantValid     time.Duration
+	LoadPoll       time.Duration
+	ReportLag      time.Duration
+	ListLag        time.Duration
+	CutOffAfter    time.Duration
 
 	Registered  bool
 	RevokeBound time.Duration
