Count only well overdue prompts as overtaken

Each first token took all earlier prompts for read, also those that are due a moment later: chunks of several prompts are read in one step, and ways differ.

Change: a prompt counts as overtaken when it is overdue by 100 ms beyond the engine's latency.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -25,6 +25,7 @@
 	latencyWeight = 4               // latencyWeight divides the newest sample's difference in the average.
 	latencyDecay  = 2 * time.Second // latencyDecay is the time constant after which a slow engine is tried again.
 	mostLatency   = 10 * time.Second
+	overtakenBy   = 100 * time.Millisecond // overtakenBy is how overdue a prompt is that a later one has overtaken; less is a matter of ways and steps.
 	memoryPercent = 95 // memoryPercent of the memory is given out; beyond it engines preempt.
 )
 
@@ -157,8 +158,8 @@
 }
 
 // Begun takes in that a run has shown its first token, and learns from how late it was. Prompts are read in
-// the order of arrival, so those before it hold nothing up any more: a router that is slow to send them, or to
-// tell of their tokens, must not make the engine look slow.
+// the order of arrival, so those that should have been read well before it hold nothing up any more: a router that
+// is slow to send them, or to tell of their tokens, must not make the engine look slow.
 func (e *Engine) Begun(now time.Time, run *Run) {
 	if run.begun {
 		return
@@ -168,8 +169,10 @@
 		run.begun = true // A later one has begun before it.
 		return
 	}
-	e.unread = slices.Delete(e.unread, 0, at)
 	late := now.Sub(run.read)
+	overdue := now.Add(-e.latency(now) - overtakenBy)
+	passed, _ := slices.BinarySearchFunc(e.unread[:at], overdue, time.Time.Compare)
+	e.unread = slices.Delete(e.unread, 0, passed)
 	e.learn(now, late)
 	if surplus := late - e.latency(now); surplus > 0 && len(e.unread) > 1 {
 		e.idleAt = e.idleAt.Add(surplus / 2)
