Bound the requests at hand of a router that was late

Change: each time the process is late, at most every 200 ms, the requests at hand are bounded to 0.8 of what they are then; the bound grows with each tick in time and goes when it is far from reached.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -26,7 +26,7 @@
 	latencyDecay  = 2 * time.Second // latencyDecay is the time constant after which a slow engine is tried again.
 	mostLatency   = 10 * time.Second
 	overtakenBy   = 100 * time.Millisecond // overtakenBy is how overdue a prompt is that a later one has overtaken; less is a matter of ways and steps.
-	memoryPercent = 95 // memoryPercent of the memory is given out; beyond it engines preempt.
+	memoryPercent = 95                     // memoryPercent of the memory is given out; beyond it engines preempt.
 )
 
 // Profile is what is known of an engine's kind beforehand; zero fields take defaults.
--- a/core/limit/strain.go
+++ b/core/limit/strain.go
@@ -10,6 +10,10 @@
 	strainSpan   = time.Second             // strainSpan is the time in which late ticks add up; balancers ask about once a second.
 	strainPart   = 0.25                    // strainPart is the part of that time which must be late for the process to count as strained.
 	strainKeep   = 2500 * time.Millisecond // strainKeep is how long it counts so at least; a balancer that asks once a second misses it twice.
+	strainCut    = 0.8                     // strainCut is what is left of the requests at hand when they turn out to be too many.
+	strainPause  = 200 * time.Millisecond  // strainPause is the time between two cuts, in which the requests that were cut off end.
+	strainGrowth = 1                       // strainGrowth is what each tick in time adds to their bound.
+	strainFewest = 8                       // strainFewest is the least bound.
 	strainAtOnce = 100 * time.Millisecond  // strainAtOnce bounds what one late tick adds, so that a process that stood still once is not strained.
 )
 
@@ -25,6 +29,10 @@
 	late    time.Duration // late is how much of the time of late had work wait for too long; it fades.
 	fadedAt time.Time
 	until   time.Time // until is when the process counts as strained no more.
+
+	flights int       // flights counts the requests at hand.
+	most    float64   // most bounds them; zero is no bound.
+	cutAt   time.Time // cutAt is when the bound was lowered last.
 }
 
 // NewStrain returns a Strain of a process whose ticks are late from the limit on, or nil if there is no limit.
@@ -44,6 +52,7 @@
 	if !s.due.IsZero() && max(waited, now.Sub(s.due)) >= s.limit {
 		s.late += min(strainTick+now.Sub(s.due), strainAtOnce)
 	}
+	s.bound(now, !s.due.IsZero() && max(waited, now.Sub(s.due)) >= s.limit)
 	if s.late.Seconds() > strainPart*strainSpan.Seconds() {
 		s.until = now.Add(strainKeep)
 	}
@@ -51,6 +60,47 @@
 	return strainTick
 }
 
+// bound lowers the bound on requests at hand while the process is late, and raises it again. A stream costs as
+// much later as at its beginning, so turning new ones away only while work waits lets in too many.
+func (s *Strain) bound(now time.Time, late bool) {
+	switch {
+	case late && now.Sub(s.cutAt) >= strainPause:
+		s.most, s.cutAt = max(strainFewest, strainCut*float64(s.flights)), now
+	case !late && s.most > 0:
+		s.most += strainGrowth
+		if s.most > float64(2*s.flights+strainFewest) {
+			s.most = 0
+		}
+	}
+}
+
+// Enter counts a new request in, and returns false if it is to be sent elsewhere.
+func (s *Strain) Enter(now time.Time) bool {
+	if s == nil {
+		return true
+	}
+	if s.IsLate(now) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.most > 0 && float64(s.flights) >= s.most {
+		return false
+	}
+	s.flights++
+	return true
+}
+
+// Leave counts a request out that Enter has counted in.
+func (s *Strain) Leave() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flights--
+}
+
 // fade forgets late ticks over the span.
 func (s *Strain) fade(now time.Time) {
 	passed := now.Sub(s.fadedAt)
--- a/core/limit/strain_test.go
+++ b/core/limit/strain_test.go
@@ -54,6 +54,29 @@
 		s.Tick(now, lateness-1)
 		is.True(!s.IsLate(now))
 	})
+	t.Run("more streams than it can carry", func(t *testing.T) {
+		is, s := is.New(t), NewStrain(lateness)
+		now := start
+		for range 100 {
+			is.True(s.Enter(now))
+		}
+		s.Tick(now, 0)
+		now = now.Add(s.Tick(now, lateness))
+		now = now.Add(s.Tick(now, 0))
+		is.True(!s.IsLate(now))
+		is.True(!s.Enter(now)) // Those at hand are too many already.
+		for range 25 {
+			s.Leave()
+		}
+		is.True(s.Enter(now))
+		for range 24 {
+			s.Leave()
+		}
+		now = ticks(s, now, 0, 10*time.Second)
+		for range 200 {
+			is.True(s.Enter(now)) // The bound is gone.
+		}
+	})
 	t.Run("no limit", func(t *testing.T) {
 		is, s := is.New(t), NewStrain(0)
 		is.True(!s.IsLate(start) && !s.IsStrained(start))
--- a/router/serve.go
+++ b/router/serve.go
@@ -31,7 +31,7 @@
 	}
 	defer r.requests.Done()
 	route, code := r.resolve(req)
-	if code == result.OK && r.strain.IsLate(time.Now()) {
+	if code == result.OK && !r.strain.Enter(time.Now()) {
 		code = result.Overloaded
 	}
 	if code != result.OK {
@@ -42,6 +42,7 @@
 		r.refuse(w, code)
 		return
 	}
+	defer r.strain.Leave()
 	r.runner.Serve(ctx, route, req, w)
 }
 
