--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -93,9 +93,6 @@
 // Running returns the number of runs.
 func (e *Engine) Running() int { return e.running }
 
-// Slots returns the number of requests that may run at once.
-func (e *Engine) Slots() int { return e.profile.Slots }
-
 // Missing is what an engine would have to read of a prompt.
 type Missing struct {
 	Tokens int // Tokens counts all parts that are not kept.
@@ -219,9 +216,6 @@
 	e.cache.shrink(e.profile.Memory - e.used)
 }
 
-// Forget takes in that the engine has restarted and keeps nothing.
-func (e *Engine) Forget() { e.cache = newCache() }
-
 func (e *Engine) learn(now time.Time, late time.Duration) {
 	late = min(max(0, late), mostLatency)
 	known := e.latency(now)
--- a/core/fair/share.go
+++ b/core/fair/share.go
@@ -54,9 +54,6 @@
 // Use takes in that a request of a team was granted.
 func (s *Shares) Use(team int, cost cell.Cost) { s.teams[team].credit -= float64(cost) }
 
-// Level returns the cost a second that the largest teams get each.
-func (s *Shares) Level() float64 { return s.level }
-
 // elapse lets the averages fade, computes the level and refills the credits.
 func (s *Shares) elapse(now time.Time) {
 	if s.at.IsZero() {
--- a/core/limit/strain.go
+++ b/core/limit/strain.go
@@ -10,8 +10,8 @@
 	strainSpan   = time.Second             // strainSpan is the time in which late ticks add up; balancers ask about once a second.
 	strainPart   = 0.25                    // strainPart is the part of that time which must be late for the process to count as strained.
 	strainKeep   = 2500 * time.Millisecond // strainKeep is how long it counts so at least; a balancer that asks once a second misses it twice.
-	strainCut    = 0.8                     // strainCut is what is left of the requests at hand when they turn out to be too many.
-	strainPause  = 200 * time.Millisecond  // strainPause is the time between two cuts, in which the requests that were cut off end.
+	strainCut    = 0.8                     // strainCut is the part of the requests at hand that a late process may have.
+	strainPause  = 200 * time.Millisecond  // strainPause is the time between two cuts, in which some of the requests at hand end.
 	strainGrowth = 1                       // strainGrowth is what each tick in time adds to their bound.
 	strainFewest = 8                       // strainFewest is the least bound.
 	strainAtOnce = 100 * time.Millisecond  // strainAtOnce bounds what one late tick adds, so that a process that stood still once is not strained.
@@ -49,10 +49,11 @@
 	defer s.mu.Unlock()
 	s.fade(now)
 	s.waited = waited
-	if !s.due.IsZero() && max(waited, now.Sub(s.due)) >= s.limit {
+	late := !s.due.IsZero() && max(waited, now.Sub(s.due)) >= s.limit
+	if late {
 		s.late += min(strainTick+now.Sub(s.due), strainAtOnce)
 	}
-	s.bound(now, !s.due.IsZero() && max(waited, now.Sub(s.due)) >= s.limit)
+	s.bound(now, late)
 	if s.late.Seconds() > strainPart*strainSpan.Seconds() {
 		s.until = now.Add(strainKeep)
 	}
