--- a/core/member/settle.go
+++ b/core/member/settle.go
@@ -26,7 +26,7 @@
 			total++
 		}
 		live := t.isLive(now, host, r)
-		settled := now.Sub(r.startedAt) >= t.conf.Damping && now.Sub(r.returnedAt) >= t.conf.Damping
+		settled := now.Sub(r.startedAt) >= t.conf.Damping
 		reordered = reordered || live != r.live || settled != r.settled
 		r.live, r.settled = live, settled
 	}
@@ -46,34 +46,9 @@
 		return false
 	}
 	t.silenced = cutOff
-	if cutOff {
-		t.silentFrom = t.inTouch()
-		return true
-	}
-	if !t.silentFrom.IsZero() && now.Sub(t.silentFrom) > t.forgetDelay() {
-		t.returnLate(now)
-	}
 	return true
 }
 
-// forgetDelay is how soon after its last touch with the others a router may be forgotten by them.
-func (t *Table) forgetDelay() time.Duration { return t.conf.ShrinkDelay - t.conf.Lag }
-
-// returnLate lets every host vote like a new one. Others may have forgotten a host meanwhile that this
-// router remembers, and know of it later again. The hosts that were linked all along return with this
-// one, so they take no cells over either.
-func (t *Table) returnLate(now time.Time) {
-	for host, r := range t.hosts {
-		r.votesAt = now.Add(t.conf.Lag + t.conf.CutOffAfter)
-		if r.up && !r.upAt.After(t.silentFrom) {
-			r.returnedAt = now
-		}
-		if host == t.conf.Self {
-			r.returnedAt = now.Add(selfDelay)
-		}
-	}
-}
-
 // isGone tells whether a host is to be forgotten: a departed one with the last
 // sign of it, any other by a list read ShrinkDelay later, and only while most hosts are linked.
 func (t *Table) isGone(r *record, majority bool) bool {
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -64,10 +64,8 @@
 	total     int
 	settled   time.Time // settled is the time of the last settle.
 
-	// silenced tells that no vote counts here, as the others may have forgotten hosts that this router remembers,
-	// and silentFrom is when it was in touch last before that.
-	silenced   bool
-	silentFrom time.Time
+	// silenced tells that no vote counts here, as the others may have forgotten hosts that this router remembers.
+	silenced bool
 }
 
 // record is one host.
@@ -88,8 +86,7 @@
 	departedAt time.Time // departedAt is when the host said that it has nothing in flight and lends no stake; zero if it did not.
 	live       bool      // live is up, not leaving and past its damping.
 	startedAt  time.Time // startedAt is when the host's process started.
-	returnedAt time.Time // returnedAt is when the host, or its link, was back after so long that others may have forgotten it.
-	settled    bool      // settled tells that the process has run, and has been back, for long enough to take cells over.
+	settled    bool      // settled tells that the process has run for long enough to take cells over.
 }
 
 // New returns a Table that knows of its own host alone.
@@ -180,10 +177,6 @@
 func (t *Table) Up(now time.Time, host cell.HostID) {
 	r := t.record(host)
 	if !r.up {
-		isLate := !r.downAt.IsZero() && now.Sub(r.downAt) > t.forgetDelay()
-		if isLate && !t.silenced && now.Sub(t.hosts[t.conf.Self].returnedAt) >= t.conf.Damping {
-			r.returnedAt = now
-		}
 		r.up = true
 		r.upAt = now
 		r.leaving = false
