Look at the engines once a decision

Cause: Choose noted what each engine lacks of a prompt, and Grant looked again for the same prompt a moment later; a refusal went over all engines a second time with Missing and Predict for its log line.

Change: Choose returns a Choice with what it saw; Grant takes it, and the best first token of a refusal rests on the same look. Decisions and log values are the same.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -232,11 +232,12 @@
 	}
 }
 
-func (d *Dispatcher) refuse(place int32, code result.Code, after time.Duration) {
+// refuse refuses a waiting request to which the best engine would have answered after a time.
+func (d *Dispatcher) refuse(place int32, code result.Code, after, best time.Duration) {
 	request := *d.waiting.At(place)
 	d.unqueue(place)
 	grounds := dispatch.Grounds{
-		Team: d.teams[request.Team].id, Within: d.shares.Within(d.now, int(request.Team)), Best: d.places.Best(d.now, &request.Prompt),
+		Team: d.teams[request.Team].id, Within: d.shares.Within(d.now, int(request.Team)), Best: best,
 		Waited: d.now.Sub(request.Since),
 	}
 	if !request.Due.IsZero() {
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -85,16 +85,16 @@
 	request := d.waiting.At(place)
 	sizes := d.sizesOf(request)
 	asked := d.asked(request, sizes)
-	endpoint, what := d.places.Choose(now, &asked)
-	switch what {
+	choice := d.places.Choose(now, &asked)
+	switch choice.Verdict {
 	case placing.Admitted:
 		sizes.Decide(request.Hint, true)
-		d.grant(now, place, endpoint)
+		d.grant(now, place, choice)
 	case placing.Hopeless:
 		sizes.Decide(request.Hint, false)
-		d.refuse(place, result.QueueTimeout, d.returns.Next(now))
+		d.refuse(place, result.QueueTimeout, d.returns.Next(now), choice.Best)
 	case placing.Closed:
-		d.refuse(place, result.NoCapacity, closedRetry)
+		d.refuse(place, result.NoCapacity, closedRetry, choice.Best)
 	}
 }
 
@@ -117,11 +117,11 @@
 	return of
 }
 
-func (d *Dispatcher) grant(now time.Time, place, to int32) {
+func (d *Dispatcher) grant(now time.Time, place int32, choice placing.Choice) {
 	request := d.waiting.At(place)
 	flying := attempt{entry: request.Entry, attempt: request.Attempt, team: request.Team, charged: max(1, request.Hint)}
 	var given cell.Grant
-	flying.placed, given = d.places.Grant(now, to, &request.Prompt)
+	flying.placed, given = d.places.Grant(now, choice, &request.Prompt)
 	given.Attempt = request.Attempt
 	d.unqueue(place)
 	d.shares.Use(int(flying.team), flying.charged)
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -66,11 +66,20 @@
 	}
 }
 
-// Choose returns the place of the endpoint for a request, if one can answer it in time. While an
+// Choice is what becomes of a request, as of the moment at which it was made.
+type Choice struct {
+	Verdict Verdict
+	Best    time.Duration // Best is the least time to the first token that is predicted at any open engine, for a request that none can answer.
+	place   int32         // place is that of the endpoint which admits the request; negative if none does.
+	keeper  int32         // keeper is the place of an engine that keeps its shared parts; negative if none does.
+}
+
+// Choose returns the endpoint for a request, if one can answer it in time. While an
 // engine that keeps the shared parts may still take it in time, no other one reads them again.
-func (t *Table) Choose(now time.Time, request *Request) (int32, Verdict) {
+func (t *Table) Choose(now time.Time, request *Request) Choice {
 	keepers, others := noOffers(), noOffers()
-	on := terms{fetch: t.look(now, request.Prompt) >= 0, allFail: t.doAllFail(now)}
+	keeper := t.look(now, request.Prompt)
+	on := terms{fetch: keeper >= 0, allFail: t.doAllFail(now)}
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
 		if !at.open || int32(i) == request.Avoid && t.hasOther(int32(i)) {
@@ -83,15 +92,21 @@
 			others.add(int32(i), cost, what)
 		}
 	}
+	choice := Choice{place: -1, keeper: keeper}
 	switch {
 	case keepers.endpoint >= 0:
-		return keepers.endpoint, Admitted
+		choice.Verdict, choice.place = Admitted, keepers.endpoint
 	case keepers.verdict == Waits && request.isPatient(now):
-		return -1, Waits
+		choice.Verdict = Waits
 	case others.endpoint >= 0:
-		return others.endpoint, Admitted
+		choice.Verdict, choice.place = Admitted, others.endpoint
+	default:
+		choice.Verdict = keepers.verdict.join(others.verdict)
 	}
-	return -1, keepers.verdict.join(others.verdict)
+	if choice.Verdict > Waits {
+		choice.Best = t.best(now, request.Prompt)
+	}
+	return choice
 }
 
 // look notes what each engine lacks of a prompt, and returns an open one that keeps its
@@ -111,15 +126,15 @@
 	return keeper
 }
 
-// Best returns the least time to the first token that is predicted at any open engine.
-func (t *Table) Best(now time.Time, prompt *cell.Prompt) time.Duration {
+// best returns the least time to the first token that is predicted at any open engine, after look.
+func (t *Table) best(now time.Time, prompt *cell.Prompt) time.Duration {
 	var best time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
 		if !at.open || at.engine == nil {
 			continue
 		}
-		if first := at.engine.Predict(now, prompt, at.engine.Missing(prompt), false).First; best == 0 || first < best {
+		if first := at.engine.Predict(now, prompt, at.missing, false).First; best == 0 || first < best {
 			best = first
 		}
 	}
@@ -161,13 +176,13 @@
 	isRun bool // isRun is false at a plain service.
 }
 
-// Grant places a request at an endpoint and returns the grant for it.
-func (t *Table) Grant(now time.Time, place int32, prompt *cell.Prompt) (Placed, cell.Grant) {
-	at := &t.endpoints[place]
-	placed, grant := Placed{Place: place, Start: at.start}, cell.Grant{Endpoint: at.id, Start: at.start}
+// Grant places a request as Choose has just decided, and returns the grant for it.
+func (t *Table) Grant(now time.Time, choice Choice, prompt *cell.Prompt) (Placed, cell.Grant) {
+	at := &t.endpoints[choice.place]
+	placed, grant := Placed{Place: choice.place, Start: at.start}, cell.Grant{Endpoint: at.id, Start: at.start}
 	if at.engine != nil {
-		if keeper := t.look(now, prompt); keeper >= 0 && at.missing.Shared > 0 {
-			grant.Fetch = t.endpoints[keeper].id
+		if choice.keeper >= 0 && at.missing.Shared > 0 {
+			grant.Fetch = t.endpoints[choice.keeper].id
 		}
 		grant.Predicted = at.engine.Predict(now, prompt, at.missing, grant.Fetch != "").First
 		placed.run, placed.isRun = at.engine.Admit(now, prompt, grant.Fetch != ""), true
