Let both dispatchers keep their waiting requests in one way

Change: session.Waiting is the queue with the entries' and the ledger's side of it; both dispatchers hold one. Taking out what an entry has waiting goes by the order of attempts in core/admission as well, where it went by the order of a map.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -38,7 +38,7 @@
 
 	entries     *session.Table
 	dataCentres map[cell.HostID]string // dataCentres says where the entries are, as far as it is known.
-	waiting     queue.Queue
+	waiting     session.Waiting
 	scratch     []int32   // scratch holds the slots of waiting requests while they are tried.
 	triedAt     time.Time // triedAt is when the waiting requests were tried last.
 	returns     queue.Returns
@@ -65,6 +65,7 @@
 		entries:   session.New(),
 		sizes:     make(map[string]*fair.Sizes),
 	}
+	d.waiting = session.NewWaiting(d.entries, &d.ledger)
 	d.places = placing.New(&d.stakes)
 	return d
 }
@@ -90,7 +91,7 @@
 	case *dispatch.Leave:
 		d.leave(ev)
 	case *dispatch.Withdraw:
-		d.withdraw(ev)
+		d.waiting.Withdraw(ev.Router, ev.Session, ev.Attempts)
 	case *dispatch.Progressed:
 		d.progressed(now, ev)
 	case *dispatch.Ended:
@@ -128,13 +129,10 @@
 }
 
 func (d *Dispatcher) join(now time.Time, ev *dispatch.Join) {
-	index := d.entries.Ensure(ev.Router)
-	from := d.entries.At(index)
-	if ev.Session < from.Session || from.Live && ev.Session == from.Session {
+	index, isNew := d.waiting.Join(ev.Router, ev.Session)
+	if !isNew {
 		return
 	}
-	d.dropWaiting(index)
-	from.Session, from.Live = ev.Session, true
 	d.stakes.Revoke(ev.Router)
 	if ev.Stake {
 		d.stakes.Lend(now.Add(-max(0, ev.Unlent)), ev.Router)
@@ -190,12 +188,10 @@
 }
 
 func (d *Dispatcher) leave(ev *dispatch.Leave) {
-	index, ok := d.entries.Present(ev.Router, ev.Session)
+	index, ok := d.waiting.Leave(ev.Router, ev.Session)
 	if !ok {
 		return
 	}
-	d.dropWaiting(index)
-	d.entries.At(index).Live = false
 	for attempt, place := range d.entries.At(index).Flights {
 		d.drop(place, &cell.End{Attempt: attempt, Outcome: cell.Cancelled})
 	}
@@ -203,39 +199,9 @@
 	d.entries.Drop(index)
 }
 
-func (d *Dispatcher) dropWaiting(index int32) {
-	for _, place := range d.entries.At(index).Waiting {
-		d.unqueue(place)
-	}
-}
-
-func (d *Dispatcher) withdraw(ev *dispatch.Withdraw) {
-	index, ok := d.entries.Present(ev.Router, ev.Session)
-	if !ok {
-		return
-	}
-	for _, attempt := range ev.Attempts {
-		if place, queued := d.entries.At(index).Waiting[attempt]; queued {
-			d.unqueue(place)
-		}
-	}
-}
-
-// unqueue takes a waiting request out.
-func (d *Dispatcher) unqueue(place int32) {
-	request := d.waiting.At(place)
-	delete(d.entries.At(request.Entry).Waiting, request.Attempt)
-	of := request.Team
-	d.waiting.Remove(place)
-	if d.waiting.LenOf(of) == 0 {
-		d.ledger.Exit(int(of))
-	}
-}
-
 // refuse refuses a waiting request to which the best engine would have answered after a time.
 func (d *Dispatcher) refuse(place int32, code result.Code, after, best time.Duration) {
-	request := *d.waiting.At(place)
-	d.unqueue(place)
+	request := d.waiting.Take(place)
 	grounds := dispatch.Grounds{
 		Team: d.teams[request.Team].id, Within: d.shares.Within(d.now, int(request.Team)), Best: best,
 		Waited: d.now.Sub(request.Since),
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -28,19 +28,16 @@
 	}
 	for i := range ev.Demands {
 		demand := &ev.Demands[i]
-		by := d.entries.At(index)
-		if by.Knows(demand.Attempt) {
+		if d.entries.At(index).Knows(demand.Attempt) {
 			continue
 		}
 		of := d.teamOf(demand.Team)
 		d.teams[of].active = now
 		d.shares.Ask(now, int(of), max(1, demand.Estimate))
-		place := d.waiting.Push(queue.Request{
+		place := d.waiting.Add(queue.Request{
 			Entry: index, Attempt: demand.Attempt, Team: of, Avoid: d.places.Find(demand.Avoid), Hint: demand.Estimate, Since: now,
 			Class: demand.Class, Prompt: demand.Prompt, Due: demand.Due,
-		})
-		by.Waiting[demand.Attempt] = place
-		d.ledger.Enter(int(of), d.ledger.Virtual())
+		}, d.ledger.Virtual())
 		d.try(now, place)
 	}
 }
@@ -123,7 +120,7 @@
 	var given cell.Grant
 	flying.placed, given = d.places.Grant(now, choice, &request.Prompt)
 	given.Attempt = request.Attempt
-	d.unqueue(place)
+	d.waiting.Take(place)
 	d.shares.Use(int(flying.team), flying.charged)
 	d.returns.Granted(now)
 	d.add(flying)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -7,7 +7,6 @@
 	"ryelug/core/cell"
 	"ryelug/core/fair"
 	"ryelug/core/flight"
-	"ryelug/core/queue"
 	"ryelug/core/session"
 	"ryelug/core/slot"
 )
@@ -53,7 +52,7 @@
 	mergedVirtual float64 // mergedVirtual is the greatest virtual time that an entry brought.
 
 	entries *session.Table
-	waiting queue.Queue
+	waiting session.Waiting
 	flights *flight.Table
 	out     Outbox
 	granted int // granted counts the grants since the last telling.
@@ -72,13 +71,15 @@
 	if config.Order == nil {
 		config.Order = Fair{}
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		cell:      config.Cell,
 		order:     config.Order,
 		teamIndex: slot.NewIndex[cell.TeamID](),
 		entries:   session.New(),
 		flights:   flight.New(flight.Config{Window: config.GrantValid + config.StakeMargin}),
 	}
+	d.waiting = session.NewWaiting(d.entries, &d.ledger)
+	return d
 }
 
 // Step takes in one event at the given time and returns what is to be done; the
@@ -115,7 +116,7 @@
 	case *Want:
 		d.want(now, ev)
 	case *Withdraw:
-		d.withdraw(ev)
+		d.waiting.Withdraw(ev.Router, ev.Session, ev.Attempts)
 	case *Progressed:
 		d.progressed(now, ev)
 	case *Ended:
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -10,13 +10,10 @@
 )
 
 func (d *Dispatcher) join(now time.Time, ev *Join) {
-	index := d.entries.Ensure(ev.Router)
-	from := d.entries.At(index)
-	if ev.Session < from.Session || from.Live && ev.Session == from.Session {
+	index, isNew := d.waiting.Join(ev.Router, ev.Session)
+	if !isNew {
 		return
 	}
-	d.dropWaiting(index)
-	from.Session, from.Live = ev.Session, true
 	d.flights.Revoke(now, ev.Router)
 	unlent := now.Add(-max(0, ev.Unlent))
 	if ev.Stake {
@@ -78,12 +75,10 @@
 }
 
 func (d *Dispatcher) leave(now time.Time, ev *Leave) {
-	index, ok := d.entries.Present(ev.Router, ev.Session)
+	index, ok := d.waiting.Leave(ev.Router, ev.Session)
 	if !ok {
 		return
 	}
-	d.dropWaiting(index)
-	d.entries.At(index).Live = false
 	flights := d.entries.At(index).Flights
 	for _, attempt := range slices.Sorted(maps.Keys(flights)) {
 		d.flights.Orphan(now, flights[attempt])
@@ -91,10 +86,3 @@
 	d.flights.Revoke(now, ev.Router)
 	d.entries.Drop(index)
 }
-
-func (d *Dispatcher) dropWaiting(index int32) {
-	waiting := d.entries.At(index).Waiting
-	for _, attempt := range slices.Sorted(maps.Keys(waiting)) {
-		d.unqueue(waiting[attempt])
-	}
-}
--- a/core/dispatch/grant.go
+++ b/core/dispatch/grant.go
@@ -38,8 +38,7 @@
 }
 
 func (d *Dispatcher) grant(now time.Time, place int32) {
-	request := *d.waiting.At(place)
-	d.unqueue(place)
+	request := d.waiting.Take(place)
 	d.waiting.Granted(now, request.Team)
 	of := &d.teams[request.Team]
 	of.active = now
--- a/core/dispatch/sibling.go
+++ b/core/dispatch/sibling.go
@@ -92,8 +92,7 @@
 	if place == slot.None || d.waiting.At(place).Moves >= maxMoves {
 		return false
 	}
-	request := *d.waiting.At(place)
-	d.unqueue(place)
+	request := d.waiting.Take(place)
 	d.out.Move(d.entries.At(request.Entry), request.Attempt, to)
 	return true
 }
--- a/core/dispatch/team.go
+++ b/core/dispatch/team.go
@@ -87,8 +87,7 @@
 }
 
 func (d *Dispatcher) enqueue(request queue.Request) {
-	d.entries.At(request.Entry).Waiting[request.Attempt] = d.waiting.Push(request)
-	d.ledger.Enter(int(request.Team), d.floorOf(&d.teams[request.Team], request.Since))
+	d.waiting.Add(request, d.floorOf(&d.teams[request.Team], request.Since))
 }
 
 // floorOf returns what a returning team's counter is lifted to: the virtual time,
@@ -106,29 +105,6 @@
 	return min(virtual, max(d.mergedVirtual, virtual-d.spread()))
 }
 
-// unqueue takes a waiting request out.
-func (d *Dispatcher) unqueue(place int32) {
-	request := d.waiting.At(place)
-	delete(d.entries.At(request.Entry).Waiting, request.Attempt)
-	of := request.Team
-	d.waiting.Remove(place)
-	if d.waiting.LenOf(of) == 0 {
-		d.ledger.Exit(int(of))
-	}
-}
-
-func (d *Dispatcher) withdraw(ev *Withdraw) {
-	index, ok := d.entries.Present(ev.Router, ev.Session)
-	if !ok {
-		return
-	}
-	for _, attempt := range ev.Attempts {
-		if place, queued := d.entries.At(index).Waiting[attempt]; queued {
-			d.unqueue(place)
-		}
-	}
-}
-
 // expireWaiting refuses the requests that have waited for the queue timeout.
 func (d *Dispatcher) expireWaiting(now time.Time) {
 	if d.policy.QueueTimeout <= 0 {
@@ -151,7 +127,6 @@
 }
 
 func (d *Dispatcher) refuseWaiting(place int32, code result.Code, after time.Duration) {
-	request := *d.waiting.At(place)
-	d.unqueue(place)
+	request := d.waiting.Take(place)
 	d.out.Refuse(d.entries.At(request.Entry), request.Attempt, code, after, Grounds{})
 }
