--- a/core/lend/kept.go
+++ b/core/lend/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,11 +35,7 @@
 }
 
 func (l *Lender) prunePlaced(now time.Time) {
-	for id, one := range l.placed {
-		if now.Sub(one.at) > placedKeep {
-			delete(l.placed, id)
-		}
-	}
+	maps.DeleteFunc(l.placed, func(_ uint64, one placed) bool { return now.Sub(one.at) > placedKeep })
 }
 
 // keptList returns where parts of prompts were sent of late, the oldest first.
--- a/core/lend/work.go
+++ b/core/lend/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -215,11 +216,7 @@
 }
 
 func (l *Lender) prune(now time.Time) {
-	for team, c := range l.counters {
-		if now.Sub(c.seen) > counterKeep {
-			delete(l.counters, team)
-		}
-	}
+	maps.DeleteFunc(l.counters, func(_ cell.TeamID, c counter) bool { return now.Sub(c.seen) > counterKeep })
 }
 
 func (l *Lender) counterList(now time.Time) []cell.TeamCounter {
