--- a/router/process/process.go
+++ b/router/process/process.go
@@ -190,6 +190,7 @@
 		RevokeBound: given.RevokeBound,
 		Now:         p.config.Now,
 		Log:         operator.Part(p.config.Log, operator.ConfigPart),
+		Seed:        p.config.Seed,
 	})
 	own.Source, own.Hosts = p.registry, p.registry
 	own.Callers.Protocol = users.Callers()
