--- a/core/admission/desk_test.go
+++ b/core/admission/desk_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,10 +51,10 @@
 	return actions
 }
 
-// work lets granted attempts begin and end.
+// work lets granted attempts begin and end, in the order of their grants.
 func (d *desk) work() {
-	for attempt, since := range d.running {
-		switch age := d.now.Sub(since); {
+	for _, attempt := range slices.Sorted(maps.Keys(d.running)) {
+		switch age := d.now.Sub(d.running[attempt]); {
 		case age >= endAfter:
 			delete(d.running, attempt)
 			outcome := cmp.Or(d.outcome[attempt], cell.Completed)
