Write a log line on where its reader had no room, in place of tearing it

Cause: a write of many lines that finds no room ends with EAGAIN after a part of them; the ring gave up the rest and counted one line. Change: the rest is written once there is room again; a reader that takes nothing for a second is given up, and each line that it misses is counted.

--- a/io/operator/ring.go
+++ b/io/operator/ring.go
@@ -1,12 +1,21 @@
 package operator
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
-// ringLines bounds the log lines that wait to be written.
-const ringLines = 2048
+const (
+	ringLines = 2048                  // ringLines bounds the log lines that wait to be written.
+	ringPause = 10 * time.Millisecond // ringPause is the time from a write that found no room to the next one,
+	ringTries = 100                   // ringTries the number of such pauses after which a reader that takes nothing is given up.
+)
+
+var newline = []byte{'\n'}
 
 // Ring writes log lines in the background. A writer never waits: a line that finds the
 // ring full is dropped and counted.
@@ -49,8 +58,26 @@
 		for more := len(r.lines); more > 0; more-- {
 			batch = append(batch, <-r.lines...)
 		}
-		if _, err := out.Write(batch); err != nil {
-			r.dropped.Add(1) // Nobody reads the log; the counter tells.
+		r.write(out, batch)
+	}
+}
+
+// write writes whole lines. A reader that has no room now gets the rest of them later, so that no line is torn, unless it
+// takes nothing for too long.
+func (r *Ring) write(out io.Writer, batch []byte) {
+	for tries := 0; ; tries++ {
+		n, err := out.Write(batch)
+		batch = batch[n:]
+		if err == nil {
+			return
+		}
+		if n > 0 {
+			tries = 0
+		}
+		if !errors.Is(err, syscall.EAGAIN) || tries >= ringTries {
+			r.dropped.Add(int64(bytes.Count(batch, newline))) // Nobody reads the log; the counter tells.
+			return
 		}
+		time.Sleep(ringPause)
 	}
 }
--- a/io/operator/ring_test.go
+++ b/io/operator/ring_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -40,3 +41,28 @@
 	ring.Close()
 	is.Equal(int64(strings.Count(out.text.String(), "\n"))+ring.Dropped(), int64(lines))
 }
+
+// full is a writer that has room for a few bytes at a time only, as a pipe that is read slowly.
+type full struct{ text strings.Builder }
+
+func (f *full) Write(p []byte) (int, error) {
+	n, _ := f.text.Write(p[:min(len(p), 5)])
+	if n < len(p) {
+		return n, syscall.EAGAIN
+	}
+	return n, nil
+}
+
+// A line that finds no room in the middle is written on, not torn.
+func TestRingTearsNoLine(t *testing.T) {
+	is := is.New(t)
+	out := &full{}
+	ring := operator.NewRing(out)
+	for range 10 {
+		_, err := ring.Write([]byte("a line of the log\n"))
+		is.NoErr(err)
+	}
+	ring.Close()
+	is.Equal(out.text.String(), strings.Repeat("a line of the log\n", 10))
+	is.Equal(ring.Dropped(), int64(0))
+}
