Log each second what a router had to do, what that cost, and what the readiness check was told

Change: 'The load of this router.' each second, with processor time, the wait for it, connections accepted, handed over and taken, refusals, requests at hand, checks by answer, and dropped lines; the checks are counted in /debug/vars as well. A router without callers logs none.

--- a/core/limit/strain.go
+++ b/core/limit/strain.go
@@ -194,6 +194,26 @@
 	return s.waited >= s.limit || !s.due.IsZero() && now.Sub(s.due) >= s.limit
 }
 
+// Waited returns how long work waited for the processor before the last tick.
+func (s *Strain) Waited() time.Duration {
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waited
+}
+
+// AtHand returns the number of requests at hand.
+func (s *Strain) AtHand() int {
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.flights
+}
+
 // IsStrained tells whether work waited for too long in so much of the last time that callers had better go elsewhere.
 func (s *Strain) IsStrained(now time.Time) bool {
 	if s == nil {
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 	writeTimeout time.Duration
 	handOver     func(net.Conn) bool // handOver tells whether another router serves a new connection.
 	once         bool                // once lets each connection carry one request.
+	accepted     *atomic.Int64       // accepted counts the connections.
 }
 
 // Accept implements net.Listener.
@@ -21,6 +23,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.accepted.Add(1)
 		if !l.handOver(raw) {
 			return &conn{Conn: raw, writeTimeout: l.writeTimeout, once: l.once}, nil
 		}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -78,7 +78,9 @@
 	serial atomic.Uint64
 
 	leaving atomic.Bool
-	relayed atomic.Int64 // relayed counts the connections that other routers serve.
+	relayed atomic.Int64 // relayed counts the connections that other routers serve now,
+	own     atomic.Int64 // own those that callers have opened here,
+	taken   atomic.Int64 // taken those that other routers have handed over.
 
 	closing context.Context // closing ends with Shutdown.
 	close   context.CancelFunc
@@ -130,13 +132,13 @@
 
 // Serve answers the callers of ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.serveOn(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout, handOver: s.handOver})
+	return s.serveOn(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout, handOver: s.handOver, accepted: &s.own})
 }
 
 // ServeOthers answers callers whose connections other routers hand over on ln, one request each, until Shutdown.
 func (s *Server) ServeOthers(ln net.Listener) error {
 	never := func(net.Conn) bool { return false }
-	return s.serveOn(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout, handOver: never, once: true})
+	return s.serveOn(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout, handOver: never, once: true, accepted: &s.taken})
 }
 
 func (s *Server) serveOn(ln *listener) error {
@@ -157,6 +159,9 @@
 	return s.config.MaxConns > 0 && float64(s.http.GetOpenConnectionsCount()) >= crowdedPart*float64(s.config.MaxConns)
 }
 
+// Accepted returns how many connections callers have opened so far, and how many other routers have handed over.
+func (s *Server) Accepted() (own, taken int64) { return s.own.Load(), s.taken.Load() }
+
 // Leave asks callers, with each answer, to come back on another connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
--- a/io/clock/doc.go
+++ b/io/clock/doc.go
@@ -1,3 +1,3 @@
-// Package clock reads the clock that goes on while the machine is suspended, which
-// the monotonic clock of package time does not.
+// Package clock reads clocks of the machine and the process that package time does not have: the one that goes on while the
+// machine is suspended, and the processor time of the process.
 package clock
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -113,10 +113,12 @@
 		req.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	req.SetStatusCode(fasthttp.StatusOK)
+	status, answer := fasthttp.StatusOK, CheckReady
 	if !health.Healthy() {
-		req.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		status, answer = fasthttp.StatusServiceUnavailable, CheckNotReady
 	}
+	s.config.Vars.Add(Checks, answer, 1)
+	req.SetStatusCode(status)
 	req.SetContentType("application/json")
 	req.SetBody(body)
 }
--- a/io/operator/vars.go
+++ b/io/operator/vars.go
@@ -16,13 +16,20 @@
 	Requests Group = "requests" // Requests counts finished requests by the name of their result code.
 	Refusals Group = "refusals" // Refusals counts refused and failed requests by the name of their result code.
 	Retries  Group = "retries"  // Retries counts attempts after the first by reason.
+	Checks   Group = "checks"   // Checks counts the answers to readiness checks, CheckReady or CheckNotReady.
 )
 
 // Groups returns all groups of counters.
 func Groups() []Group {
-	return []Group{Requests, Refusals, Retries}
+	return []Group{Requests, Refusals, Retries, Checks}
 }
 
+// Names of the counters of Checks.
+const (
+	CheckReady    = "ready"
+	CheckNotReady = "not_ready"
+)
+
 // Vars holds the variables of one router; unlike the global ones of expvar, several routers may live in a process.
 type Vars struct {
 	groups map[Group]*expvar.Map
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -93,6 +93,7 @@
 	defer stop()
 	group, working := errgroup.WithContext(working)
 	group.Go(func() error { return p.operator.Run(working) })
+	group.Go(func() error { return p.logLoad(working) })
 	group.Go(func() error {
 		defer stop()
 		leave, cancel := context.WithCancel(ctx)
