--- a/router/config.go
+++ b/router/config.go
@@ -69,10 +69,11 @@
 	KeyedRate    float64          // KeyedRate bounds the fleet's requests with a key, a second.
 	OldRecords   keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
 	Timings      coordination.Timings
-	Retries      request.Config // Retries bounds retries; its other fields are not used.
-	Grace        time.Duration  // Grace bounds the shutdown; zero is no bound.
-	StrainLate   time.Duration  // StrainLate is the lateness of this process from which on it sends new requests elsewhere; zero is never.
-	BalancerLag  time.Duration  // BalancerLag is the time in which the balancer notices that this router leaves.
+	Retries      request.Config       // Retries bounds retries; its other fields are not used.
+	Grace        time.Duration        // Grace bounds the shutdown; zero is no bound.
+	StrainLate   time.Duration        // StrainLate is the lateness of this process from which on it sends new requests elsewhere; zero is never.
+	Waited       func() time.Duration // Waited is how long work has waited for the processor of late; that of the runtime when nil.
+	BalancerLag  time.Duration        // BalancerLag is the time in which the balancer notices that this router leaves.
 	Log          logrus.FieldLogger
 
 	Order       dispatch.Order // Order is nil for fair service; another one is a baseline for measurements.
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -40,6 +40,7 @@
 	Seed        uint64               // Seed sets the jitter; zero draws one.
 	Now         func() time.Duration // Now is the clock that counts suspensions; that of the machine when nil.
 	Dial        Dial                 // Dial opens all connections; TCP when nil.
+	Waited      func() time.Duration // Waited is how long work has waited for the processor of late; that of the runtime when nil.
 	Order       dispatch.Order       // Order is nil for fair service; another one is a baseline.
 	LocalQueues bool                 // LocalQueues makes the router dispatch for itself, a baseline.
 }
@@ -179,6 +180,7 @@
 		Timings:      timings(given),
 		BalancerLag:  given.BalancerLag,
 		StrainLate:   given.StrainLate,
+		Waited:       p.config.Waited,
 		Log:          p.config.Log,
 		Order:        p.config.Order,
 		LocalQueues:  p.config.LocalQueues,
--- a/router/strain.go
+++ b/router/strain.go
@@ -20,8 +20,11 @@
 // watchStrain ticks until ctx ends, and logs when the process begins and ends to be strained.
 func (r *Router) watchStrain(ctx context.Context) error {
 	strained := false
-	waits := newWaits()
-	for pause.For(ctx, r.strain.Tick(time.Now(), waits.next())) {
+	waited := r.config.Waited
+	if waited == nil {
+		waited = newWaits().next
+	}
+	for pause.For(ctx, r.strain.Tick(time.Now(), waited())) {
 		if now := r.strain.IsStrained(time.Now()); now != strained {
 			strained = now
 			r.log.WithField("strained", strained).Warn("Whether this router keeps up with its work has changed.")
--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -21,11 +21,16 @@
 
 // Read returns what has arrived.
 func (c *conn) Read(p []byte) (int, error) {
-	return c.in.read(p)
+	n, err := c.in.read(p)
+	if n > 0 {
+		c.network.spend(c.local.Addr(), costOfRead)
+	}
+	return n, err
 }
 
 // Write sends; it blocks while too much is on its way.
 func (c *conn) Write(p []byte) (int, error) {
+	c.network.spend(c.local.Addr(), costOfWrite)
 	n, err := c.out.write(p)
 	c.network.count(c.served, n)
 	return n, err
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -37,6 +37,8 @@
 	healed    chan struct{} // healed closes when the cuts or the frozen hosts change.
 	sent      map[netip.AddrPort]int64
 	port      uint16
+
+	processors map[netip.Addr]*processor
 }
 
 // pair is two addresses; in cut the lesser is first.
@@ -65,6 +67,8 @@
 		healed:    make(chan struct{}),
 		sent:      map[netip.AddrPort]int64{},
 		port:      1 << 15,
+
+		processors: map[netip.Addr]*processor{},
 	}
 	if network.delay == nil {
 		network.delay = func(netip.Addr, netip.Addr) time.Duration { return 0 }
@@ -219,6 +223,7 @@
 }
 
 func (n *Network) dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error) {
+	n.spend(from, costOfConnect)
 	if err := n.handshake(ctx, from, to.Addr()); err != nil {
 		return nil, err
 	}
@@ -290,6 +295,7 @@
 	select {
 	case conn := <-l.conns:
 		l.network.AwaitThaw(l.address.Addr())
+		l.network.spend(l.address.Addr(), costOfConnect)
 		return conn, nil
 	case <-l.done:
 		return nil, net.ErrClosed
