--- /dev/null
+++ b/core/limit/load_test.go
@@ -0,0 +1,52 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/limit"
+)
+
+// used returns the load after some tenths of a second, in each of which so much was done.
+func used(share float64, tenths int, each limit.Work) *limit.Load {
+	load := limit.NewLoad(share)
+	now := time.Unix(1000, 0)
+	var work limit.Work
+	for range tenths + 1 {
+		load.Note(now, work)
+		now = now.Add(100 * time.Millisecond)
+		work.Connections += each.Connections
+		work.Requests += each.Requests
+		work.Events += each.Events
+		work.Shared += each.Shared
+		work.Processor += each.Processor
+	}
+	return load
+}
+
+func TestLoad(t *testing.T) {
+	flood := limit.Work{Connections: 100, Requests: 50}
+	t.Run("a flood makes a small host busy within 0.2 s", func(t *testing.T) {
+		is := is.New(t)
+		is.True(used(0.192, 2, flood).IsBusy())
+	})
+	t.Run("the same is nothing to a large one", func(t *testing.T) {
+		is := is.New(t)
+		is.True(!used(0.8, 20, flood).IsBusy())
+	})
+	t.Run("what others make costs less", func(t *testing.T) {
+		is := is.New(t)
+		is.True(used(0.192, 20, limit.Work{Events: 300}).IsFull())
+		is.True(!used(0.192, 20, limit.Work{Shared: 300}).IsBusy())
+	})
+	t.Run("the system's own count if that is more", func(t *testing.T) {
+		is := is.New(t)
+		is.True(used(0.192, 20, limit.Work{Processor: 18 * time.Millisecond}).IsFull())
+	})
+	t.Run("a processor that is not known", func(t *testing.T) {
+		is := is.New(t)
+		is.True(!used(0, 20, flood).IsBusy())
+	})
+}
--- a/core/limit/strain.go
+++ b/core/limit/strain.go
@@ -51,17 +51,18 @@
 	return &Strain{limit: limit, teams: make(map[cell.TeamID]int)}
 }
 
-// Tick takes how long work has waited for the processor since the last tick, and returns the time to the next.
-func (s *Strain) Tick(now time.Time, waited time.Duration) time.Duration {
+// Tick takes how long work has waited for the processor since the last tick, and whether the process has hardly any room
+// left, and returns the time to the next.
+func (s *Strain) Tick(now time.Time, waited time.Duration, full bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fade(now)
 	s.waited = waited
 	late := !s.due.IsZero() && max(waited, now.Sub(s.due)) >= s.limit
-	if late {
+	if late || full {
 		s.late += min(strainTick+now.Sub(s.due), strainAtOnce)
 	}
-	s.bound(now, late)
+	s.bound(now, late, full)
 	if s.late.Seconds() > strainPart*strainSpan.Seconds() {
 		s.until = now.Add(strainKeep)
 	}
@@ -69,10 +70,15 @@
 	return strainTick
 }
 
-// bound lowers the bound on requests at hand while the process is late, and raises it again. A stream costs as
-// much later as at its beginning, so turning new ones away only while work waits lets in too many.
-func (s *Strain) bound(now time.Time, late bool) {
+// bound lowers the bound on requests at hand while the process is late, keeps it while there is hardly any room, and
+// raises it again. A stream costs as much later as at its beginning, so turning new ones away only while work waits lets
+// in too many.
+func (s *Strain) bound(now time.Time, late, full bool) {
 	switch {
+	case full && !late:
+		if s.most == 0 {
+			s.borne, s.most = float64(s.flights), max(strainFewest, float64(s.flights))
+		}
 	case late && now.Sub(s.cutAt) >= strainPause:
 		if s.most == 0 {
 			s.borne = float64(s.flights)
@@ -204,6 +210,19 @@
 	return s.waited
 }
 
+// Late returns how long work that comes now has waited, or zero if that is less than the limit.
+func (s *Strain) Late(now time.Time) time.Duration {
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isLate(now) {
+		return 0
+	}
+	return max(s.waited, now.Sub(s.due))
+}
+
 // AtHand returns the number of requests at hand.
 func (s *Strain) AtHand() int {
 	if s == nil {
--- a/core/limit/strain_test.go
+++ b/core/limit/strain_test.go
@@ -12,7 +12,7 @@
 // ticks plays ticks that are late by so much each, for a time.
 func ticks(s *Strain, now time.Time, late, span time.Duration) time.Time {
 	for end := now.Add(span); now.Before(end); {
-		now = now.Add(s.Tick(now, 0) + late)
+		now = now.Add(s.Tick(now, 0, false) + late)
 	}
 	return now
 }
@@ -28,14 +28,14 @@
 		is, s := is.New(t), NewStrain(lateness)
 		now := ticks(s, start, 0, time.Second).Add(5 * time.Second)
 		is.True(s.IsLate(now)) // Until its next tick.
-		s.Tick(now, 0)
+		s.Tick(now, 0, false)
 		is.True(!s.IsLate(now) && !s.IsStrained(now))
 	})
 	t.Run("one that is late all the time", func(t *testing.T) {
 		is, s := is.New(t), NewStrain(lateness)
 		now := ticks(s, start, 150*time.Millisecond, 2*time.Second)
 		is.True(s.IsStrained(now))
-		s.Tick(now, 0)
+		s.Tick(now, 0, false)
 		is.True(!s.IsLate(now.Add(strainTick+lateness-1)) && s.IsLate(now.Add(strainTick+lateness)))
 		now = ticks(s, now, 0, 2*time.Second)
 		is.True(s.IsStrained(now)) // For long enough that the balancer asks twice.
@@ -47,11 +47,11 @@
 		now := start
 		for range 50 {
 			is.True(!s.IsStrained(now) || now.Sub(start) >= 250*time.Millisecond)
-			now = now.Add(s.Tick(now, lateness))
+			now = now.Add(s.Tick(now, lateness, false))
 			is.True(s.IsLate(now))
 		}
 		is.True(s.IsStrained(now))
-		s.Tick(now, lateness-1)
+		s.Tick(now, lateness-1, false)
 		is.True(!s.IsLate(now))
 	})
 	t.Run("more streams than it can carry", func(t *testing.T) {
@@ -60,9 +60,9 @@
 		for range 100 {
 			is.True(s.Enter(now, "kiosks"))
 		}
-		s.Tick(now, 0)
-		now = now.Add(s.Tick(now, lateness))
-		now = now.Add(s.Tick(now, 0))
+		s.Tick(now, 0, false)
+		now = now.Add(s.Tick(now, lateness, false))
+		now = now.Add(s.Tick(now, 0, false))
 		is.True(!s.IsLate(now))
 		is.True(!s.Enter(now, "kiosks")) // Those at hand are too many already.
 		for range 25 {
@@ -89,9 +89,9 @@
 	for range 100 {
 		s.Enter(now, "flood")
 	}
-	s.Tick(now, 0)
-	now = now.Add(s.Tick(now, lateness))
-	return s, now.Add(s.Tick(now, 0))
+	s.Tick(now, 0, false)
+	now = now.Add(s.Tick(now, lateness, false))
+	return s, now.Add(s.Tick(now, 0, false))
 }
 
 // A router that turns callers away asks the balancer for no more by the time that it has turned a few away.
@@ -128,7 +128,7 @@
 	for s.Enter(now, "flood") {
 	}
 	for range 200 {
-		now = now.Add(s.Tick(now, lateness)) // Refusals alone keep the process late.
+		now = now.Add(s.Tick(now, lateness, false)) // Refusals alone keep the process late.
 		s.Leave("flood")
 		s.Enter(now, "flood")
 	}
--- a/core/neighbour/table.go
+++ b/core/neighbour/table.go
@@ -8,9 +8,18 @@
 	"ryelug/core/cell"
 )
 
-// rest is how long a router gets nothing after it refused a connection or could not be reached; it asks its own
-// callers to go elsewhere for longer.
-const rest = time.Second
+const (
+	// rest is how long a router gets nothing after it refused a connection or was lost; it asks its own callers to go
+	// elsewhere for longer.
+	rest = time.Second
+	// connectionLoad is what a connection adds to the load of a router until the router tells itself, in thousandths of a
+	// core: a few tenths of a millisecond in the 0.1 s over which loads are measured.
+	connectionLoad = 4
+	// untold is the time after which a router's own word on its load includes a connection that it got.
+	untold = 300 * time.Millisecond
+	// most is the load beyond which a router gets nothing, so that it bears its own callers' work, in thousandths.
+	most = 800
+)
 
 // Router is another router that takes connections.
 type Router struct {
@@ -19,7 +28,10 @@
 	Processor int            // Processor is its part of its host's processor, in thousandths of a core; zero if not known.
 }
 
-// Table counts the connections that were handed over. It may be used by many goroutines.
+// Loads tells which part of its processor a router uses, in thousandths, and false if it can't be reached now.
+type Loads func(one *Router) (load int, reached bool)
+
+// Table chooses among routers by what they have left. It may be used by many goroutines.
 type Table struct {
 	mu      sync.Mutex
 	routers []state
@@ -27,7 +39,9 @@
 
 type state struct {
 	Router
-	open      int // open counts the connections that it serves for this router.
+	told      int     // told is the load that the router told last, in thousandths.
+	given     float64 // given counts the connections that it got of late, which that does not include yet; it fades.
+	fadedAt   time.Time
 	restUntil time.Time
 }
 
@@ -39,7 +53,8 @@
 	for _, one := range routers {
 		of := state{Router: one}
 		if known := t.find(one.Address); known != nil {
-			of.open, of.restUntil = known.open, known.restUntil
+			of = *known
+			of.Router = one
 		}
 		next = append(next, of)
 	}
@@ -55,39 +70,46 @@
 	return nil
 }
 
-// Choose returns the router with the fewest connections for its processor, and counts one more there; false if all rest.
-func (t *Table) Choose(now time.Time) (Router, bool) {
+// Choose returns the router with the least load below that of this one, in thousandths, and counts one more connection
+// there; false if there is none.
+func (t *Table) Choose(now time.Time, own int, loads Loads) (Router, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best *state
 	for i := range t.routers {
 		at := &t.routers[i]
-		if now.Before(at.restUntil) {
+		told, reached := loads(&at.Router)
+		if !reached || now.Before(at.restUntil) {
 			continue
 		}
-		if best == nil || at.load() < best.load() {
+		at.told = told
+		at.fade(now)
+		if at.load() < min(own, most) && (best == nil || at.load() < best.load()) {
 			best = at
 		}
 	}
 	if best == nil {
 		return Router{}, false
 	}
-	best.open++
+	best.given++
 	return best.Router, true
 }
 
-func (s *state) load() float64 { return float64(s.open+1) / float64(max(1, s.Processor)) }
+// load returns what the router uses with the next connection.
+func (s *state) load() int { return s.told + int(s.given+1)*connectionLoad*1000/max(1, s.Processor) }
 
-// End counts a connection no more. A router that refused it, or was not reached, rests.
+// fade forgets connections that the router's own word includes by now.
+func (s *state) fade(now time.Time) {
+	passed := now.Sub(s.fadedAt)
+	s.fadedAt = now
+	s.given *= max(0, 1-passed.Seconds()/untold.Seconds())
+}
+
+// End notes the end of a connection. A router that refused it, or was lost, rests.
 func (t *Table) End(now time.Time, address netip.AddrPort, served bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	at := t.find(address)
-	if at == nil {
-		return
-	}
-	at.open = max(0, at.open-1)
-	if !served {
+	if at := t.find(address); at != nil && !served {
 		at.restUntil = now.Add(rest)
 	}
 }
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -5,15 +5,18 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ryelug/io/handover"
 )
 
 // listener wraps accepted connections so that the server can notice callers that leave.
 type listener struct {
 	net.Listener
 	writeTimeout time.Duration
-	handOver     func(net.Conn) bool // handOver tells whether another router serves a new connection.
-	once         bool                // once lets each connection carry one request.
-	accepted     *atomic.Int64       // accepted counts the connections.
+	handOver     func(net.Conn) bool  // handOver tells whether another router serves a new connection.
+	late         func() time.Duration // late is how long this process is late of late.
+	once         bool                 // once lets each connection carry one request.
+	accepted     *atomic.Int64        // accepted counts the connections.
 }
 
 // Accept implements net.Listener.
@@ -25,7 +28,7 @@
 		}
 		l.accepted.Add(1)
 		if !l.handOver(raw) {
-			return &conn{Conn: raw, writeTimeout: l.writeTimeout, once: l.once}, nil
+			return &conn{Conn: raw, writeTimeout: l.writeTimeout, once: l.once, age: ageOf(raw, l.late())}, nil
 		}
 	}
 }
@@ -35,13 +38,30 @@
 type conn struct {
 	net.Conn
 	writeTimeout time.Duration
-	once         bool // once tells that the connection carries one request.
-	heard        bool // heard tells that the caller has sent anything; the server's goroutine alone uses it.
+	once         bool          // once tells that the connection carries one request.
+	heard        bool          // heard tells that the caller has sent anything; the server's goroutine alone uses it.
+	age          time.Duration // age is how long the first request had waited when the connection was accepted.
 
 	mu    sync.Mutex
 	ahead []byte // ahead is a byte of the next request that the watch has read.
 }
 
+// ageOf returns how long the request of a connection has waited for this process, which is late by so much, and for the
+// router that has handed it over.
+func ageOf(raw net.Conn, late time.Duration) time.Duration {
+	if stream, ok := raw.(*handover.Stream); ok {
+		return stream.Age() + late
+	}
+	return max(late, unread(raw))
+}
+
+// takeAge returns the age of the first request, and nothing after that.
+func (c *conn) takeAge() time.Duration {
+	age := c.age
+	c.age = 0
+	return age
+}
+
 // past is a deadline that wakes a blocked read at once.
 var past = time.Unix(1, 0)
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,17 +41,19 @@
 	buf     []byte // buf and rest are the library's goroutine's: the event that is written, and what is left of it.
 	rest    []byte
 	once    sync.Once
-	done    func() // done is called when the library has no more use for the stream.
-	broken  bool   // broken tells that the stream must not look complete.
-	cuts    bool   // cuts tells that a refusal of a begun stream closes the connection.
+	written *atomic.Int64 // written counts events.
+	done    func()        // done is called when the library has no more use for the stream.
+	broken  bool          // broken tells that the stream must not look complete.
+	cuts    bool          // cuts tells that a refusal of a begun stream closes the connection.
 }
 
-func newExchange(buffer int) *exchange {
+func newExchange(buffer int, written *atomic.Int64) *exchange {
 	return &exchange{
-		head:   make(chan head, 1),
-		events: make(chan Event, buffer),
-		gone:   make(chan struct{}),
-		done:   func() {},
+		written: written,
+		head:    make(chan head, 1),
+		events:  make(chan Event, buffer),
+		gone:    make(chan struct{}),
+		done:    func() {},
 	}
 }
 
@@ -165,6 +168,7 @@
 		if !open {
 			return 0, x.last()
 		}
+		x.written.Add(1)
 		x.buf = appendEvent(x.buf[:0], &event)
 		x.rest = x.buf
 	}
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -36,7 +36,7 @@
 	IdempotencyKey string
 	NonIdempotent  bool      // NonIdempotent is the caller's demand to be sent at most once.
 	Hint           cell.Cost // Hint is the caller's guess of the cost, zero when there is none.
-	Received       time.Time
+	Received       time.Time // Received is when the request arrived, also if it was read later.
 
 	Host      string
 	Header    []header.Field // Header is what passes on to the endpoint; only in a protocol that passes headers on.
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -2,29 +2,25 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 )
 
 const (
-	relayDial   = 300 * time.Millisecond // relayDial bounds the dial of the other router, a small part of what callers wait for a connection.
-	relaySilent = 15 * time.Second       // relaySilent bounds the silence of the other router; answers take less.
-	relayPoll   = 10 * time.Millisecond  // relayPoll is the interval in which a shutdown looks whether any is left.
-	relayBuffer = 4 << 10                // relayBuffer holds a few events of a stream.
-	relayPart   = 2                      // relayPart divides the most connections of callers into those that may be handed over, and the rest.
+	relayPoll   = 10 * time.Millisecond // relayPoll is the interval in which a shutdown looks whether any is left.
+	relayBuffer = 4 << 10               // relayBuffer holds a few events of a stream.
+	relayPart   = 2                     // relayPart is the number of connections that are handed over for the memory of one that is served here.
 )
 
 // refusedStatus begins an answer that refuses a request.
 var refusedStatus = []byte("HTTP/1.1 503")
 
-// Relay names another router that serves a new connection in this one's place.
+// Relay is another router that serves a new connection in this one's place.
 type Relay struct {
-	Address netip.AddrPort
-	Ended   func(served bool) // Ended is told at the end; served is false if the router refused or was not reached.
+	Conn  net.Conn          // Conn is what the other router serves.
+	Ended func(served bool) // Ended is told at the end; served is false if the router refused or was lost before its answer.
 }
 
 // relayBuffers holds buffers of connections that are handed over.
@@ -33,10 +29,10 @@
 // handOver lets another router serve a new connection, of which nothing was read yet, and returns false if this router
 // is to serve it.
 func (s *Server) handOver(near net.Conn) bool {
-	if s.config.Elsewhere == nil || s.config.Dial == nil || s.relayed.Load() >= int64(s.config.MaxConns/relayPart) {
+	if s.config.Elsewhere == nil || s.taken() >= s.config.MaxConns {
 		return false
 	}
-	to, ok := s.config.Elsewhere()
+	to, ok := s.config.Elsewhere(ageOf(near, s.config.Late()))
 	if !ok {
 		return false
 	}
@@ -44,20 +40,18 @@
 	go func() {
 		defer s.relayed.Add(-1)
 		defer near.Close()
-		to.Ended(s.relay(near, to.Address))
+		to.Ended(s.relay(near, to.Conn))
 	}()
 	return true
 }
 
-// relay copies bytes both ways until one side closes, and tells whether the other router served the connection. If it
-// is not reached, the connection closes with nothing read, so that any request may be sent again.
-func (s *Server) relay(near net.Conn, address netip.AddrPort) (served bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), relayDial)
-	far, err := s.config.Dial(ctx, address)
-	cancel()
-	if err != nil {
-		return false
-	}
+// taken returns how many connections would take the memory of all that are open and all that are handed over.
+func (s *Server) taken() int {
+	return int(s.http.GetOpenConnectionsCount()) + int(s.relayed.Load())/relayPart
+}
+
+// relay copies bytes both ways until one side closes, and tells whether the other router served the connection.
+func (s *Server) relay(near, far net.Conn) (served bool) {
 	defer far.Close()
 	go func() {
 		buffer := relayBuffers.Get().(*[relayBuffer]byte)
@@ -75,13 +69,18 @@
 	buffer := relayBuffers.Get().(*[relayBuffer]byte)
 	defer relayBuffers.Put(buffer)
 	for begun := false; ; {
-		_ = far.SetReadDeadline(time.Now().Add(relaySilent))
 		n, err := far.Read(buffer[:])
 		if n > 0 && !begun {
 			begun, served = true, !bytes.HasPrefix(buffer[:n], refusedStatus)
 		}
-		_ = near.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
-		if _, failed := near.Write(buffer[:n]); failed != nil || err != nil {
+		if n > 0 {
+			s.done.shared.Add(1)
+			_ = near.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
+			if _, failed := near.Write(buffer[:n]); failed != nil {
+				return served
+			}
+		}
+		if err != nil {
 			return served
 		}
 	}
--- a/io/caller/relay_test.go
+++ b/io/caller/relay_test.go
@@ -12,9 +12,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
+	"ryelug/core/neighbour"
 	"ryelug/core/result"
 	"ryelug/io/caller"
+	"ryelug/io/handover"
 )
 
 // pair is a server that bears nothing, and another one that serves its callers.
@@ -45,9 +48,7 @@
 		}
 	}}
 	p.far = caller.New(caller.Config{Handler: p.ofFar})
-	others := listen(t)
-	go func() { _ = p.far.ServeOthers(others) }()
-	p.near = handsOver(others, p.nearCalls, func(served bool) { p.ended <- served })
+	p.near = handsOver(t, takesOver(t, p.far), p.nearCalls, func(served bool) { p.ended <- served })
 	ln := listen(t)
 	go func() { _ = p.near.Serve(ln) }()
 	p.address = ln.Addr().String()
@@ -55,17 +56,48 @@
 	return p
 }
 
-// handsOver returns a server that hands all its connections over.
-func handsOver(others net.Listener, own *handlerFunc, ended func(served bool)) *caller.Server {
-	to := netip.MustParseAddrPort(others.Addr().String())
-	return caller.New(caller.Config{
-		Handler: own, MaxConns: 100,
-		Elsewhere: func() (caller.Relay, bool) { return caller.Relay{Address: to, Ended: ended}, true },
+// key is shared by the routers of a test.
+var key = []byte("a key of the routers")
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// takesOver lets a server serve what other routers hand over at the returned address.
+func takesOver(t *testing.T, far *caller.Server) netip.AddrPort {
+	ln := listen(t)
+	acceptor := handover.NewAcceptor(handover.AcceptorConfig{
+		Listener: ln, Identity: handover.Identity{Router: "far/1", Key: key}, Load: func() int { return 100 }, Log: quiet(),
+	})
+	go func() { _ = acceptor.Run(t.Context()) }()
+	go func() { _ = far.ServeOthers(acceptor) }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// handsOver returns a server that hands all its connections over, as soon as it is linked to the other router.
+func handsOver(t *testing.T, to netip.AddrPort, own *handlerFunc, ended func(served bool)) *caller.Server {
+	dialer := handover.NewDialer(handover.DialerConfig{
+		Identity: handover.Identity{Router: "near/1", Key: key}, Log: quiet(),
 		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			var dialer net.Dialer
 			return dialer.DialContext(ctx, "tcp", address.String())
 		},
 	})
+	t.Cleanup(dialer.Close)
+	one := neighbour.Router{Host: "far", Address: to}
+	for linked := false; !linked; time.Sleep(time.Millisecond) {
+		dialer.Want(time.Now(), []neighbour.Router{one})
+		_, linked = dialer.Load(&one)
+	}
+	return caller.New(caller.Config{
+		Handler: own, MaxConns: 100,
+		Elsewhere: func(age time.Duration) (caller.Relay, bool) {
+			stream, ok := dialer.Open(to, age)
+			return caller.Relay{Conn: stream, Ended: ended}, ok
+		},
+	})
 }
 
 func listen(t *testing.T) net.Listener {
@@ -147,9 +179,7 @@
 		received <- req.Received
 		_ = w.Refuse(caller.Refusal{Code: result.Overloaded, NotRun: true})
 	}}})
-	others := listen(t)
-	go func() { _ = far.ServeOthers(others) }()
-	near := handsOver(others, &handlerFunc{serve: echo}, func(bool) {})
+	near := handsOver(t, takesOver(t, far), &handlerFunc{serve: echo}, func(bool) {})
 	ln := listen(t)
 	conn := dial(t, ln.Addr().String())
 	sent := time.Now()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"net"
-	"net/netip"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -44,19 +43,19 @@
 // Config sets up a Server; zero fields take defaults.
 type Config struct {
 	Handler      Handler
-	ReadTimeout  time.Duration                                                       // ReadTimeout bounds the arrival of a whole request.
-	WriteTimeout time.Duration                                                       // WriteTimeout bounds the time in which a caller takes nothing.
-	IdleTimeout  time.Duration                                                       // IdleTimeout bounds the time between two requests of a connection.
-	MaxHeader    int                                                                 // MaxHeader bounds a request's head, in bytes.
-	MaxBody      int                                                                 // MaxBody bounds a request's body, in bytes.
-	Buffer       int                                                                 // Buffer bounds the events that wait for a slow caller.
-	MaxConns     int                                                                 // MaxConns bounds the callers' connections.
-	Protocol     *Protocol                                                           // Protocol is the product's own when it is nil.
-	Refused      func(result.Code)                                                   // Refused is told of requests that never reach the handler.
-	Shed         Shed                                                                // Shed refuses requests before anything is set up for them; nil refuses none.
-	Elsewhere    func() (Relay, bool)                                                // Elsewhere names a router that serves a new connection in this one's place; nil names none.
-	Dial         func(ctx context.Context, address netip.AddrPort) (net.Conn, error) // Dial reaches such a router.
-	Panicked     func(Panic)                                                         // Panicked is told of handlers that panic.
+	ReadTimeout  time.Duration                         // ReadTimeout bounds the arrival of a whole request.
+	WriteTimeout time.Duration                         // WriteTimeout bounds the time in which a caller takes nothing.
+	IdleTimeout  time.Duration                         // IdleTimeout bounds the time between two requests of a connection.
+	MaxHeader    int                                   // MaxHeader bounds a request's head, in bytes.
+	MaxBody      int                                   // MaxBody bounds a request's body, in bytes.
+	Buffer       int                                   // Buffer bounds the events that wait for a slow caller.
+	MaxConns     int                                   // MaxConns bounds the callers' connections.
+	Protocol     *Protocol                             // Protocol is the product's own when it is nil.
+	Refused      func(result.Code)                     // Refused is told of requests that never reach the handler.
+	Shed         Shed                                  // Shed refuses requests before anything is set up for them; nil refuses none.
+	Elsewhere    func(age time.Duration) (Relay, bool) // Elsewhere names a router that serves a connection of this age in this one's place; nil names none.
+	Late         func() time.Duration                  // Late is how long work waits for the processor; nil is not known.
+	Panicked     func(Panic)                           // Panicked is told of handlers that panic.
 }
 
 // Shed decides whether a request is refused at once.
@@ -78,9 +77,8 @@
 	serial atomic.Uint64
 
 	leaving atomic.Bool
-	relayed atomic.Int64 // relayed counts the connections that other routers serve now,
-	own     atomic.Int64 // own those that callers have opened here,
-	taken   atomic.Int64 // taken those that other routers have handed over.
+	relayed atomic.Int64 // relayed counts the connections that other routers serve now.
+	done    done
 
 	closing context.Context // closing ends with Shutdown.
 	close   context.CancelFunc
@@ -100,6 +98,9 @@
 	if config.Shed == nil {
 		config.Shed = func(*Request) (Refusal, bool) { return Refusal{}, false }
 	}
+	if config.Late == nil {
+		config.Late = func() time.Duration { return 0 }
+	}
 	if config.Panicked == nil {
 		config.Panicked = func(Panic) {}
 	}
@@ -132,16 +133,17 @@
 
 // Serve answers the callers of ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.serveOn(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout, handOver: s.handOver, accepted: &s.own})
+	return s.serveOn(&listener{Listener: ln, handOver: s.handOver, accepted: &s.done.own})
 }
 
 // ServeOthers answers callers whose connections other routers hand over on ln, one request each, until Shutdown.
 func (s *Server) ServeOthers(ln net.Listener) error {
 	never := func(net.Conn) bool { return false }
-	return s.serveOn(&listener{Listener: ln, writeTimeout: s.config.WriteTimeout, handOver: never, once: true, accepted: &s.taken})
+	return s.serveOn(&listener{Listener: ln, handOver: never, once: true, accepted: &s.done.taken})
 }
 
 func (s *Server) serveOn(ln *listener) error {
+	ln.writeTimeout, ln.late = s.config.WriteTimeout, s.config.Late
 	defer context.AfterFunc(s.closing, func() { ln.Close() })()
 	err := s.http.Serve(ln)
 	if s.closing.Err() != nil {
@@ -156,11 +158,28 @@
 
 // IsCrowded tells whether the server has nearly all connections that it takes.
 func (s *Server) IsCrowded() bool {
-	return s.config.MaxConns > 0 && float64(s.http.GetOpenConnectionsCount()) >= crowdedPart*float64(s.config.MaxConns)
+	return s.config.MaxConns > 0 && float64(s.taken()) >= crowdedPart*float64(s.config.MaxConns)
 }
 
-// Accepted returns how many connections callers have opened so far, and how many other routers have handed over.
-func (s *Server) Accepted() (own, taken int64) { return s.own.Load(), s.taken.Load() }
+// done counts what a server has done.
+type done struct{ own, taken, requests, events, shared atomic.Int64 }
+
+// Done is what a server has done since its start.
+type Done struct {
+	Own      int64 // Own counts connections that callers opened here,
+	Taken    int64 // Taken those that other routers handed over.
+	Requests int64 // Requests counts those that were read and not shed.
+	Events   int64 // Events counts events that were written here,
+	Shared   int64 // Shared writes of what other routers answered.
+}
+
+// Done returns the present counts.
+func (s *Server) Done() Done {
+	return Done{
+		Own: s.done.own.Load(), Taken: s.done.taken.Load(), Requests: s.done.requests.Load(),
+		Events: s.done.events.Load(), Shared: s.done.shared.Load(),
+	}
+}
 
 // Leave asks callers, with each answer, to come back on another connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
@@ -188,8 +207,9 @@
 		s.write(rc, req, head{refusal: refusal})
 		return
 	}
+	s.done.requests.Add(1)
 	ctx, cancel := context.WithCancel(context.Background())
-	ex := newExchange(s.config.Buffer)
+	ex := newExchange(s.config.Buffer, &s.done.events)
 	ex.cuts = s.config.Protocol != nil
 	stop := func() {}
 	if isLink {
@@ -262,7 +282,7 @@
 		IdempotencyKey: string(header.Peek(headerIdempotencyKey)),
 		NonIdempotent:  string(header.Peek(headerNonIdempotent)) == "true",
 		Hint:           costHint(string(header.Peek(headerCostHint))),
-		Received:       time.Now(),
+		Received:       received(rc),
 	}
 	var body fields
 	if err := json.Unmarshal(req.Body, &body); err != nil {
@@ -281,12 +301,21 @@
 		Path:     string(rc.RequestURI()),
 		Host:     string(rc.Request.Header.Host()),
 		Body:     bytes.Clone(rc.Request.Body()),
-		Received: time.Now(),
+		Received: received(rc),
 	}
 	s.config.Protocol.Decode(&rc.Request.Header, req)
 	return req
 }
 
+// received returns when the request arrived that has just been read. It may have waited before the connection was accepted.
+func received(rc *fasthttp.RequestCtx) time.Time {
+	now := time.Now()
+	if link, ok := rc.Conn().(*conn); ok {
+		return now.Add(-link.takeAge())
+	}
+	return now
+}
+
 func bearerKey(authorization string) string {
 	if len(authorization) <= len(bearerPrefix) || !strings.EqualFold(authorization[:len(bearerPrefix)], bearerPrefix) {
 		return ""
--- /dev/null
+++ b/io/handover/accept.go
@@ -0,0 +1,161 @@
+package handover
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"ryelug/core/cell"
+	"ryelug/io/frame"
+	"ryelug/io/greeting"
+)
+
+// waitingStreams bounds the streams that no goroutine has accepted yet; what is beyond is closed unread, so that callers
+// may send it again.
+const waitingStreams = 1024
+
+// Identity is what a router tells of itself.
+type Identity struct {
+	Router     cell.RouterID
+	DataCentre string
+	Key        []byte // Key is the one that all routers share.
+}
+
+func (i *Identity) greeting(raw net.Conn) *greeting.Greeting {
+	conn := frame.New(frame.Config{Conn: raw, Limit: greeting.MaxFrame, ReadTimeout: greetTimeout, WriteTimeout: greetTimeout})
+	return &greeting.Greeting{Conn: conn, Self: i.Router, DataCentre: i.DataCentre, Key: i.Key}
+}
+
+// AcceptorConfig sets up an Acceptor.
+type AcceptorConfig struct {
+	Listener net.Listener
+	Identity Identity
+	Load     func() int // Load returns how much of its processor this router uses, in thousandths.
+	Log      logrus.FieldLogger
+}
+
+// Acceptor takes connections that other routers hand over. It is a net.Listener, whose connections are Streams.
+type Acceptor struct {
+	config  AcceptorConfig
+	streams chan *Stream
+	done    chan struct{}
+	stop    func()
+}
+
+// NewAcceptor returns an Acceptor that Run serves.
+func NewAcceptor(config AcceptorConfig) *Acceptor {
+	a := &Acceptor{config: config, streams: make(chan *Stream, waitingStreams), done: make(chan struct{})}
+	a.stop = sync.OnceFunc(func() { close(a.done) })
+	return a
+}
+
+// Run serves links of other routers until ctx ends.
+func (a *Acceptor) Run(ctx context.Context) error {
+	defer a.stop()
+	group, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { a.config.Listener.Close() })()
+	group.Go(func() error {
+		for {
+			raw, err := a.config.Listener.Accept()
+			if err != nil && ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			group.Go(func() error { a.serve(ctx, raw); return nil })
+		}
+	})
+	return group.Wait()
+}
+
+// serve serves one link until it breaks.
+func (a *Acceptor) serve(ctx context.Context, raw net.Conn) {
+	defer context.AfterFunc(ctx, func() { raw.Close() })()
+	defer raw.Close()
+	hello := a.config.Identity.greeting(raw)
+	theirs, err := hello.Accept()
+	if err != nil {
+		a.config.Log.WithError(err).WithField("address", raw.RemoteAddr().String()).Warn("A link that would hand connections over is refused.")
+		return
+	}
+	one := newLink(raw, hello.Conn, a.begin)
+	log := a.config.Log.WithField("peer", string(theirs.Router))
+	log.Info("A router may hand connections over to this one.")
+	go a.tellLoad(one)
+	err = one.run()
+	log.WithError(err).Info("The link by which a router handed connections over is down.")
+}
+
+// begin queues a stream for Accept.
+func (a *Acceptor) begin(stream *Stream) bool {
+	select {
+	case <-a.done:
+		return false
+	default:
+	}
+	select {
+	case a.streams <- stream:
+		return true
+	default:
+		return false
+	}
+}
+
+// tellLoad tells the other end how much of its processor this router uses, until the link is down.
+func (a *Acceptor) tellLoad(one *link) {
+	ticker := time.NewTicker(loadEvery)
+	defer ticker.Stop()
+	heard, quiet := int64(0), time.Duration(0)
+	for told := -1; ; {
+		if now := a.config.Load(); now/loadStep != told/loadStep || told < 0 {
+			told = now
+			one.send(&message{kind: kindLoad, number: uint64(told)})
+		}
+		select {
+		case <-one.closed:
+			return
+		case <-ticker.C:
+		}
+		quiet += loadEvery
+		if now := one.heard.Load(); now != heard {
+			heard, quiet = now, 0
+		}
+		if quiet >= silent && !one.isIdle() {
+			one.close()
+		}
+	}
+}
+
+// loadStep is the change of the load that is worth a frame, in thousandths.
+const loadStep = 50
+
+// Accept implements net.Listener.
+func (a *Acceptor) Accept() (net.Conn, error) {
+	select {
+	case stream := <-a.streams:
+		return stream, nil
+	case <-a.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener: no further stream is accepted, and those that wait are closed unread. Run ends with its context.
+func (a *Acceptor) Close() error {
+	a.stop()
+	for {
+		select {
+		case stream := <-a.streams:
+			stream.Close()
+		default:
+			return nil
+		}
+	}
+}
+
+// Addr implements net.Listener.
+func (a *Acceptor) Addr() net.Addr { return a.config.Listener.Addr() }
--- /dev/null
+++ b/io/handover/handover_test.go
@@ -0,0 +1,236 @@
+package handover_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"ryelug/core/neighbour"
+	"ryelug/io/handover"
+	"ryelug/standin/bubble"
+	"ryelug/standin/network"
+)
+
+var (
+	near = netip.MustParseAddr("10.0.0.1")
+	far  = netip.MustParseAddr("10.0.0.2")
+	at   = netip.AddrPortFrom(far, 7415)
+	to   = neighbour.Router{Host: "far", Address: at}
+)
+
+// pair is a router that hands connections over, and one that takes them.
+type pair struct {
+	*is.I
+	network  *network.Network
+	dialer   *handover.Dialer
+	acceptor *handover.Acceptor
+	stop     func()
+}
+
+// withPair runs a test with two routers in virtual time.
+func withPair(t *testing.T, key string, test func(p *pair)) {
+	t.Helper()
+	defer bubble.OneProcessor()()
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		p := &pair{I: is.New(t), network: network.New(network.Config{})}
+		ln, err := p.network.Listen(at)
+		p.NoErr(err)
+		p.acceptor = handover.NewAcceptor(handover.AcceptorConfig{
+			Listener: ln, Identity: handover.Identity{Router: "far/1", Key: []byte("a key")}, Log: log, Load: func() int { return 300 },
+		})
+		p.dialer = handover.NewDialer(handover.DialerConfig{
+			Identity: handover.Identity{Router: "near/1", Key: []byte(key)}, Log: log, Dial: p.network.Dialer(near),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = p.acceptor.Run(ctx) })
+		p.stop = cancel
+		p.dialer.Want(time.Now(), []neighbour.Router{to})
+		time.Sleep(time.Second)
+		test(p)
+		p.dialer.Close()
+		cancel()
+		running.Wait()
+		time.Sleep(time.Minute) // Both sides notice.
+	})
+}
+
+// open hands a connection over and returns both ends.
+func (p *pair) open(age time.Duration) (ours, theirs *handover.Stream) {
+	p.Helper()
+	ours, ok := p.dialer.Open(at, age)
+	p.True(ok)
+	accepted, err := p.acceptor.Accept()
+	p.NoErr(err)
+	theirs, ok = accepted.(*handover.Stream)
+	p.True(ok)
+	return ours, theirs
+}
+
+func TestStream(t *testing.T) {
+	t.Run("bytes pass both ways, and the end after them", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			ours, theirs := p.open(300 * time.Millisecond)
+			p.Equal(theirs.Age(), 300*time.Millisecond)
+			_, err := ours.Write([]byte("a request"))
+			p.NoErr(err)
+			buffer := make([]byte, 100)
+			n, err := theirs.Read(buffer)
+			p.NoErr(err)
+			p.Equal(string(buffer[:n]), "a request")
+			_, err = theirs.Write([]byte("an answer"))
+			p.NoErr(err)
+			p.NoErr(theirs.Close())
+			all, err := io.ReadAll(ours)
+			p.NoErr(err)
+			p.Equal(string(all), "an answer")
+		})
+	})
+	t.Run("a caller that leaves is noticed without a read", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			ours, theirs := p.open(0)
+			_, err := ours.Write([]byte("a request"))
+			p.NoErr(err)
+			p.NoErr(ours.Close())
+			p.True(!theirs.HasEnded())
+			time.Sleep(10 * time.Millisecond)
+			p.True(theirs.HasEnded())
+			_, err = theirs.Write([]byte("an answer"))
+			p.True(err != nil)
+		})
+	})
+	t.Run("deadlines", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			ours, theirs := p.open(0)
+			p.NoErr(theirs.SetReadDeadline(time.Now().Add(time.Second)))
+			began := time.Now()
+			_, err := theirs.Read(make([]byte, 1))
+			p.True(errors.Is(err, os.ErrDeadlineExceeded))
+			p.Equal(time.Since(began), time.Second)
+			p.NoErr(theirs.SetReadDeadline(time.Time{}))
+			p.NoErr(ours.SetWriteDeadline(time.Now().Add(time.Second)))
+			_, err = ours.Write(make([]byte, 1<<20)) // Nobody reads it.
+			p.True(errors.Is(err, os.ErrDeadlineExceeded))
+		})
+	})
+	t.Run("a read that waits ends with its deadline, or with the stream", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			ours, theirs := p.open(0)
+			for _, end := range []func() error{func() error { return theirs.SetReadDeadline(time.Unix(1, 0)) }, theirs.Close} {
+				failed := make(chan error)
+				go func() {
+					_, err := theirs.Read(make([]byte, 1))
+					failed <- err
+				}()
+				time.Sleep(time.Second)
+				p.NoErr(end())
+				p.True(<-failed != nil)
+			}
+			p.NoErr(ours.Close())
+		})
+	})
+}
+
+// echo returns all that comes, until its stream ends.
+func echo(conn net.Conn) {
+	_, _ = io.Copy(conn, conn)
+	conn.Close()
+}
+
+// Streams of one link keep their bytes apart, also those that are longer than their window.
+func TestManyStreams(t *testing.T) {
+	const streams, longest = 50, 300 << 10
+	withPair(t, "a key", func(p *pair) {
+		var all sync.WaitGroup
+		for n := range streams {
+			ours, theirs := p.open(0)
+			go echo(theirs)
+			random := rand.New(rand.NewPCG(uint64(n), 1))
+			sent := make([]byte, random.IntN(longest)+1)
+			for i := range sent {
+				sent[i] = byte(random.Uint32())
+			}
+			all.Go(func() {
+				defer ours.Close()
+				go func() { _, _ = ours.Write(sent) }()
+				got := make([]byte, len(sent))
+				_, err := io.ReadFull(ours, got)
+				p.NoErr(err)
+				p.True(bytes.Equal(got, sent))
+			})
+		}
+		all.Wait()
+	})
+}
+
+func TestLink(t *testing.T) {
+	t.Run("the other router's load", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			load, linked := p.dialer.Load(&to)
+			p.True(linked)
+			p.Equal(load, 300)
+		})
+	})
+	t.Run("no link to a router with another key", func(t *testing.T) {
+		withPair(t, "another key", func(p *pair) {
+			_, linked := p.dialer.Load(&to)
+			p.True(!linked)
+			_, ok := p.dialer.Open(at, 0)
+			p.True(!ok)
+		})
+	})
+	t.Run("an idle link lasts, and ends when it is not wanted", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			time.Sleep(time.Minute)
+			_, linked := p.dialer.Load(&to)
+			p.True(linked)
+			p.dialer.Want(time.Now(), nil)
+			time.Sleep(2 * time.Second)
+			_, linked = p.dialer.Load(&to)
+			p.True(!linked)
+		})
+	})
+	t.Run("a silent router ends its streams within five seconds, and is dialed again", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			ours, _ := p.open(0)
+			p.network.Silence(near, far)
+			began := time.Now()
+			_, err := ours.Read(make([]byte, 1))
+			p.True(err != nil)
+			p.True(time.Since(began) <= 5*time.Second)
+			time.Sleep(2 * time.Second)
+			p.dialer.Want(time.Now(), []neighbour.Router{to})
+			time.Sleep(time.Second)
+			_, linked := p.dialer.Load(&to)
+			p.True(linked)
+		})
+	})
+	t.Run("a router that ends closes what it has not accepted", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			ours, ok := p.dialer.Open(at, 0)
+			p.True(ok)
+			time.Sleep(10 * time.Millisecond)
+			p.NoErr(p.acceptor.Close())
+			_, err := ours.Read(make([]byte, 1))
+			p.Equal(err, io.EOF)
+			late, ok := p.dialer.Open(at, 0)
+			p.True(ok)
+			_, err = late.Read(make([]byte, 1))
+			p.Equal(err, io.EOF)
+		})
+	})
+}
--- a/io/peer/stats.go
+++ b/io/peer/stats.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// Messages returns the number of frames so far, of both directions.
+func (m *Mesh) Messages() int64 { return int64(m.stats.links.Messages()) }
+
 // refusal numbers a reason why a connection did not become a link.
 type refusal int
 
--- a/io/stamped/stats.go
+++ b/io/stamped/stats.go
@@ -26,6 +26,9 @@
 // In returns what was received, by kind of frame; only kinds that occurred are present.
 func (s *Stats) In() map[string]Amount { return s.in.amounts() }
 
+// Messages returns the number of frames so far, of both directions.
+func (s *Stats) Messages() uint64 { return s.out.total() + s.in.total() }
+
 // Overflows returns the number of links closed because their ring was full.
 func (s *Stats) Overflows() uint64 { return s.overflows.Load() }
 
@@ -37,6 +40,13 @@
 	bytes    [wire.KindCount]atomic.Uint64
 }
 
+func (t *tally) total() (sum uint64) {
+	for i := range t.messages {
+		sum += t.messages[i].Load()
+	}
+	return sum
+}
+
 func (t *tally) add(kind wire.Kind, bytes int) {
 	kind = kind.Base()
 	if kind >= wire.KindCount {
--- a/router/config.go
+++ b/router/config.go
@@ -13,6 +13,7 @@
 	"ryelug/core/neighbour"
 	"ryelug/core/spread"
 	"ryelug/io/caller"
+	"ryelug/io/handover"
 	"ryelug/io/operator"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
@@ -46,35 +47,42 @@
 	Stale() bool
 }
 
+// Usage tells what a process uses of its processor.
+type Usage struct {
+	Waited    func() time.Duration          // Waited is how long work has waited for the processor of late.
+	Processor func() (time.Duration, error) // Processor is the processor time so far.
+}
+
 // Config sets up a Router.
 type Config struct {
-	Host         cell.HostID
-	Incarnation  string // Incarnation is new at each start of the process.
-	DataCentre   string
-	Environment  string
-	Seed         uint64 // Seed sets the jitter of repeated reads.
-	PeerKey      []byte
-	PeerListener net.Listener
-	PeerDial     func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-	Callers      caller.Config             // Callers lacks its handler, which is the Router.
-	CallersOn    net.Listener              // CallersOn may be nil in tests that call Serve.
-	OthersOn     net.Listener              // OthersOn takes connections that other routers hand over; it may be nil.
-	Neighbours   func() []neighbour.Router // Neighbours are the routers that take connections from this one; nil is none.
-	Platform     configuration.Platform
-	Source       Source // Source takes the place of the environment's document; it may be nil.
-	Hosts        poll.Lister
-	Endpoints    Endpoints
-	Counter      request.Counter
-	Keys         *keyed.Keeper    // Keys may be nil; then requests with an Idempotency-Key are refused.
-	KeyedRate    float64          // KeyedRate bounds the fleet's requests with a key, a second.
-	OldRecords   keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
-	Timings      coordination.Timings
-	Retries      request.Config       // Retries bounds retries; its other fields are not used.
-	Grace        time.Duration        // Grace bounds the shutdown; zero is no bound.
-	StrainLate   time.Duration        // StrainLate is the lateness of this process from which on it sends new requests elsewhere; zero is never.
-	Waited       func() time.Duration // Waited is how long work has waited for the processor of late; that of the runtime when nil.
-	BalancerLag  time.Duration        // BalancerLag is the time in which the balancer notices that this router leaves.
-	Log          logrus.FieldLogger
+	Host           cell.HostID
+	Incarnation    string // Incarnation is new at each start of the process.
+	DataCentre     string
+	Environment    string
+	Seed           uint64 // Seed sets the jitter of repeated reads.
+	PeerKey        []byte
+	PeerListener   net.Listener
+	PeerDial       func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Callers        caller.Config             // Callers lacks its handler, which is the Router.
+	CallersOn      net.Listener              // CallersOn may be nil in tests that call Serve.
+	OthersOn       net.Listener              // OthersOn takes connections that other routers hand over; it may be nil.
+	Neighbours     func() []neighbour.Router // Neighbours are the routers that take connections from this one; nil is none.
+	Platform       configuration.Platform
+	Source         Source // Source takes the place of the environment's document; it may be nil.
+	Hosts          poll.Lister
+	Endpoints      Endpoints
+	Counter        request.Counter
+	Keys           *keyed.Keeper    // Keys may be nil; then requests with an Idempotency-Key are refused.
+	KeyedRate      float64          // KeyedRate bounds the fleet's requests with a key, a second.
+	OldRecords     keyed.OldRecords // OldRecords may be nil; then this router deletes no old records of keys.
+	Timings        coordination.Timings
+	Retries        request.Config // Retries bounds retries; its other fields are not used.
+	Grace          time.Duration  // Grace bounds the shutdown; zero is no bound.
+	ProcessorShare float64        // ProcessorShare is the part of a core that this process has, in cores; zero is not known.
+	StrainLate     time.Duration  // StrainLate is the lateness of this process from which on it sends new requests elsewhere; zero is never.
+	Usage          Usage          // Usage tells what this process uses; what the system and the runtime tell when its fields are nil.
+	BalancerLag    time.Duration  // BalancerLag is the time in which the balancer notices that this router leaves.
+	Log            logrus.FieldLogger
 
 	Order       dispatch.Order // Order is nil for fair service; another one is a baseline for measurements.
 	LocalQueues bool           // LocalQueues makes each router dispatch for itself with its own stake, a baseline.
@@ -99,6 +107,10 @@
 	}
 }
 
+func (c *Config) identity() handover.Identity {
+	return handover.Identity{Router: c.routerID(), DataCentre: c.DataCentre, Key: c.PeerKey}
+}
+
 func (r *Router) coordinationConfig() coordination.Config {
 	return coordination.Config{
 		Self:        r.config.routerID(),
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -50,6 +50,9 @@
 // CutOff tells whether this router must send no new work.
 func (c *Coordinator) CutOff() bool { return c.cutOff.Load() }
 
+// Messages returns the number of messages so far that other routers sent or got.
+func (c *Coordinator) Messages() int64 { return c.mesh.Messages() }
+
 // Sweeps tells whether it is this router's turn to delete old records of keys.
 func (c *Coordinator) Sweeps() bool { return c.sweeps.Load() }
 
--- a/router/process/load.go
+++ b/router/process/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -73,6 +74,7 @@
 	return logrus.Fields{
 		"span_ms":      l.at.Sub(since.at).Milliseconds(),
 		"processor_ms": (l.processor - since.processor).Milliseconds(),
+		"used":         math.Round(l.traffic.Used*100) / 100,
 		"waited_ms":    l.traffic.Waited.Milliseconds(),
 		"accepted":     l.traffic.Accepted - since.traffic.Accepted,
 		"handed_over":  l.traffic.HandedOver - since.traffic.HandedOver,
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -40,7 +40,7 @@
 	Seed        uint64               // Seed sets the jitter; zero draws one.
 	Now         func() time.Duration // Now is the clock that counts suspensions; that of the machine when nil.
 	Dial        Dial                 // Dial opens all connections; TCP when nil.
-	Waited      func() time.Duration // Waited is how long work has waited for the processor of late; that of the runtime when nil.
+	Usage       router.Usage         // Usage tells what the process uses; what the system and the runtime tell when its fields are nil.
 	Order       dispatch.Order       // Order is nil for fair service; another one is a baseline.
 	LocalQueues bool                 // LocalQueues makes the router dispatch for itself, a baseline.
 }
@@ -159,33 +159,34 @@
 		MaxConns:    mostCallers(given),
 	}
 	own := router.Config{
-		Host:         given.Host,
-		Incarnation:  uuid.NewString(),
-		DataCentre:   given.DataCentre,
-		Environment:  given.Environment,
-		Seed:         p.config.Seed,
-		PeerKey:      given.PeerKey,
-		PeerListener: p.config.Peers,
-		PeerDial:     p.config.Dial,
-		Callers:      callers,
-		CallersOn:    p.config.Callers,
-		OthersOn:     p.config.Others,
-		Platform:     p.platform,
-		Hosts:        &hosts{platform: p.platform},
-		Endpoints:    p.newEndpoints(endpoint.Dialect{}),
-		Counter:      &counter{vars: p.vars, latencies: p.latencies},
-		Keys:         keyed.New(keyed.Config{Records: p.platform, Retention: given.KeyedRetention}),
-		KeyedRate:    float64(given.KeyedRate),
-		OldRecords:   p.platform,
-		Timings:      timings(given),
-		BalancerLag:  given.BalancerLag,
-		StrainLate:   given.StrainLate,
-		Waited:       p.config.Waited,
-		Log:          p.config.Log,
-		Order:        p.config.Order,
-		LocalQueues:  p.config.LocalQueues,
-		Retries:      request.Config{RetryRatio: given.RetryRatio, RetryBurst: given.RetryBurst},
-		Grace:        given.Grace,
+		Host:           given.Host,
+		Incarnation:    uuid.NewString(),
+		DataCentre:     given.DataCentre,
+		Environment:    given.Environment,
+		Seed:           p.config.Seed,
+		PeerKey:        given.PeerKey,
+		PeerListener:   p.config.Peers,
+		PeerDial:       p.config.Dial,
+		Callers:        callers,
+		CallersOn:      p.config.Callers,
+		OthersOn:       p.config.Others,
+		Platform:       p.platform,
+		Hosts:          &hosts{platform: p.platform},
+		Endpoints:      p.newEndpoints(endpoint.Dialect{}),
+		Counter:        &counter{vars: p.vars, latencies: p.latencies},
+		Keys:           keyed.New(keyed.Config{Records: p.platform, Retention: given.KeyedRetention}),
+		KeyedRate:      float64(given.KeyedRate),
+		OldRecords:     p.platform,
+		Timings:        timings(given),
+		BalancerLag:    given.BalancerLag,
+		ProcessorShare: given.ProcessorShare,
+		StrainLate:     given.StrainLate,
+		Usage:          p.config.Usage,
+		Log:            p.config.Log,
+		Order:          p.config.Order,
+		LocalQueues:    p.config.LocalQueues,
+		Retries:        request.Config{RetryRatio: given.RetryRatio, RetryBurst: given.RetryBurst},
+		Grace:          given.Grace,
 	}
 	if given.Registered {
 		p.register(&own)
--- a/router/relay.go
+++ b/router/relay.go
@@ -1,30 +1,60 @@
 package router
 
 import (
+	"context"
 	"time"
 
+	"ryelug/core/neighbour"
 	"ryelug/io/caller"
+	"ryelug/io/pause"
 )
 
-// neighboursEvery is the age up to which a list of neighbours is used; one that has gone since is noticed at the dial.
-const neighboursEvery = 500 * time.Millisecond
+const (
+	// neighboursEvery is the age up to which a list of neighbours is used; one that has gone since is noticed by its link.
+	neighboursEvery = 500 * time.Millisecond
+	// mostNeighbours bounds the routers that take connections of this one. So many have room for the flood of one team.
+	mostNeighbours = 16
+)
+
+// watchNeighbours keeps links to the routers that may take connections, so that none must be made in a flood.
+func (r *Router) watchNeighbours(ctx context.Context) error {
+	for pause.For(ctx, neighboursEvery) {
+		list := neighbour.Nearest(r.config.Host, r.config.Neighbours(), mostNeighbours)
+		r.neighbours.Set(list)
+		r.handOvers.Want(time.Now(), list)
+	}
+	r.handOvers.Close()
+	return nil
+}
 
-// relay names a router that serves the next connection, while this one bears no more.
-func (r *Router) relay() (caller.Relay, bool) {
+// relay names a router that serves the next connection, while this one has less left than others.
+func (r *Router) relay(age time.Duration) (caller.Relay, bool) {
 	now := time.Now()
-	if !r.strain.IsFull(now) {
+	if !r.load.IsBusy() {
 		return caller.Relay{}, false
 	}
-	if now.Sub(r.neighboursAt) >= neighboursEvery {
-		r.neighbours.Set(r.config.Neighbours())
-		r.neighboursAt = now
+	to, ok := r.neighbours.Choose(now, r.loadToOthers(now), r.handOvers.Load)
+	if !ok {
+		return caller.Relay{}, false
 	}
-	to, ok := r.neighbours.Choose(now)
+	stream, ok := r.handOvers.Open(to.Address, age)
 	if !ok {
 		return caller.Relay{}, false
 	}
 	r.handedOver.Add(1)
-	return caller.Relay{Address: to.Address, Ended: func(served bool) { r.neighbours.End(time.Now(), to.Address, served) }}, true
+	return caller.Relay{Conn: stream, Ended: func(served bool) { r.neighbours.End(time.Now(), to.Address, served) }}, true
+}
+
+// fullLoad is the load of a router that bears no more, in thousandths of its processor.
+const fullLoad = 1000
+
+// loadToOthers returns which part of its processor this router uses, in thousandths; one that does not keep up has none left.
+func (r *Router) loadToOthers(now time.Time) int {
+	used := int(r.load.Used() * fullLoad)
+	if r.strain.IsFull(now) {
+		return max(used, fullLoad)
+	}
+	return used
 }
 
 // Traffic is what a router has done for callers since its start, and what it has at hand.
@@ -34,12 +64,16 @@
 	Taken      int64         // Taken counts connections that other routers handed over to this one.
 	AtHand     int           // AtHand counts the requests at hand.
 	Waited     time.Duration // Waited is how long work waited for the processor of late.
+	Used       float64       // Used is the part of its processor that the router uses, as it estimates; zero if that is not known.
 }
 
 // Traffic returns the present figures.
 func (r *Router) Traffic() Traffic {
-	own, taken := r.callers.Accepted()
-	return Traffic{Accepted: own, HandedOver: r.HandedOver(), Taken: taken, AtHand: r.strain.AtHand(), Waited: r.strain.Waited()}
+	done := r.callers.Done()
+	return Traffic{
+		Accepted: done.Own, HandedOver: r.HandedOver(), Taken: done.Taken, AtHand: r.strain.AtHand(), Waited: r.strain.Waited(),
+		Used: r.load.Used(),
+	}
 }
 
 // HandedOver returns the number of connections that other routers have served for this one.
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"ryelug/core/limit"
 	"ryelug/core/neighbour"
 	"ryelug/io/caller"
+	"ryelug/io/handover"
 	"ryelug/io/operator"
 	"ryelug/io/pause"
 	"ryelug/router/configuration"
@@ -34,9 +35,10 @@
 	directory     atomic.Pointer[directory.Directory]
 	leaving       atomic.Bool
 	strain        *limit.Strain
+	load          *limit.Load
+	handOvers     *handover.Dialer
 	early         *earlyRefusals
 	neighbours    neighbour.Table
-	neighboursAt  time.Time // neighboursAt is when the neighbours were listed last; the accepting goroutine alone uses it.
 	handedOver    atomic.Int64
 	turned        atomic.Int64 // turned counts the callers that were sent to other routers.
 
@@ -52,6 +54,7 @@
 		log:        operator.Part(conf.Log, operator.RouterPart),
 		requestLog: operator.Part(conf.Log, operator.RequestPart),
 		strain:     limit.NewStrain(conf.StrainLate),
+		load:       limit.NewLoad(conf.ProcessorShare),
 	}
 	r.early = newEarlyRefusals(r.requestLog)
 	r.coordinator = coordination.New(r.coordinationConfig())
@@ -73,8 +76,11 @@
 	conf.Callers.Refused = conf.Counter.Refused
 	conf.Callers.Panicked = r.panicked
 	conf.Callers.Shed = r.shed
-	conf.Callers.Dial = conf.PeerDial
+	conf.Callers.Late = r.late
 	if conf.Neighbours != nil {
+		r.handOvers = handover.NewDialer(handover.DialerConfig{
+			Identity: conf.identity(), Dial: conf.PeerDial, Log: operator.Part(conf.Log, operator.PeerPart),
+		})
 		conf.Callers.Elsewhere = r.relay
 	}
 	r.callers = caller.New(conf.Callers)
@@ -133,8 +139,21 @@
 		group.Go(func() error { return r.callers.Serve(r.config.CallersOn) })
 	}
 	if r.config.OthersOn != nil {
-		group.Go(func() error { return r.callers.ServeOthers(r.config.OthersOn) })
+		r.startOthers(ctx, group)
 	}
+	if r.handOvers != nil {
+		group.Go(func() error { return r.watchNeighbours(ctx) })
+	}
+}
+
+// startOthers serves what other routers hand over.
+func (r *Router) startOthers(ctx context.Context, group *errgroup.Group) {
+	acceptor := handover.NewAcceptor(handover.AcceptorConfig{
+		Listener: r.config.OthersOn, Identity: r.config.identity(), Log: operator.Part(r.config.Log, operator.PeerPart),
+		Load: func() int { return r.loadToOthers(time.Now()) },
+	})
+	group.Go(func() error { return acceptor.Run(ctx) })
+	group.Go(func() error { return r.callers.ServeOthers(acceptor) })
 }
 
 // shutDown leaves gracefully: the balancer and the peers are told, the
@@ -208,7 +227,7 @@
 func (r *Router) Health() Health {
 	return Health{
 		Leaving:    r.leaving.Load(),
-		Strained:   r.strain.IsStrained(time.Now()) || r.callers.IsCrowded(),
+		Strained:   r.strain.IsStrained(time.Now()) || r.load.IsFull() || r.callers.IsCrowded(),
 		CutOff:     r.isCutOff(),
 		Configured: r.directory.Load() != nil,
 		Generation: r.generation(),
--- a/router/strain.go
+++ b/router/strain.go
@@ -6,6 +6,8 @@
 	"runtime/metrics"
 	"time"
 
+	"ryelug/core/limit"
+	"ryelug/io/clock"
 	"ryelug/io/pause"
 )
 
@@ -20,11 +22,17 @@
 // watchStrain ticks until ctx ends, and logs when the process begins and ends to be strained.
 func (r *Router) watchStrain(ctx context.Context) error {
 	strained := false
-	waited := r.config.Waited
-	if waited == nil {
-		waited = newWaits().next
+	usage := r.config.Usage
+	if usage.Waited == nil {
+		usage.Waited = newWaits().next
 	}
-	for pause.For(ctx, r.strain.Tick(time.Now(), waited())) {
+	if usage.Processor == nil {
+		usage.Processor = clock.Processor
+	}
+	for tick := 0; pause.For(ctx, r.strain.Tick(time.Now(), usage.Waited(), r.load.IsFull())); tick++ {
+		if tick%loadTicks == 0 {
+			r.noteLoad(time.Now(), usage.Processor)
+		}
 		if now := r.strain.IsStrained(time.Now()); now != strained {
 			strained = now
 			r.log.WithField("strained", strained).Warn("Whether this router keeps up with its work has changed.")
@@ -33,6 +41,27 @@
 	return nil
 }
 
+// loadTicks is the number of ticks between two readings of the load, which are 0.1 s apart then.
+const loadTicks = 5
+
+// noteLoad reads what this process has done.
+func (r *Router) noteLoad(now time.Time, used func() (time.Duration, error)) {
+	done := r.callers.Done()
+	work := limit.Work{
+		Connections: done.Own + done.Taken, Requests: done.Requests, Events: done.Events, Shared: done.Shared,
+		Messages: r.coordinator.Messages(),
+	}
+	processor, err := used()
+	if err != nil {
+		r.log.WithError(err).Debug("The load goes by what is counted here alone.")
+	}
+	work.Processor = processor
+	r.load.Note(now, work)
+}
+
+// late returns how long work waits for the processor, if that is too long.
+func (r *Router) late() time.Duration { return r.strain.Late(time.Now()) }
+
 // waits reads how long goroutines wait for the processor.
 type waits struct {
 	sample []metrics.Sample
