Send nothing on whose caller has left while a late router came to it

Cause: the close is noticed by a read of its own, which comes to its turn after the request itself where a router is late by seconds. Change: a busy router looks at new connections first and closes unread what its caller has closed, without a word of the request; a request that is older than 0.2 s is looked at again right before it is sent. Both ask the system for the state of the socket (POLLRDHUP), which bytes that wait do not hide; connections that were handed over know it by themselves.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -15,6 +15,7 @@
 	writeTimeout time.Duration
 	handOver     func(net.Conn) bool  // handOver tells whether another router serves a new connection.
 	late         func() time.Duration // late is how long this process is late of late.
+	busy         func() bool          // busy tells whether it has little room left.
 	once         bool                 // once lets each connection carry one request.
 	accepted     *atomic.Int64        // accepted counts the connections.
 }
@@ -27,6 +28,10 @@
 			return nil, err
 		}
 		l.accepted.Add(1)
+		if l.busy() && hasClosed(raw) {
+			raw.Close() // Its caller has given up while it waited.
+			continue
+		}
 		if !l.handOver(raw) {
 			return &conn{Conn: raw, writeTimeout: l.writeTimeout, once: l.once, age: ageOf(raw, l.late())}, nil
 		}
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -43,6 +43,8 @@
 	Prompt    cell.Prompt
 	LastEvent string    // LastEvent is the event after which the caller wants the stream to go on.
 	Deadline  time.Time // Deadline is when the caller waits no more; zero when it does not say.
+
+	HasLeft func() bool // HasLeft tells whether the caller has closed its connection, which ctx may tell later; it may be nil.
 }
 
 // Answer is a whole answer of an endpoint.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -55,6 +55,7 @@
 	Shed         Shed                                  // Shed refuses requests before anything is set up for them; nil refuses none.
 	Elsewhere    func(age time.Duration) (Relay, bool) // Elsewhere names a router that serves a connection of this age in this one's place; nil names none.
 	Late         func() time.Duration                  // Late is how long work waits for the processor; nil is not known.
+	Busy         func() bool                           // Busy tells whether the process has little room left, so that callers may have given up while they waited; nil never.
 	Panicked     func(Panic)                           // Panicked is told of handlers that panic.
 }
 
@@ -98,6 +99,9 @@
 	if config.Shed == nil {
 		config.Shed = func(*Request) (Refusal, bool) { return Refusal{}, false }
 	}
+	if config.Busy == nil {
+		config.Busy = func() bool { return false }
+	}
 	if config.Late == nil {
 		config.Late = func() time.Duration { return 0 }
 	}
@@ -143,7 +147,7 @@
 }
 
 func (s *Server) serveOn(ln *listener) error {
-	ln.writeTimeout, ln.late = s.config.WriteTimeout, s.config.Late
+	ln.writeTimeout, ln.late, ln.busy = s.config.WriteTimeout, s.config.Late, s.config.Busy
 	defer context.AfterFunc(s.closing, func() { ln.Close() })()
 	err := s.http.Serve(ln)
 	if s.closing.Err() != nil {
@@ -214,6 +218,7 @@
 	stop := func() {}
 	if isLink {
 		stop = link.watch(cancel)
+		req.HasLeft = func() bool { return hasClosed(link.Conn) }
 	}
 	go s.handle(ctx, req, ex)
 	head := <-ex.head
--- a/io/caller/unread.go
+++ b/io/caller/unread.go
@@ -19,6 +19,23 @@
 	return waited
 }
 
+// ender is a connection that knows by itself whether its other end has closed it.
+type ender interface{ HasEnded() bool }
+
+// hasClosed tells whether the other end of a connection has closed it, which its reader may not have come to yet.
+func hasClosed(at net.Conn) bool {
+	if one, ok := at.(ender); ok {
+		return one.HasEnded()
+	}
+	closed := false
+	control(at, func(socket int) {
+		state := []unix.PollFd{{Fd: int32(socket), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(state, 0)
+		closed = err == nil && n > 0 && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed
+}
+
 // control calls f with the socket of a connection, if it has one.
 func control(of net.Conn, f func(socket int)) {
 	tcp, ok := of.(*net.TCPConn)
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -149,6 +149,9 @@
 	if !pause.For(ctx, send.After) {
 		return &entry.CallerGone{Sent: r.sent}
 	}
+	if r.hasLeft() {
+		return &entry.CallerGone{Sent: r.sent}
+	}
 	if send.LastEvent != "" && !r.route.Verbatim && !r.permit.AwaitCounted(r.attempt) {
 		return &entry.Lapsed{}
 	}
@@ -171,6 +174,14 @@
 	return &entry.Whole{}
 }
 
+// leftAfter is the age of a request from which on its caller may have left unnoticed, since this router is late.
+const leftAfter = 200 * time.Millisecond
+
+// hasLeft tells whether the caller of a request that has waited for long has left.
+func (r *run) hasLeft() bool {
+	return r.req.HasLeft != nil && !r.detached() && time.Since(r.req.Received) >= leftAfter && r.req.HasLeft()
+}
+
 func (r *run) call(lastEvent string) endpoint.Call {
 	id, address, start := r.permit.Endpoint()
 	call := endpoint.Call{
--- a/router/router.go
+++ b/router/router.go
@@ -76,7 +76,7 @@
 	conf.Callers.Refused = conf.Counter.Refused
 	conf.Callers.Panicked = r.panicked
 	conf.Callers.Shed = r.shed
-	conf.Callers.Late = r.late
+	conf.Callers.Late, conf.Callers.Busy = r.late, r.load.IsBusy
 	if conf.Neighbours != nil {
 		r.handOvers = handover.NewDialer(handover.DialerConfig{
 			Identity: conf.identity(), Dial: conf.PeerDial, Log: operator.Part(conf.Log, operator.PeerPart),
--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -28,6 +28,9 @@
 	return n, err
 }
 
+// HasEnded tells whether the other end has closed the connection, also if bytes wait before that.
+func (c *conn) HasEnded() bool { return c.in.hasFinished() }
+
 // Write sends; it blocks while too much is on its way.
 func (c *conn) Write(p []byte) (int, error) {
 	c.network.spend(c.local.Addr(), costOfWrite)
@@ -200,6 +203,17 @@
 	return n, nil, until, nil
 }
 
+// hasFinished tells whether the end of the stream has arrived.
+func (h *half) hasFinished() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.queue) == 0 {
+		return false
+	}
+	last := h.queue[len(h.queue)-1]
+	return last.data == nil && !time.Now().Before(last.at)
+}
+
 // hasArrived tells whether there is something to read; h.mu is held.
 func (h *half) hasArrived() bool {
 	return len(h.queue) > 0 && !time.Now().Before(h.queue[0].at)
