Say why an error of a stream's end is passed over

Cause: the linter found two of the hand-over's closes unchecked. Closing a stream tells the other end and can't fail.

--- a/io/handover/accept.go
+++ b/io/handover/accept.go
@@ -150,7 +150,7 @@
 	for {
 		select {
 		case stream := <-a.streams:
-			stream.Close()
+			_ = stream.Close() // It only tells the other end.
 		default:
 			return nil
 		}
--- a/io/handover/handover_test.go
+++ b/io/handover/handover_test.go
@@ -165,7 +165,7 @@
 				sent[i] = byte(random.Uint32())
 			}
 			all.Go(func() {
-				defer ours.Close()
+				defer func() { p.NoErr(ours.Close()) }()
 				go func() { _, _ = ours.Write(sent) }()
 				got := make([]byte, len(sent))
 				_, err := io.ReadFull(ours, got)
