--- a/router/process/listen.go
+++ b/router/process/listen.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -11,14 +10,9 @@
 	"ryelug/core/result"
 )
 
-// noProbes turns the system's keep-alive probes off, which cost five calls a connection: each connection has timeouts, and
-// heartbeats where it is idle for long.
-const noProbes = -1
-
 // Listen opens a TCP listener; the error of an address in use has the code AddressInUse.
 func Listen(address netip.AddrPort) (net.Listener, error) {
-	config := net.ListenConfig{KeepAlive: noProbes}
-	listener, err := config.Listen(context.Background(), "tcp", address.String())
+	listener, err := net.Listen("tcp", address.String())
 	if errors.Is(err, syscall.EADDRINUSE) {
 		return nil, result.Wrap(result.AddressInUse, fmt.Errorf("another process listens on %s", address))
 	}
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -262,6 +262,6 @@
 const dialTimeout = 2 * time.Second
 
 func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: noProbes}
+	dialer := net.Dialer{Timeout: dialTimeout}
 	return dialer.DialContext(ctx, "tcp", address.String())
 }
