Keep a hand-over link while it carries something, wanted or not

Cause: a router keeps links to the neighbours that its list names, and the list names those with a link for coordination. Where that link was lost for a moment (here a flooded router), or the other one leaves, the link that carried the answers was closed with it. Change: a link that is not wanted any more ends once it carries nothing; one whose other end is lost still ends by its pings. A router that leaves tells that it has nothing left, so that it gets no more. Tests: 'a link that is not wanted carries its streams to their ends' failed before with a broken pipe.

--- a/io/handover/dial.go
+++ b/io/handover/dial.go
@@ -46,7 +46,7 @@
 	return &Dialer{config: config, links: make(map[netip.AddrPort]*outgoing), wanted: make(map[netip.AddrPort]bool)}
 }
 
-// Want keeps links to these routers, and to no others.
+// Want keeps links to these routers. The link to another one ends once it carries nothing.
 func (d *Dialer) Want(now time.Time, routers []neighbour.Router) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -140,7 +140,7 @@
 	}
 }
 
-// keep notices that the other end is lost, and that the link is not wanted any more.
+// keep ends a link whose other end is lost, or that is idle and not wanted any more.
 func (d *Dialer) keep(address netip.AddrPort, l *link) {
 	ticker := time.NewTicker(pingEvery)
 	defer ticker.Stop()
@@ -155,8 +155,8 @@
 		if now := l.heard.Load(); now != heard {
 			heard, quiet = now, 0
 		}
-		if quiet >= silent || !d.isWanted(address) {
-			l.close()
+		if quiet >= silent || l.isIdle() && !d.isWanted(address) {
+			l.close() // What a router that leaves serves for this one goes on to its end.
 			return
 		}
 		if idle >= idlePing || !l.isIdle() {
--- a/io/handover/handover_test.go
+++ b/io/handover/handover_test.go
@@ -204,6 +204,23 @@
 			p.True(!linked)
 		})
 	})
+	t.Run("a link that is not wanted carries its streams to their ends", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			ours, theirs := p.open(0)
+			p.dialer.Want(time.Now(), nil)
+			time.Sleep(time.Minute)
+			_, err := theirs.Write([]byte("an answer"))
+			p.NoErr(err)
+			buffer := make([]byte, 100)
+			n, err := ours.Read(buffer)
+			p.NoErr(err)
+			p.Equal(string(buffer[:n]), "an answer")
+			p.NoErr(ours.Close())
+			time.Sleep(2 * time.Second)
+			_, linked := p.dialer.Load(&to)
+			p.True(!linked)
+		})
+	})
 	t.Run("a silent router ends its streams within five seconds, and is dialed again", func(t *testing.T) {
 		withPair(t, "a key", func(p *pair) {
 			ours, _ := p.open(0)
--- a/router/relay.go
+++ b/router/relay.go
@@ -48,10 +48,11 @@
 // fullLoad is the load of a router that bears no more, in thousandths of its processor.
 const fullLoad = 1000
 
-// loadToOthers returns which part of its processor this router uses, in thousandths; one that does not keep up has none left.
+// loadToOthers returns which part of its processor this router uses, in thousandths; one that does not keep up, or leaves,
+// has none left.
 func (r *Router) loadToOthers(now time.Time) int {
 	used := int(r.load.Used() * fullLoad)
-	if r.strain.IsFull(now) {
+	if r.strain.IsFull(now) || r.leaving.Load() {
 		return max(used, fullLoad)
 	}
 	return used
