Count what coordination takes into the load, and hand over to routers that have clearly more left

And routers of equal load would hand to and fro what costs both. Change: the time that the coordination loop takes counts as a part of the processor as it is, since it passes while others run too; a neighbour must have 0.15 less load. Tests: TestLoad, 'decisions for others take what they take of the time', and TestChoose, 'none that has hardly more left'.

--- a/core/limit/load.go
+++ b/core/limit/load.go
@@ -25,17 +25,20 @@
 type Work struct {
 	Connections int64 // Connections counts those of callers, and those that other routers handed over.
 	Requests    int64
-	Events      int64         // Events counts writes of answers to callers here,
-	Shared      int64         // Shared those of answers that other routers made.
-	Messages    int64         // Messages counts those between routers, sent or received.
-	Processor   time.Duration // Processor is the processor time of the process as the system counts it.
+	Events      int64 // Events counts writes of answers to callers here,
+	Shared      int64 // Shared those of answers that other routers made.
+	Messages    int64 // Messages counts those between routers, sent or received.
+
+	Coordination time.Duration // Coordination is the time in which decisions were made for others, on a processor that is shared with the rest.
+	Processor    time.Duration // Processor is the processor time of the process as the system counts it.
 }
 
-// cost returns what work has cost: by its counts, or as the system counts it if that is more.
-func (w *Work) cost() time.Duration {
+// part returns which part of a processor with a share of a core the work took in a span: by its counts, or as the system
+// counts it if that is more.
+func (w *Work) part(share float64, span time.Duration) float64 {
 	counted := time.Duration(w.Connections)*connectionCost + time.Duration(w.Requests)*requestCost +
 		time.Duration(w.Events)*eventCost + time.Duration(w.Shared)*sharedCost + time.Duration(w.Messages)*messageCost
-	return max(counted, w.Processor)
+	return max(counted.Seconds()/share+w.Coordination.Seconds(), w.Processor.Seconds()/share) / span.Seconds()
 }
 
 func (w *Work) since(last *Work) Work {
@@ -45,7 +48,9 @@
 		Events:      w.Events - last.Events,
 		Shared:      w.Shared - last.Shared,
 		Messages:    w.Messages - last.Messages,
-		Processor:   w.Processor - last.Processor,
+
+		Coordination: w.Coordination - last.Coordination,
+		Processor:    w.Processor - last.Processor,
 	}
 }
 
@@ -81,7 +86,7 @@
 	if first || span <= 0 {
 		return
 	}
-	l.used += loadWeight * (done.cost().Seconds()/(span.Seconds()*l.share) - l.used)
+	l.used += loadWeight * (done.part(l.share, span) - l.used)
 }
 
 // Used returns the part of its processor that the process uses; it may be above 1 while work waits.
--- a/core/limit/load_test.go
+++ b/core/limit/load_test.go
@@ -22,6 +22,7 @@
 		work.Events += each.Events
 		work.Shared += each.Shared
 		work.Processor += each.Processor
+		work.Coordination += each.Coordination
 	}
 	return load
 }
@@ -45,6 +46,11 @@
 		is := is.New(t)
 		is.True(used(0.192, 20, limit.Work{Processor: 18 * time.Millisecond}).IsFull())
 	})
+	t.Run("decisions for others take what they take of the time", func(t *testing.T) {
+		is := is.New(t)
+		is.True(used(0.8, 20, limit.Work{Coordination: 60 * time.Millisecond}).IsBusy())
+		is.True(!used(0.8, 20, limit.Work{Coordination: 40 * time.Millisecond}).IsBusy())
+	})
 	t.Run("a processor that is not known", func(t *testing.T) {
 		is := is.New(t)
 		is.True(!used(0, 20, flood).IsBusy())
--- a/core/neighbour/table.go
+++ b/core/neighbour/table.go
@@ -17,6 +17,8 @@
 	connectionLoad = 4
 	// untold is the time after which a router's own word on its load includes a connection that it got.
 	untold = 300 * time.Millisecond
+	// margin is how much less load another router must have, in thousandths: a connection that is handed over costs both.
+	margin = 150
 	// most is the load beyond which a router gets nothing, so that it bears its own callers' work, in thousandths.
 	most = 800
 )
@@ -70,8 +72,8 @@
 	return nil
 }
 
-// Choose returns the router with the least load below that of this one, in thousandths, and counts one more connection
-// there; false if there is none.
+// Choose returns the router with the least load, if that is well below the one of this router, in thousandths, and counts
+// one more connection there.
 func (t *Table) Choose(now time.Time, own int, loads Loads) (Router, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -84,7 +86,7 @@
 		}
 		at.told = told
 		at.fade(now)
-		if at.load() < min(own, most) && (best == nil || at.load() < best.load()) {
+		if at.load() < min(own-margin, most) && (best == nil || at.load() < best.load()) {
 			best = at
 		}
 	}
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -59,6 +59,7 @@
 	sweeps    atomic.Bool // sweeps tells that this router deletes old records of keys.
 	shares    int         // shares is the number of routers that what the fleet has was shared among last.
 	polled    atomic.Pointer[[]dispatching.Target]
+	busy      atomic.Int64              // busy is the time that the loop has taken for its steps, in nanoseconds.
 	listedAt  atomic.Pointer[time.Time] // listedAt is when a list of hosts came last, read here or by a watcher.
 	pollNow   chan struct{}             // pollNow asks for a round of load reports before the next one is due.
 	early     *time.Timer               // early ends when a report lets further stakes count.
@@ -155,6 +156,7 @@
 			c.choosePolled()
 			c.askReports()
 		}
+		c.busy.Add(int64(time.Since(c.began)))
 	}
 }
 
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -50,6 +50,9 @@
 // CutOff tells whether this router must send no new work.
 func (c *Coordinator) CutOff() bool { return c.cutOff.Load() }
 
+// Busy returns the time that coordination has taken so far, other work of the process meanwhile included.
+func (c *Coordinator) Busy() time.Duration { return time.Duration(c.busy.Load()) }
+
 // Messages returns the number of messages so far that other routers sent or got.
 func (c *Coordinator) Messages() int64 { return c.mesh.Messages() }
 
--- a/router/strain.go
+++ b/router/strain.go
@@ -49,7 +49,7 @@
 	done := r.callers.Done()
 	work := limit.Work{
 		Connections: done.Own + done.Taken, Requests: done.Requests, Events: done.Events, Shared: done.Shared,
-		Messages: r.coordinator.Messages(),
+		Messages: r.coordinator.Messages(), Coordination: r.coordinator.Busy(),
 	}
 	processor, err := used()
 	if err != nil {
