--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -29,7 +29,7 @@
 // handOver lets another router serve a new connection, of which nothing was read yet, and returns false if this router
 // is to serve it.
 func (s *Server) handOver(near net.Conn) bool {
-	if s.config.Elsewhere == nil || s.taken() >= s.config.MaxConns {
+	if s.config.Elsewhere == nil || s.inUse() >= s.config.MaxConns {
 		return false
 	}
 	to, ok := s.config.Elsewhere(ageOf(near, s.config.Late()))
@@ -45,8 +45,8 @@
 	return true
 }
 
-// taken returns how many connections would take the memory of all that are open and all that are handed over.
-func (s *Server) taken() int {
+// inUse returns the number of open connections, of which those that are handed over count by their memory.
+func (s *Server) inUse() int {
 	return int(s.http.GetOpenConnectionsCount()) + int(s.relayed.Load())/relayPart
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -162,7 +162,7 @@
 
 // IsCrowded tells whether the server has nearly all connections that it takes.
 func (s *Server) IsCrowded() bool {
-	return s.config.MaxConns > 0 && float64(s.taken()) >= crowdedPart*float64(s.config.MaxConns)
+	return s.config.MaxConns > 0 && float64(s.inUse()) >= crowdedPart*float64(s.config.MaxConns)
 }
 
 // done counts what a server has done.
