--- a/core/neighbour/table.go
+++ b/core/neighbour/table.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// rest is how long a router gets nothing after it was lost, in which its link is made again or given up.
+	// rest is how long a router gets nothing after it refused a connection or was lost; it asks its own callers to go
+	// elsewhere for longer.
 	rest = time.Second
 	// connectionLoad is what a connection adds to the load of a router until the router tells itself, in thousandths of a
 	// core: a few tenths of a millisecond in the 0.1 s over which loads are measured.
@@ -106,11 +107,11 @@
 	s.given *= max(0, 1-passed.Seconds()/untold.Seconds())
 }
 
-// Lost notes that a router was lost before it answered a connection.
-func (t *Table) Lost(now time.Time, address netip.AddrPort) {
+// End notes the end of a connection. A router that refused it, or was lost, rests.
+func (t *Table) End(now time.Time, address netip.AddrPort, served bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if at := t.find(address); at != nil {
+	if at := t.find(address); at != nil && !served {
 		at.restUntil = now.Add(rest)
 	}
 }
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -1,10 +1,10 @@
 package caller
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -14,10 +14,13 @@
 	relayPart   = 2                     // relayPart is the number of connections that are handed over for the memory of one that is served here.
 )
 
+// refusedStatus begins an answer that refuses a request.
+var refusedStatus = []byte("HTTP/1.1 503")
+
 // Relay is another router that serves a new connection in this one's place.
 type Relay struct {
-	Conn  net.Conn        // Conn is what the other router serves.
-	Ended func(lost bool) // Ended is told at the end; lost tells that the router was lost before its answer.
+	Conn  net.Conn          // Conn is what the other router serves.
+	Ended func(served bool) // Ended is told at the end; served is false if the router refused or was lost before its answer.
 }
 
 // relayBuffers holds buffers of connections that are handed over.
@@ -47,38 +50,38 @@
 	return int(s.http.GetOpenConnectionsCount()) + int(s.relayed.Load())/relayPart
 }
 
-// relay copies bytes both ways until one side closes, and tells whether the other router was lost before its answer.
-func (s *Server) relay(near, far net.Conn) (lost bool) {
+// relay copies bytes both ways until one side closes, and tells whether the other router served the connection.
+func (s *Server) relay(near, far net.Conn) (served bool) {
 	defer far.Close()
-	var left atomic.Bool // left tells that the caller has closed the connection.
 	go func() {
 		buffer := relayBuffers.Get().(*[relayBuffer]byte)
 		defer relayBuffers.Put(buffer)
 		// The plain types keep the copy from taking ways of its own that leave the buffer unused. A caller that has
 		// gone, or a router that takes nothing, ends both ways.
 		_, _ = io.CopyBuffer(struct{ io.Writer }{far}, struct{ io.Reader }{near}, buffer[:])
-		left.Store(!hasClosed(far))
 		far.Close()
 	}()
-	return !s.relayAnswer(near, far) && !left.Load()
+	return s.relayAnswer(near, far)
 }
 
-// relayAnswer copies the answer as it comes, and tells whether any of it came.
-func (s *Server) relayAnswer(near, far net.Conn) (begun bool) {
+// relayAnswer copies the answer as it comes.
+func (s *Server) relayAnswer(near, far net.Conn) (served bool) {
 	buffer := relayBuffers.Get().(*[relayBuffer]byte)
 	defer relayBuffers.Put(buffer)
-	for {
+	for begun := false; ; {
 		n, err := far.Read(buffer[:])
+		if n > 0 && !begun {
+			begun, served = true, !bytes.HasPrefix(buffer[:n], refusedStatus)
+		}
 		if n > 0 {
-			begun = true
 			s.done.shared.Add(1)
 			_ = near.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
 			if _, failed := near.Write(buffer[:n]); failed != nil {
-				return true
+				return served
 			}
 		}
 		if err != nil {
-			return begun
+			return served
 		}
 	}
 }
--- a/router/relay.go
+++ b/router/relay.go
@@ -42,11 +42,7 @@
 		return caller.Relay{}, false
 	}
 	r.handedOver.Add(1)
-	return caller.Relay{Conn: stream, Ended: func(lost bool) {
-		if lost {
-			r.neighbours.Lost(time.Now(), to.Address)
-		}
-	}}, true
+	return caller.Relay{Conn: stream, Ended: func(served bool) { r.neighbours.End(time.Now(), to.Address, served) }}, true
 }
 
 // fullLoad is the load of a router that bears no more, in thousandths of its processor.
