Hand nothing over once a router that leaves takes no requests

Cause: a router that leaves refuses requests once the balancer has had its time, but a connection that is handed over is read by another router and never came to that refusal. Change: nothing is handed over from then on, so such requests are refused like all others, with a true word that they have not run. Test: TestLeavingRouterHandsNothingOver, which failed before.

--- a/router/relay.go
+++ b/router/relay.go
@@ -30,7 +30,7 @@
 // relay names a router that serves the next connection, while this one has less left than others.
 func (r *Router) relay(age time.Duration) (caller.Relay, bool) {
 	now := time.Now()
-	if !r.load.IsBusy() {
+	if !r.load.IsBusy() || r.takesNone() {
 		return caller.Relay{}, false
 	}
 	to, ok := r.neighbours.Choose(now, r.loadToOthers(now), r.handOvers.Load)
@@ -45,6 +45,14 @@
 	return caller.Relay{Conn: stream, Ended: func(served bool) { r.neighbours.End(time.Now(), to.Address, served) }}, true
 }
 
+// takesNone tells whether the router leaves and takes no further request, also none that others would serve: its grace may
+// end before they do.
+func (r *Router) takesNone() bool {
+	r.gate.Lock()
+	defer r.gate.Unlock()
+	return r.closed
+}
+
 // fullLoad is the load of a router that bears no more, in thousandths of its processor.
 const fullLoad = 1000
 
--- /dev/null
+++ b/router/relay_test.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"ryelug/core/limit"
+	"ryelug/core/neighbour"
+	"ryelug/io/handover"
+)
+
+// newBusyRouter returns a router that has no time, with a link to another one.
+func newBusyRouter(t *testing.T) *Router {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	key := []byte("a key of the routers")
+	acceptor := handover.NewAcceptor(handover.AcceptorConfig{
+		Listener: ln, Identity: handover.Identity{Router: "far/1", Key: key}, Load: func() int { return 0 }, Log: log,
+	})
+	go func() { _ = acceptor.Run(t.Context()) }()
+	r := &Router{load: limit.NewLoad(0.1)}
+	now := time.Now()
+	r.load.Note(now, limit.Work{})
+	r.load.Note(now.Add(time.Second), limit.Work{Connections: 10_000})
+	r.handOvers = handover.NewDialer(handover.DialerConfig{
+		Identity: handover.Identity{Router: "near/1", Key: key}, Log: log,
+		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", address.String())
+		},
+	})
+	t.Cleanup(r.handOvers.Close)
+	list := []neighbour.Router{{Host: "far", Address: netip.MustParseAddrPort(ln.Addr().String()), Processor: 800}}
+	r.neighbours.Set(list)
+	for linked := false; !linked; time.Sleep(time.Millisecond) {
+		r.handOvers.Want(time.Now(), list)
+		_, linked = r.handOvers.Load(&list[0])
+	}
+	return r
+}
+
+// Guards against connections that a router hands over when its grace may end before their answers do.
+func TestLeavingRouterHandsNothingOver(t *testing.T) {
+	is, r := is.New(t), newBusyRouter(t)
+	_, ok := r.relay(0)
+	is.True(ok)
+	r.leaving.Store(true)
+	_, ok = r.relay(0)
+	is.True(ok) // The balancer has not noticed yet.
+	r.closeGate()
+	_, ok = r.relay(0)
+	is.True(!ok)
+}
