--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -14,7 +14,7 @@
 	net.Listener
 	writeTimeout time.Duration
 	handOver     func(net.Conn) bool  // handOver tells whether another router serves a new connection.
-	late         func() time.Duration // late is how long this process is late of late.
+	late         func() time.Duration // late is how late this process is.
 	busy         func() bool          // busy tells whether it has little room left.
 	once         bool                 // once lets each connection carry one request.
 	accepted     *atomic.Int64        // accepted counts the connections.
