Count the silence of a hand-over link in one place, and ask first whether the link is in use

Cause: both ends of a link had their own copy of the same count. Read side by side, the accepting one asked for frames first and for streams then: a stream that began between the two, on a link that had been idle for 3 s, looked like one whose other end is lost, and was cut with its link. Change: one type for both; whether the link is in use is asked before what was heard, and a stream is known only after its frame was heard. Nothing else changes. Tests: those of io/handover, twenty times with -race.

--- a/io/handover/accept.go
+++ b/io/handover/accept.go
@@ -106,11 +106,12 @@
 	}
 }
 
-// tellLoad tells the other end how much of its processor this router uses, until the link is down.
+// tellLoad tells the other end how much of its processor this router uses, until the link is down, and ends a link in use
+// whose other end is lost.
 func (a *Acceptor) tellLoad(one *link) {
 	ticker := time.NewTicker(loadEvery)
 	defer ticker.Stop()
-	heard, quiet := int64(0), time.Duration(0)
+	var quiet silence
 	for told := -1; ; {
 		if now := a.config.Load(); now/loadStep != told/loadStep || told < 0 {
 			told = now
@@ -121,11 +122,8 @@
 			return
 		case <-ticker.C:
 		}
-		quiet += loadEvery
-		if now := one.heard.Load(); now != heard {
-			heard, quiet = now, 0
-		}
-		if quiet >= silent && !one.isIdle() {
+		inUse := !one.isIdle() // Read first: the frame that begins a stream is heard before the stream is known.
+		if quiet.pass(one, loadEvery) >= silent && inUse {
 			one.close()
 		}
 	}
--- a/io/handover/dial.go
+++ b/io/handover/dial.go
@@ -144,18 +144,18 @@
 func (d *Dialer) keep(address netip.AddrPort, l *link) {
 	ticker := time.NewTicker(pingEvery)
 	defer ticker.Stop()
-	var quiet, idle time.Duration // quiet is the time since an unanswered ping.
-	for heard := int64(0); ; {
+	var (
+		quiet silence
+		idle  time.Duration // idle is the time since the last ping.
+	)
+	for {
 		select {
 		case <-l.closed:
 			return
 		case <-ticker.C:
 		}
-		quiet, idle = quiet+pingEvery, idle+pingEvery
-		if now := l.heard.Load(); now != heard {
-			heard, quiet = now, 0
-		}
-		if quiet >= silent || l.isIdle() && !d.isWanted(address) {
+		idle += pingEvery
+		if quiet.pass(l, pingEvery) >= silent || l.isIdle() && !d.isWanted(address) {
 			l.close() // What a router that leaves serves for this one goes on to its end.
 			return
 		}
@@ -163,7 +163,7 @@
 			idle = 0
 			l.send(&message{kind: kindPing})
 		} else {
-			quiet = 0
+			quiet.lasts = 0
 		}
 	}
 }
--- a/io/handover/link.go
+++ b/io/handover/link.go
@@ -59,6 +59,21 @@
 	return err
 }
 
+// silence counts how long the other end of a link has said nothing.
+type silence struct {
+	heard int64
+	lasts time.Duration
+}
+
+// pass lets time pass and returns how long the other end has said nothing.
+func (s *silence) pass(l *link, span time.Duration) time.Duration {
+	s.lasts += span
+	if now := l.heard.Load(); now != s.heard {
+		s.heard, s.lasts = now, 0
+	}
+	return s.lasts
+}
+
 // close ends the link and all its streams.
 func (l *link) close() {
 	l.mu.Lock()
