Show that an idle hand-over link that goes silent is not noticed, and list it as red

What callers would see: the first connections that a flooded router hands over on such a link wait three seconds and end without an answer. Cause: the count of an unanswered ping is cleared by each second in which an idle link sends none.

--- a/io/handover/handover_test.go
+++ b/io/handover/handover_test.go
@@ -251,3 +251,13 @@
 		})
 	})
 }
+
+// Guards against an idle link whose other end is lost, which costs the first connections of a flood three seconds.
+func TestIdleLinkNoticesSilence(t *testing.T) {
+	withPair(t, "a key", func(p *pair) {
+		p.network.Silence(near, far)
+		time.Sleep(20 * time.Second) // A ping is due every ten seconds, and is answered within three.
+		_, linked := p.dialer.Load(&to)
+		p.True(!linked)
+	})
+}
