Count the endpoints that a dispatcher looks at, and log its work by second

Nothing told what the dispatcher spends its time on.

Change: a line a second with demands, grants, refusals, waiting requests and endpoints that were looked at. No decision changes.

--- a/core/admission/snapshot.go
+++ b/core/admission/snapshot.go
@@ -12,7 +12,7 @@
 
 // Snapshot returns the state after the last Step.
 func (d *Dispatcher) Snapshot() dispatch.Snapshot {
-	shot := dispatch.Snapshot{Cell: d.cell, Entries: d.entries.Live(), Waiting: d.waiting.Len()}
+	shot := dispatch.Snapshot{Cell: d.cell, Entries: d.entries.Live(), Waiting: d.waiting.Len(), Weighed: d.places.Weighed()}
 	shot.Held, shot.Total = d.stakes.HeldSince(d.now, d.now)
 	for i := range d.teams {
 		of := &d.teams[i]
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -14,6 +14,8 @@
 	Waiting   int
 	Teams     []TeamSnapshot // Teams lists the teams with a queue or work in flight.
 	Endpoints []flight.State
+
+	Weighed int64 // Weighed counts the endpoints that were looked at for requests so far; zero where the dispatcher does not predict.
 }
 
 // TeamSnapshot is a team's state.
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -18,8 +18,12 @@
 	endpoints []endpoint
 	places    slot.Index[cell.EndpointID]
 	lanedAt   time.Time // lanedAt is when an engine was set apart for long prompts last.
+	weighed   int64     // weighed counts the endpoints that were looked at for requests, which is what decisions cost.
 }
 
+// Weighed returns how many endpoints were looked at for requests so far, which is what decisions cost.
+func (t *Table) Weighed() int64 { return t.weighed }
+
 // New returns an empty Table that bounds what it gives to cold endpoints by the stakes.
 func New(stakes *limit.Stakes) *Table {
 	return &Table{stakes: stakes, places: slot.NewIndex[cell.EndpointID]()}
@@ -150,6 +154,7 @@
 // shared parts and answers; negative if there is none.
 func (t *Table) look(now time.Time, prompt *cell.Prompt) int32 {
 	keeper := int32(-1)
+	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
 		if !at.open || at.engine == nil {
@@ -166,6 +171,7 @@
 // best returns the least time to the first token that is predicted at any open engine, after look.
 func (t *Table) best(now time.Time, prompt *cell.Prompt) time.Duration {
 	var best time.Duration
+	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
 		if !at.open || at.engine == nil {
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -78,6 +78,7 @@
 	counters   []cell.TeamCounter
 	counterAt  int       // counterAt is where the next round of counters starts.
 	since      time.Time // since is when the first of the present entries joined.
+	weighed    int64     // weighed is the count of the last line on the dispatcher's work.
 }
 
 // New returns a Role without cells.
--- a/router/dispatching/tally.go
+++ b/router/dispatching/tally.go
@@ -15,6 +15,22 @@
 	tallyLines = 16          // tallyLines bounds the lines of a cell at a time.
 )
 
+// logWork logs what the demands of the last tallies have cost this dispatcher, if there were any.
+func (r *Role) logWork(at *state) {
+	var asked, granted, refused int
+	for i := range r.tallies {
+		asked, granted, refused = asked+r.tallies[i].Asked, granted+r.tallies[i].Granted, refused+r.tallies[i].Refused()
+	}
+	if asked == 0 {
+		return
+	}
+	shot := at.dispatcher.Snapshot()
+	r.config.Log.WithFields(logrus.Fields{
+		"cell": at.id, "asked": asked, "granted": granted, "refused": refused, "waiting": shot.Waiting, "weighed": shot.Weighed - at.weighed,
+	}).Info("The work of this dispatcher.")
+	at.weighed = shot.Weighed
+}
+
 // logTallies logs what became of the requests of the teams that were refused something, the most refused first.
 func (r *Role) logTallies() {
 	for id, at := range r.cells {
@@ -23,6 +39,7 @@
 			continue
 		}
 		r.tallies = counts.Tallies(r.tallies[:0])
+		r.logWork(at)
 		refused := slices.DeleteFunc(r.tallies, func(t dispatch.TeamTally) bool { return t.Refused() == 0 })
 		slices.SortFunc(refused, func(a, b dispatch.TeamTally) int { return cmp.Compare(b.Refused(), a.Refused()) })
 		for _, tally := range refused[:min(len(refused), tallyLines)] {
