--- a/core/admission/desk_test.go
+++ b/core/admission/desk_test.go
@@ -19,6 +19,7 @@
 type desk struct {
 	*admission.Dispatcher
 	now     time.Time
+	tick    time.Duration // tick is the time between two ticks.
 	last    cell.AttemptID
 	class   string                       // class is that of the requests to come.
 	running map[cell.AttemptID]time.Time // running holds when granted attempts were granted; they begin and end by themselves.
@@ -33,7 +34,7 @@
 )
 
 func newDesk(policy dispatch.Policy) *desk {
-	d := &desk{Dispatcher: admission.New(admission.Config{Cell: "chat"}), now: time.Now(), running: map[cell.AttemptID]time.Time{}, outcome: map[cell.AttemptID]cell.Outcome{}, teams: map[cell.AttemptID]cell.TeamID{}}
+	d := &desk{Dispatcher: admission.New(admission.Config{Cell: "chat"}), now: time.Now(), tick: 50 * time.Millisecond, running: map[cell.AttemptID]time.Time{}, outcome: map[cell.AttemptID]cell.Outcome{}, teams: map[cell.AttemptID]cell.TeamID{}}
 	d.Step(d.now, &dispatch.Voters{Hosts: []cell.HostID{"a"}, Total: 1})
 	d.Step(d.now, &policy)
 	d.Step(d.now, &dispatch.Join{Router: grantOf, Session: 1, Stake: true, Unlent: time.Hour})
@@ -44,7 +45,7 @@
 // pass lets time pass in ticks and returns what was decided meanwhile.
 func (d *desk) pass(span time.Duration) (actions []dispatch.Action) {
 	for end := d.now.Add(span); d.now.Before(end); {
-		d.now = d.now.Add(50 * time.Millisecond)
+		d.now = d.now.Add(d.tick)
 		d.Step(d.now, &dispatch.Renew{Router: grantOf, Session: 1, StakeUntil: d.now.Add(time.Second)})
 		d.work()
 		actions = append(actions, d.note(d.Step(d.now, &dispatch.Tick{}))...)
--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -197,7 +197,7 @@
 	is := is.New(t)
 	policy := engines("cold", "warm")
 	policy.Endpoints[0].ColdUntil = time.Now().Add(time.Hour)
-	d := &desk{Dispatcher: admission.New(admission.Config{Cell: "chat"}), now: time.Now(), running: map[cell.AttemptID]time.Time{}}
+	d := &desk{Dispatcher: admission.New(admission.Config{Cell: "chat"}), now: time.Now(), tick: 50 * time.Millisecond, running: map[cell.AttemptID]time.Time{}}
 	d.Step(d.now, &dispatch.Voters{Hosts: []cell.HostID{"a", "b"}, Total: 2})
 	d.Step(d.now, &policy)
 	d.Step(d.now, &dispatch.Join{Router: grantOf, Session: 1})
