Tell entries which teams got too little of what they are owed, and the dispatcher what entries refuse

A team whose requests were refused at an entry, or at once by the dispatcher, was taken for one that asks for nothing.

A team that is behind counts as within its share. The lines on teams tell what was refused at entries and the part of what is owed. Peer protocol version 6.

Weighed: putting teams that are behind before all others.

--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -31,6 +31,7 @@
 	cost := flying.charged
 	if end.Outcome == cell.Unused || end.Outcome == cell.Unreached || end.Outcome == cell.Refused {
 		cost = 0
+		d.dues.Begin(d.now, int(flying.team), -flying.charged)
 	}
 	d.ledger.Settle(int(flying.team), flying.charged, cost)
 	d.teams[flying.team].inFlight--
--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -5,6 +5,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
+	"ryelug/core/due"
 	"ryelug/core/fair"
 	"ryelug/core/limit"
 	"ryelug/core/placing"
@@ -35,6 +36,7 @@
 	teamIndex slot.Index[cell.TeamID]
 	ledger    fair.Ledger
 	shares    fair.Shares
+	dues      due.Table // dues holds what teams asked for in the whole fleet, and what began.
 
 	entries     *session.Table
 	dataCentres map[cell.HostID]string // dataCentres says where the entries are, as far as it is known.
@@ -96,6 +98,9 @@
 		d.leave(ev)
 	case *dispatch.Withdraw:
 		d.waiting.Withdraw(ev.Router, ev.Session, ev.Attempts)
+	case *dispatch.Unserved:
+		d.unserved(now, ev)
+		return nil
 	case *dispatch.Progressed:
 		d.progressed(now, ev)
 	case *dispatch.Ended:
@@ -127,6 +132,7 @@
 		d.teams = append(d.teams, team{id: id})
 		d.ledger.Grow(len(d.teams))
 		d.shares.Grow(len(d.teams))
+		d.dues.Grow(len(d.teams))
 		d.waiting.Grow(len(d.teams))
 	}
 	return place
@@ -207,8 +213,9 @@
 func (d *Dispatcher) refuse(place int32, code result.Code, after time.Duration, choice placing.Choice) {
 	request := d.waiting.Take(place)
 	d.countRefusal(&request)
+	d.dues.Unmet(d.now, int(request.Team), 1)
 	grounds := dispatch.Grounds{
-		Team: d.teams[request.Team].id, Within: d.shares.Within(d.now, int(request.Team)), Best: choice.Best,
+		Team: d.teams[request.Team].id, Within: d.isWithin(d.now, int(request.Team)), Best: choice.Best,
 		Waited: d.now.Sub(request.Since), Class: request.Class, Tokens: request.Prompt.Tokens(), Obstacles: choice.Obstacles,
 	}
 	if !request.Due.IsZero() {
--- /dev/null
+++ b/core/admission/standing_test.go
@@ -0,0 +1,40 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+)
+
+// Guards against a team that is served least since entries refuse its requests, of which the dispatcher knows nothing.
+func TestTeamRefusedAtEntriesIsBehind(t *testing.T) {
+	is := is.New(t)
+	policy := engines("e1")
+	policy.Engine = nil
+	policy.Endpoints[0].WarmLimit = 40
+	d := newDesk(policy)
+	served := map[cell.TeamID]int{}
+	play := func(steps int) {
+		for range steps {
+			d.pass(50 * time.Millisecond)
+			d.Step(d.now, &dispatch.Unserved{Router: grantOf, Session: 1, Teams: []cell.Unserved{{Team: "hurt", Count: 4, Cost: 4 * 310}}})
+			for range 4 {
+				d.ask("other", prompt(1, 0, 110), 300*time.Millisecond)
+			}
+			d.ask("hurt", prompt(2, 0, 110), 300*time.Millisecond)
+		}
+	}
+	play(60)
+	is.Equal(d.Behind(nil), []cell.TeamID{"hurt"})
+	before := len(d.grants)
+	play(60)
+	for _, grant := range d.grants[before:] {
+		served[d.teams[grant.Attempt]]++
+	}
+	t.Logf("served %v", served)
+	is.True(served["hurt"] >= 58) // Nearly all that still comes here is granted.
+}
--- a/core/admission/tally.go
+++ b/core/admission/tally.go
@@ -13,7 +13,7 @@
 		if of.tally == (dispatch.TeamTally{}) {
 			continue
 		}
-		of.tally.Team = of.id
+		of.tally.Team, of.tally.Part = of.id, d.dues.Part(d.now, i)
 		dst = append(dst, of.tally)
 		of.tally = dispatch.TeamTally{}
 	}
@@ -34,7 +34,7 @@
 	tally.Granted++
 	tally.GrantedCost += request.Hint
 	tally.MostWaited = max(tally.MostWaited, d.now.Sub(request.Since))
-	if !d.shares.Within(d.now, int(request.Team)) {
+	if !d.isWithin(d.now, int(request.Team)) {
 		tally.Beyond++
 	}
 	if d.isLong(request.Class, request.Hint) {
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -37,6 +37,9 @@
 		of := d.teamOf(demand.Team)
 		d.teams[of].active = now
 		d.shares.Ask(now, int(of), max(1, demand.Estimate))
+		if demand.Avoid == "" { // Otherwise it was asked for before, and sent to another endpoint.
+			d.dues.Ask(now, int(of), max(1, demand.Estimate))
+		}
 		d.countDemand(of, demand)
 		place := d.waiting.Add(queue.Request{
 			Entry: index, Attempt: demand.Attempt, Team: of, Avoid: d.places.Find(demand.Avoid), Hint: demand.Estimate, Since: now,
@@ -117,7 +120,13 @@
 
 // turnOf returns the turn of a team's request that comes after some of this cost.
 func (d *Dispatcher) turnOf(now time.Time, team int, ahead cell.Cost) turn {
-	return turn{within: d.shares.Within(now, team), counter: d.ledger.After(team, ahead)}
+	return turn{within: d.isWithin(now, team), counter: d.ledger.After(team, ahead)}
+}
+
+// isWithin tells whether a team's next request lies within its share. One that is behind has not had its share, whatever
+// it asked for here.
+func (d *Dispatcher) isWithin(now time.Time, team int) bool {
+	return d.dues.IsBehind(now, team) || d.shares.Within(now, team)
 }
 
 // compareTurns puts requests within their team's share first, and those of the teams that were served least.
@@ -166,7 +175,7 @@
 
 // asked returns what a waiting request is placed by.
 func (d *Dispatcher) asked(request *queue.Request, sizes *fair.Sizes) placing.Request {
-	within := d.shares.Within(d.now, int(request.Team)) || request.Class != "" && sizes.Favours(request.Hint)
+	within := d.isWithin(d.now, int(request.Team)) || request.Class != "" && sizes.Favours(request.Hint)
 	return placing.Request{
 		Prompt: &request.Prompt, Since: request.Since, Due: request.Due, Avoid: request.Avoid, Within: within, Long: sizes.LacksLong(request.Hint),
 		From: d.dataCentres[d.entries.At(request.Entry).Router.Host()],
@@ -192,6 +201,7 @@
 	d.countGrant(request)
 	d.waiting.Take(place)
 	d.shares.Use(int(flying.team), flying.charged)
+	d.dues.Begin(now, int(flying.team), flying.charged)
 	d.returns.Granted(now)
 	d.add(flying)
 	d.out.Grant(d.entries.At(flying.entry), given)
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -158,6 +158,13 @@
 	RetryAfter time.Duration `msgpack:"w"`
 }
 
+// Unserved is what callers of a team asked an entry for that its dispatcher was not asked for.
+type Unserved struct {
+	Team  TeamID `msgpack:"t"`
+	Count int    `msgpack:"n"` // Count is the number of requests.
+	Cost  Cost   `msgpack:"c"`
+}
+
 // TeamCounter is a team's virtual service: cost divided by share.
 type TeamCounter struct {
 	Team    TeamID  `msgpack:"t"`
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -99,6 +99,13 @@
 	Attempts []cell.AttemptID
 }
 
+// Unserved tells what callers of teams asked an entry for that it did not ask for here.
+type Unserved struct {
+	Router  cell.RouterID
+	Session cell.Session
+	Teams   []cell.Unserved
+}
+
 // Progressed tells of the cost of running attempts.
 type Progressed struct {
 	Router   cell.RouterID
@@ -139,6 +146,7 @@
 func (*Leave) event()       {}
 func (*Want) event()        {}
 func (*Withdraw) event()    {}
+func (*Unserved) event()    {}
 func (*Progressed) event()  {}
 func (*Ended) event()       {}
 func (*Load) event()        {}
@@ -200,10 +208,14 @@
 	LongAsked   int           // LongAsked counts the longest tenth of their kinds.
 	LongGranted int           // LongGranted counts those of them that were granted.
 	MostWaited  time.Duration // MostWaited is the longest wait for a decision.
+
+	Unserved     int // Unserved counts requests that entries refused by themselves.
+	UnservedCost cell.Cost
+	Part         float64 // Part is the part of what it is owed that the team got of late: 1 if all, or if nothing is owed.
 }
 
 // Refused returns the number of requests that were refused.
-func (t *TeamTally) Refused() int { return t.AtOnce + t.Later }
+func (t *TeamTally) Refused() int { return t.AtOnce + t.Later + t.Unserved }
 
 func (*GrantTo) action()  {}
 func (*RefuseTo) action() {}
--- a/core/lend/lender.go
+++ b/core/lend/lender.go
@@ -221,6 +221,14 @@
 	return l.present.session, l.present.echoed
 }
 
+// Present returns the dispatcher of the session in force and that session; zero values if there is none.
+func (l *Lender) Present() (cell.RouterID, cell.Session) {
+	if !l.present.accepted {
+		return "", 0
+	}
+	return l.present.router, l.present.session
+}
+
 func (l *Lender) accept(e *Accepted) {
 	if l.isPresent(e.Router, e.Session) {
 		l.present.accepted = true
--- a/io/greeting/greeting.go
+++ b/io/greeting/greeting.go
@@ -14,7 +14,7 @@
 )
 
 // Version is the version of the protocol; both ends of a link must have the same.
-const Version = 5
+const Version = 6
 
 // MaxFrame bounds a frame of a greeting, in bytes.
 const MaxFrame = 2 << 10
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -119,6 +119,12 @@
 		return &Members{decodeSlice(d, (*Decoder).hostID)}
 	case KindWaiting:
 		return &Waiting{decodeSlice(d, (*Decoder).hostID)}
+	case KindUnserved:
+		id, session := d.head()
+		return &Unserved{id, session, decodeList(d, (*Decoder).unserved)}
+	case KindBehind:
+		id, session := d.head()
+		return &Behind{id, session, decodeList(d, func(d *Decoder) cell.TeamID { return cell.TeamID(d.name()) })}
 	}
 	return d.objects(kind)
 }
@@ -244,6 +250,14 @@
 	}
 }
 
+func (d *Decoder) unserved() cell.Unserved {
+	one := cell.Unserved{Team: cell.TeamID(d.name()), Count: int(d.int()), Cost: cell.Cost(d.int())}
+	if one.Count < 0 || one.Cost < 0 {
+		d.fail(ErrShape)
+	}
+	return one
+}
+
 func (d *Decoder) hostID() cell.HostID { return cell.HostID(d.string()) }
 
 func (d *Decoder) host() Host {
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -73,6 +73,12 @@
 	case *Counters:
 		e.cell(m.Cell)
 		e.counters(m.Counters)
+	case *Unserved:
+		e.head(m.Cell, m.Session)
+		encodeList(e, m.Teams, (*Encoder).unserved)
+	case *Behind:
+		e.head(m.Cell, m.Session)
+		encodeList(e, m.Teams, func(e *Encoder, team *cell.TeamID) { e.name(string(*team)) })
 	default:
 		e.config(msg)
 	}
@@ -196,6 +202,12 @@
 	e.duration(end.FirstToken)
 }
 
+func (e *Encoder) unserved(u *cell.Unserved) {
+	e.name(string(u.Team))
+	e.int(int64(u.Count))
+	e.int(int64(u.Cost))
+}
+
 func (e *Encoder) shelf(s *Shelf) {
 	e.name(s.Kind)
 	e.uint(s.Revision)
--- a/io/wire/message.go
+++ b/io/wire/message.go
@@ -86,6 +86,20 @@
 	Counters []cell.TeamCounter
 }
 
+// Unserved tells what callers asked the sender for that it did not ask the dispatcher for.
+type Unserved struct {
+	Cell    cell.ID
+	Session cell.Session
+	Teams   []cell.Unserved
+}
+
+// Behind tells the teams that got too little of what they are owed; it replaces what the sender told before.
+type Behind struct {
+	Cell    cell.ID
+	Session cell.Session
+	Teams   []cell.TeamID
+}
+
 // Leaving tells that the sender shuts down gracefully.
 type Leaving struct{}
 
@@ -194,6 +208,8 @@
 	KindObjectsTold
 	KindWaiting
 	KindCalm
+	KindUnserved
+	KindBehind
 
 	KindCount // KindCount is the number of kinds.
 )
@@ -202,7 +218,7 @@
 	"heartbeat", "join", "accepted", "release", "released", "want", "withdraw", "grants",
 	"refusals", "progress", "ends", "counters", "leaving", "config_news", "config_ask", "config_part", "members",
 	"departed", "listed", "objects_ask", "objects_told",
-	"waiting", "calm",
+	"waiting", "calm", "unserved", "behind",
 }
 
 // Forms are the high bits of a kind on the wire; each leaves out what the other end can tell.
@@ -235,6 +251,8 @@
 func (*Ends) kind() Kind       { return KindEnds }
 func (*Counters) kind() Kind   { return KindCounters }
 func (*Leaving) kind() Kind    { return KindLeaving }
+func (*Unserved) kind() Kind   { return KindUnserved }
+func (*Behind) kind() Kind     { return KindBehind }
 func (*Departed) kind() Kind   { return KindDeparted }
 func (*Listed) kind() Kind     { return KindListed }
 func (*ConfigNews) kind() Kind { return KindConfigNews }
--- a/router/coordination/config.go
+++ b/router/coordination/config.go
@@ -5,6 +5,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
+	"ryelug/core/due"
 	"ryelug/core/spread"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
@@ -26,6 +27,8 @@
 	Timings    Timings
 	Share      func(routers int) // Share is told among how many routers what the fleet has is shared; it may be nil.
 	Log        logrus.FieldLogger
+	Standings  *due.Standings // Standings is told which teams are behind.
+	Unserved   *due.Unserved  // Unserved holds what callers asked for that no dispatcher was asked for.
 
 	Registered  bool           // Registered tells that a platform registers the endpoints: dispatchers grant what needs no stake before they hold one, and a router that is cut off goes on with its own.
 	Order       dispatch.Order // Order is nil for fair service.
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -113,6 +113,8 @@
 		Local:      config.LocalQueues,
 		Send:       c.toDispatcher,
 		Disconnect: c.links.Disconnect,
+		Standings:  config.Standings,
+		Unserved:   config.Unserved,
 	})
 	return c
 }
--- a/router/coordination/links.go
+++ b/router/coordination/links.go
@@ -85,9 +85,9 @@
 	case *wire.Join:
 		c.dispatch.Received(now, from, message, echoed)
 		c.choosePolled()
-	case *wire.Release, *wire.Want, *wire.Withdraw, *wire.Progress, *wire.Ends:
+	case *wire.Release, *wire.Want, *wire.Withdraw, *wire.Progress, *wire.Ends, *wire.Unserved:
 		c.dispatch.Received(now, from, message, echoed)
-	case *wire.Accepted, *wire.Released, *wire.Grants, *wire.Refusals, *wire.Counters:
+	case *wire.Accepted, *wire.Released, *wire.Grants, *wire.Refusals, *wire.Counters, *wire.Behind:
 		c.lend.Received(now, from, message, echoed)
 	case *wire.Leaving:
 		c.peerLeaving(now, from)
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -69,6 +69,11 @@
 	WantReports(now time.Time)
 }
 
+// standing is a dispatcher that knows which teams got too little of what they are owed.
+type standing interface {
+	Behind(dst []cell.TeamID) []cell.TeamID
+}
+
 // state is one cell that this router may dispatch.
 type state struct {
 	id         cell.ID
@@ -76,9 +81,11 @@
 	reported   reported                       // reported is nil if the dispatcher needs no reports.
 	entries    map[cell.RouterID]cell.Session // entries are those that have joined.
 	counters   []cell.TeamCounter
-	counterAt  int       // counterAt is where the next round of counters starts.
-	since      time.Time // since is when the first of the present entries joined.
-	weighed    int64     // weighed is the count of the last line on the dispatcher's work.
+	weighed    int64         // weighed is the count of the last line on the dispatcher's work.
+	counterAt  int           // counterAt is where the next round of counters starts.
+	since      time.Time     // since is when the first of the present entries joined.
+	behind     []cell.TeamID // behind is what the entries were told last,
+	toldAt     time.Time     // toldAt when.
 }
 
 // New returns a Role without cells.
@@ -127,6 +134,7 @@
 	r.Renew(now, r.config.Self, now)
 	for _, at := range r.cells {
 		r.step(now, at, &dispatch.Tick{})
+		r.tellBehind(now, at)
 	}
 	if now.Sub(r.talliedAt) >= tallyEvery {
 		r.talliedAt = now
@@ -201,6 +209,8 @@
 		r.dispatch(now, m.Cell, &dispatch.Want{Router: from, Session: m.Session, Demands: m.Demands})
 	case *wire.Withdraw:
 		r.dispatch(now, m.Cell, &dispatch.Withdraw{Router: from, Session: m.Session, Attempts: m.Attempts})
+	case *wire.Unserved:
+		r.dispatch(now, m.Cell, &dispatch.Unserved{Router: from, Session: m.Session, Teams: m.Teams})
 	case *wire.Progress:
 		r.dispatch(now, m.Cell, &dispatch.Progressed{Router: from, Session: m.Session, Progress: m.Progress})
 	case *wire.Ends:
--- a/router/dispatching/tally.go
+++ b/router/dispatching/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -46,6 +47,7 @@
 			r.config.Log.WithFields(logrus.Fields{
 				"cell": id, "team": tally.Team, "asked": tally.Asked, "asked_cost": tally.AskedCost, "granted": tally.Granted,
 				"granted_cost": tally.GrantedCost, "beyond": tally.Beyond, "refused_at_once": tally.AtOnce, "refused_later": tally.Later,
+				"unserved": tally.Unserved, "unserved_cost": tally.UnservedCost, "part": math.Round(tally.Part*100) / 100,
 				"long_asked": tally.LongAsked, "long_granted": tally.LongGranted, "most_waited_ms": tally.MostWaited.Milliseconds(),
 			}).Info("Requests of a team were refused.")
 		}
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -1,12 +1,14 @@
 package lending
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
 
 	"ryelug/core/backlog"
 	"ryelug/core/cell"
+	"ryelug/core/due"
 	"ryelug/core/lend"
 	"ryelug/core/result"
 	"ryelug/io/wire"
@@ -23,6 +25,8 @@
 	Local      bool                                         // Local makes this router dispatch for itself, a baseline.
 	Send       func(to cell.RouterID, message wire.Message) // Send must not block.
 	Disconnect func(router cell.RouterID)                   // Disconnect closes the link to a dispatcher that does not answer.
+	Standings  *due.Standings                               // Standings is told which teams are behind.
+	Unserved   *due.Unserved                                // Unserved holds what callers asked for that no dispatcher was asked for.
 }
 
 // Role is a router's part as entry; one goroutine may use it.
@@ -32,8 +36,12 @@
 	directory *directory.Directory
 	linked    map[cell.RouterID]bool
 	unused    []unused
+	toldAt    time.Time // toldAt is when dispatchers were told last what was asked for here alone.
 }
 
+// unservedEvery is the time between two words on what callers asked for here alone, that in which shares are computed anew.
+const unservedEvery = 250 * time.Millisecond
+
 // state is one cell that requests of this router may wait for.
 type state struct {
 	id      cell.ID
@@ -63,6 +71,8 @@
 
 // New returns a Role without cells.
 func New(config Config) *Role {
+	config.Standings = cmp.Or(config.Standings, &due.Standings{})
+	config.Unserved = cmp.Or(config.Unserved, &due.Unserved{})
 	return &Role{config: config, cells: make(map[cell.ID]*state), linked: map[cell.RouterID]bool{config.Self: true}}
 }
 
@@ -143,6 +153,34 @@
 	r.Reorder(now, order)
 	r.Heard(now, r.config.Self, now)
 	r.stepAll(now, &lend.Tick{})
+	if now.Sub(r.toldAt) >= unservedEvery {
+		r.toldAt = now
+		r.tellUnserved()
+	}
+}
+
+// tellUnserved tells the dispatchers what callers asked for that they were not asked for; without a dispatcher it waits.
+func (r *Role) tellUnserved() {
+	for id, at := range r.cells {
+		router, session := at.lender.Present()
+		if router == "" {
+			continue
+		}
+		if teams := r.config.Unserved.Take(id); len(teams) > 0 {
+			r.config.Send(router, &wire.Unserved{Cell: id, Session: session, Teams: teams})
+		}
+	}
+}
+
+// stand takes a dispatcher's word on which teams are behind.
+func (r *Role) stand(now time.Time, from cell.RouterID, m *wire.Behind) {
+	at, ok := r.cells[m.Cell]
+	if !ok {
+		return
+	}
+	if router, session := at.lender.Present(); router == from && session == m.Session {
+		r.config.Standings.Set(now, m.Cell, m.Teams)
+	}
 }
 
 // Reorder notes which hosts should dispatch each cell.
@@ -196,6 +234,7 @@
 		return
 	}
 	if retryAfter, admitted := at.backlog.Admit(now, request.Demand.Team); !admitted {
+		r.config.Unserved.Add(request.Cell, request.Demand.Team, request.Demand.Estimate)
 		request.refuse(result.TeamQueueFull, retryAfter)
 		return
 	}
@@ -247,6 +286,8 @@
 		r.lend(now, m.Cell, &lend.Refusals{Router: from, Session: m.Session, Refusals: m.Refusals})
 	case *wire.Counters:
 		r.lend(now, m.Cell, &lend.Counters{Router: from, Counters: m.Counters})
+	case *wire.Behind:
+		r.stand(now, from, m)
 	}
 }
 
