Decide on what comes to a router in one place, and let a busy one serve teams that are behind first

Change: core/intake owns these decisions. From 0.7 of the processor on, less than the 0.8 at which other routers stop handing over, a router serves only teams that are behind while there are some, and refuses the others with team_ahead (429, not run, back in 1 to 2 s). A late router bears a team that is behind beyond its bound, and none that is ahead. What is refused here is told to the dispatcher.

--- /dev/null
+++ b/core/intake/desk_test.go
@@ -0,0 +1,105 @@
+package intake_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/core/due"
+	"ryelug/core/intake"
+	"ryelug/core/limit"
+	"ryelug/core/neighbour"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	kiosks = &intake.Arrival{Cell: "chat", Team: "kiosks", Cost: 100}
+	flood  = &intake.Arrival{Cell: "chat", Team: "flood", Cost: 100}
+)
+
+// desk is a Desk of a router with a whole core.
+type desk struct {
+	*intake.Desk
+	standings *due.Standings
+	unserved  *due.Unserved
+	now       time.Time
+	used      time.Duration
+}
+
+func newDesk() *desk {
+	d := &desk{standings: &due.Standings{}, unserved: &due.Unserved{}, now: start}
+	d.Desk = intake.New(intake.Config{
+		StrainLate: 25 * time.Millisecond, ProcessorShare: 1, BalancerLag: 3 * time.Second, Standings: d.standings, Unserved: d.unserved,
+	})
+	d.Note(d.now, limit.Work{})
+	return d
+}
+
+// use lets a second pass in which the router uses this part of its processor.
+func (d *desk) use(part float64) {
+	for range 10 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.used += time.Duration(part * float64(100*time.Millisecond))
+		d.Note(d.now, limit.Work{Processor: d.used})
+	}
+}
+
+func TestRequestsGiveWay(t *testing.T) {
+	t.Run("nobody is behind", func(t *testing.T) {
+		is, d := is.New(t), newDesk()
+		d.use(0.85)
+		is.True(!d.MayRefuse(d.now))
+		is.Equal(d.Enter(d.now, flood), intake.Serve)
+	})
+	t.Run("the router has room", func(t *testing.T) {
+		is, d := is.New(t), newDesk()
+		d.use(0.6)
+		d.standings.Set(d.now, "chat", []cell.TeamID{"kiosks"})
+		is.True(!d.MayRefuse(d.now))
+		is.Equal(d.Enter(d.now, flood), intake.Serve)
+	})
+	t.Run("a busy router serves teams that are behind", func(t *testing.T) {
+		is, d := is.New(t), newDesk()
+		d.use(0.85)
+		d.standings.Set(d.now, "chat", []cell.TeamID{"kiosks"})
+		is.True(d.MayRefuse(d.now))
+		is.Equal(d.Refuses(d.now, kiosks), intake.Serve)
+		is.Equal(d.Enter(d.now, kiosks), intake.Serve)
+		is.Equal(d.Refuses(d.now, flood), intake.Ahead)
+		is.Equal(d.Enter(d.now, &intake.Arrival{Cell: "tickets", Team: "-"}), intake.Serve) // Nobody is behind there.
+		is.True(d.RetryAfter(d.now, intake.Ahead) >= time.Second)
+		is.Equal(d.unserved.Take("chat"), []cell.Unserved{{Team: "flood", Count: 1, Cost: 100}})
+	})
+	t.Run("a late router bears a team that is behind beyond its bound", func(t *testing.T) {
+		is, d := is.New(t), newDesk()
+		for range 20 {
+			is.Equal(d.Enter(d.now, flood), intake.Serve)
+		}
+		d.now = d.now.Add(d.Tick(d.now, 0))
+		d.Tick(d.now, time.Second)
+		for range 8 {
+			d.Leave(flood.Team)
+		}
+		is.Equal(d.Enter(d.now, flood), intake.Overloaded)
+		d.standings.Set(d.now, "chat", []cell.TeamID{"kiosks"})
+		is.Equal(d.Enter(d.now, flood), intake.Overloaded)
+		for range 3 {
+			is.Equal(d.Enter(d.now, kiosks), intake.Serve)
+		}
+	})
+}
+
+func TestConnectionsGoToNeighbours(t *testing.T) {
+	is, d := is.New(t), newDesk()
+	idle := func(*neighbour.Router) (int, bool) { return 100, true }
+	d.SetNeighbours([]neighbour.Router{{Host: "b", Address: netip.MustParseAddrPort("192.0.2.1:7000"), Processor: 800}})
+	_, ok := d.Neighbour(d.now, d.Told(d.now), idle)
+	is.True(!ok) // This router has room.
+	d.use(0.6)
+	one, ok := d.Neighbour(d.now, d.Told(d.now), idle)
+	is.True(ok)
+	is.Equal(one.Host, cell.HostID("b"))
+}
--- a/core/limit/strain.go
+++ b/core/limit/strain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ryelug/core/cell"
+	"ryelug/core/due"
 )
 
 const (
@@ -93,13 +94,13 @@
 }
 
 // Enter counts a new request of a team in, and returns false if it is to be sent elsewhere.
-func (s *Strain) Enter(now time.Time, team cell.TeamID) bool {
+func (s *Strain) Enter(now time.Time, team cell.TeamID, standing due.Standing) bool {
 	if s == nil {
 		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.bears(now, team) {
+	if !s.bears(now, team, standing) {
 		s.turn(now)
 		return false
 	}
@@ -133,13 +134,13 @@
 }
 
 // Turns tells whether Enter would refuse a new request of a team now, and counts it as refused if so.
-func (s *Strain) Turns(now time.Time, team cell.TeamID) bool {
+func (s *Strain) Turns(now time.Time, team cell.TeamID, standing due.Standing) bool {
 	if s == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.bears(now, team) {
+	if s.bears(now, team, standing) {
 		return false
 	}
 	s.turn(now)
@@ -162,18 +163,21 @@
 	return s.most, s.most > 0
 }
 
-// bears goes by the bound, or by the least one while work waits. A team that has less than an even part of it at hand
-// goes beyond it.
-func (s *Strain) bears(now time.Time, team cell.TeamID) bool {
+// bears goes by the bound, or by the least one while work waits. A team that is behind in the fleet goes beyond it; if none
+// is, one that has less than an even part of it at hand.
+func (s *Strain) bears(now time.Time, team cell.TeamID, standing due.Standing) bool {
 	most, isBound := s.room(now)
 	if !isBound || float64(s.flights) < most {
 		return true
 	}
+	if standing == due.Ahead || float64(s.flights) >= strainOver*most {
+		return false
+	}
 	teams := len(s.teams)
 	if s.teams[team] == 0 {
 		teams++
 	}
-	return float64(s.flights) < strainOver*most && float64(s.teams[team]*teams) < most
+	return standing == due.Behind || float64(s.teams[team]*teams) < most
 }
 
 // fade forgets late ticks and refusals over the span.
--- a/core/limit/strain_test.go
+++ b/core/limit/strain_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ryelug/core/due"
 )
 
 const lateness = 100 * time.Millisecond
@@ -58,23 +60,23 @@
 		is, s := is.New(t), NewStrain(lateness)
 		now := start
 		for range 100 {
-			is.True(s.Enter(now, "kiosks"))
+			is.True(s.Enter(now, "kiosks", due.Even))
 		}
 		s.Tick(now, 0, false)
 		now = now.Add(s.Tick(now, lateness, false))
 		now = now.Add(s.Tick(now, 0, false))
 		is.True(!s.IsLate(now))
-		is.True(!s.Enter(now, "kiosks")) // Those at hand are too many already.
+		is.True(!s.Enter(now, "kiosks", due.Even)) // Those at hand are too many already.
 		for range 25 {
 			s.Leave("kiosks")
 		}
-		is.True(s.Enter(now, "kiosks"))
+		is.True(s.Enter(now, "kiosks", due.Even))
 		for range 24 {
 			s.Leave("kiosks")
 		}
 		now = ticks(s, now, 0, 10*time.Second)
 		for range 200 {
-			is.True(s.Enter(now, "kiosks")) // The bound is gone.
+			is.True(s.Enter(now, "kiosks", due.Even)) // The bound is gone.
 		}
 	})
 	t.Run("no limit", func(t *testing.T) {
@@ -87,7 +89,7 @@
 func flooded(now time.Time) (*Strain, time.Time) {
 	s := NewStrain(lateness)
 	for range 100 {
-		s.Enter(now, "flood")
+		s.Enter(now, "flood", due.Even)
 	}
 	s.Tick(now, 0, false)
 	now = now.Add(s.Tick(now, lateness, false))
@@ -101,7 +103,7 @@
 	refused := 0
 	for range 20 {
 		now = now.Add(5 * time.Millisecond)
-		if !s.Enter(now, "flood") {
+		if !s.Enter(now, "flood", due.Even) {
 			refused++
 		}
 	}
@@ -113,11 +115,11 @@
 func TestFloodAtAnEntryLeavesTheOthersTheirs(t *testing.T) {
 	is := is.New(t)
 	s, now := flooded(time.Unix(1000, 0))
-	is.True(!s.Enter(now, "flood"))
+	is.True(!s.Enter(now, "flood", due.Even))
 	is.True(s.IsFull(now)) // New connections go to other routers, whatever their teams.
-	is.True(s.Turns(now, "flood") && !s.Turns(now, "kiosks"))
+	is.True(s.Turns(now, "flood", due.Even) && !s.Turns(now, "kiosks", due.Even))
 	for range 10 {
-		is.True(s.Enter(now, "kiosks"))
+		is.True(s.Enter(now, "kiosks", due.Even))
 	}
 }
 
@@ -125,12 +127,12 @@
 func TestFloodIsNotAnsweredByServingNobody(t *testing.T) {
 	is := is.New(t)
 	s, now := flooded(time.Unix(1000, 0))
-	for s.Enter(now, "flood") {
+	for s.Enter(now, "flood", due.Even) {
 	}
 	for range 200 {
 		now = now.Add(s.Tick(now, lateness, false)) // Refusals alone keep the process late.
 		s.Leave("flood")
-		s.Enter(now, "flood")
+		s.Enter(now, "flood", due.Even)
 	}
 	is.True(s.flights >= 50) // half of what it bore
 }
--- a/router/config.go
+++ b/router/config.go
@@ -120,6 +120,8 @@
 		Share:       r.share,
 		Registered:  r.config.Source != nil,
 		Log:         r.config.Log,
+		Standings:   r.standings,
+		Unserved:    r.unserved,
 		Order:       r.config.Order,
 		LocalQueues: r.config.LocalQueues,
 	}
--- a/router/relay.go
+++ b/router/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ryelug/core/intake"
 	"ryelug/core/neighbour"
 	"ryelug/io/caller"
 	"ryelug/io/pause"
@@ -20,7 +21,7 @@
 func (r *Router) watchNeighbours(ctx context.Context) error {
 	for pause.For(ctx, neighboursEvery) {
 		list := neighbour.Nearest(r.config.Host, r.config.Neighbours(), mostNeighbours)
-		r.neighbours.Set(list)
+		r.desk.SetNeighbours(list)
 		r.handOvers.Want(time.Now(), list)
 	}
 	r.handOvers.Close()
@@ -30,10 +31,10 @@
 // relay names a router that serves the next connection, while this one has less left than others.
 func (r *Router) relay(age time.Duration) (caller.Relay, bool) {
 	now := time.Now()
-	if !r.load.IsBusy() || r.takesNone() {
+	if !r.desk.IsBusy() || r.takesNone() {
 		return caller.Relay{}, false
 	}
-	to, ok := r.neighbours.Choose(now, r.loadToOthers(now), r.handOvers.Load)
+	to, ok := r.desk.Neighbour(now, r.loadToOthers(now), r.handOvers.Load)
 	if !ok {
 		return caller.Relay{}, false
 	}
@@ -42,7 +43,7 @@
 		return caller.Relay{}, false
 	}
 	r.handedOver.Add(1)
-	return caller.Relay{Conn: stream, Ended: func(served bool) { r.neighbours.End(time.Now(), to.Address, served) }}, true
+	return caller.Relay{Conn: stream, Ended: func(served bool) { r.desk.Returned(time.Now(), to.Address, served) }}, true
 }
 
 // takesNone tells whether the router leaves and takes no further request, also none that others would serve: its grace may
@@ -53,17 +54,14 @@
 	return r.closed
 }
 
-// fullLoad is the load of a router that bears no more, in thousandths of its processor.
-const fullLoad = 1000
-
 // loadToOthers returns which part of its processor this router uses, in thousandths; one that does not keep up, or leaves,
 // has none left.
 func (r *Router) loadToOthers(now time.Time) int {
-	used := int(r.load.Used() * fullLoad)
-	if r.strain.IsFull(now) || r.leaving.Load() {
-		return max(used, fullLoad)
+	told := r.desk.Told(now)
+	if r.leaving.Load() {
+		return max(told, intake.FullLoad)
 	}
-	return used
+	return told
 }
 
 // Traffic is what a router has done for callers since its start, and what it has at hand.
@@ -80,8 +78,8 @@
 func (r *Router) Traffic() Traffic {
 	done := r.callers.Done()
 	return Traffic{
-		Accepted: done.Own, HandedOver: r.HandedOver(), Taken: done.Taken, AtHand: r.strain.AtHand(), Waited: r.strain.Waited(),
-		Used: r.load.Used(),
+		Accepted: done.Own, HandedOver: r.HandedOver(), Taken: done.Taken, AtHand: r.desk.AtHand(), Waited: r.desk.Waited(),
+		Used: r.desk.Used(),
 	}
 }
 
--- a/router/relay_test.go
+++ b/router/relay_test.go
@@ -11,6 +11,8 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"ryelug/core/due"
+	"ryelug/core/intake"
 	"ryelug/core/limit"
 	"ryelug/core/neighbour"
 	"ryelug/io/handover"
@@ -28,10 +30,10 @@
 		Listener: ln, Identity: handover.Identity{Router: "far/1", Key: key}, Load: func() int { return 0 }, Log: log,
 	})
 	go func() { _ = acceptor.Run(t.Context()) }()
-	r := &Router{load: limit.NewLoad(0.1)}
+	r := &Router{desk: intake.New(intake.Config{ProcessorShare: 0.1, Standings: &due.Standings{}, Unserved: &due.Unserved{}})}
 	now := time.Now()
-	r.load.Note(now, limit.Work{})
-	r.load.Note(now.Add(time.Second), limit.Work{Connections: 10_000})
+	r.desk.Note(now, limit.Work{})
+	r.desk.Note(now.Add(time.Second), limit.Work{Connections: 10_000})
 	r.handOvers = handover.NewDialer(handover.DialerConfig{
 		Identity: handover.Identity{Router: "near/1", Key: key}, Log: log,
 		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
@@ -41,7 +43,7 @@
 	})
 	t.Cleanup(r.handOvers.Close)
 	list := []neighbour.Router{{Host: "far", Address: netip.MustParseAddrPort(ln.Addr().String()), Processor: 800}}
-	r.neighbours.Set(list)
+	r.desk.SetNeighbours(list)
 	for linked := false; !linked; time.Sleep(time.Millisecond) {
 		r.handOvers.Want(time.Now(), list)
 		_, linked = r.handOvers.Load(&list[0])
--- a/router/router.go
+++ b/router/router.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"ryelug/core/config"
-	"ryelug/core/limit"
-	"ryelug/core/neighbour"
+	"ryelug/core/due"
+	"ryelug/core/intake"
 	"ryelug/io/caller"
 	"ryelug/io/handover"
 	"ryelug/io/operator"
@@ -34,13 +34,12 @@
 	callers       *caller.Server
 	directory     atomic.Pointer[directory.Directory]
 	leaving       atomic.Bool
-	strain        *limit.Strain
-	load          *limit.Load
+	desk          *intake.Desk
+	standings     *due.Standings
+	unserved      *due.Unserved
 	handOvers     *handover.Dialer
 	early         *earlyRefusals
-	neighbours    neighbour.Table
 	handedOver    atomic.Int64
-	turned        atomic.Int64 // turned counts the callers that were sent to other routers.
 
 	gate     sync.Mutex
 	closed   bool // closed tells that no further request is taken.
@@ -53,9 +52,13 @@
 		config:     &conf,
 		log:        operator.Part(conf.Log, operator.RouterPart),
 		requestLog: operator.Part(conf.Log, operator.RequestPart),
-		strain:     limit.NewStrain(conf.StrainLate),
-		load:       limit.NewLoad(conf.ProcessorShare),
+		standings:  &due.Standings{},
+		unserved:   &due.Unserved{},
 	}
+	r.desk = intake.New(intake.Config{
+		StrainLate: conf.StrainLate, ProcessorShare: conf.ProcessorShare, BalancerLag: conf.BalancerLag,
+		Standings: r.standings, Unserved: r.unserved,
+	})
 	r.early = newEarlyRefusals(r.requestLog)
 	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
@@ -76,7 +79,7 @@
 	conf.Callers.Refused = conf.Counter.Refused
 	conf.Callers.Panicked = r.panicked
 	conf.Callers.Shed = r.shed
-	conf.Callers.Late, conf.Callers.Busy = r.late, r.load.IsBusy
+	conf.Callers.Late, conf.Callers.Busy = r.late, r.desk.IsBusy
 	if conf.Neighbours != nil {
 		r.handOvers = handover.NewDialer(handover.DialerConfig{
 			Identity: conf.identity(), Dial: conf.PeerDial, Log: operator.Part(conf.Log, operator.PeerPart),
@@ -132,7 +135,7 @@
 	group.Go(func() error { return loads.Run(ctx) })
 	group.Go(func() error { return hosts.Run(ctx) })
 	r.startSweeper(ctx, group)
-	if r.strain != nil {
+	if r.desk.Watches() {
 		group.Go(func() error { return r.watchStrain(ctx) })
 	}
 	if r.config.CallersOn != nil {
@@ -227,7 +230,7 @@
 func (r *Router) Health() Health {
 	return Health{
 		Leaving:    r.leaving.Load(),
-		Strained:   r.strain.IsStrained(time.Now()) || r.load.IsFull() || r.callers.IsCrowded(),
+		Strained:   !r.desk.IsReady(time.Now()) || r.callers.IsCrowded(),
 		CutOff:     r.isCutOff(),
 		Configured: r.directory.Load() != nil,
 		Generation: r.generation(),
--- a/router/serve.go
+++ b/router/serve.go
@@ -9,6 +9,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/config"
+	"ryelug/core/intake"
 	"ryelug/core/result"
 	"ryelug/io/caller"
 	"ryelug/io/header"
@@ -16,16 +17,8 @@
 	"ryelug/router/request"
 )
 
-const (
-	// comeBack is when a caller that this router can't serve should try again.
-	comeBack = time.Second
-	// soon is when a caller should try again that came while work waited for a moment.
-	soon = 20 * time.Millisecond
-	// returnSpread is the time over which callers are spread that should come back to another router,
-	returnSpread = time.Second
-	// returnSlots the number of times in it.
-	returnSlots = 16
-)
+// comeBack is when a caller that this router can't serve should try again.
+const comeBack = time.Second
 
 // Serve implements caller.Handler.
 func (r *Router) Serve(ctx context.Context, req *caller.Request, w caller.Writer) {
@@ -35,20 +28,25 @@
 	}
 	defer r.requests.Done()
 	route, code := r.resolve(req)
-	if code == result.OK && !r.strain.Enter(time.Now(), route.Team) {
-		code = result.Overloaded
-	}
 	if code != result.OK {
 		r.refuse(w, req, &route, code)
 		return
 	}
-	defer r.strain.Leave(route.Team)
+	if verdict := r.desk.Enter(time.Now(), arrival(&route, req)); verdict != intake.Serve {
+		r.send(w, r.turnAway(req, &route, verdict))
+		return
+	}
+	defer r.desk.Leave(route.Team)
 	r.runner.Serve(ctx, route, req, w)
 }
 
 // refuse sends the refusal of a request that was not run.
 func (r *Router) refuse(w caller.Writer, req *caller.Request, route *request.Route, code result.Code) {
-	if err := w.Refuse(r.refusal(req, route, code)); err != nil {
+	r.send(w, r.refusal(req, route, code))
+}
+
+func (r *Router) send(w caller.Writer, refusal caller.Refusal) {
+	if err := w.Refuse(refusal); err != nil {
 		r.log.WithError(err).Debug("A refusal did not reach its caller.")
 	}
 }
@@ -66,14 +64,34 @@
 
 // shed refuses a request that this router does not bear now, at the least cost.
 func (r *Router) shed(req *caller.Request) (refusal caller.Refusal, refused bool) {
-	if !r.strain.IsFull(time.Now()) {
+	if !r.desk.MayRefuse(time.Now()) {
 		return refusal, false
 	}
 	route, code := r.resolve(req)
-	if code != result.OK || !r.strain.Turns(time.Now(), route.Team) {
+	if code != result.OK {
+		return refusal, false
+	}
+	verdict := r.desk.Refuses(time.Now(), arrival(&route, req))
+	if verdict == intake.Serve {
 		return refusal, false
 	}
-	return r.refusal(req, &route, result.Overloaded), true
+	return r.turnAway(req, &route, verdict), true
+}
+
+// arrival returns what the decision on a request goes by.
+func arrival(route *request.Route, req *caller.Request) *intake.Arrival {
+	return &intake.Arrival{Cell: route.Pool, Team: route.Team, Cost: req.Hint}
+}
+
+// turnAway counts and logs a request that the desk refuses, and returns its refusal.
+func (r *Router) turnAway(req *caller.Request, route *request.Route, verdict intake.Verdict) caller.Refusal {
+	code := result.Overloaded
+	if verdict == intake.Ahead {
+		code = result.TeamAhead
+	}
+	refusal := r.refusal(req, route, code)
+	refusal.RetryAfter = r.desk.RetryAfter(time.Now(), verdict)
+	return refusal
 }
 
 // refusal counts and logs the refusal of a request that was not run, and returns it.
@@ -84,21 +102,9 @@
 	if info, _ := result.Lookup(code); info.Status == http.StatusServiceUnavailable {
 		refusal.RetryAfter = comeBack
 	}
-	if code == result.Overloaded {
-		refusal.RetryAfter = r.strainRetry()
-	}
 	return refusal
 }
 
-// strainRetry returns when a caller should come back that this router does not bear. It is this router that gets the
-// next try as well, until the balancer has noticed that it is not ready.
-func (r *Router) strainRetry() time.Duration {
-	if !r.strain.IsStrained(time.Now()) {
-		return soon
-	}
-	return r.config.BalancerLag + time.Duration(r.turned.Add(1)%returnSlots)*returnSpread/returnSlots
-}
-
 // panicked logs and counts a request that ended by a panic.
 func (r *Router) panicked(p caller.Panic) {
 	r.log.WithFields(logrus.Fields{"request": p.Request, "cause": p.Cause, "stack": string(p.Stack)}).Error("A request panicked.")
--- a/router/strain.go
+++ b/router/strain.go
@@ -29,11 +29,11 @@
 	if usage.Processor == nil {
 		usage.Processor = clock.Processor
 	}
-	for tick := 0; pause.For(ctx, r.strain.Tick(time.Now(), usage.Waited(), r.load.IsFull())); tick++ {
+	for tick := 0; pause.For(ctx, r.desk.Tick(time.Now(), usage.Waited())); tick++ {
 		if tick%loadTicks == 0 {
 			r.noteLoad(time.Now(), usage.Processor)
 		}
-		if now := r.strain.IsStrained(time.Now()); now != strained {
+		if now := r.desk.IsStrained(time.Now()); now != strained {
 			strained = now
 			r.log.WithField("strained", strained).Warn("Whether this router keeps up with its work has changed.")
 		}
@@ -56,11 +56,11 @@
 		r.log.WithError(err).Debug("The load goes by what is counted here alone.")
 	}
 	work.Processor = processor
-	r.load.Note(now, work)
+	r.desk.Note(now, work)
 }
 
 // late returns how long work waits for the processor, if that is too long.
-func (r *Router) late() time.Duration { return r.strain.Late(time.Now()) }
+func (r *Router) late() time.Duration { return r.desk.Late(time.Now()) }
 
 // waits reads how long goroutines wait for the processor.
 type waits struct {
