End hand-over links whose other end is lost also while they are idle

Cause: Dialer.keep counted the seconds without a frame and cleared the count in each second without a ping, as no answer was due in it. An idle link is pinged each 10 s, so the count of the ping that was not answered was cleared a second later, and the link counted as linked until the first connections of a flood were handed over on it and waited three seconds. The other end was left alone on purpose while idle (tellLoad ended links in use only). A dialer that is lost without a reset so left a goroutine pair and a descriptor there until the system gave the connection up (keep-alive of net.Listen, or the retransmissions of a word on the load), and one more with each further loss.

Ruled out: pings each second on idle links (a write and a read each second on 16 links a router); a plain limit of idlePing + silent on the dialer's count, which lets a link whose stream begins in the seconds before count silence that nobody had asked about.

Change: silence counts from the first ping that is owed an answer; any frame heard after it answers it. The dialer owes with each ping, so it ends a link 3 s after it, at the latest 13 s after the other end is lost if idle, 4 s if not (ticks of a second). The acceptor is always owed a frame: within 3 s in use, within 10 + 3 s idle, as the dialer pings so often. No frame changes, and idle links cost what they did: 36 bytes a minute, as a test counts.

Conclusion: a router that is lost is noticed on all links.

--- a/io/handover/accept.go
+++ b/io/handover/accept.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// tellLoad tells the other end how much of its processor this router uses, until the link is down, and ends a link in use
-// whose other end is lost.
+// tellLoad tells the other end how much of its processor this router uses, until the link is down, and ends a link whose
+// other end is lost.
 func (a *Acceptor) tellLoad(one *link) {
 	ticker := time.NewTicker(loadEvery)
 	defer ticker.Stop()
@@ -122,10 +122,14 @@
 			return
 		case <-ticker.C:
 		}
-		inUse := !one.isIdle() // Read first: the frame that begins a stream is heard before the stream is known.
-		if quiet.pass(one, loadEvery) >= silent && inUse {
+		due := silent
+		if one.isIdle() { // Read first: the frame that begins a stream is heard before the stream is known.
+			due += idlePing
+		}
+		if quiet.pass(one, loadEvery) >= due {
 			one.close()
 		}
+		quiet.owe(one)
 	}
 }
 
--- a/io/handover/dial.go
+++ b/io/handover/dial.go
@@ -161,9 +161,8 @@
 		}
 		if idle >= idlePing || !l.isIdle() {
 			idle = 0
+			quiet.owe(l)
 			l.send(&message{kind: kindPing})
-		} else {
-			quiet.lasts = 0
 		}
 	}
 }
--- a/io/handover/handover_test.go
+++ b/io/handover/handover_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,9 +37,35 @@
 	network  *network.Network
 	dialer   *handover.Dialer
 	acceptor *handover.Acceptor
+	taken    *counted
 	stop     func()
 }
 
+// counted is a listener that counts the connections that it has accepted and that are not closed yet.
+type counted struct {
+	net.Listener
+	open atomic.Int64
+}
+
+func (c *counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c.open.Add(1)
+	return &countedConn{Conn: conn, closed: sync.OnceFunc(func() { c.open.Add(-1) })}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c *countedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
 // withPair runs a test with two routers in virtual time.
 func withPair(t *testing.T, key string, test func(p *pair)) {
 	t.Helper()
@@ -49,8 +76,9 @@
 		p := &pair{I: is.New(t), network: network.New(network.Config{})}
 		ln, err := p.network.Listen(at)
 		p.NoErr(err)
+		p.taken = &counted{Listener: ln}
 		p.acceptor = handover.NewAcceptor(handover.AcceptorConfig{
-			Listener: ln, Identity: handover.Identity{Router: "far/1", Key: []byte("a key")}, Log: log, Load: func() int { return 300 },
+			Listener: p.taken, Identity: handover.Identity{Router: "far/1", Key: []byte("a key")}, Log: log, Load: func() int { return 300 },
 		})
 		p.dialer = handover.NewDialer(handover.DialerConfig{
 			Identity: handover.Identity{Router: "near/1", Key: []byte(key)}, Log: log, Dial: p.network.Dialer(near),
@@ -204,6 +232,27 @@
 			p.True(!linked)
 		})
 	})
+	t.Run("an idle link costs a ping and its answer each ten seconds", func(t *testing.T) {
+		withPair(t, "a key", func(p *pair) {
+			const frame = 3 // frame is the bytes of a ping, and of its answer.
+			before := p.network.Sent(at)
+			time.Sleep(time.Minute)
+			p.Equal(p.network.Sent(at)-before, int64(6*2*frame))
+		})
+	})
+	t.Run("a stream that begins on an idle link lasts", func(t *testing.T) {
+		for _, quiet := range []time.Duration{time.Second, 8500 * time.Millisecond, 9900 * time.Millisecond} {
+			withPair(t, "a key", func(p *pair) {
+				time.Sleep(quiet)
+				ours, theirs := p.open(0)
+				time.Sleep(time.Minute)
+				p.True(!ours.HasEnded() && !theirs.HasEnded())
+				p.NoErr(ours.Close())
+				time.Sleep(time.Minute)
+				p.Equal(p.taken.open.Load(), int64(1))
+			})
+		}
+	})
 	t.Run("a link that is not wanted carries its streams to their ends", func(t *testing.T) {
 		withPair(t, "a key", func(p *pair) {
 			ours, theirs := p.open(0)
@@ -261,3 +310,13 @@
 		p.True(!linked)
 	})
 }
+
+// Guards against a goroutine and a descriptor for each router that was lost while its link was idle.
+func TestAcceptorNoticesSilence(t *testing.T) {
+	withPair(t, "a key", func(p *pair) {
+		p.Equal(p.taken.open.Load(), int64(1))
+		p.network.Silence(near, far)
+		time.Sleep(20 * time.Second)
+		p.Equal(p.taken.open.Load(), int64(0))
+	})
+}
--- a/io/handover/link.go
+++ b/io/handover/link.go
@@ -18,7 +18,7 @@
 	batchKeep    = 256 << 10              // batchKeep bounds the memory of a batch that is kept for the next one, in bytes.
 	pingEvery    = time.Second            // pingEvery is the time between two pings of a link that has streams,
 	idlePing     = 10 * time.Second       // idlePing that of a link that has none.
-	silent       = 3 * time.Second        // silent is the silence after which the other end counts as lost; answers to pings come sooner.
+	silent       = 3 * time.Second        // silent is the time without an answer to a ping, or without a ping, after which the other end counts as lost.
 	writeTimeout = silent                 // writeTimeout bounds a write, which a live router takes sooner.
 	greetTimeout = 2 * time.Second        // greetTimeout bounds each step of a greeting.
 	loadEvery    = 200 * time.Millisecond // loadEvery is the time between two words on the load, in which it changes little.
@@ -59,18 +59,26 @@
 	return err
 }
 
-// silence counts how long the other end of a link has said nothing.
+// silence counts how long the other end of a link owes a frame.
 type silence struct {
 	heard int64
+	owed  bool // owed tells whether a ping is not answered yet; any frame after it is an answer.
 	lasts time.Duration
 }
 
-// pass lets time pass and returns how long the other end has said nothing.
+// owe begins to count, unless a frame is owed already.
+func (s *silence) owe(l *link) {
+	if !s.owed {
+		s.heard, s.owed, s.lasts = l.heard.Load(), true, 0
+	}
+}
+
+// pass lets time pass and returns how long a frame has been owed.
 func (s *silence) pass(l *link, span time.Duration) time.Duration {
-	s.lasts += span
-	if now := l.heard.Load(); now != s.heard {
-		s.heard, s.lasts = now, 0
+	if s.owed = s.owed && l.heard.Load() == s.heard; !s.owed {
+		return 0
 	}
+	s.lasts += span
 	return s.lasts
 }
 
