--- a/bench/overload/load.go
+++ b/bench/overload/load.go
@@ -54,7 +54,7 @@
 		for k := range plan.Kinds {
 			kind := &plan.Kinds[k]
 			for team, weight := range teams {
-				n := poisson(random, kind.Rate*weight*plan.factor(at, team)*step.Seconds())
+				n := poisson(random, kind.Rate*weight*plan.factor(at, team, k)*step.Seconds())
 				for range n {
 					requests = append(requests, &request{
 						id: len(requests), kind: k, team: team, engine: -1, router: random.IntN(plan.Routers), sent: start.Add(at),
@@ -67,11 +67,13 @@
 	return requests
 }
 
-// factor returns by how much a team's rate is raised at a time.
-func (p *Plan) factor(at time.Duration, team int) float64 {
+// factor returns by how much a team's rate of a kind is raised at a time.
+func (p *Plan) factor(at time.Duration, team, kind int) float64 {
 	factor := 1.0
-	for _, wave := range p.Waves {
-		if at >= time.Duration(wave.From) && at < time.Duration(wave.To) && (wave.Team == 0 || wave.Team == team+1) {
+	for i := range p.Waves {
+		wave := &p.Waves[i]
+		isTheirs := (wave.Team == 0 || wave.Team == team+1) && (wave.Kind == 0 || wave.Kind == kind+1)
+		if isTheirs && at >= time.Duration(wave.From) && at < time.Duration(wave.To) {
 			factor *= wave.Factor
 		}
 	}
--- a/bench/overload/plan.go
+++ b/bench/overload/plan.go
@@ -39,6 +39,7 @@
 	Teams    int      `toml:"teams"`
 	Skew     float64  `toml:"skew"`      // Skew is the power of the teams' sizes: team n is 1/n to that power as large as the first.
 	FairRate float64  `toml:"fair_rate"` // FairRate is what teams share, in tokens a second.
+	AtOnce   float64  `toml:"at_once"`   // AtOnce is the part of the refused callers that come back at once, whatever they were told.
 	Kinds    []Kind   `toml:"kind"`
 	Waves    []Wave   `toml:"wave"`
 	Faults   []Fault  `toml:"fault"`
@@ -61,12 +62,13 @@
 	Late     float64 `toml:"late"` // Late is the worth of a late answer.
 }
 
-// Wave raises the rates, of one team or of all, for a while.
+// Wave raises the rates of some teams and kinds for a while.
 type Wave struct {
 	From   Span    `toml:"from"`
 	To     Span    `toml:"to"`
 	Factor float64 `toml:"factor"`
 	Team   int     `toml:"team"` // Team is 1 for the largest; zero raises all.
+	Kind   int     `toml:"kind"` // Kind is 1 for the first; zero raises all.
 }
 
 // Fault changes an engine for a while.
@@ -131,6 +133,7 @@
 		{"kind", float64(len(p.Kinds)), 1},
 		{"skew", p.Skew, 0},
 		{"fair_rate", p.FairRate, 0},
+		{"at_once", p.AtOnce, 0},
 	} {
 		if one.value < one.least {
 			return fmt.Errorf("%s is %v; at least %v is needed", one.key, one.value, one.least)
--- a/bench/overload/world.go
+++ b/bench/overload/world.go
@@ -183,6 +183,9 @@
 // refuse answers a request at once; its caller may come back.
 func (w *world) refuse(r *request, retryAfter time.Duration) {
 	r.state = refused
+	if w.plan.AtOnce > 0 && w.random.Float64() < w.plan.AtOnce {
+		retryAfter = 0
+	}
 	back := w.way() + retryAfter
 	deadline := time.Duration(w.kind(r).Deadline)
 	if r.tries < callerTries && (deadline == 0 || w.now.Add(back).Sub(r.sent) < deadline/3) {
