Sum by team and second what the fairness promise is about, and tell the least part from logs

Cause: the promise to a team is on what its callers asked for and what began, over six seconds. The dispatcher's lines named at most 16 teams, those that were refused something, in spans that were not aligned, so that the team served best could be missing; the entries' sums had counts without costs.

Change: the sums of both are of whole seconds and say which; the dispatcher names up to 64 teams, the one served best first, then the most refused; entries add cost, largest request and data centre. `ryelug shares` reads the lines of a fleet (io/operator reads both formats back) and core/shortfall computes for each team the span of six seconds with the least part of its due. cell.NoTeam takes the place of a constant in router.

Ruled out: counting in the entry what was asked of the dispatcher and never came there (link lost): the lines on single requests tell of it. Requests that no router read are not in any line.

--- a/cmd/ryelug/main.go
+++ b/cmd/ryelug/main.go
@@ -65,6 +65,7 @@
 	for _, one := range operatorCommands() {
 		commander.Register(command.New(one, to), operate)
 	}
+	commander.Register(command.New(&sharesCommand{}, to), operate)
 	commander.Register(command.New(&devCommand{}, to), trial)
 	commander.Register(command.New(&experimentCommand{}, to), trial)
 	commander.Register(command.New(&standin.Command{}, to), trial)
--- a/core/admission/dispatcher_test.go
+++ b/core/admission/dispatcher_test.go
@@ -333,6 +333,7 @@
 	is.True(tally.Granted > 0 && tally.AtOnce > 0)
 	is.Equal(tally.Granted+tally.AtOnce+tally.Later, tally.Asked)
 	is.True(tally.GrantedCost > 0 && tally.GrantedCost < tally.AskedCost)
+	is.Equal(tally.Largest*20, tally.AskedCost)
 	is.Equal(len(d.Tallies(nil)), 0)
 }
 
--- a/core/admission/tally.go
+++ b/core/admission/tally.go
@@ -24,6 +24,7 @@
 	tally := &d.teams[team].tally
 	tally.Asked++
 	tally.AskedCost += demand.Estimate
+	tally.Largest = max(tally.Largest, demand.Estimate)
 	if d.isLong(demand.Class, demand.Estimate) {
 		tally.LongAsked++
 	}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -29,6 +29,9 @@
 // TeamID names a team as the configuration does.
 type TeamID string
 
+// NoTeam is charged for requests on public routes.
+const NoTeam TeamID = "-"
+
 // AttemptID numbers one attempt at one request, unique within a RouterID.
 type AttemptID uint64
 
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -200,6 +200,7 @@
 	LongAsked   int           // LongAsked counts the longest tenth of their kinds.
 	LongGranted int           // LongGranted counts those of them that were granted.
 	MostWaited  time.Duration // MostWaited is the longest wait for a decision.
+	Largest     cell.Cost     // Largest is the cost of the largest request that was asked for.
 }
 
 // Refused returns the number of requests that were refused.
--- /dev/null
+++ b/core/shortfall/table_test.go
@@ -0,0 +1,111 @@
+package shortfall_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/core/shortfall"
+)
+
+const spanLength = 6
+
+var (
+	start   = time.Unix(1000, 0)
+	refused = map[shortfall.Loss]int{{Where: "dispatcher", How: "at_once"}: 1}
+)
+
+// fill adds the same sum for each of some seconds.
+func fill(table *shortfall.Table, team cell.TeamID, seconds int, sum shortfall.Sum) {
+	for i := range seconds {
+		table.Add(team, start.Add(time.Duration(i)*time.Second), sum)
+	}
+}
+
+// assertPart checks the least part of a team; -1 for a team without a span that counts.
+func assertPart(t *testing.T, table *shortfall.Table, team cell.TeamID, want float64) {
+	t.Helper()
+	got := -1.0
+	for _, span := range table.Least(spanLength) {
+		if span.Team == team {
+			got = span.Part()
+		}
+	}
+	is.New(t).Equal(got, want)
+}
+
+func TestLeastPart(t *testing.T) {
+	for name, of := range map[string]struct {
+		small, big shortfall.Sum
+		want       float64
+	}{
+		"owed what it asked for":           {shortfall.Sum{Asked: 100, Got: 40, Lost: refused}, shortfall.Sum{Asked: 900, Got: 500}, 0.4},
+		"owed what the best served got":    {shortfall.Sum{Asked: 900, Got: 40, Lost: refused}, shortfall.Sum{Asked: 900, Got: 160}, 0.25},
+		"the best served is owed its own":  {shortfall.Sum{Asked: 900, Got: 40, Lost: refused}, shortfall.Sum{Asked: 20, Got: 20}, 1},
+		"nothing refused":                  {shortfall.Sum{Asked: 900, Got: 40}, shortfall.Sum{Asked: 900, Got: 160}, -1},
+		"three of the largest are spared":  {shortfall.Sum{Asked: 100, Got: 40, Largest: 100, Lost: refused}, shortfall.Sum{Asked: 900, Got: 500}, 40.0 / 50},
+		"all that is owed may be spared":   {shortfall.Sum{Asked: 100, Got: 0, Largest: 200, Lost: refused}, shortfall.Sum{Asked: 900, Got: 500}, 1},
+		"nothing at all, with few refused": {shortfall.Sum{Asked: 100, Got: 0, Lost: refused}, shortfall.Sum{Asked: 900, Got: 500}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := shortfall.New()
+			fill(table, "small", spanLength, of.small)
+			fill(table, "big", spanLength, of.big)
+			assertPart(t, table, "small", of.want)
+		})
+	}
+}
+
+// In the sum over the span each second counts by itself: what others got in one second is owed in no other.
+func TestOwedSecondBySecond(t *testing.T) {
+	is := is.New(t)
+	table := shortfall.New()
+	fill(table, "small", spanLength, shortfall.Sum{Asked: 100, Got: 50, Lost: refused})
+	table.Add("big", start, shortfall.Sum{Asked: 6000, Got: 6000})
+	least := table.Least(spanLength)
+	is.Equal(least[0].Team, cell.TeamID("small"))
+	is.Equal(least[0].Owed, cell.Cost(100+5*50))
+	is.Equal(least[0].Asked, cell.Cost(600))
+	is.Equal(least[0].Got, cell.Cost(300))
+}
+
+func TestSpansThatCount(t *testing.T) {
+	hungry := shortfall.Sum{Asked: 100, Got: 10, Lost: refused}
+	t.Run("too short", func(t *testing.T) {
+		table := shortfall.New()
+		fill(table, "small", spanLength-1, hungry)
+		assertPart(t, table, "small", -1)
+	})
+	t.Run("a second without a refusal between", func(t *testing.T) {
+		table := shortfall.New()
+		fill(table, "small", spanLength-1, hungry)
+		table.Add("small", start.Add((spanLength-1)*time.Second), shortfall.Sum{Asked: 100, Got: 10})
+		table.Add("small", start.Add(spanLength*time.Second), hungry)
+		assertPart(t, table, "small", -1)
+	})
+	t.Run("the least of several", func(t *testing.T) {
+		table := shortfall.New()
+		fill(table, "small", 2*spanLength, hungry)
+		fill(table, "big", 2*spanLength, shortfall.Sum{Asked: 100, Got: 100})
+		fill(table, "small", 1, shortfall.Sum{Got: 50})
+		assertPart(t, table, "small", 0.1)
+	})
+}
+
+// Routers add to each other's sums, and a loss is told with its place.
+func TestSumsOfRoutersAdd(t *testing.T) {
+	is := is.New(t)
+	table := shortfall.New()
+	overloaded := shortfall.Loss{Where: "dc-a", How: "overloaded"}
+	fill(table, "small", spanLength, shortfall.Sum{Asked: 60, Got: 60, Largest: 5})
+	fill(table, "small", spanLength, shortfall.Sum{Asked: 40, Largest: 4, Lost: map[shortfall.Loss]int{overloaded: 2}})
+	fill(table, "big", spanLength, shortfall.Sum{Asked: 100, Got: 100})
+	least := table.Least(spanLength)
+	is.Equal(len(least), 1)
+	is.Equal(least[0].Plain(), 0.6)
+	is.Equal(least[0].Largest, cell.Cost(5))
+	is.Equal(least[0].Lost[overloaded], 12)
+	is.Equal(table.Teams(), []cell.TeamID{"big", "small"})
+}
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -40,8 +40,8 @@
 	total     int
 	leaving   bool
 
-	refusalLines *rate.Limiter // refusalLines bounds the log's lines on refusals.
-	talliedAt    time.Time
+	refusalLines *rate.Limiter        // refusalLines bounds the log's lines on refusals.
+	tallied      time.Time            // tallied is the second that the tallies are of.
 	tallies      []dispatch.TeamTally // tallies is scratch space.
 }
 
@@ -127,9 +127,9 @@
 	for _, at := range r.cells {
 		r.step(now, at, &dispatch.Tick{})
 	}
-	if now.Sub(r.talliedAt) >= tallyEvery {
-		r.talliedAt = now
-		r.logTallies()
+	if second := now.Truncate(tallyEvery); !second.Equal(r.tallied) {
+		r.logTallies(r.tallied)
+		r.tallied = second
 	}
 }
 
--- a/router/dispatching/tally.go
+++ b/router/dispatching/tally.go
@@ -8,29 +8,40 @@
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/dispatch"
+	"ryelug/io/operator"
 )
 
 const (
 	tallyEvery = time.Second // tallyEvery is the interval of the lines on teams; shares are looked at by the second.
-	tallyLines = 16          // tallyLines bounds the lines of a cell at a time.
+	tallyLines = 64          // tallyLines bounds the lines of a cell at a time, to some 25 KB.
 )
 
-// logTallies logs what became of the requests of the teams that were refused something, the most refused first.
-func (r *Role) logTallies() {
+// logTallies logs what became of the requests of each team that asked for something in a second.
+func (r *Role) logTallies(second time.Time) {
 	for id, at := range r.cells {
 		counts, ok := at.dispatcher.(tallied)
 		if !ok {
 			continue
 		}
 		r.tallies = counts.Tallies(r.tallies[:0])
-		refused := slices.DeleteFunc(r.tallies, func(t dispatch.TeamTally) bool { return t.Refused() == 0 })
-		slices.SortFunc(refused, func(a, b dispatch.TeamTally) int { return cmp.Compare(b.Refused(), a.Refused()) })
-		for _, tally := range refused[:min(len(refused), tallyLines)] {
+		for _, tally := range mostTelling(r.tallies) {
 			r.config.Log.WithFields(logrus.Fields{
-				"cell": id, "team": tally.Team, "asked": tally.Asked, "asked_cost": tally.AskedCost, "granted": tally.Granted,
+				"second": second.Unix(),
+				"cell":   id, "team": tally.Team, "asked": tally.Asked, "asked_cost": tally.AskedCost, "granted": tally.Granted,
 				"granted_cost": tally.GrantedCost, "beyond": tally.Beyond, "refused_at_once": tally.AtOnce, "refused_later": tally.Later,
 				"long_asked": tally.LongAsked, "long_granted": tally.LongGranted, "most_waited_ms": tally.MostWaited.Milliseconds(),
-			}).Info("Requests of a team were refused.")
+				"largest": tally.Largest,
+			}).Info(operator.TeamLine)
 		}
 	}
 }
+
+// mostTelling returns the team that was served best and then those that were refused most, as many as are logged.
+func mostTelling(tallies []dispatch.TeamTally) []dispatch.TeamTally {
+	if len(tallies) == 0 {
+		return nil
+	}
+	slices.SortFunc(tallies, func(a, b dispatch.TeamTally) int { return cmp.Compare(b.GrantedCost, a.GrantedCost) })
+	slices.SortStableFunc(tallies[1:], func(a, b dispatch.TeamTally) int { return cmp.Compare(b.Refused(), a.Refused()) })
+	return tallies[:min(len(tallies), tallyLines)]
+}
--- a/router/router.go
+++ b/router/router.go
@@ -56,7 +56,7 @@
 		strain:     limit.NewStrain(conf.StrainLate),
 		load:       limit.NewLoad(conf.ProcessorShare),
 	}
-	r.early = newEarlyRefusals(r.requestLog)
+	r.early = newEarlyRefusals(r.requestLog, conf.DataCentre)
 	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
 	r.runner = request.New(request.Config{
--- a/router/serve.go
+++ b/router/serve.go
@@ -138,9 +138,6 @@
 	}, result.OK
 }
 
-// noTeam is charged for requests on public routes.
-const noTeam cell.TeamID = "-"
-
 // grantWait bounds the wait for a dispatcher's word on a request, should it not come.
 const grantWait = 2 * time.Second
 
@@ -151,7 +148,7 @@
 		return request.Route{}, result.UnknownRoute
 	}
 	route := request.Route{
-		Team:           noTeam,
+		Team:           cell.NoTeam,
 		Idempotent:     found.Idempotent,
 		QueueTimeout:   grantWait,
 		LongestRequest: found.Timeout,
