--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -208,6 +208,7 @@
 	LongAsked   int           // LongAsked counts the longest tenth of their kinds.
 	LongGranted int           // LongGranted counts those of them that were granted.
 	MostWaited  time.Duration // MostWaited is the longest wait for a decision.
+	Largest     cell.Cost     // Largest is the cost of the largest request that was asked for.
 
 	Unserved     int // Unserved counts requests that entries refused by themselves.
 	UnservedCost cell.Cost
--- a/router/router.go
+++ b/router/router.go
@@ -59,7 +59,7 @@
 		StrainLate: conf.StrainLate, ProcessorShare: conf.ProcessorShare, BalancerLag: conf.BalancerLag,
 		Standings: r.standings, Unserved: r.unserved,
 	})
-	r.early = newEarlyRefusals(r.requestLog)
+	r.early = newEarlyRefusals(r.requestLog, conf.DataCentre)
 	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
 	r.runner = request.New(request.Config{
