Let a host of the stand-in accept in turns, and a read return all that has arrived

And a read returned one write, where TCP returns all that has arrived, so a link with many streams was read a write at a time.

Change: accepting keeps the processor for 10 ms of it as long as connections wait, at the same cost; a read fills the buffer with what has arrived.

--- a/standin/network/conn.go
+++ b/standin/network/conn.go
@@ -178,7 +178,7 @@
 	}
 }
 
-// tryRead returns bytes, an error, or what to wait for.
+// tryRead returns all bytes that have arrived and fit in, an error, or what to wait for.
 func (h *half) tryRead(p []byte, reaches, dataFirst bool) (n int, wait <-chan struct{}, until time.Time, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -198,8 +198,11 @@
 	if first.data == nil {
 		return 0, nil, until, io.EOF
 	}
-	n = copy(p, first.data)
-	h.take(n)
+	for n < len(p) && h.hasArrived() && h.queue[0].data != nil {
+		part := copy(p[n:], h.queue[0].data)
+		h.take(part)
+		n += part
+	}
 	return n, nil, until, nil
 }
 
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -288,14 +288,18 @@
 	conns   chan net.Conn
 	done    chan struct{}
 	once    sync.Once
+	turn    turn
 }
 
 // Accept returns the next connection.
 func (l *listener) Accept() (net.Conn, error) {
+	if len(l.conns) == 0 {
+		l.turn.end()
+	}
 	select {
 	case conn := <-l.conns:
 		l.network.AwaitThaw(l.address.Addr())
-		l.network.spend(l.address.Addr(), costOfConnect)
+		l.network.spendInTurn(l.address.Addr(), costOfConnect, &l.turn)
 		return conn, nil
 	case <-l.done:
 		return nil, net.ErrClosed
--- a/standin/network/processor.go
+++ b/standin/network/processor.go
@@ -75,6 +75,48 @@
 	return p.free
 }
 
+// turnTime is the processor time for which a goroutine that has work goes on before others: the time slice of Go's scheduler.
+const turnTime = 10 * time.Millisecond
+
+// turn is the turn of a goroutine at its host's processor.
+type turn struct {
+	mu   sync.Mutex
+	left time.Duration
+}
+
+// end ends the turn: the goroutine waits for something else than the processor.
+func (t *turn) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.left = 0
+}
+
+// goesOn tells whether a piece of work belongs to the present turn, and begins a new one if it does not.
+func (t *turn) goesOn(cost time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left >= cost {
+		t.left -= cost
+		return true
+	}
+	t.left = turnTime - cost
+	return false
+}
+
+// spendInTurn is spend for a goroutine that does many pieces of work: it waits for the others once in a turn.
+func (n *Network) spendInTurn(host netip.Addr, cost func(*Processor) time.Duration, of *turn) {
+	p := n.processor(host)
+	if p == nil {
+		return
+	}
+	piece, began := cost(&p.Processor), time.Now()
+	done := p.take(piece)
+	if of.goesOn(piece) {
+		done = began.Add(time.Duration(float64(piece) / p.Share))
+	}
+	time.Sleep(time.Until(done))
+}
+
 func costOfConnect(of *Processor) time.Duration { return of.Connect }
 func costOfRead(of *Processor) time.Duration    { return of.Read }
 func costOfWrite(of *Processor) time.Duration   { return of.Write }
