Measure what a flood costs a dispatcher whose engines are full

Cause: no test shows what passes over waiting requests cost, as virtual time takes none. Ruled out as the cost: demands that are granted at once.

--- /dev/null
+++ b/core/admission/flood_bench_test.go
@@ -0,0 +1,55 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+)
+
+// BenchmarkFlood reports what a second of demands costs a dispatcher of 90 engines, at several rates.
+func BenchmarkFlood(b *testing.B) {
+	for _, rate := range []int{1000, 2500, 5000, 8000} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) {
+			var names []cell.EndpointID
+			for n := range 90 {
+				names = append(names, cell.EndpointID(fmt.Sprint("e", n)))
+			}
+			policy := engines(names...)
+			for i := range policy.Endpoints {
+				policy.Endpoints[i].WarmLimit = 32
+			}
+			d := newDesk(policy)
+			d.teams = nil
+			d.second(rate)
+			d.second(rate)
+			before := len(d.grants)
+			for b.Loop() {
+				d.second(rate)
+			}
+			b.ReportMetric(float64(len(d.grants)-before)/float64(b.N), "grants/op")
+		})
+	}
+}
+
+// second asks for a second's demands of ten teams, in steps of two milliseconds.
+func (d *desk) second(rate int) {
+	const steps = 500
+	for step := range steps {
+		for n := range rate / steps {
+			team := cell.TeamID(fmt.Sprint("team-", (n+step)%10))
+			d.class = fmt.Sprint("/class/", (n+step)%3)
+			d.ask(team, prompt(uint64((step*7+n)%200), 1000, 500+100*(step%40)), 600*time.Millisecond)
+		}
+		d.now = d.now.Add(time.Second / steps)
+		if step%25 == 0 {
+			d.Step(d.now, &dispatch.Renew{Router: grantOf, Session: 1, StakeUntil: d.now.Add(time.Second)})
+			d.work()
+		}
+		if step%5 == 0 {
+			d.note(d.Step(d.now, &dispatch.Tick{}))
+		}
+	}
+}
