Hand connections over to other data centres when the own one has no room

Change. neighbour.Router has Away, the name of its data centre if that is another one. Nearest takes six of those besides the sixteen near ones, from the data centres in turn, largest first. Among equal ones the order is a hash of both names: the names of a far data centre all lie on one side of a host's, so the order of names would choose the same two for all, and the rank within the own data centre would move half of the links with each router that comes or goes. Of 60 equal routers in 4 data centres each has 2 to 11 hosts that name it, 6 in the mean (TestNearestAway bounds it by 12). Table.Choose takes a far one only if the router itself is at 800 thousandths or more, no reached near one is below its bound and margin, and the far one is below 400: from 500 on a router hands its own callers over, who come first. A near one that rests after a refusal counts as one with room: the far one would most likely refuse for the same reason, and each costs its bytes. Choice and bounds are in core/neighbour; router/relay.go has the number of links alone. Not linked, leaving (told at once on far links as well, as any rise is), or out of work: nothing begins there. The mesh takes lost routers from the list in 0.5 s and a beat. Regions: entries and settings knew none, and routes' homes are not read at all, so a body could have left its region. Far links tell loads in steps of 100 in place of 50, and less load a second after the last word.

TestNearest has one more argument.

--- a/core/neighbour/table.go
+++ b/core/neighbour/table.go
@@ -21,6 +21,9 @@
 	margin = 150
 	// most is the load beyond which a router gets nothing, so that it bears its own callers' work, in thousandths.
 	most = 800
+	// mostOfAway is the load beyond which a router of another data centre gets nothing, in thousandths: from 500 on it hands its
+	// own callers over (limit.Load), who come first, and other routers send there at the same time.
+	mostOfAway = 400
 )
 
 // Router is another router that takes connections.
@@ -28,6 +31,7 @@
 	Host      cell.HostID
 	Address   netip.AddrPort // Address is where it takes them.
 	Processor int            // Processor is its part of its host's processor, in thousandths of a core; zero if not known.
+	Away      string         // Away names its data centre if that is another one than that of this router.
 }
 
 // Loads tells which part of its processor a router uses, in thousandths, and false if it can't be reached now.
@@ -72,24 +76,38 @@
 	return nil
 }
 
-// Choose returns the router with the least load, if that is well below the one of this router, in thousandths, and counts
-// one more connection there.
+// Choose returns the router of the own data centre with the least load, if that is well below the one of this router, in
+// thousandths, and counts one more connection there. If none there has room, this router included, it is one of another data
+// centre with much room: what is handed over costs bytes between them. One that rests has room, so its refusals send nothing
+// across.
 func (t *Table) Choose(now time.Time, own int, loads Loads) (Router, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best *state
+	var near, away *state
+	isRoom := own < most
 	for i := range t.routers {
 		at := &t.routers[i]
 		told, reached := loads(&at.Router)
-		if !reached || now.Before(at.restUntil) {
+		if !reached {
 			continue
 		}
 		at.told = told
 		at.fade(now)
-		if at.load() < min(own-margin, most) && (best == nil || at.load() < best.load()) {
-			best = at
+		rests := now.Before(at.restUntil)
+		switch {
+		case at.Away == "" && at.load() < min(own-margin, most):
+			isRoom = true
+			if !rests {
+				near = lesser(near, at)
+			}
+		case at.Away != "" && at.load() < mostOfAway && !rests:
+			away = lesser(away, at)
 		}
 	}
+	best := near
+	if best == nil && !isRoom {
+		best = away
+	}
 	if best == nil {
 		return Router{}, false
 	}
@@ -97,6 +115,14 @@
 	return best.Router, true
 }
 
+// lesser returns the one with less load, the first of equal ones; a may be nil.
+func lesser(a, b *state) *state {
+	if a == nil || b.load() < a.load() {
+		return b
+	}
+	return a
+}
+
 // load returns what the router uses with the next connection.
 func (s *state) load() int { return s.told + int(s.given+1)*connectionLoad*1000/max(1, s.Processor) }
 
--- a/core/neighbour/table_test.go
+++ b/core/neighbour/table_test.go
@@ -1,7 +1,10 @@
 package neighbour_test
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -15,6 +18,13 @@
 	return neighbour.Router{Host: cell.HostID(host), Address: netip.MustParseAddrPort("10.0.0." + host + ":7415"), Processor: processor}
 }
 
+// away is a router of another data centre.
+func away(host string, processor int, dataCentre string) neighbour.Router {
+	one := router(host, processor)
+	one.Away = dataCentre
+	return one
+}
+
 // told is what routers tell of their loads; those that are not named can't be reached.
 type told map[cell.HostID]int
 
@@ -85,13 +95,116 @@
 	})
 }
 
+func TestChooseAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name string
+		own  int
+		told told
+		want cell.HostID // want is empty where none is chosen.
+	}{
+		{"one of the own data centre comes first", full, told{"1": 740, "8": 0}, "1"},
+		{"none of the own data centre has room", full, told{"1": 800, "8": 0}, "8"},
+		{"none of the own data centre is reached", full, told{"8": 0}, "8"},
+		{"the one with the least load", full, told{"1": full, "8": 200, "9": 100}, "9"},
+		{"only where there is much room", full, told{"1": full, "8": 390, "9": 400}, "8"},
+		{"none has much room", full, told{"1": full, "8": 400, "9": 400}, ""},
+		{"this router has room itself", 799, told{"1": 700, "8": 0}, ""},
+		{"this router has no room", 800, told{"1": 700, "8": 0}, "8"},
+		{"a router that leaves", full, told{"1": full, "8": full}, ""},
+		{"none is linked", full, told{"1": full}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is, table := is.New(t), &neighbour.Table{}
+			table.Set([]neighbour.Router{away("8", 800, "b"), away("9", 800, "c"), router("1", 800)})
+			got, ok := table.Choose(now, c.own, c.told.load)
+			is.Equal(got.Host, c.want)
+			is.Equal(ok, c.want != "")
+		})
+	}
+	t.Run("no more than their own callers leave", func(t *testing.T) {
+		is, table := is.New(t), &neighbour.Table{}
+		table.Set([]neighbour.Router{router("1", 800), away("8", 800, "b")})
+		is.Equal(choose(table, now, told{"1": 795, "8": 300}, 100), map[cell.HostID]int{"8": 19})
+	})
+	t.Run("a refusal in the own data centre sends nothing across", func(t *testing.T) {
+		is, table := is.New(t), &neighbour.Table{}
+		table.Set([]neighbour.Router{router("1", 800), away("8", 800, "b")})
+		table.End(now, router("1", 800).Address, false)
+		is.Equal(len(choose(table, now, told{"1": 0, "8": 0}, 10)), 0)
+	})
+	t.Run("one that refuses rests for a second", func(t *testing.T) {
+		is, table := is.New(t), &neighbour.Table{}
+		table.Set([]neighbour.Router{away("8", 800, "b")})
+		table.End(now, router("8", 800).Address, false)
+		is.Equal(len(choose(table, now, told{"8": 0}, 1)), 0)
+		is.Equal(len(choose(table, now.Add(time.Second), told{"8": 0}, 1)), 1)
+	})
+}
+
+func TestNearestAway(t *testing.T) {
+	nearest := func(self string, routers []neighbour.Router, most int) (hosts []cell.HostID) {
+		for _, one := range neighbour.Nearest(cell.HostID(self), routers, 1, most) {
+			hosts = append(hosts, one.Host)
+		}
+		return hosts
+	}
+	sorted := func(hosts []cell.HostID) []cell.HostID { return slices.Sorted(slices.Values(hosts)) }
+	t.Run("besides those of the own data centre", func(t *testing.T) {
+		is := is.New(t)
+		routers := []neighbour.Router{router("1", 200), router("2", 200), away("8", 800, "b"), away("9", 200, "b")}
+		is.Equal(nearest("3", routers, 6), []cell.HostID{"1", "8", "9"})
+		is.Equal(nearest("3", routers, 0), []cell.HostID{"1"})
+	})
+	t.Run("the largest of each data centre, then the next ones", func(t *testing.T) {
+		is := is.New(t)
+		routers := []neighbour.Router{
+			away("1", 200, "b"), away("2", 800, "b"), away("3", 700, "b"), away("4", 200, "c"), away("5", 300, "c"), away("6", 100, "d"),
+		}
+		is.Equal(sorted(nearest("9", routers, 3)), []cell.HostID{"2", "5", "6"})
+		is.Equal(nearest("9", routers, 4), []cell.HostID{"2", "5", "6", "3"})
+		is.Equal(len(nearest("9", routers, 10)), len(routers))
+	})
+	t.Run("equal ones are the neighbours of about as many", func(t *testing.T) {
+		const hosts, most, mean = 60, 6, 6 // mean is how many hosts have a router among theirs, as all data centres are alike.
+		is := is.New(t)
+		place := func(n int) string { return string(rune('a' + n%4)) }
+		count := map[cell.HostID]int{}
+		for self := range hosts {
+			var routers []neighbour.Router
+			for n := range hosts {
+				if place(n) != place(self) {
+					routers = append(routers, away(strconv.Itoa(n), 200, place(n)))
+				}
+			}
+			for _, one := range nearest(strconv.Itoa(self), routers, most) {
+				count[one]++
+			}
+		}
+		is.Equal(len(count), hosts)
+		is.True(slices.Max(slices.Collect(maps.Values(count))) <= 2*mean)
+	})
+	t.Run("one that leaves moves no other link", func(t *testing.T) {
+		is := is.New(t)
+		var routers []neighbour.Router
+		for n := range 40 {
+			routers = append(routers, away(strconv.Itoa(n), 200, string(rune('b'+n%3))))
+		}
+		before := nearest("90", routers, 6)
+		gone := slices.IndexFunc(routers, func(one neighbour.Router) bool { return one.Host == before[2] })
+		after := nearest("90", slices.Delete(routers, gone, gone+1), 6)
+		kept := slices.DeleteFunc(before, func(host cell.HostID) bool { return !slices.Contains(after, host) })
+		is.Equal(len(kept), 5)
+	})
+}
+
 func TestNearest(t *testing.T) {
 	is := is.New(t)
 	routers := []neighbour.Router{router("1", 200), router("2", 200), router("4", 200), router("5", 200), router("9", 800)}
 	var hosts []cell.HostID
-	for _, one := range neighbour.Nearest("3", routers, 4) {
+	for _, one := range neighbour.Nearest("3", routers, 4, 2) {
 		hosts = append(hosts, one.Host)
 	}
 	is.Equal(hosts, []cell.HostID{"9", "4", "5", "1"}) // The large one, those that follow, and round to the first.
-	is.Equal(len(neighbour.Nearest("3", nil, 4)), 0)
+	is.Equal(len(neighbour.Nearest("3", nil, 4, 2)), 0)
 }
--- a/io/handover/accept.go
+++ b/io/handover/accept.go
@@ -86,7 +86,7 @@
 	one := newLink(raw, hello.Conn, a.begin)
 	log := a.config.Log.WithField("peer", string(theirs.Router))
 	log.Info("A router may hand connections over to this one.")
-	go a.tellLoad(one)
+	go a.tellLoad(one, theirs.DataCentre != a.config.Identity.DataCentre)
 	err = one.run()
 	log.WithError(err).Info("The link by which a router handed connections over is down.")
 }
@@ -108,14 +108,13 @@
 
 // tellLoad tells the other end how much of its processor this router uses, until the link is down, and ends a link whose
 // other end is lost.
-func (a *Acceptor) tellLoad(one *link) {
+func (a *Acceptor) tellLoad(one *link, away bool) {
 	ticker := time.NewTicker(loadEvery)
 	defer ticker.Stop()
 	var quiet silence
-	for told := -1; ; {
-		if now := a.config.Load(); now/loadStep != told/loadStep || told < 0 {
-			told = now
-			one.send(&message{kind: kindLoad, number: uint64(told)})
+	for news := newLoadNews(away); ; {
+		if now := a.config.Load(); news.pass(now) {
+			one.send(&message{kind: kindLoad, number: uint64(now)})
 		}
 		select {
 		case <-one.closed:
@@ -133,8 +132,37 @@
 	}
 }
 
-// loadStep is the change of the load that is worth a frame, in thousandths.
-const loadStep = 50
+const (
+	loadStep = 50          // loadStep is the change of the load that is worth a frame, in thousandths,
+	awayStep = 100         // awayStep that for other data centres, as bytes between them are priced.
+	awayCalm = time.Second // awayCalm is the time between a word and one of less load there; more load is told at once.
+)
+
+// loadNews tells which loads are worth a frame.
+type loadNews struct {
+	step int
+	calm time.Duration
+	told int           // told is the last word, in steps; negative before the first one.
+	ago  time.Duration // ago is the time since.
+}
+
+func newLoadNews(away bool) *loadNews {
+	if away {
+		return &loadNews{step: awayStep, calm: awayCalm, told: -1}
+	}
+	return &loadNews{step: loadStep, told: -1}
+}
+
+// pass takes in the load after loadEvery, and returns whether it is to be told.
+func (n *loadNews) pass(load int) bool {
+	n.ago += loadEvery
+	now := load / n.step
+	if now == n.told || now < n.told && n.ago < n.calm {
+		return false
+	}
+	n.told, n.ago = now, 0
+	return true
+}
 
 // Accept implements net.Listener.
 func (a *Acceptor) Accept() (net.Conn, error) {
--- a/io/handover/handover_test.go
+++ b/io/handover/handover_test.go
@@ -38,6 +38,7 @@
 	dialer   *handover.Dialer
 	acceptor *handover.Acceptor
 	taken    *counted
+	load     atomic.Int64 // load is what the acceptor tells.
 	stop     func()
 }
 
@@ -66,22 +67,29 @@
 	return c.Conn.Close()
 }
 
-// withPair runs a test with two routers in virtual time.
+// withPair runs a test with two routers of a data centre in virtual time.
 func withPair(t *testing.T, key string, test func(p *pair)) {
+	t.Helper()
+	withPairAcross(t, key, "", test)
+}
+
+// withPairAcross does with a dialer that is in another data centre, unless that has no name.
+func withPairAcross(t *testing.T, key, dataCentre string, test func(p *pair)) {
 	t.Helper()
 	defer bubble.OneProcessor()()
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		p := &pair{I: is.New(t), network: network.New(network.Config{})}
+		p.load.Store(300)
 		ln, err := p.network.Listen(at)
 		p.NoErr(err)
 		p.taken = &counted{Listener: ln}
 		p.acceptor = handover.NewAcceptor(handover.AcceptorConfig{
-			Listener: p.taken, Identity: handover.Identity{Router: "far/1", Key: []byte("a key")}, Log: log, Load: func() int { return 300 },
+			Listener: p.taken, Identity: handover.Identity{Router: "far/1", Key: []byte("a key")}, Log: log, Load: func() int { return int(p.load.Load()) },
 		})
 		p.dialer = handover.NewDialer(handover.DialerConfig{
-			Identity: handover.Identity{Router: "near/1", Key: []byte(key)}, Log: log, Dial: p.network.Dialer(near),
+			Identity: handover.Identity{Router: "near/1", DataCentre: dataCentre, Key: []byte(key)}, Log: log, Dial: p.network.Dialer(near),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
@@ -301,6 +309,48 @@
 	})
 }
 
+// A load that swings between two steps each 0.2 s is told each time in the own data centre, and elsewhere less of it a second after
+// the last word, and more of it 0.2 s later: twice in 1.2 s.
+func TestWordsOnLoad(t *testing.T) {
+	const frame, pings, span = 5, 2 * 3, 10 * time.Second // Bytes; a ping and its answer fall into each 10 s.
+	swing := func(p *pair) {
+		for from := time.Now(); time.Since(from) < span; time.Sleep(200 * time.Millisecond) {
+			p.load.Store(700 - p.load.Load())
+		}
+	}
+	for _, c := range []struct {
+		dataCentre string
+		words      int64
+	}{{"", 50}, {"b", 17}} {
+		t.Run("data centre "+c.dataCentre, func(t *testing.T) {
+			withPairAcross(t, "a key", c.dataCentre, func(p *pair) {
+				before := p.network.Sent(at)
+				swing(p)
+				p.Equal(p.network.Sent(at)-before, c.words*frame+pings)
+				time.Sleep(2 * time.Second)
+				p.load.Store(1000)
+				time.Sleep(250 * time.Millisecond)
+				load, _ := p.dialer.Load(&to)
+				p.Equal(load, 1000)
+				p.load.Store(0)
+				time.Sleep(1250 * time.Millisecond)
+				load, _ = p.dialer.Load(&to)
+				p.Equal(load, 0)
+			})
+		})
+	}
+	t.Run("steps", func(t *testing.T) {
+		for dataCentre, want := range map[string]int{"": 350, "b": 300} {
+			withPairAcross(t, "a key", dataCentre, func(p *pair) {
+				p.load.Store(350)
+				time.Sleep(2 * time.Second)
+				load, _ := p.dialer.Load(&to)
+				p.Equal(load, want)
+			})
+		}
+	})
+}
+
 // Guards against an idle link whose other end is lost, which costs the first connections of a flood three seconds.
 func TestIdleLinkNoticesSilence(t *testing.T) {
 	withPair(t, "a key", func(p *pair) {
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -202,9 +202,12 @@
 func (p *Process) register(own *router.Config) {
 	given := p.config.Settings
 	p.registry = users.New(users.Config{
-		Store:       given.PlatformAddress,
-		Dial:        p.config.Dial,
-		Self:        users.Entry{Host: given.Host, Address: given.PeerAddress, DataCentre: given.DataCentre, Processor: int(given.ProcessorShare * 1000), Others: given.OthersAddress},
+		Store: given.PlatformAddress,
+		Dial:  p.config.Dial,
+		Self: users.Entry{
+			Host: given.Host, Address: given.PeerAddress, DataCentre: given.DataCentre, Region: given.Region,
+			Processor: int(given.ProcessorShare * 1000), Others: given.OthersAddress,
+		},
 		Cold:        users.ColdBound{Factor: given.ColdFactor, Slack: given.ColdSlack},
 		RevokeBound: given.RevokeBound,
 		Now:         p.config.Now,
--- a/router/relay.go
+++ b/router/relay.go
@@ -14,12 +14,14 @@
 	neighboursEvery = 500 * time.Millisecond
 	// mostNeighbours bounds the routers that take connections of this one. So many have room for the flood of one team.
 	mostNeighbours = 16
+	// mostAway bounds those of other data centres, which are the largest there: two of each of three others.
+	mostAway = 6
 )
 
 // watchNeighbours keeps links to the routers that may take connections, so that none must be made in a flood.
 func (r *Router) watchNeighbours(ctx context.Context) error {
 	for pause.For(ctx, neighboursEvery) {
-		list := neighbour.Nearest(r.config.Host, r.config.Neighbours(), mostNeighbours)
+		list := neighbour.Nearest(r.config.Host, r.config.Neighbours(), mostNeighbours, mostAway)
 		r.neighbours.Set(list)
 		r.handOvers.Want(time.Now(), list)
 	}
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -54,12 +54,14 @@
 var keys = []Key{
 	nameKey("host", "Name of this host, one of its own in the environment.", func(s *Settings) *string { return (*string)(&s.Host) }),
 	nameKey("data_centre", "Data centre that this host is in.", func(s *Settings) *string { return &s.DataCentre }),
+	optionalNameKey("region", "Region of the data centre, where there are several: connections are handed over to other data centres of the same region only.",
+		func(s *Settings) *string { return &s.Region }),
 	nameKey("environment", "Environment whose document is in force here.", func(s *Settings) *string { return &s.Environment }),
 	addressKey("callers_address", "Where callers send requests.", false, func(s *Settings) *netip.AddrPort { return &s.CallersAddress }),
 	addressKey("operator_address", "Where `/debug/vars` and `/healthz` are.", false, func(s *Settings) *netip.AddrPort { return &s.OperatorAddress }),
 	addressKey("peer_address", "Where other routers connect; they learn this address, so it must be one that they reach.", true,
 		func(s *Settings) *netip.AddrPort { return &s.PeerAddress }),
-	optionalAddressKey("others_address", "Where other routers hand over connections of callers while they have less left than this one; the routers of a data centre that name one take connections from each other.",
+	optionalAddressKey("others_address", "Where other routers hand over connections of callers while they have less left than this one; the routers of a region that name one take connections from each other.",
 		func(s *Settings) *netip.AddrPort { return &s.OthersAddress }),
 	addressKey("platform_address", "Address of the platform's object API.", true, func(s *Settings) *netip.AddrPort { return &s.PlatformAddress }),
 	peerKeyKey(),
@@ -135,6 +137,12 @@
 	}
 }
 
+func optionalNameKey(name, text string, field func(*Settings) *string) Key {
+	key := nameKey(name, text, field)
+	key.Required, key.initial, key.preset = false, "none", func(s *Settings) { *field(s) = "" }
+	return key
+}
+
 // addressKey makes a key of an address that others connect to (specific) or that only this process listens on.
 func addressKey(name, text string, specific bool, field func(*Settings) *netip.AddrPort) Key {
 	allowed := `an IP address and port, such as "10.1.2.3:8080"`
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -16,6 +16,7 @@
 type Settings struct {
 	Host            cell.HostID
 	DataCentre      string
+	Region          string // Region is empty where there is one only.
 	Environment     string
 	CallersAddress  netip.AddrPort
 	OperatorAddress netip.AddrPort
