Let a team that got much while there was room start anew, and small requests be tried behind long ones

Its credit goes millions of tokens below zero, and its counter stands above all others', so it comes last, not within its share, and is refused as too late for 6 s. On the bound of 8 failed tries a class adds that 8 long requests at the head keep all others of the class untried. core/due took sums over 3 s, in which that free room counts.

Ruled out: slots, memory and pauses as the first reason (the refused requests met no obstacle); a bound of tries a team and class (worse).

Change: a team owes a second of its share at most; the ledger fades in 1 s; a pass tries a request that is smaller than the 8th least one of its class that found no room, and each long one that too few are admitted of; core/due compares bucket by bucket.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"ryelug/core/cell"
@@ -20,6 +21,10 @@
 	stakeHorizon = 2 * limit.RateWindow
 	// closedRetry is the RetryAfter while no endpoint is open.
 	closedRetry = time.Second
+	// fadeEvery is the time between two fadings of what teams got more than others.
+	fadeEvery = 100 * time.Millisecond
+	// fadeSpan is the time constant of it: a sixth of the span in which a team is promised its part.
+	fadeSpan = time.Second
 )
 
 // Config describes a Dispatcher.
@@ -41,9 +46,10 @@
 	entries     *session.Table
 	dataCentres map[cell.HostID]string // dataCentres says where the entries are, as far as it is known.
 	waiting     session.Waiting
-	order       []turn         // order holds the waiting requests while they are tried.
-	failed      map[string]int // failed counts, by class, those that found no room meanwhile.
-	triedAt     time.Time      // triedAt is when the waiting requests were tried last.
+	order       []turn                 // order holds the waiting requests while they are tried.
+	failed      map[string][]cell.Cost // failed holds, by class, the least costs that found no room meanwhile, in their order.
+	fadedAt     time.Time              // fadedAt is when the ledger faded last.
+	triedAt     time.Time              // triedAt is when the waiting requests were tried last.
 	returns     queue.Returns
 	sizes       map[string]*fair.Sizes // sizes is by the class of requests.
 
@@ -68,7 +74,7 @@
 		cell:      config.Cell,
 		teamIndex: slot.NewIndex[cell.TeamID](),
 		entries:   session.New(),
-		failed:    make(map[string]int),
+		failed:    make(map[string][]cell.Cost),
 		sizes:     make(map[string]*fair.Sizes),
 	}
 	d.waiting = session.NewWaiting(d.entries, &d.ledger)
@@ -81,6 +87,7 @@
 func (d *Dispatcher) Step(now time.Time, ev dispatch.Event) []dispatch.Action {
 	d.now = now
 	d.out.Reset()
+	d.fade(now)
 	switch ev := ev.(type) {
 	case *dispatch.Want:
 		d.want(now, ev)
@@ -116,6 +123,16 @@
 	return d.out.Actions()
 }
 
+// fade lets a team that got more than others while there was room start anew when there is none.
+func (d *Dispatcher) fade(now time.Time) {
+	passed := now.Sub(d.fadedAt)
+	if passed < fadeEvery {
+		return
+	}
+	d.fadedAt = now
+	d.ledger.Fade(math.Exp(-passed.Seconds() / fadeSpan.Seconds()))
+}
+
 func (d *Dispatcher) setPolicy(policy *dispatch.Policy) {
 	d.dataCentres = policy.EntryDataCentres
 	d.shares.SetRate(policy.FairRate)
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -18,7 +18,7 @@
 	fewWaiting = 4                     // waiting requests that are tried at each event
 	tryPause   = 10 * time.Millisecond // between two tries of more of them
 	mostTried  = 4096                  // waiting requests that are put in order at a time
-	mostFailed = 8                     // tries of one class that find no room, after which a pass leaves the others of it alone; a pass may cost a tenth of the time between two
+	mostFailed = 8                     // tries of one class that find no room, after which a pass leaves those of it alone that are no smaller; a pass may cost a tenth of the time between two
 )
 
 // want takes in demands. One that comes after none that waits is tried at once, the others with those that wait:
@@ -66,8 +66,8 @@
 // and among them those of the teams that were served least. It refuses those that so many come before
 // that their time will be over.
 //
-// Many are tried once in a while only, not at each event that may have made room, and of each class only as long as some
-// find room: what a pass costs must not grow with what a flood lets wait.
+// Many are tried once in a while only, not at each event that may have made room, and of each class only those smaller
+// than several that found no room: what a pass costs must not grow with what a flood lets wait.
 func (d *Dispatcher) tryWaiting(now time.Time) {
 	if d.waiting.Len() > fewWaiting && now.Sub(d.triedAt) < tryPause {
 		return
@@ -77,12 +77,13 @@
 	clear(d.failed)
 	for _, turn := range d.turns(now) {
 		place := turn.place
-		class := d.waiting.At(place).Class
-		if d.failed[class] < mostFailed {
+		request := d.waiting.At(place)
+		class, cost := request.Class, request.Hint
+		if d.sizesOf(request).LacksLong(cost) || d.mayFit(class, cost) {
 			if d.try(now, place) {
 				continue
 			}
-			d.failed[class]++
+			d.fail(class, cost)
 		}
 		if !d.comesTooLate(now, place, ahead) {
 			ahead++
@@ -92,6 +93,20 @@
 	}
 }
 
+// mayFit tells whether a request is to be tried: room only shrinks in a pass, so one that costs no less than several of
+// its class that found none needs no try. A smaller one does, or long prompts at the head would keep all others out.
+func (d *Dispatcher) mayFit(class string, cost cell.Cost) bool {
+	failed := d.failed[class]
+	return len(failed) < mostFailed || cost < failed[mostFailed-1]
+}
+
+// fail notes that a request found no room in this pass.
+func (d *Dispatcher) fail(class string, cost cell.Cost) {
+	at, _ := slices.BinarySearch(d.failed[class], cost)
+	failed := slices.Insert(d.failed[class], at, cost)
+	d.failed[class] = failed[:min(len(failed), mostFailed)]
+}
+
 // turn is a waiting request in the order in which requests are tried.
 type turn struct {
 	place   int32
--- a/core/due/due_test.go
+++ b/core/due/due_test.go
@@ -72,6 +72,12 @@
 		table.Unmet(now, 1, 1)
 		is.True(table.IsBehind(now.Add(step*5), 1))
 	})
+	t.Run("one that got much while there was room", func(t *testing.T) {
+		is, table := is.New(t), newTable(2)
+		now := play(table, start, 2*time.Second, []cell.Cost{1000, 0}, []cell.Cost{1000, 0})
+		now = play(table, now, time.Second, []cell.Cost{1000, 1000}, []cell.Cost{0, 1000})
+		is.True(table.IsBehind(now, 0))
+	})
 	t.Run("silence is forgotten", func(t *testing.T) {
 		is, table := is.New(t), newTable(2)
 		now := play(table, start, 3*time.Second, []cell.Cost{100, 100}, []cell.Cost{100, 20})
--- a/core/due/table.go
+++ b/core/due/table.go
@@ -16,16 +16,15 @@
 // Table counts what teams asked for and got.
 type Table struct {
 	teams  []account
-	at     int       // at is the present bucket.
-	until  time.Time // until is when the present bucket ends.
-	best   float64   // best is what the best served team got in the span.
-	behind []int     // behind holds the teams that are behind, in their order.
+	at     int                  // at is the present bucket.
+	until  time.Time            // until is when the present bucket ends.
+	best   [bucketCount]float64 // best is what the best served team got, by bucket.
+	behind []int                // behind holds the teams that are behind, in their order.
 }
 
 // account is what is known of one team; sums are over all buckets.
 type account struct {
 	buckets  [bucketCount]bucket
-	asked    float64
 	got      float64
 	unmet    int
 	largest  float64 // largest is the cost of the largest request of late; it fades.
@@ -51,7 +50,6 @@
 	t.elapse(now)
 	of := &t.teams[team]
 	of.buckets[t.at].asked += float64(cost)
-	of.asked += float64(cost)
 	of.largest = max(of.largest, float64(cost))
 }
 
@@ -94,8 +92,14 @@
 	return of.got / owed
 }
 
-// owed returns what a team should have got: what it asked for, or what the best served team got if that is less.
-func (t *Table) owed(of *account) float64 { return min(of.asked, t.best) }
+// owed returns what a team should have got: what it asked for, or what the best served team got if that is less,
+// bucket by bucket: what one got while there was room for all counts for nothing later.
+func (t *Table) owed(of *account) (owed float64) {
+	for at := range of.buckets {
+		owed += min(of.buckets[at].asked, t.best[at])
+	}
+	return owed
+}
 
 // elapse begins new buckets and computes who is behind.
 func (t *Table) elapse(now time.Time) {
@@ -119,7 +123,6 @@
 // forget takes the oldest bucket out, which is used anew.
 func (a *account) forget(at int) {
 	oldest := &a.buckets[at]
-	a.asked -= oldest.asked
 	a.got -= oldest.got
 	a.unmet -= oldest.unmet
 	a.largest *= 1 - 1.0/bucketCount
@@ -127,9 +130,12 @@
 }
 
 func (t *Table) compute() {
-	t.best, t.behind = 0, t.behind[:0]
-	for i := range t.teams {
-		t.best = max(t.best, t.teams[i].got)
+	t.behind = t.behind[:0]
+	for at := range t.best {
+		t.best[at] = 0
+		for i := range t.teams {
+			t.best[at] = max(t.best[at], t.teams[i].buckets[at].got)
+		}
 	}
 	for i := range t.teams {
 		of := &t.teams[i]
--- a/core/fair/ledger.go
+++ b/core/fair/ledger.go
@@ -74,6 +74,16 @@
 	l.backlog.Remove(team)
 }
 
+// Fade multiplies by a factor what the counters stand above the virtual time.
+func (l *Ledger) Fade(factor float64) {
+	virtual := l.virtual()
+	for team, counter := range l.counters {
+		if counter > virtual {
+			l.set(team, virtual+factor*(counter-virtual))
+		}
+	}
+}
+
 // Least returns the backlogged team with the least counter.
 func (l *Ledger) Least() (team int, ok bool) { return l.backlog.Min() }
 
--- a/core/fair/ledger_test.go
+++ b/core/fair/ledger_test.go
@@ -38,3 +38,15 @@
 		is.True(ledger.SettledVirtual() >= 1e15) // Others see the same scale as before.
 	}
 }
+
+// Guards against a team whose turn comes last long after it got more than others.
+func TestFade(t *testing.T) {
+	is := is.New(t)
+	var ledger fair.Ledger
+	ledger.Grow(2)
+	ledger.Enter(0, 0)
+	ledger.Enter(1, 0)
+	ledger.Charge(0, 1000)
+	ledger.Fade(0.5)
+	is.Equal([]float64{ledger.Counter(0), ledger.Counter(1)}, []float64{500, 0})
+}
--- a/core/fair/share.go
+++ b/core/fair/share.go
@@ -11,7 +11,7 @@
 const (
 	shareInterval = 250 * time.Millisecond // between two computations of the max-min level
 	askedSpan     = 2 * time.Second        // time constant of the averages of what teams ask for
-	creditSpan    = time.Second            // what a team may save up, at the level
+	creditSpan    = time.Second            // what a team may save up or owe, at the level
 )
 
 // Shares tells which requests lie within their team's max-min share of a rate:
@@ -58,7 +58,8 @@
 
 // Use takes in that a request of a team was granted.
 func (s *Shares) Use(team int, cost cell.Cost) {
-	s.teams[team].credit -= float64(cost)
+	of := &s.teams[team]
+	of.credit = max(of.credit-float64(cost), -s.level*creditSpan.Seconds()) // Room that nobody else wanted is not paid for later.
 	s.granted += float64(cost) / askedSpan.Seconds()
 }
 
--- a/core/fair/share_test.go
+++ b/core/fair/share_test.go
@@ -36,3 +36,29 @@
 	got := float64(within[2]) / (steps / 10)
 	is.True(got > 60 && got < 85) // 70 are left
 }
+
+// Guards against a team that pays for seconds afterwards for room that nobody else wanted.
+func TestUseOfFreeRoomIsNotOwed(t *testing.T) {
+	is := is.New(t)
+	var shares fair.Shares
+	shares.SetRate(100)
+	shares.Grow(2)
+	now := time.Now()
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		shares.Ask(now, 0, 100)
+		shares.Use(0, 100)
+	}
+	for range 11 {
+		now = now.Add(100 * time.Millisecond)
+		shares.Ask(now, 1, 100)
+		shares.Ask(now, 0, 100)
+	}
+	is.True(!shares.Within(now, 0)) // It owes a second of its share.
+	for range 11 {
+		now = now.Add(100 * time.Millisecond)
+		shares.Ask(now, 1, 100)
+		shares.Ask(now, 0, 100)
+	}
+	is.True(shares.Within(now, 0))
+}
