--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -16,7 +16,7 @@
 
 const (
 	fewWaiting = 4                     // waiting requests that are tried at each event
-	manyOfTeam = 32                    // waiting requests of a team from which on it can't get most of them in time, so that its newest come first
+	manyOfTeam = 64                    // waiting requests of a team from which on it can't get most of them in time, so that its newest come first
 	tryPause   = 10 * time.Millisecond // between two tries of more of them
 	mostTried  = 4096                  // waiting requests that are put in order at a time
 	mostFailed = 32                    // tries of one class that find no room, after which a pass leaves the others of it alone: with 5 classes and 90 engines a pass then takes less than half of the time between two
