Report connections that end without an answer

Each connection of a caller now knows whether a request on it has no answer yet. What is still open when a shutdown gives up is reported as well. No behaviour toward callers changes.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -18,7 +18,8 @@
 	processorDelay func() time.Duration // processorDelay returns how long runnable work in this process currently waits for a processor.
 	busy           func() bool          // busy reports whether this process is close to its capacity.
 	singleRequest  bool                 // singleRequest limits each connection to one request.
-	accepted       *atomic.Int64        // accepted counts the accepted connections.
+	server         *Server
+	accepted       *atomic.Int64 // accepted counts the accepted connections.
 
 	closing  sync.Once
 	closeErr error // closeErr is the error of the first Close.
@@ -40,11 +41,14 @@
 		}
 		l.accepted.Add(1)
 		if l.busy() && hasClosed(raw) {
+			l.server.config.Unanswered(Unanswered{Cause: CallerClosed, Caller: raw.RemoteAddr()})
 			raw.Close() // The caller disconnected while the connection waited to be accepted.
 			continue
 		}
 		if !l.handOver(raw) {
-			return &conn{Conn: raw, writeTimeout: l.writeTimeout, singleRequest: l.singleRequest, age: requestAge(raw, l.processorDelay())}, nil
+			return l.server.track(&conn{
+				Conn: raw, server: l.server, writeTimeout: l.writeTimeout, singleRequest: l.singleRequest, age: requestAge(raw, l.processorDelay()),
+			}), nil
 		}
 	}
 }
@@ -53,6 +57,7 @@
 // a disconnect is only seen by a read.
 type conn struct {
 	net.Conn
+	server        *Server
 	writeTimeout  time.Duration
 	singleRequest bool          // singleRequest means that the connection is closed after its first request.
 	receivedAny   bool          // receivedAny is set once Read has returned data; only the goroutine that serves the connection uses it.
@@ -60,6 +65,7 @@
 
 	mu        sync.Mutex
 	readAhead []byte // readAhead holds the byte of the next request that watch has read, if any.
+	progress  progress
 }
 
 // requestAge returns how long the first request of a new connection has already waited. For a connection that another
@@ -89,12 +95,16 @@
 	if len(c.readAhead) > 0 && len(p) > 0 {
 		n := copy(p, c.readAhead)
 		c.readAhead = c.readAhead[n:]
+		c.progress.noteRead(n, nil)
 		c.mu.Unlock()
 		return n, nil
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.receivedAny = c.receivedAny || n > 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.noteRead(n, err)
 	return n, err
 }
 
@@ -103,7 +113,25 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.noteWrite(n, err)
+	return n, err
+}
+
+// begin records the ID of the request that is about to be served.
+func (c *conn) begin(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.request = request
+}
+
+// Close implements net.Conn. It reports a request that was not answered.
+func (c *conn) Close() error {
+	c.reportUnanswered()
+	c.server.untrack(c)
+	return c.Conn.Close()
 }
 
 // watch starts a goroutine that calls gone when the caller closes the connection. The returned function stops the
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,7 +41,7 @@
 	go func() {
 		defer s.relayed.Add(-1)
 		defer near.Close()
-		to.Ended(s.relay(near, to.Conn))
+		to.Ended(s.relay(near, to.Conn, time.Now()))
 	}()
 	return true
 }
@@ -51,26 +52,48 @@
 }
 
 // relay copies bytes in both directions until one side closes, and reports whether the other router served the request.
-// near is the caller's connection, far the one to the other router.
-func (s *Server) relay(near, far net.Conn) (served bool) {
+// near is the caller's connection, far the one to the other router, and since when the relay began.
+func (s *Server) relay(near, far net.Conn, since time.Time) (served bool) {
 	defer far.Close()
+	var received atomic.Int64
 	go func() {
 		buffer := relayBuffers.Get().(*[relayBufferSize]byte)
 		defer relayBuffers.Put(buffer)
 		// The struct types hide WriteTo and ReadFrom, with which io.CopyBuffer would bypass the buffer. When the caller
 		// disconnects or the write to the other router fails, closing far ends the other direction too.
-		_, _ = io.CopyBuffer(struct{ io.Writer }{far}, struct{ io.Reader }{near}, buffer[:])
+		_, _ = io.CopyBuffer(struct{ io.Writer }{far}, countingReader{near, &received}, buffer[:])
 		far.Close()
 	}()
-	return s.relayAnswer(near, far)
+	begun, served, err := s.relayAnswer(near, far)
+	if !begun {
+		end := Unanswered{Cause: RelayEnded, Caller: near.RemoteAddr(), Received: int(received.Load()), Unread: hasUnread(near), Age: time.Since(since), Err: err}
+		if hasClosed(near) {
+			end.Cause = CallerClosed
+		}
+		s.config.Unanswered(end)
+	}
+	return served
+}
+
+// countingReader adds the number of bytes that are read to a counter.
+type countingReader struct {
+	io.Reader
+	read *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read.Add(int64(n))
+	return n, err
 }
 
-// relayAnswer copies the answer from far to near as it arrives, and reports whether the other router served the request:
-// its answer has begun and is not a refusal.
-func (s *Server) relayAnswer(near, far net.Conn) (served bool) {
+// relayAnswer copies the answer from far to near as it arrives, until a read or write fails with err. It reports whether
+// an answer has begun, and whether the other router served the request: its answer has begun and is not a refusal.
+func (s *Server) relayAnswer(near, far net.Conn) (begun, served bool, err error) {
 	buffer := relayBuffers.Get().(*[relayBufferSize]byte)
 	defer relayBuffers.Put(buffer)
-	for begun := false; ; {
+	for {
 		n, err := far.Read(buffer[:])
 		if n > 0 && !begun {
 			begun, served = true, !bytes.HasPrefix(buffer[:n], refusedStatus)
@@ -79,11 +102,11 @@
 			s.done.shared.Add(1)
 			_ = near.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
 			if _, failed := near.Write(buffer[:n]); failed != nil {
-				return served
+				return begun, served, failed
 			}
 		}
 		if err != nil {
-			return served
+			return begun, served, err
 		}
 	}
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -6,10 +6,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +60,7 @@
 	Late         func() time.Duration                  // Late returns how long runnable work currently waits for a processor; nil means zero.
 	Busy         func() bool                           // Busy reports whether the process is close to its capacity, so that callers may have disconnected while they waited to be accepted; nil means never.
 	Panicked     func(Panic)                           // Panicked is called when the handler panics; may be nil.
+	Unanswered   func(Unanswered)                      // Unanswered is called when a connection ends before the answer to a request on it has begun; may be nil.
 }
 
 // Shed reports whether a request is to be refused immediately, and with which refusal.
@@ -83,6 +87,9 @@
 
 	closing context.Context // closing is cancelled by Shutdown.
 	close   context.CancelFunc
+
+	openMu sync.Mutex         // openMu guards open.
+	open   map[*conn]struct{} // open holds the connections that are served here.
 }
 
 // New returns a Server with the given configuration; it accepts no connections until Serve or ServeOthers is called.
@@ -108,7 +115,10 @@
 	if config.Panicked == nil {
 		config.Panicked = func(Panic) {}
 	}
-	s := &Server{config: config, prefix: uuid.NewString()}
+	if config.Unanswered == nil {
+		config.Unanswered = func(Unanswered) {}
+	}
+	s := &Server{config: config, prefix: uuid.NewString(), open: make(map[*conn]struct{})}
 	s.closing, s.close = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:                      s.serve,
@@ -149,7 +159,7 @@
 }
 
 func (s *Server) serveOn(ln *listener) error {
-	ln.writeTimeout, ln.processorDelay, ln.busy = s.config.WriteTimeout, s.config.Late, s.config.Busy
+	ln.server, ln.writeTimeout, ln.processorDelay, ln.busy = s, s.config.WriteTimeout, s.config.Late, s.config.Busy
 	defer context.AfterFunc(s.closing, func() { _ = ln.Close() })() // Shutdown returns the error.
 	err := s.http.Serve(ln)
 	if s.closing.Err() != nil {
@@ -197,9 +207,34 @@
 	err := s.http.ShutdownWithContext(ctx)
 	for s.relayed.Load() > 0 && pause.For(ctx, relayPoll) {
 	}
+	for _, one := range s.tracked() {
+		one.reportUnanswered()
+	}
 	return err
 }
 
+// track adds a connection to the open ones and returns it.
+func (s *Server) track(c *conn) *conn {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	s.open[c] = struct{}{}
+	return c
+}
+
+// untrack removes a connection from the open ones.
+func (s *Server) untrack(c *conn) {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	delete(s.open, c)
+}
+
+// tracked returns the open connections.
+func (s *Server) tracked() []*conn {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	return slices.Collect(maps.Keys(s.open))
+}
+
 // serve runs the handler in a goroutine of its own and writes its answer; it is called on a fasthttp goroutine.
 func (s *Server) serve(rc *fasthttp.RequestCtx) {
 	req := s.request(rc)
@@ -207,6 +242,9 @@
 		rc.Response.Header.Set(headerRequestID, req.ID)
 	}
 	link, isLink := rc.Conn().(*conn)
+	if isLink {
+		link.begin(req.ID)
+	}
 	if s.draining.Load() || isLink && link.singleRequest {
 		rc.SetConnectionClose()
 	}
@@ -345,7 +383,7 @@
 // handleReadError refuses a request that fasthttp could not read; the handler has not seen it.
 func (s *Server) handleReadError(rc *fasthttp.RequestCtx, err error) {
 	if link, ok := rc.Conn().(*conn); ok && !link.receivedAny {
-		link.Close() // The caller sent nothing, so there is no request to answer.
+		_ = link.Close() // The caller sent nothing, so there is no request to answer.
 		return
 	}
 	code := result.BadRequest
--- /dev/null
+++ b/io/caller/unanswered_test.go
@@ -0,0 +1,83 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/io/caller"
+)
+
+// closingStream is a relayed connection whose other router reads a number of bytes and closes it.
+func closingStream(bytes int) net.Conn {
+	near, far := net.Pipe()
+	go func() {
+		_, _ = io.ReadFull(far, make([]byte, bytes))
+		far.Close()
+	}()
+	return near
+}
+
+// Checks that each way in which a connection can end without an answer is reported once, with its cause.
+func TestUnansweredConnectionsAreReported(t *testing.T) {
+	blocked := func(ctx context.Context, _ *caller.Request, _ caller.Writer) { <-ctx.Done() }
+	report := func(config caller.Config) (*caller.Server, net.Listener, chan caller.Unanswered) {
+		ends := make(chan caller.Unanswered, 10)
+		config.Unanswered = func(end caller.Unanswered) { ends <- end }
+		server, ln := caller.New(config), listen(t)
+		go func() { _ = server.Serve(ln) }()
+		return server, ln, ends
+	}
+	t.Run("the server stops while a request is served", func(t *testing.T) {
+		is := is.New(t)
+		started := make(chan struct{})
+		handler := &handlerFunc{serve: func(ctx context.Context, _ *caller.Request, _ caller.Writer) { close(started); <-ctx.Done() }}
+		server, ln, ends := report(caller.Config{Handler: handler})
+		_, err := fmt.Fprint(dial(t, ln.Addr().String()), request)
+		is.NoErr(err)
+		<-started
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		is.True(server.Shutdown(ctx) != nil)
+		end := <-ends
+		is.Equal(end.Cause, caller.Stopped)
+		is.Equal(end.Received, len(request))
+		is.True(end.Request != "")
+	})
+	t.Run("the caller resets the connection", func(t *testing.T) {
+		is := is.New(t)
+		_, ln, ends := report(caller.Config{Handler: &handlerFunc{serve: blocked}})
+		conn := dial(t, ln.Addr().String())
+		_, err := fmt.Fprint(conn, request)
+		is.NoErr(err)
+		is.NoErr(conn.(*net.TCPConn).SetLinger(0)) // The server only notices that a write fails if the connection is reset.
+		is.NoErr(conn.Close())
+		is.Equal((<-ends).Cause, caller.CallerClosed)
+	})
+	t.Run("the other router closes a relayed connection", func(t *testing.T) {
+		is := is.New(t)
+		relay := caller.Relay{Conn: closingStream(len(request)), Ended: func(bool) {}}
+		_, ln, ends := report(caller.Config{
+			Handler: &handlerFunc{serve: blocked}, MaxConns: 10,
+			Elsewhere: func(time.Duration) (caller.Relay, bool) { return relay, true },
+		})
+		_, err := fmt.Fprint(dial(t, ln.Addr().String()), request)
+		is.NoErr(err)
+		end := <-ends
+		is.Equal(end.Cause, caller.RelayEnded)
+		is.Equal(end.Received, len(request))
+	})
+	t.Run("an answered request is not reported", func(t *testing.T) {
+		is := is.New(t)
+		server, ln, ends := report(caller.Config{Handler: &handlerFunc{serve: echo}})
+		conn := dial(t, ln.Addr().String())
+		(&pair{}).ask(is, conn, "/")
+		is.NoErr(server.Shutdown(t.Context()))
+		is.Equal(len(ends), 0)
+	})
+}
--- a/io/caller/unread.go
+++ b/io/caller/unread.go
@@ -27,13 +27,25 @@
 	if detector, ok := conn.(closeDetector); ok {
 		return detector.IsRemoteClosed()
 	}
-	closed := false
+	return poll(conn, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// hasUnread reports whether received bytes wait to be read on a TCP connection that the other end has not closed; it is
+// false for other connections.
+func hasUnread(conn net.Conn) bool {
+	return poll(conn, unix.POLLIN|unix.POLLRDHUP)&(unix.POLLIN|unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) == unix.POLLIN
+}
+
+// poll returns the events that have occurred on a TCP connection; zero for other connections.
+func poll(conn net.Conn, events int16) int16 {
+	var occurred int16
 	withSocket(conn, func(socket int) {
-		state := []unix.PollFd{{Fd: int32(socket), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(state, 0)
-		closed = err == nil && n > 0 && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		state := []unix.PollFd{{Fd: int32(socket), Events: events}}
+		if n, err := unix.Poll(state, 0); err == nil && n > 0 {
+			occurred = state[0].Revents
+		}
 	})
-	return closed
+	return occurred
 }
 
 // withSocket calls f with the file descriptor of a TCP connection; it does nothing for other connections.
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -68,6 +68,7 @@
 		"latency":         func() any { return p.latencies.read() },
 		"log_dropped":     func() any { return p.dropped() },
 		"handed_over":     func() any { return p.router.HandedOver() },
+		"unanswered":      func() any { return p.router.Unanswered() },
 		"answers_long":    func() any { return p.endpoints.OversizedAnswers() },
 		"answers_leaving": func() any { return p.endpoints.LeavingAnswers() },
 		"answers_resting": func() any { return p.endpoints.RestingAnswers() },
--- a/router/router.go
+++ b/router/router.go
@@ -39,6 +39,7 @@
 	unserved       *due.Unserved                       // unserved sums up, for the dispatchers, the requests that were refused without asking them.
 	handoverDialer *handover.Dialer                    // handoverDialer is nil if Config.Neighbours is.
 	earlyLog       *earlyRefusalLog                    // earlyLog logs requests that are refused before a dispatcher is asked.
+	unanswered     *unansweredLog                      // unanswered logs connections that end without an answer.
 	handedOver     atomic.Int64                        // handedOver counts connections that were handed over to other routers.
 
 	closedMu sync.Mutex     // closedMu guards closed, and orders requests.Add before requests.Wait.
@@ -60,6 +61,7 @@
 		Standings: r.standings, Unserved: r.unserved,
 	})
 	r.earlyLog = newEarlyRefusalLog(r.requestLog, conf.DataCentre)
+	r.unanswered = newUnansweredLog(r.requestLog)
 	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
 	r.runner = request.New(request.Config{
@@ -78,6 +80,7 @@
 	conf.Callers.Handler = r
 	conf.Callers.Refused = conf.Counter.Refused
 	conf.Callers.Panicked = r.panicked
+	conf.Callers.Unanswered = r.unanswered.record
 	conf.Callers.Shed = r.shed
 	conf.Callers.Late, conf.Callers.Busy = r.schedulingDelay, r.admission.IsBusy
 	if conf.Neighbours != nil {
