Say in the frame that ends a stream whether any of it was read

A router that hands a connection over could not tell whether the other one closed it from its queue, unread, or after it had begun to work on its request: both were the same frame. So it could neither serve the request itself nor promise that it had not run.

The accepting end now puts one byte of data into the frame if it closes a stream of which Read has returned nothing: beyond the queue, from the queue at Close, or accepted and closed by the server. Stream.IsRejected tells it to the other end. A frame of that kind could always carry data, which older releases do not look at, and one without data still means that nothing is known; so the protocol's version stays. A new kind of frame was ruled out: an older release would end the link.

With the byte sent always, the tests of io/caller for outcomes that are not known fail.

--- a/io/handover/accept.go
+++ b/io/handover/accept.go
@@ -15,7 +15,7 @@
 )
 
 // maxQueuedStreams is the capacity of the queue of streams that Accept has not returned yet. Streams beyond it are closed
-// unread, so that their callers may retry.
+// unread, so that the other router may serve their requests.
 const maxQueuedStreams = 1024
 
 // Identity holds what a router presents to another one when they set up a link.
--- a/io/handover/frames.go
+++ b/io/handover/frames.go
@@ -13,13 +13,17 @@
 const (
 	kindOpen   kind = iota + 1 // kindOpen opens a stream; its number is the age of the connection in milliseconds.
 	kindData                   // kindData carries bytes of a stream.
-	kindEnd                    // kindEnd closes both directions of a stream.
+	kindEnd                    // kindEnd closes both directions of a stream; its data may be endUnread.
 	kindWindow                 // kindWindow enlarges the send window of a stream; its number is the increment in bytes.
 	kindLoad                   // kindLoad reports the processor utilisation of the sender; its number is in thousandths.
 	kindPing                   // kindPing requests a kindPong.
 	kindPong                   // kindPong answers a kindPing.
 )
 
+// endUnread is the data of the kindEnd frame of a stream that the accepting end closed before it read any byte. Peers of
+// older releases neither send it nor look at the data.
+var endUnread = []byte{1}
+
 // errMalformedFrame is wrapped by all errors about frames that are malformed or violate the protocol.
 var errMalformedFrame = errors.New("malformed hand-over frame")
 
@@ -29,7 +33,7 @@
 	kind   kind
 	stream uint64 // stream is the ID of the stream; zero in frames that concern the whole link.
 	number uint64 // number is the value in a kindOpen, kindWindow or kindLoad frame; zero in others.
-	data   []byte // data is the payload of a kindData frame; after parse it is valid until the next frame is read.
+	data   []byte // data is the payload of a kindData or kindEnd frame; after parse it is valid until the next frame is read.
 }
 
 // hasNumber reports whether frames of this kind carry a number in place of data.
--- a/io/handover/frames_test.go
+++ b/io/handover/frames_test.go
@@ -13,7 +13,7 @@
 func TestFrames(t *testing.T) {
 	for _, m := range []message{
 		{kind: kindOpen, stream: 1, number: 1234}, {kind: kindData, stream: 1 << 40, data: []byte("some bytes")},
-		{kind: kindEnd, stream: 7}, {kind: kindWindow, stream: 7, number: 32 << 10}, {kind: kindLoad, number: 500}, {kind: kindPing}, {kind: kindPong},
+		{kind: kindEnd, stream: 7}, {kind: kindEnd, stream: 7, data: endUnread}, {kind: kindWindow, stream: 7, number: 32 << 10}, {kind: kindLoad, number: 500}, {kind: kindPing}, {kind: kindPong},
 	} {
 		is := is.New(t)
 		encoded := m.appendTo(nil)
--- a/io/handover/handover_test.go
+++ b/io/handover/handover_test.go
@@ -135,6 +135,7 @@
 			all, err := io.ReadAll(ours)
 			p.NoErr(err)
 			p.Equal(string(all), "an answer")
+			p.True(!ours.IsRejected())
 		})
 	})
 	t.Run("a caller that leaves is noticed without a read", func(t *testing.T) {
@@ -316,10 +317,12 @@
 			p.NoErr(p.acceptor.Close())
 			_, err := ours.Read(make([]byte, 1))
 			p.Equal(err, io.EOF)
+			p.True(ours.IsRejected())
 			late, ok := p.dialer.Open(at, 0)
 			p.True(ok)
 			_, err = late.Read(make([]byte, 1))
 			p.Equal(err, io.EOF)
+			p.True(late.IsRejected())
 		})
 	})
 }
--- a/io/handover/link.go
+++ b/io/handover/link.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -213,6 +214,9 @@
 	case kindWindow:
 		stream.grant(m.number)
 	case kindEnd:
+		if bytes.Equal(m.data, endUnread) {
+			stream.reject()
+		}
 		stream.end(io.EOF)
 	}
 	return nil
--- a/io/handover/stream.go
+++ b/io/handover/stream.go
@@ -25,6 +25,8 @@
 	sendWindow     int           // sendWindow is how many more bytes may be sent.
 	ended          error         // ended is the error that Read returns after the last byte; nil while more may arrive.
 	closed         bool          // closed is set by Close.
+	readAny        bool          // readAny is set when Read returns bytes.
+	rejected       bool          // rejected means that the other end closed the stream before it read any byte.
 	readDeadline   time.Time     // readDeadline is the read deadline; zero means none.
 	readTimer      *time.Timer   // readTimer wakes a blocked read at its deadline.
 	writeDeadline  time.Time     // writeDeadline is the write deadline; zero means none.
@@ -76,6 +78,7 @@
 		return 0, 0, s.ended
 	}
 	n = copy(p, s.in)
+	s.readAny = s.readAny || n > 0
 	if s.in = s.in[n:]; len(s.in) == 0 {
 		s.in = nil
 	}
@@ -138,11 +141,16 @@
 	}
 }
 
-// Close implements net.Conn. It closes both directions and always returns nil.
+// Close implements net.Conn. It closes both directions and always returns nil. The accepting end also reports to the other
+// one if no byte was read before.
 func (s *Stream) Close() error {
 	s.mu.Lock()
 	notified := s.closed || s.ended != nil
 	s.closed = true
+	end := &message{kind: kindEnd, stream: s.id}
+	if s.link.accept != nil && !s.readAny {
+		end.data = endUnread
+	}
 	if s.readTimer != nil {
 		s.readTimer.Stop()
 	}
@@ -150,7 +158,7 @@
 	wake(s.readable)
 	wake(s.writable)
 	if !notified {
-		s.link.send(&message{kind: kindEnd, stream: s.id})
+		s.link.send(end)
 	}
 	s.link.release(s)
 	return nil
@@ -189,6 +197,20 @@
 	wake(s.writable)
 }
 
+// reject records that the other end has read nothing and will not.
+func (s *Stream) reject() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected = true
+}
+
+// IsRejected reports whether the accepting router closed the stream before it read any byte, so it served no request of it.
+func (s *Stream) IsRejected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
 // IsRemoteClosed reports whether the other end has closed the stream or the link has failed.
 func (s *Stream) IsRemoteClosed() bool {
 	s.mu.Lock()
