Answer the caller of a relayed connection that the other router ends

Callers saw a connection end without an answer ("unexpected EOF", "connection reset by peer") although the router that they were connected to had read the whole request and lived on.

Cause: the relay copied bytes in both directions until one side closed, whatever had been answered by then. If the other router closed the connection before its answer (its queue was full, it stopped, its link was lost), nobody answered.

The relay now keeps the first 80 KiB of a request until its answer begins. If none does, and the caller is still connected, the request is served here, by the same rules as any other, if the other router cannot have run it: it reports that it read nothing, or the request was not passed on completely. It is refused as overloaded (not run, Retry-After 1 s) if the server has no connection left for it, and as outcome_unknown in all other cases. After such an answer the sending side is closed and what still arrives is read for a second at most, so that no reset discards the answer. Refusals are counted. An answer that has begun is never followed by another.

80 KiB are more than the window of a stream and a copy buffer, so what was not read is always kept whole.

Ruled out: handing the request to a third router (a second relay could fail in the same way, and serving it here meets admission, whose refusals bear a true Retry-After); repeating a request of which anything was read, which could run twice.

--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -2,10 +2,9 @@
 
 import (
 	"bytes"
-	"io"
+	"cmp"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +12,7 @@
 	relayPoll       = 10 * time.Millisecond // relayPoll is the interval at which Shutdown checks whether relayed connections are still open.
 	relayBufferSize = 4 << 10               // relayBufferSize is the size in bytes of a copy buffer, enough for a few events of a stream.
 	relaysPerConn   = 2                     // relaysPerConn is the number of relayed connections that use as much memory as one connection served here.
+	maxKeptRequest  = 80 << 10              // maxKeptRequest limits the bytes of a relayed request that are kept until its answer begins; more than a handover.Stream takes without a read at its other end.
 )
 
 // refusedStatus is the start of an answer that refuses a request.
@@ -33,7 +33,8 @@
 	if s.config.Elsewhere == nil || s.inUse() >= s.config.MaxConns {
 		return false
 	}
-	to, ok := s.config.Elsewhere(requestAge(near, s.config.Late()))
+	age := requestAge(near, s.config.Late())
+	to, ok := s.config.Elsewhere(age)
 	if !ok {
 		return false
 	}
@@ -41,7 +42,12 @@
 	go func() {
 		defer s.relayed.Add(-1)
 		defer near.Close()
-		to.Ended(s.relay(near, to.Conn, time.Now()))
+		r := &relay{server: s, near: near, far: to.Conn, age: age, since: time.Now(), forwarded: make(chan struct{})}
+		r.run()
+		to.Ended(r.served)
+		if !r.begun {
+			r.answer()
+		}
 	}()
 	return true
 }
@@ -51,57 +57,94 @@
 	return int(s.http.GetOpenConnectionsCount()) + int(s.relayed.Load())/relaysPerConn
 }
 
-// relay copies bytes in both directions until one side closes, and reports whether the other router served the request.
-// near is the caller's connection, far the one to the other router, and since when the relay began.
-func (s *Server) relay(near, far net.Conn, since time.Time) (served bool) {
-	defer far.Close()
-	var received atomic.Int64
-	go func() {
-		buffer := relayBuffers.Get().(*[relayBufferSize]byte)
-		defer relayBuffers.Put(buffer)
-		// The struct types hide WriteTo and ReadFrom, with which io.CopyBuffer would bypass the buffer. When the caller
-		// disconnects or the write to the other router fails, closing far ends the other direction too.
-		_, _ = io.CopyBuffer(struct{ io.Writer }{far}, countingReader{near, &received}, buffer[:])
-		far.Close()
-	}()
-	begun, served, err := s.relayAnswer(near, far)
-	if !begun {
-		end := Unanswered{Cause: RelayEnded, Caller: near.RemoteAddr(), Received: int(received.Load()), Unread: hasUnread(near), Age: time.Since(since), Err: err}
-		if hasClosed(near) {
-			end.Cause = CallerClosed
+// relay is a caller's connection that is passed on to another router.
+type relay struct {
+	server *Server
+	near   net.Conn      // near is the caller's connection.
+	far    net.Conn      // far is the connection to the other router.
+	age    time.Duration // age is how long the connection had waited when it was handed over.
+	since  time.Time     // since is when the relay began.
+
+	begun  bool  // begun means that an answer has begun; only run sets it.
+	served bool  // served means that the answer has begun and is not a refusal.
+	err    error // err is the error that ended the answer.
+
+	forwarded chan struct{} // forwarded is closed when forward has returned, which owns received, sent and firstRead until then.
+	received  int           // received is the number of bytes that were read from the caller.
+	sent      int           // sent is the number of bytes that were written to the other router.
+	firstRead time.Time     // firstRead is when the first byte was read.
+
+	mu       sync.Mutex
+	kept     []byte // kept holds the first bytes that were read, at most maxKeptRequest, until the answer begins.
+	answered bool   // answered means that nothing more is kept.
+}
+
+// run copies bytes in both directions until one side closes, and then closes the connection to the other router.
+func (r *relay) run() {
+	go r.forward()
+	r.begun, r.served, r.err = r.copyAnswer()
+	r.far.Close()
+	_ = r.near.SetReadDeadline(pastDeadline) // Fails only if the connection is closed, which ends forward too.
+	<-r.forwarded
+	_ = r.near.SetReadDeadline(time.Time{})
+}
+
+// forward copies the request to the other router until a read or write fails, and then closes the connection to that
+// router.
+func (r *relay) forward() {
+	defer close(r.forwarded)
+	buffer := relayBuffers.Get().(*[relayBufferSize]byte)
+	defer relayBuffers.Put(buffer)
+	for {
+		n, err := r.near.Read(buffer[:])
+		if n > 0 {
+			r.keep(buffer[:n])
+			sent, failed := r.far.Write(buffer[:n])
+			r.sent += sent
+			err = cmp.Or(failed, err)
+		}
+		if err != nil {
+			r.far.Close()
+			return
 		}
-		s.config.Unanswered(end)
 	}
-	return served
 }
 
-// countingReader adds the number of bytes that are read to a counter.
-type countingReader struct {
-	io.Reader
-	read *atomic.Int64
+// keep counts bytes of the request and stores them while no answer has begun.
+func (r *relay) keep(data []byte) {
+	if r.received == 0 {
+		r.firstRead = time.Now()
+	}
+	r.received += len(data)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.answered {
+		r.kept = append(r.kept, data[:min(len(data), maxKeptRequest-len(r.kept))]...)
+	}
 }
 
-// Read implements io.Reader.
-func (r countingReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.read.Add(int64(n))
-	return n, err
+// dropKept releases the kept bytes, because an answer has begun.
+func (r *relay) dropKept() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered, r.kept = true, nil
 }
 
-// relayAnswer copies the answer from far to near as it arrives, until a read or write fails with err. It reports whether
-// an answer has begun, and whether the other router served the request: its answer has begun and is not a refusal.
-func (s *Server) relayAnswer(near, far net.Conn) (begun, served bool, err error) {
+// copyAnswer copies the answer to the caller as it arrives, until a read or write fails with err. It reports whether an
+// answer has begun, and whether the other router served the request: its answer has begun and is not a refusal.
+func (r *relay) copyAnswer() (begun, served bool, err error) {
 	buffer := relayBuffers.Get().(*[relayBufferSize]byte)
 	defer relayBuffers.Put(buffer)
 	for {
-		n, err := far.Read(buffer[:])
+		n, err := r.far.Read(buffer[:])
 		if n > 0 && !begun {
 			begun, served = true, !bytes.HasPrefix(buffer[:n], refusedStatus)
+			r.dropKept()
 		}
 		if n > 0 {
-			s.done.shared.Add(1)
-			_ = near.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
-			if _, failed := near.Write(buffer[:n]); failed != nil {
+			r.server.done.shared.Add(1)
+			_ = r.near.SetWriteDeadline(time.Now().Add(r.server.config.WriteTimeout))
+			if _, failed := r.near.Write(buffer[:n]); failed != nil {
 				return begun, served, failed
 			}
 		}
