Deliver an early answer of a relayed connection

Callers of a request that the other router answered before it had read all of it (too large, refused) saw "connection reset by peer" in place of that answer.

Causes: when a write to the other router failed, the relay closed the connection to it, and with it discarded what had arrived but had not been copied yet; and the caller's connection was closed while bytes of the request waited in the socket, which resets it.

After a failed write the relay reads on until the other router's end.

TestEarlyAnswerOfRelayIsNotLost failed before: "read: connection reset by peer".

--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"net"
 	"sync"
 	"time"
@@ -45,8 +44,11 @@
 		r := &relay{server: s, near: near, far: to.Conn, age: age, since: time.Now(), forwarded: make(chan struct{})}
 		r.run()
 		to.Ended(r.served)
-		if !r.begun {
+		switch {
+		case !r.begun:
 			r.answer()
+		case hasUnread(near):
+			linger(near)
 		}
 	}()
 	return true
@@ -89,8 +91,8 @@
 	_ = r.near.SetReadDeadline(time.Time{})
 }
 
-// forward copies the request to the other router until a read or write fails, and then closes the connection to that
-// router.
+// forward copies the request to the other router. When the caller disconnects, it closes the connection to that router.
+// After a failed write it does not, because an answer may remain to be read.
 func (r *relay) forward() {
 	defer close(r.forwarded)
 	buffer := relayBuffers.Get().(*[relayBufferSize]byte)
@@ -101,7 +103,9 @@
 			r.keep(buffer[:n])
 			sent, failed := r.far.Write(buffer[:n])
 			r.sent += sent
-			err = cmp.Or(failed, err)
+			if failed != nil {
+				return
+			}
 		}
 		if err != nil {
 			r.far.Close()
--- a/io/caller/relay_end_test.go
+++ b/io/caller/relay_end_test.go
@@ -307,6 +307,26 @@
 	is.Equal(r.handler.calls.Load(), int64(0))
 }
 
+// Guards against losing an answer that the other router gave before it had read the whole request.
+func TestEarlyAnswerOfRelayIsNotLost(t *testing.T) {
+	const early, times = "HTTP/1.1 413 Too Large\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno", 20
+	for range times {
+		is, l := is.New(t), newLinked(t)
+		r := newRelaying(t, l.open(is), unchanged)
+		conn := dial(t, r.address)
+		post(conn, longBody)
+		stream := l.accept(is)
+		_, err := http.ReadRequest(bufio.NewReader(stream))
+		is.NoErr(err)
+		_, err = io.WriteString(stream, early)
+		is.NoErr(err)
+		is.NoErr(stream.Close())
+		got, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.Equal(string(got), early)
+	}
+}
+
 // Guards against an answer on a connection on which nothing was sent.
 func TestRelayWithoutRequestEndsSilently(t *testing.T) {
 	is, l := is.New(t), newLinked(t)
