Don't take an interim answer of a relayed connection for its answer

Callers that send "Expect: 100-continue" could see a connection end after "100 Continue" without an answer ("unexpected EOF"), and unreported: the relay took that line for the beginning of the answer, after which none may follow.

Only what follows the interim answer now counts as the answer.

The subtest "it closes after an interim answer" of TestRelayedRequestIsServedHereIfTheOtherRouterDidNotReadIt failed before: "unexpected EOF".

--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -14,8 +14,10 @@
 	maxKeptRequest  = 80 << 10              // maxKeptRequest limits the bytes of a relayed request that are kept until its answer begins; more than a handover.Stream takes without a read at its other end.
 )
 
-// refusedStatus is the start of an answer that refuses a request.
-var refusedStatus = []byte("HTTP/1.1 503")
+var (
+	refusedStatus = []byte("HTTP/1.1 503")                  // refusedStatus is the start of an answer that refuses a request.
+	interimAnswer = []byte("HTTP/1.1 100 Continue\r\n\r\n") // interimAnswer may precede an answer.
+)
 
 // Relay is a connection to another router that serves a new connection of a caller in place of this router.
 type Relay struct {
@@ -141,8 +143,8 @@
 	defer relayBuffers.Put(buffer)
 	for {
 		n, err := r.far.Read(buffer[:])
-		if n > 0 && !begun {
-			begun, served = true, !bytes.HasPrefix(buffer[:n], refusedStatus)
+		if start := bytes.TrimPrefix(buffer[:n], interimAnswer); len(start) > 0 && !begun {
+			begun, served = true, !bytes.HasPrefix(start, refusedStatus)
 			r.dropKept()
 		}
 		if n > 0 {
--- a/io/caller/relay_end_test.go
+++ b/io/caller/relay_end_test.go
@@ -201,6 +201,30 @@
 		post(conn, "{}")
 		r.assertServed(conn, "{}")
 	})
+	t.Run("it closes after an interim answer", func(t *testing.T) {
+		is, l := is.New(t), newLinked(t)
+		r := newRelaying(t, l.open(is), unchanged)
+		conn := dial(t, r.address)
+		_, err := fmt.Fprint(conn, "POST /v1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		is.NoErr(err)
+		stream := l.accept(is)
+		_, err = http.ReadRequest(bufio.NewReader(stream))
+		is.NoErr(err)
+		_, err = io.WriteString(stream, "HTTP/1.1 100 Continue\r\n\r\n")
+		is.NoErr(err)
+		is.NoErr(stream.Close())
+		time.Sleep(settle)
+		_, err = fmt.Fprint(conn, "{}")
+		is.NoErr(err)
+		answers := bufio.NewReader(conn)
+		for status := http.StatusContinue; status != http.StatusOK; {
+			resp, err := http.ReadResponse(answers, nil)
+			is.NoErr(err)
+			is.True(resp.StatusCode == http.StatusContinue || resp.StatusCode == http.StatusOK)
+			status = resp.StatusCode
+		}
+		is.Equal(r.handler.calls.Load(), int64(1))
+	})
 	t.Run("it closes a connection of which it was sent a part", func(t *testing.T) {
 		r := newRelaying(t, closingStream(10), unchanged)
 		conn := dial(t, r.address)
