Refuse connections above the limit before fasthttp resets them

Callers whose connection was above MaxConns got a plain 503 of fasthttp's rejectConn: written without reading the request and closed at once, so that the unread bytes reset the connection. The refusal did not pass Protocol.Refuse, had no Retry-After, and was neither counted nor reported. A caller that was still sending its request got the reset in place of the 503.

Cause: fasthttp enforces its Concurrency after Accept, in the accept loop.

Change: the listener enforces MaxConns. It writes a refusal (overloaded, not run, Retry-After 1 s) in the encoding of all others, counts it by Config.Refused, closes the sending side, and discards what the caller sends for at most 1 s and 1 MiB. At most 64 connections are discarded so at a time; above that, only what has arrived is discarded, without a goroutine. The response is encoded once. fasthttp gets room for twice MaxConns workers, because a worker may take a connection only a moment after it closed its last one. A second Close of a connection now has no effect, as it would free a place twice. handleReadError moves to close.go unchanged.

Evidence: TestConnectionAboveTheLimitGetsItsRefusal failed in all seven subtests before: "read: connection reset by peer" and "write: connection reset by peer", no Retry-After, 503 in place of the protocol's 429. It passes now, also with 300 connections at once, where the goroutines stay below half of them.

Ruled out: that the 503 was always lost. The kernel of this machine hands out an answer that arrived before the reset: a caller that had sent all of its request and read 50 ms later got it whole (5 of 5 tries, a trial).

--- /dev/null
+++ b/io/caller/close.go
@@ -0,0 +1,115 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"ryelug/core/result"
+)
+
+const (
+	unreadRetryAfter = time.Second // unreadRetryAfter is the Retry-After of a refusal without a request to estimate it for.
+	discardTimeout   = time.Second // discardTimeout limits how long a caller may take to send the rest of a refused request.
+	maxDiscarding    = 64          // maxDiscarding is the maximum number of connections whose rest is awaited at the same time.
+	maxDiscard       = 1 << 20     // maxDiscard limits the bytes that are discarded of a connection.
+	maxDiscardReads  = 16          // maxDiscardReads limits the reads of bytes that have already arrived, each of relayBufferSize.
+)
+
+// refuseUnread refuses the request on a new connection, from which nothing has been read, and closes the connection.
+func (s *Server) refuseUnread(raw net.Conn) {
+	if !s.writeUnreadRefusal(raw) {
+		raw.Close() // The caller has disconnected.
+		return
+	}
+	_ = s.closeAnswered(raw)
+}
+
+// writeUnreadRefusal writes the refusal of a request that is not read, and reports whether it was written.
+func (s *Server) writeUnreadRefusal(raw net.Conn) bool {
+	_ = raw.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
+	_, err := raw.Write(s.unreadRefusal())
+	return err == nil
+}
+
+// encodeUnreadRefusal returns the complete response that refuses a request which is not read.
+func (s *Server) encodeUnreadRefusal() []byte {
+	return s.encode(Refusal{Code: result.Overloaded, NotRun: true, RetryAfter: unreadRetryAfter})
+}
+
+// encode returns a complete response that refuses a request which was not read.
+func (s *Server) encode(refusal Refusal) []byte {
+	var rc fasthttp.RequestCtx
+	s.write(&rc, nil, head{refusal: refusal})
+	response := &rc.Response
+	response.SetConnectionClose()
+	response.Header.SetContentLength(len(response.Body()))
+	var to bytes.Buffer
+	to.WriteString("HTTP/1.1 " + strconv.Itoa(response.StatusCode()) + " " + fasthttp.StatusMessage(response.StatusCode()) + "\r\n")
+	for name, value := range response.Header.All() {
+		to.Write(name)
+		to.WriteString(": ")
+		to.Write(value)
+		to.WriteString("\r\n")
+	}
+	to.WriteString("\r\n")
+	to.Write(response.Body())
+	return to.Bytes()
+}
+
+// closeAnswered closes a connection whose last answer has been written while the caller may still send. Bytes that are
+// unread at the close would reset the connection, which can destroy the answer, so they are read and discarded first. If
+// maxDiscarding connections are being read already, only bytes that have arrived are discarded.
+func (s *Server) closeAnswered(raw net.Conn) error {
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return raw.Close()
+	}
+	select {
+	case s.discarding <- struct{}{}:
+		go func() {
+			defer func() { <-s.discarding }()
+			_ = tcp.SetReadDeadline(time.Now().Add(discardTimeout))
+			_, _ = io.CopyN(io.Discard, tcp, maxDiscard)
+			_ = tcp.Close()
+		}()
+		return nil
+	default:
+		discardArrived(tcp)
+		return tcp.Close()
+	}
+}
+
+// discardArrived reads and discards bytes that have already arrived, and does not block.
+func discardArrived(tcp *net.TCPConn) {
+	buffer := relayBuffers.Get().(*[relayBufferSize]byte)
+	defer relayBuffers.Put(buffer)
+	withSocket(tcp, func(socket int) {
+		for range maxDiscardReads {
+			if n, err := unix.Read(socket, buffer[:]); err != nil || n < len(buffer) {
+				return
+			}
+		}
+	})
+}
+
+// handleReadError refuses a request that fasthttp could not read; the handler has not seen it.
+func (s *Server) handleReadError(rc *fasthttp.RequestCtx, err error) {
+	if link, ok := rc.Conn().(*conn); ok && !link.receivedAny {
+		_ = link.Close() // The caller sent nothing, so there is no request to answer.
+		return
+	}
+	code := result.BadRequest
+	var headerTooLarge *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &headerTooLarge) {
+		code = result.TooLarge
+	}
+	s.config.Refused(code)
+	s.write(rc, nil, head{refusal: Refusal{Code: code, NotRun: true}})
+}
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -6,11 +6,12 @@
 	"sync/atomic"
 	"time"
 
+	"ryelug/core/result"
 	"ryelug/io/handover"
 )
 
-// listener wraps accepted connections in a conn, drops those that their callers have already closed and passes others
-// to another router.
+// listener wraps accepted connections in a conn, drops those that their callers have already closed, refuses those above
+// the limit and passes others to another router.
 type listener struct {
 	net.Listener
 	writeTimeout   time.Duration
@@ -20,6 +21,7 @@
 	singleRequest  bool                 // singleRequest limits each connection to one request.
 	server         *Server
 	accepted       *atomic.Int64 // accepted counts the accepted connections.
+	open           atomic.Int64  // open is the number of connections that are served and not closed.
 
 	closing  sync.Once
 	closeErr error // closeErr is the error of the first Close.
@@ -45,11 +47,19 @@
 			raw.Close() // The caller disconnected while the connection waited to be accepted.
 			continue
 		}
-		if !l.handOver(raw) {
-			return l.server.track(&conn{
-				Conn: raw, server: l.server, writeTimeout: l.writeTimeout, singleRequest: l.singleRequest, age: requestAge(raw, l.processorDelay()),
-			}), nil
+		if l.handOver(raw) {
+			continue
+		}
+		if limit := l.server.config.MaxConns; limit > 0 && l.open.Load() >= int64(limit) {
+			l.server.config.Refused(result.Overloaded)
+			l.server.refuseUnread(raw)
+			continue
 		}
+		l.open.Add(1)
+		return l.server.track(&conn{
+			Conn: raw, server: l.server, writeTimeout: l.writeTimeout, singleRequest: l.singleRequest, age: requestAge(raw, l.processorDelay()),
+			release: func() { l.open.Add(-1) },
+		}), nil
 	}
 }
 
@@ -63,6 +73,9 @@
 	receivedAny   bool          // receivedAny is set once Read has returned data; only the goroutine that serves the connection uses it.
 	age           time.Duration // age is how long the first request had waited when the connection was accepted; takeAge resets it to zero.
 
+	closed  atomic.Bool // closed is set by the first Close.
+	release func()      // release is called by the first Close.
+
 	mu        sync.Mutex
 	readAhead []byte // readAhead holds the byte of the next request that watch has read, if any.
 	progress  progress
@@ -129,8 +142,12 @@
 
 // Close implements net.Conn. It reports a request that was not answered.
 func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
 	c.reportUnanswered()
 	c.server.untrack(c)
+	c.release()
 	return c.Conn.Close()
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
 	"net"
 	"runtime/debug"
@@ -90,6 +89,9 @@
 
 	openMu sync.Mutex         // openMu guards open.
 	open   map[*conn]struct{} // open holds the connections that are served here.
+
+	unreadRefusal func() []byte // unreadRefusal returns the response to a request that is not read.
+	discarding    chan struct{} // discarding holds an element for each closed connection whose rest is being read.
 }
 
 // New returns a Server with the given configuration; it accepts no connections until Serve or ServeOthers is called.
@@ -118,7 +120,8 @@
 	if config.Unanswered == nil {
 		config.Unanswered = func(Unanswered) {}
 	}
-	s := &Server{config: config, prefix: uuid.NewString(), open: make(map[*conn]struct{})}
+	s := &Server{config: config, prefix: uuid.NewString(), open: make(map[*conn]struct{}), discarding: make(chan struct{}, maxDiscarding)}
+	s.unreadRefusal = sync.OnceValue(s.encodeUnreadRefusal)
 	s.closing, s.close = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:                      s.serve,
@@ -127,7 +130,7 @@
 		IdleTimeout:                  config.IdleTimeout,
 		ReadBufferSize:               config.MaxHeader,
 		MaxRequestBodySize:           config.MaxBody,
-		Concurrency:                  config.MaxConns,
+		Concurrency:                  workersPerConn * config.MaxConns, // The listener enforces MaxConns.
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                config.Protocol != nil,
 		NoDefaultContentType:         config.Protocol != nil,
@@ -139,6 +142,10 @@
 	return s
 }
 
+// workersPerConn is the number of fasthttp workers for each of MaxConns. It is above 1 because a worker may take the next
+// connection only a moment after its last one was closed.
+const workersPerConn = 2
+
 // discardLogger discards the log lines of fasthttp, because they contain data that callers sent.
 type discardLogger struct{}
 
@@ -379,18 +386,3 @@
 	}
 	return cell.Cost(hint)
 }
-
-// handleReadError refuses a request that fasthttp could not read; the handler has not seen it.
-func (s *Server) handleReadError(rc *fasthttp.RequestCtx, err error) {
-	if link, ok := rc.Conn().(*conn); ok && !link.receivedAny {
-		_ = link.Close() // The caller sent nothing, so there is no request to answer.
-		return
-	}
-	code := result.BadRequest
-	var headerTooLarge *fasthttp.ErrSmallBuffer
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &headerTooLarge) {
-		code = result.TooLarge
-	}
-	s.config.Refused(code)
-	s.write(rc, nil, head{refusal: Refusal{Code: code, NotRun: true}})
-}
