Refuse a half-closed caller that a busy router drops

A caller that closed only its sending side behind a whole request (shutdown of the write side) and still waited got a reset from a busy router: Accept took POLLRDHUP for a caller that has gone and closed the connection unread.

Cause: a FIN is all that arrives, be it from a close or from a half-close; the two differ only once something is sent (a closed socket answers with a reset). POLLHUP and POLLERR tell a reset, which is certain.

Change: such a connection still isn't served, so that nothing of a caller that has gone reaches an endpoint, but unless it was reset it gets the refusal of unread requests (overloaded, not run), and the bytes that have arrived are read so that the close doesn't reset it. It is reported as caller_closed as before, since most such callers have closed the whole connection.

A router that isn't busy runs such a request as before: the context of the request ends at once, and what the handler answers then is delivered (TestHalfClosedCallerStillGetsWhatTheHandlerAnswers, passed before too). Taking a FIN for the caller's end is what net/http does; serving on would keep endpoints at work for callers that left.

Evidence: TestHalfClosedCallerIsRefusedByABusyRouter failed before: "read: connection reset by peer".

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -99,6 +99,12 @@
 	})
 }
 
+// isReset reports whether a TCP connection was reset. Otherwise the other end may have closed the whole connection or
+// only its sending side; the two look the same until something is sent to it.
+func isReset(conn net.Conn) bool {
+	return poll(conn, 0)&(unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // handleReadError refuses a request that fasthttp could not read; the handler has not seen it.
 func (s *Server) handleReadError(rc *fasthttp.RequestCtx, err error) {
 	if link, ok := rc.Conn().(*conn); ok && !link.receivedAny {
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -44,7 +44,7 @@
 		l.accepted.Add(1)
 		if l.busy() && hasClosed(raw) {
 			l.server.config.Unanswered(Unanswered{Cause: CallerClosed, Caller: raw.RemoteAddr()})
-			raw.Close() // The caller disconnected while the connection waited to be accepted.
+			l.dropClosed(raw)
 			continue
 		}
 		if l.handOver(raw) {
@@ -63,6 +63,15 @@
 	}
 }
 
+// dropClosed closes a connection whose caller disconnected while it waited to be accepted. The caller may have closed only
+// its sending side and still wait for an answer, so a TCP connection that was not reset gets a refusal.
+func (l *listener) dropClosed(raw net.Conn) {
+	if tcp, ok := raw.(*net.TCPConn); ok && !isReset(raw) && l.server.writeUnreadRefusal(raw) {
+		discardArrived(tcp) // Nothing more arrives, and unread bytes would reset the connection.
+	}
+	raw.Close()
+}
+
 // conn is a caller's connection. While a request is served, a background goroutine reads up to one byte ahead, because
 // a disconnect is only seen by a read.
 type conn struct {
--- a/io/caller/unanswered.go
+++ b/io/caller/unanswered.go
@@ -14,7 +14,7 @@
 
 // Causes, in the order in which they are tested.
 const (
-	CallerClosed Cause = iota // CallerClosed: the caller disconnected before its answer.
+	CallerClosed Cause = iota // CallerClosed: the caller closed the connection, or its sending side, before its answer.
 	Stopped                   // Stopped: the connection was closed by Shutdown, or was still open when Shutdown gave up.
 	RelayEnded                // RelayEnded: the router that the connection was handed over to closed it.
 	WriteFailed               // WriteFailed: the answer could not be written in time.
