Close a connection after its last answer without resetting it

A caller that was still sending when its last answer was written got a reset, which can destroy that answer and fails the caller's own write: a body or a header that is too large (the 413 or its like is written without reading the rest), and requests behind one whose answer says Connection: close, beyond fasthttp's read buffer.

Cause: closing a connection with unread bytes resets it; RFC 9112, 9.6 asks a server to close its sending side first and to read on for a while.

Change: a connection that is closed after the refusal of a request that was not read completely, or after an answer with Connection: close while bytes are unread, is closed as those above the limit are: the sending side first, then what still arrives is discarded within the same bounds (64 connections, 1 s, 1 MiB). Other closes are as before; in particular a request that crosses the close of an idle connection is not read.

Ruled out: that requests behind Connection: close need an answer or a report. RFC 9112 says that they are not processed, and their caller may send them again.

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -105,6 +105,43 @@
 	return poll(conn, 0)&(unix.POLLHUP|unix.POLLERR) != 0
 }
 
+// rest says what the caller may still send on a connection that is closed after its last answer.
+type rest int
+
+const (
+	restUnknown   rest = iota // restUnknown: the answer is not the last one, or was not written.
+	restOfRequest             // restOfRequest: the answer refuses a request that was not read completely.
+	nextRequests              // nextRequests: requests behind the last one, which are not served.
+)
+
+// expect records what may still arrive when the connection is closed.
+func (c *conn) expect(rest rest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rest = rest
+}
+
+// expectAfter records that further requests may still arrive if the answer in rc closes the connection.
+func (c *conn) expectAfter(rc *fasthttp.RequestCtx) {
+	if rc.Response.ConnectionClose() || rc.Request.ConnectionClose() {
+		c.expect(nextRequests)
+	}
+}
+
+// mayDiscard reports whether bytes that the caller still sends may be discarded, because its last answer was written.
+func (c *conn) mayDiscard() bool {
+	c.mu.Lock()
+	rest, answered := c.rest, c.progress.received == 0 && c.progress.writeErr == nil
+	c.mu.Unlock()
+	switch rest {
+	case restOfRequest:
+		return answered
+	case nextRequests:
+		return answered && poll(c.Conn, unix.POLLIN)&unix.POLLIN != 0
+	}
+	return false
+}
+
 // handleReadError refuses a request that fasthttp could not read; the handler has not seen it.
 func (s *Server) handleReadError(rc *fasthttp.RequestCtx, err error) {
 	if link, ok := rc.Conn().(*conn); ok && !link.receivedAny {
@@ -116,6 +153,9 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &headerTooLarge) {
 		code = result.TooLarge
 	}
+	if link, ok := rc.Conn().(*conn); ok {
+		link.expect(restOfRequest)
+	}
 	s.config.Refused(code)
 	s.write(rc, nil, head{refusal: Refusal{Code: code, NotRun: true}})
 }
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -10,8 +10,8 @@
 	"ryelug/io/handover"
 )
 
-// listener wraps accepted connections in a conn, drops those that their callers have already closed, refuses those above
-// the limit and passes others to another router.
+// listener wraps accepted connections in a conn, refuses those that their callers have already closed or that exceed the
+// limit, and passes others to another router.
 type listener struct {
 	net.Listener
 	writeTimeout   time.Duration
@@ -88,6 +88,7 @@
 	mu        sync.Mutex
 	readAhead []byte // readAhead holds the byte of the next request that watch has read, if any.
 	progress  progress
+	rest      rest
 }
 
 // requestAge returns how long the first request of a new connection has already waited. For a connection that another
@@ -157,6 +158,9 @@
 	c.reportUnanswered()
 	c.server.untrack(c)
 	c.release()
+	if c.mayDiscard() {
+		return c.server.closeAnswered(c.Conn)
+	}
 	return c.Conn.Close()
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -251,6 +251,7 @@
 	link, isLink := rc.Conn().(*conn)
 	if isLink {
 		link.begin(req.ID)
+		defer link.expectAfter(rc)
 	}
 	if s.draining.Load() || isLink && link.singleRequest {
 		rc.SetConnectionClose()
