Answer a request whose decoding or admission panics

A panic in Protocol.Decode or Config.Shed ended the whole process, and with it each connection that waited for an answer: these run on fasthttp's goroutine, which recovers from nothing, before the handler's goroutine with its recover starts.

Change: both are called by screen, which recovers, reports the panic as that of a handler, and refuses the request with internal_failure, not run, since no handler has seen it. The connection stays usable.

Evidence: TestPanicOfACallbackIsAnswered ended the test process before ("panic: a broken callback" in Server.serve). Ruled out: a recover around all of serve. A panic of Protocol.Refuse would then be answered by Refuse again; it still ends the process.

--- /dev/null
+++ b/io/caller/screen.go
@@ -0,0 +1,28 @@
+package caller
+
+import (
+	"runtime/debug"
+
+	"github.com/valyala/fasthttp"
+
+	"ryelug/core/result"
+)
+
+// screen decodes a request and asks Shed whether to refuse it. It recovers from a panic of these, as fasthttp does not;
+// the request is then refused, since no handler has seen it.
+func (s *Server) screen(rc *fasthttp.RequestCtx) (req *Request, refusal Refusal, refused bool) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if req == nil {
+			req = &Request{}
+		}
+		s.config.Panicked(Panic{Request: req.ID, Cause: cause, Stack: debug.Stack()})
+		refusal, refused = Refusal{Code: result.InternalFailure, NotRun: true}, true
+	}()
+	req = s.request(rc)
+	refusal, refused = s.config.Shed(req)
+	return req, refusal, refused
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -244,7 +244,7 @@
 
 // serve runs the handler in a goroutine of its own and writes its answer; it is called on a fasthttp goroutine.
 func (s *Server) serve(rc *fasthttp.RequestCtx) {
-	req := s.request(rc)
+	req, refusal, refused := s.screen(rc)
 	if s.config.Protocol == nil {
 		rc.Response.Header.Set(headerRequestID, req.ID)
 	}
@@ -256,7 +256,7 @@
 	if s.draining.Load() || isLink && link.singleRequest {
 		rc.SetConnectionClose()
 	}
-	if refusal, ok := s.config.Shed(req); ok {
+	if refused {
 		s.write(rc, req, head{refusal: refusal})
 		return
 	}
