--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -7,11 +7,12 @@
 	"sync/atomic"
 	"time"
 
+	"ryelug/core/result"
 	"ryelug/io/handover"
 )
 
-// acceptor wraps accepted connections in a conn, drops those that their callers have already closed and passes others
-// to another router.
+// acceptor wraps accepted connections in a conn, refuses those that their callers have already closed or that exceed the
+// limit, and passes others to another router.
 type acceptor struct {
 	finisher
 	writeTimeout   time.Duration
@@ -21,6 +22,7 @@
 	singleRequest  bool                 // singleRequest limits each connection to one request.
 	server         *Server
 	accepted       *atomic.Int64 // accepted counts the accepted connections.
+	open           atomic.Int64  // open is the number of connections that are served and not closed.
 }
 
 // Accept implements net.Listener.
@@ -33,15 +35,32 @@
 		a.accepted.Add(1)
 		if a.busy() && hasClosed(raw) {
 			a.server.config.Unanswered(Unanswered{Cause: CallerClosed, Caller: raw.RemoteAddr()})
-			raw.Close() // The caller disconnected while the connection waited to be accepted.
+			a.dropClosed(raw)
 			continue
 		}
-		if !a.handOver(raw) {
-			return a.server.track(&conn{
-				Conn: raw, server: a.server, accepted: time.Now(), idle: true, writeTimeout: a.writeTimeout, singleRequest: a.singleRequest, age: requestAge(raw, a.processorDelay()),
-			}), nil
+		if a.handOver(raw) {
+			continue
+		}
+		if limit := a.server.config.MaxConns; limit > 0 && a.open.Load() >= int64(limit) {
+			a.server.config.Refused(result.Overloaded)
+			a.server.refuseUnread(raw)
+			continue
 		}
+		a.open.Add(1)
+		return a.server.track(&conn{
+			Conn: raw, server: a.server, accepted: time.Now(), idle: true, writeTimeout: a.writeTimeout, singleRequest: a.singleRequest,
+			age: requestAge(raw, a.processorDelay()), release: func() { a.open.Add(-1) },
+		}), nil
+	}
+}
+
+// dropClosed closes a connection whose caller disconnected while it waited to be accepted. The caller may have closed only
+// its sending side and still wait for an answer, so a TCP connection that was not reset gets a refusal.
+func (a *acceptor) dropClosed(raw net.Conn) {
+	if tcp, ok := raw.(*net.TCPConn); ok && !isReset(raw) && a.server.writeUnreadRefusal(raw) {
+		discardArrived(tcp) // Nothing more arrives, and unread bytes would reset the connection.
 	}
+	raw.Close()
 }
 
 // conn is a caller's connection. While a request is served, a background goroutine reads up to one byte ahead, because
@@ -54,13 +73,17 @@
 	accepted      time.Time     // accepted is when the connection was accepted.
 	age           time.Duration // age is how long the first request had waited when the connection was accepted; takeAge resets it to zero.
 
+	closed  atomic.Bool // closed is set by the first Close.
+	release func()      // release is called by the first Close; it may be nil.
+
 	mu          sync.Mutex
 	receivedAny bool      // receivedAny is set once Read has returned data.
 	idle        bool      // idle means that the connection waits for a request of which nothing has been read.
 	limited     bool      // limited means that limitWait has set the read deadline.
 	served      *exchange // served is the exchange of the request that is being served, nil if there is none.
-	readAhead   []byte    // readAhead holds the byte of the next request that watch has read, if any.
+	readAhead   []byte    // readAhead holds bytes of the next request that watch or a relay has read, if any.
 	progress    progress
+	rest        rest
 }
 
 // requestAge returns how long the first request of a new connection has already waited. For a connection that another
@@ -141,8 +164,17 @@
 
 // Close implements net.Conn. It reports a request that was not answered.
 func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
 	c.reportUnanswered()
 	c.server.untrack(c)
+	if c.release != nil {
+		c.release()
+	}
+	if c.mayDiscard() {
+		return c.server.closeAnswered(c.Conn)
+	}
 	return c.Conn.Close()
 }
 
--- a/io/caller/relay_end.go
+++ b/io/caller/relay_end.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,12 +12,6 @@
 	"ryelug/core/result"
 )
 
-const (
-	relayRetryAfter = time.Second // relayRetryAfter is the Retry-After of a refusal while all connections of the server are in use.
-	lingerTime      = time.Second // lingerTime limits how long a connection is read after its last answer.
-	maxLingerBytes  = 1 << 20     // maxLingerBytes limits how much is read meanwhile, in bytes.
-)
-
 // rejectDetector is implemented by connections to other routers that know whether the other end closed them unread.
 type rejectDetector interface{ IsRejected() bool }
 
@@ -41,7 +34,7 @@
 			r.serveHere()
 			return
 		}
-		refusal = Refusal{Code: result.Overloaded, NotRun: true, RetryAfter: relayRetryAfter}
+		refusal = Refusal{Code: result.Overloaded, NotRun: true, RetryAfter: unreadRetryAfter}
 	}
 	if err != nil {
 		from.Reset()
@@ -111,17 +104,6 @@
 	return nil
 }
 
-// linger closes the sending side of a connection and discards what still arrives for a short time, because closing a
-// connection with unread bytes resets it, and the reset can discard the answer.
-func linger(conn net.Conn) {
-	half, ok := conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, io.LimitReader(conn, maxLingerBytes)) // The connection is closed next, whatever the error.
-}
-
 // report reports that the relay ended without an answer.
 func (r *relay) report(cause Cause) {
 	r.server.config.Unanswered(Unanswered{
--- a/io/caller/stop_test.go
+++ b/io/caller/stop_test.go
@@ -35,8 +35,8 @@
 	},
 }
 
-// assertAnswered checks that a whole HTTP answer arrives on each connection.
-func assertAnswered(t *testing.T, conns []net.Conn) {
+// assertAllAnswered checks that a whole HTTP answer arrives on each connection.
+func assertAllAnswered(t *testing.T, conns []net.Conn) {
 	t.Helper()
 	answered := 0
 	var last error
@@ -97,7 +97,7 @@
 	wait := shutdown(ctx, t, server)
 	time.Sleep(shutdownDelay)
 	close(release)
-	assertAnswered(t, conns)
+	assertAllAnswered(t, conns)
 	wait()
 }
 
@@ -124,7 +124,7 @@
 	wait := shutdown(ctx, t, server)
 	time.Sleep(shutdownDelay)
 	several()
-	assertAnswered(t, conns)
+	assertAllAnswered(t, conns)
 	wait()
 }
 
