Say in the log why a request that failed is not retried

Change: Lifecycle keeps what stood in the way of the latest retry (Obstacle), and the decision's line has it as no_retry, with the number of sends and the time left until the deadline. No behaviour toward callers changes: the conditions are the same ones, each with a name. The limit of sends is checked before that of attempts, so that it is named where both are reached.

--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -106,6 +106,19 @@
 	StreamResumed       Reason = "stream_resumed"
 )
 
+// Obstacle is why a failure is not followed by a retry.
+type Obstacle string
+
+// Obstacles to a retry, as they are logged.
+const (
+	NoObstacle       Obstacle = ""
+	NotIdempotent    Obstacle = "not_idempotent"
+	AttemptsUsed     Obstacle = "attempts_used"
+	SendsUsed        Obstacle = "sends_used"
+	NoTimeLeft       Obstacle = "no_time_left"
+	RetryBudgetEmpty Obstacle = "retry_budget_empty"
+)
+
 // Ask requests a grant after a pause. The current grant, if any, ends with the outcome End.
 type Ask struct {
 	End    cell.Outcome    // Zero if there is no current grant.
--- a/core/entry/lifecycle.go
+++ b/core/entry/lifecycle.go
@@ -49,6 +49,7 @@
 	mayHaveRun   bool // whether an endpoint that did not refuse the request has received any of its bytes
 	hasRelayed   bool // whether the caller has received an event of the stream
 	lastEvent    string
+	obstacle     Obstacle
 	ended        bool
 }
 
@@ -63,6 +64,12 @@
 // MayHaveRun reports whether an endpoint may have run the request.
 func (l *Lifecycle) MayHaveRun() bool { return l.mayHaveRun }
 
+// Sends returns the number of attempts so far in which an endpoint received any byte of the request.
+func (l *Lifecycle) Sends() int { return l.sends }
+
+// Obstacle returns why the latest failure was not followed by a retry, or NoObstacle if it was.
+func (l *Lifecycle) Obstacle() Obstacle { return l.obstacle }
+
 // Step processes the next event and returns the action to take; now is the local time. After the end of the
 // request it returns Abandon for every event.
 func (l *Lifecycle) Step(now time.Time, ev Event) Action {
@@ -144,6 +151,7 @@
 		code, reason = result.StreamBroken, StreamResumed
 	}
 	if l.config.NonIdempotent {
+		l.obstacle = NotIdempotent
 		return l.refuse(cell.Failed, code, 0)
 	}
 	if !l.config.Elsewhere {
@@ -160,6 +168,9 @@
 		return l.retry(now, &Ask{End: cell.Failed, Avoid: ev.Endpoint, Reason: StreamResumed}, result.StreamBroken, 0)
 	}
 	ask := &Ask{End: cell.Failed, Avoid: ev.Endpoint, Reason: EndpointFailed}
+	if l.config.NonIdempotent {
+		l.obstacle = NotIdempotent
+	}
 	if l.config.NonIdempotent || !l.mayRetry(now, ask) {
 		l.ended = true
 		return &Deliver{End: cell.Failed}
@@ -242,8 +253,8 @@
 // mayRetry reports whether attempts, sends, time and budget allow a retry. If so, it counts the retry.
 func (l *Lifecycle) mayRetry(now time.Time, ask *Ask) bool {
 	ask.After = l.config.Backoff.NextBackOff()
-	isExhausted := l.attempts >= l.config.MaxAttempts || l.config.MaxSends > 0 && l.sends >= l.config.MaxSends
-	if isExhausted || l.isPastGrantDeadline(now, ask.After) || !l.config.RetryBudget.Withdraw() {
+	l.obstacle = l.obstacleToRetry(now, ask.After)
+	if l.obstacle != NoObstacle {
 		return false
 	}
 	l.attempts++
@@ -251,6 +262,21 @@
 	return true
 }
 
+// obstacleToRetry returns what prevents a retry after the pause. If nothing does, it withdraws the retry from the budget.
+func (l *Lifecycle) obstacleToRetry(now time.Time, pause time.Duration) Obstacle {
+	switch {
+	case l.config.MaxSends > 0 && l.sends >= l.config.MaxSends:
+		return SendsUsed
+	case l.attempts >= l.config.MaxAttempts:
+		return AttemptsUsed
+	case l.isPastGrantDeadline(now, pause):
+		return NoTimeLeft
+	case !l.config.RetryBudget.Withdraw():
+		return RetryBudgetEmpty
+	}
+	return NoObstacle
+}
+
 // isPastGrantDeadline reports whether GrantDeadline will have passed after the pause.
 func (l *Lifecycle) isPastGrantDeadline(now time.Time, pause time.Duration) bool {
 	return !l.config.GrantDeadline.IsZero() && !now.Add(pause).Before(l.config.GrantDeadline)
--- a/router/request/log.go
+++ b/router/request/log.go
@@ -39,6 +39,12 @@
 		fields["cause"] = r.lastError.Error()
 		r.lastError = nil
 	}
+	if obstacle := r.lifecycle.Obstacle(); obstacle != entry.NoObstacle {
+		fields["no_retry"], fields["sends"] = string(obstacle), r.lifecycle.Sends()
+		if !r.deadline.IsZero() {
+			fields["left_ms"] = time.Until(r.deadline).Milliseconds()
+		}
+	}
 	switch action := action.(type) {
 	case *entry.Ask:
 		fields["reason"] = string(action.Reason)
