Don't let a slow stream hold up the end of a shutdown

What callers saw: near the end of the grace period, requests in progress were refused one after the other. Refusing a stream waits until its caller reads the events before, for up to the write timeout, so one slow reader kept the other requests without their answer, and Shutdown outlasted its context by as much.

Cause: refuseInProgress called exchange.Refuse, which needs the lock that the handler holds while its Event waits for room, and itself waits for room for the error event.

Evidence: go test -count=1 -run TestShutdownIsNotHeldUpByASlowStream ./io/caller, before: "err: read tcp 127.0.0.1:59112->127.0.0.1:41449: i/o timeout" after 2 s with a context of 200 ms, in both protocols. After: passes, also with -race, 3 runs of 3.

Why it works: each exchange is refused once, in a goroutine of its own, which ends at the latest when fasthttp closes the stream; the loop never blocks.

--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -76,7 +76,7 @@
 func (s *Server) refuseInProgress() {
 	for _, one := range s.tracked() {
 		if ex := one.exchange(); ex != nil {
-			_ = ex.Refuse(Refusal{Code: result.OutcomeUnknown, Detail: "the router stops"}) // It fails if the request was answered meanwhile.
+			ex.interrupt(Refusal{Code: result.OutcomeUnknown, Detail: "the router stops"})
 			continue
 		}
 		_ = one.SetReadDeadline(pastDeadline) // It fails if the connection was closed meanwhile.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -46,6 +46,7 @@
 	written         *atomic.Int64 // written counts the events that fasthttp has taken, over all exchanges of the server.
 	done            func()        // done is called once, when fasthttp closes the stream.
 	broken          bool          // broken means that the stream must end without its final chunk, so that the caller sees it as incomplete.
+	interrupted     sync.Once     // interrupted makes interrupt refuse the request once.
 	closesOnRefusal bool          // closesOnRefusal means that a refusal after the start of the stream closes the connection instead of sending an error event.
 }
 
@@ -144,6 +145,14 @@
 	return x.finish()
 }
 
+// interrupt refuses the request in the background, because Refuse waits for the caller of a stream to read earlier events.
+// Calls after the first have no effect.
+func (x *exchange) interrupt(refusal Refusal) {
+	x.interrupted.Do(func() {
+		go func() { _ = x.Refuse(refusal) }() // It fails if the request was answered or its caller has gone meanwhile.
+	})
+}
+
 // abort ends a started stream without its final chunk, so that the caller sees it as incomplete.
 func (x *exchange) abort() error {
 	x.mu.Lock()
