Keep a router that ends from being killed by SIGHUP

An operator who reloads the settings while a router ends saw the stop fail ("signal: hangup" in place of exit status 0): the command gave the signal back to its default action before the process had ended. Requests were not lost by it. The signal stays caught to the end.

--- a/cmd/ryelug/router.go
+++ b/cmd/ryelug/router.go
@@ -71,8 +71,7 @@
 		return err
 	}
 	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
+	signal.Notify(hangUps, syscall.SIGHUP) // Without signal.Stop, because a SIGHUP would then kill the process while it ends.
 	go r.reload(ctx, given, log, hangUps)
 	log.WithFields(logrus.Fields{"settings": r.settings, "host": given.Host}).Info("The router starts.")
 	return one.Run(ctx)
--- a/io/caller/unanswered_test.go
+++ b/io/caller/unanswered_test.go
@@ -50,18 +50,6 @@
 // Addr implements net.Listener.
 func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
 
-// unwritable is a listener whose connections fail to write.
-type unwritable struct{ net.Listener }
-
-func (u unwritable) Accept() (net.Conn, error) {
-	conn, err := u.Listener.Accept()
-	return unwritableConn{conn}, err
-}
-
-type unwritableConn struct{ net.Conn }
-
-func (unwritableConn) Write([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
-
 // Checks that each way in which a connection can end without an answer is reported once, with its cause.
 func TestUnansweredConnectionsAreReported(t *testing.T) {
 	blocked := func(ctx context.Context, _ *caller.Request, _ caller.Writer) { <-ctx.Done() }
@@ -90,7 +78,7 @@
 			Handler: &handlerFunc{serve: blocked}, MaxConns: 10, Unanswered: func(end caller.Unanswered) { ends <- end },
 			Elsewhere: func(time.Duration) (caller.Relay, bool) { return relay, true },
 		}), listen(t)
-		go func() { _ = server.Serve(unwritable{ln}) }()
+		go func() { _ = server.Serve(unwritableListener{ln}) }()
 		_, err := fmt.Fprint(dial(t, ln.Addr().String()), request)
 		is.NoErr(err)
 		end := <-ends
