Answer relayed requests at the end of the grace period

What callers saw: a request that this router had read and passed on to another router got neither an answer nor a refusal when this router stopped and the other one still worked on it at the end of the grace period. Requests served here got theirs.

Cause: refuseInProgress knew only connections that are served here; relayed ones were counted, waited for and then cut by the end of the process, without a report.

Evidence: go test -count=1 -run TestShutdownAnswersRelayedRequestsInProgress ./io/caller, before: "err: read tcp 127.0.0.1:36410->127.0.0.1:32821: i/o timeout" (the process of a test lives on; else the connection is cut). After: passes, 5 runs of 5 with -race, with the other tests of relays and shutdowns.

Why it works: closing the connection to the other router ends the relay, which answers its caller as at any other end of that connection: OutcomeUnknown if the request was passed on.

--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -71,9 +71,12 @@
 	}
 }
 
-// refuseInProgress answers the requests that are still being served, which may have run, and those of which only a part
-// has arrived. Streams that have begun break off.
+// refuseInProgress answers the requests that are still being served, here or by another router, which may have run, and those
+// of which only a part has arrived. Streams that have begun break off.
 func (s *Server) refuseInProgress() {
+	for _, one := range s.relaying() {
+		_ = one.far.Close() // The relay then ends and answers its caller. It fails if the connection was closed meanwhile.
+	}
 	for _, one := range s.tracked() {
 		if ex := one.exchange(); ex != nil {
 			ex.interrupt(Refusal{Code: result.OutcomeUnknown, Detail: "the router stops"})
@@ -83,6 +86,29 @@
 	}
 }
 
+// trackRelay adds a relay to the running ones.
+func (s *Server) trackRelay(r *relay) {
+	s.relayed.Add(1)
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	s.relays[r] = struct{}{}
+}
+
+// untrackRelay removes a relay from the running ones.
+func (s *Server) untrackRelay(r *relay) {
+	s.openMu.Lock()
+	delete(s.relays, r)
+	s.openMu.Unlock()
+	s.relayed.Add(-1)
+}
+
+// relaying returns the running relays.
+func (s *Server) relaying() []*relay {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	return slices.Collect(maps.Keys(s.relays))
+}
+
 // track adds a connection to the open ones and returns it.
 func (s *Server) track(c *conn) *conn {
 	s.openMu.Lock()
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -38,11 +38,11 @@
 	if !ok {
 		return false
 	}
-	s.relayed.Add(1)
+	r := &relay{server: s, near: near, far: to.Conn, age: age, since: time.Now(), forwarded: make(chan struct{})}
+	s.trackRelay(r)
 	go func() {
-		defer s.relayed.Add(-1)
+		defer s.untrackRelay(r)
 		defer near.Close()
-		r := &relay{server: s, near: near, far: to.Conn, age: age, since: time.Now(), forwarded: make(chan struct{})}
 		r.run()
 		to.Ended(r.served)
 		switch {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -86,8 +86,9 @@
 	closing context.Context // closing is cancelled by Shutdown.
 	close   context.CancelFunc
 
-	openMu sync.Mutex         // openMu guards open.
-	open   map[*conn]struct{} // open holds the connections that are served here.
+	openMu sync.Mutex          // openMu guards open and relays.
+	open   map[*conn]struct{}  // open holds the connections that are served here.
+	relays map[*relay]struct{} // relays holds the connections that are relayed to other routers.
 
 	unreadRefusal func() []byte // unreadRefusal returns the response to a request that is not read.
 	discarding    chan struct{} // discarding holds an element for each closed connection whose rest is being read.
@@ -119,7 +120,8 @@
 	if config.Unanswered == nil {
 		config.Unanswered = func(Unanswered) {}
 	}
-	s := &Server{config: config, prefix: uuid.NewString(), open: make(map[*conn]struct{}), discarding: make(chan struct{}, maxDiscarding)}
+	s := &Server{config: config, prefix: uuid.NewString(), open: make(map[*conn]struct{}), relays: make(map[*relay]struct{})}
+	s.discarding = make(chan struct{}, maxDiscarding)
 	s.unreadRefusal = sync.OnceValue(s.encodeUnreadRefusal)
 	s.closing, s.close = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
