Survive a panic while a relayed request is decoded to refuse it

What callers saw: all connections of a router reset, because a request whose decoding panics was relayed, the other router ended the relay, and this one decoded the request in the relay's goroutine, where nothing recovers.

Cause: screen recovers for requests that are served here; relay.refuse called request by itself.

Evidence: go test -count=1 -run TestPanicAfterARelayIsAnswered ./io/caller, before: "panic: a broken callback" in handOver.func1 ends the test process. After: passes, 5 runs of 5 with -race.

Why it works: the panic is recovered and reported where it occurs, and the refusal is written as for a request without a readable header.

--- a/io/caller/relay_end.go
+++ b/io/caller/relay_end.go
@@ -88,7 +88,7 @@
 	rc.Init(from, r.near.RemoteAddr(), discardLogger{})
 	var req *Request
 	if hasHeader {
-		req = s.request(&rc)
+		req = s.decodeRefused(&rc)
 		rc.Response.SkipBody = rc.IsHead()
 	}
 	if req != nil && s.config.Protocol == nil {
--- a/io/caller/screen.go
+++ b/io/caller/screen.go
@@ -26,3 +26,14 @@
 	refusal, refused = s.config.Shed(req)
 	return req, refusal, refused
 }
+
+// decodeRefused decodes a request that is refused; it returns nil if that panics.
+func (s *Server) decodeRefused(rc *fasthttp.RequestCtx) (req *Request) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.config.Panicked(Panic{Cause: cause, Stack: debug.Stack()})
+			req = nil
+		}
+	}()
+	return s.request(rc)
+}
