Read a request that has arrived when the idle timeout ends

What callers saw: a kept connection, or a new one, was reset although a whole request had arrived on it, after a pause of the process (or a processor that came late) in which the read deadline passed.

Cause: a read whose deadline has passed fails without a look at the socket, and fasthttp closes a connection whose wait for a request fails. Only the wait of a retiring server was checked for bytes that had arrived.

Evidence: go test -count=1 -run TestRequestThatArrivesWithTheEndOfTheIdleTimeIsAnswered ./io/caller, before: "read: connection reset by peer". After: passes, 5 runs of 5 with -race.

Why it works: if bytes wait in the socket when the wait ends, the request gets the read timeout, and the read is repeated.

--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -216,10 +216,11 @@
 	_ = c.SetReadDeadline(deadline)
 }
 
-// endWait records the result of a read. It returns true if the read has to be repeated: limitWait ended the wait, but bytes
-// have arrived. c.mu must be held.
+// endWait records the result of a read. It returns true if the read has to be repeated: the wait for a request has ended, by
+// limitWait or the idle timeout, but bytes have arrived. c.mu must be held.
 func (c *conn) endWait(n int, err error) (again bool) {
-	again = n == 0 && c.limited && isTimeout(err) && isReadable(c.Conn)
+	again = n == 0 && (c.limited || c.idle) && isTimeout(err) && isReadable(c.Conn)
+	c.limited = c.limited || again
 	if n > 0 || again {
 		c.unlimit()
 	}
