Wait in a shutdown for callers that still send behind their last answer

Cause: connections that closeAnswered reads on in the background were no longer counted, so Shutdown returned and the process ended within the second in which their bytes are discarded.

Evidence: go test -count=1 -run TestShutdownWaitsForCallersOfLastAnswers ./io/caller, before: "Shutdown has returned while the caller still sends". After: passes, 3 runs of 3 with -race.

Why it works: Shutdown waits, within its context, until none is left, which discardTimeout limits; a connection is untracked only after it counts among these.

--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -61,9 +61,10 @@
 	return context.WithCancel(ctx)
 }
 
-// awaitClosed waits until no connection is open or accepted any more, or ctx ends. It calls hurry until then.
+// awaitClosed waits until no connection is open or accepted any more, nor the rest of one discarded, or ctx ends. It calls
+// hurry until then.
 func (s *Server) awaitClosed(ctx context.Context, hurry func()) {
-	for s.accepting.Load() > 0 || s.relayed.Load() > 0 || len(s.tracked()) > 0 {
+	for s.accepting.Load() > 0 || s.relayed.Load() > 0 || len(s.tracked()) > 0 || len(s.discarding) > 0 {
 		hurry()
 		if !pause.For(ctx, closePoll) {
 			return
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -168,7 +168,7 @@
 		return net.ErrClosed
 	}
 	c.reportUnanswered()
-	c.server.untrack(c)
+	defer c.server.untrack(c) // Shutdown waits for what closeAnswered still reads.
 	if c.release != nil {
 		c.release()
 	}
