--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -61,9 +61,10 @@
 	return context.WithCancel(ctx)
 }
 
-// awaitClosed waits until no connection is open or accepted any more, or ctx ends. It calls hurry until then.
+// awaitClosed waits until no connection is open or accepted any more, nor the rest of one discarded, or ctx ends. It calls
+// hurry until then.
 func (s *Server) awaitClosed(ctx context.Context, hurry func()) {
-	for s.accepting.Load() > 0 || s.relayed.Load() > 0 || len(s.tracked()) > 0 {
+	for s.accepting.Load() > 0 || s.relayed.Load() > 0 || len(s.tracked()) > 0 || len(s.discarding) > 0 {
 		hurry()
 		if !pause.For(ctx, closePoll) {
 			return
@@ -71,9 +72,12 @@
 	}
 }
 
-// refuseInProgress answers the requests that are still being served, which may have run, and those of which only a part
-// has arrived. Streams that have begun break off.
+// refuseInProgress answers the requests that are still being served, here or by another router, which may have run, and those
+// of which only a part has arrived. Streams that have begun break off.
 func (s *Server) refuseInProgress() {
+	for _, one := range s.relaying() {
+		_ = one.far.Close() // The relay then ends and answers its caller. It fails if the connection was closed meanwhile.
+	}
 	for _, one := range s.tracked() {
 		if ex := one.exchange(); ex != nil {
 			ex.interrupt(Refusal{Code: result.OutcomeUnknown, Detail: "the router stops"})
@@ -83,6 +87,29 @@
 	}
 }
 
+// trackRelay adds a relay to the running ones.
+func (s *Server) trackRelay(r *relay) {
+	s.relayed.Add(1)
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	s.relays[r] = struct{}{}
+}
+
+// untrackRelay removes a relay from the running ones.
+func (s *Server) untrackRelay(r *relay) {
+	s.openMu.Lock()
+	delete(s.relays, r)
+	s.openMu.Unlock()
+	s.relayed.Add(-1)
+}
+
+// relaying returns the running relays.
+func (s *Server) relaying() []*relay {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	return slices.Collect(maps.Keys(s.relays))
+}
+
 // track adds a connection to the open ones and returns it.
 func (s *Server) track(c *conn) *conn {
 	s.openMu.Lock()
@@ -190,10 +217,11 @@
 	_ = c.SetReadDeadline(deadline)
 }
 
-// endWait records the result of a read. It returns true if the read has to be repeated: limitWait ended the wait, but bytes
-// have arrived. c.mu must be held.
+// endWait records the result of a read. It returns true if the read has to be repeated: the wait for a request has ended, by
+// limitWait or the idle timeout, but bytes have arrived. c.mu must be held.
 func (c *conn) endWait(n int, err error) (again bool) {
-	again = n == 0 && c.limited && isTimeout(err) && isReadable(c.Conn)
+	again = n == 0 && (c.limited || c.idle) && isTimeout(err) && isReadable(c.Conn)
+	c.limited = c.limited || again
 	if n > 0 || again {
 		c.unlimit()
 	}
