Ask engines once for what they keep, also when the majority of the entries comes and goes

Cause: after a start of all routers each learns of the others bit by bit. A router asked the engines with three entries of five listed routers, was told of the sixth, had no majority for some rounds, and with a fourth entry had one again. Meanwhile the engines were no targets, so the poller forgot that it had asked them, and asked them all again. Ruled out: a retry of the query (each answer came at the first try), and a wider bound in the test. Change: a dispatcher that has met the conditions for the queries keeps the engines as targets until it has no entry. It still asks anew when it begins to dispatch anew. Remains: a router still judges the majority by the routers that it knows of so far, so two routers ask in about one start of five.

--- a/router/dispatching/reports.go
+++ b/router/dispatching/reports.go
@@ -47,11 +47,13 @@
 }
 
 // keptTargets returns the engines of a cell that must be asked which prompt parts they have cached, since a
-// dispatcher that has just taken the cell over can't know that. It returns none before keptQueryDelay has passed.
+// dispatcher that has just taken the cell over can't know that. It returns none before keptQueryDelay has passed. Engines
+// stay targets when the majority of the entries is lost: one that becomes a target again is asked again.
 func (r *Role) keptTargets(now time.Time, cs *cellState) (targets []Target) {
 	policy := r.directory.Policy(cs.id)
 	hasMajority := 2*len(cs.entries) > len(policy.EntryDataCentres)
-	if policy.Engine == nil || now.Sub(cs.activeSince) < keptQueryDelay || !hasMajority {
+	cs.queriesKept = cs.queriesKept || hasMajority && now.Sub(cs.activeSince) >= keptQueryDelay
+	if policy.Engine == nil || !cs.queriesKept {
 		return nil
 	}
 	for i := range policy.Endpoints {
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -98,6 +98,7 @@
 	loggedWeighed int64                          // loggedWeighed is the value that Snapshot.EndpointsEvaluated, the number of endpoints evaluated for requests so far, had when logWork last logged a line.
 	nextCounter   int                            // nextCounter is the index of the counter that is sent next.
 	activeSince   time.Time                      // activeSince is when the number of entries last rose from zero.
+	queriesKept   bool                           // queriesKept tells that, since activeSince, the conditions were met for asking the engines which prompt parts they have cached.
 	sentBehind    []cell.TeamID                  // sentBehind holds the teams that the entries were last told are behind (served much less than their share).
 	behindSentAt  time.Time                      // behindSentAt is when the entries were last told which teams are behind.
 	rejectedSent  []uint64                       // rejectedSent holds the prompt parts that the entries were last told to reject.
@@ -285,7 +286,7 @@
 
 func (r *Role) addEntry(now time.Time, cs *cellState, router cell.RouterID, session cell.Session) {
 	if len(cs.entries) == 0 {
-		cs.activeSince = now
+		cs.activeSince, cs.queriesKept = now, false
 		r.config.Log.WithField("cell", cs.id).Info("This router dispatches a cell.")
 	}
 	cs.entries[router] = session
