--- a/router/grants.go
+++ b/router/grants.go
@@ -74,35 +74,9 @@
 
 // Endpoint implements request.Permit.
 func (p *permit) Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID) {
-	return p.decision.Endpoint, p.address(), p.decision.Start
+	return p.decision.Endpoint, p.decision.Address, p.decision.Start
 }
 
-// address returns the endpoint's address, which this router may have learned after the grant arrived. It is invalid
-// while the endpoint is unknown.
-func (p *permit) address() netip.AddrPort {
-	if p.decision.Address.IsValid() {
-		return p.decision.Address
-	}
-	if d := p.directory(); d != nil {
-		return d.Address(p.decision.Endpoint)
-	}
-	return netip.AddrPort{}
-}
-
-// AwaitKnown implements request.Permit. It polls until this router's configuration lists the endpoint, and returns false
-// if the grant expires or ctx ends first.
-func (p *permit) AwaitKnown(ctx context.Context) bool {
-	for !p.address().IsValid() {
-		if !time.Now().Before(p.decision.Expires) || !pause.For(ctx, knownPollInterval) {
-			return false
-		}
-	}
-	return true
-}
-
-// knownPollInterval is the time between two checks of whether this router knows a granted endpoint.
-const knownPollInterval = 5 * time.Millisecond
-
 // IsOpen implements request.Permit.
 func (p *permit) IsOpen() bool {
 	d := p.directory()
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -154,15 +154,14 @@
 func (p *fakePermit) Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID) {
 	return p.id, p.endpoint.address(), p.start
 }
-func (p *fakePermit) IsOpen() bool                    { return p.id != p.grants.closed }
-func (p *fakePermit) AwaitKnown(context.Context) bool { return true }
-func (p *fakePermit) Expires() time.Time              { return p.expires }
-func (p *fakePermit) Attempt() cell.AttemptID         { return 1 }
-func (p *fakePermit) Fetch() netip.AddrPort           { return netip.AddrPort{} }
-func (p *fakePermit) Predicted() time.Duration        { return 0 }
-func (p *fakePermit) ReportFirstToken(time.Duration)  {}
-func (p *fakePermit) ReportBroken()                   {}
-func (p *fakePermit) ReportCost(cell.Cost)            {}
+func (p *fakePermit) IsOpen() bool                   { return p.id != p.grants.closed }
+func (p *fakePermit) Expires() time.Time             { return p.expires }
+func (p *fakePermit) Attempt() cell.AttemptID        { return 1 }
+func (p *fakePermit) Fetch() netip.AddrPort          { return netip.AddrPort{} }
+func (p *fakePermit) Predicted() time.Duration       { return 0 }
+func (p *fakePermit) ReportFirstToken(time.Duration) {}
+func (p *fakePermit) ReportBroken()                  {}
+func (p *fakePermit) ReportCost(cell.Cost)           {}
 
 func (p *fakePermit) AwaitConfirmed(context.Context) bool { return true }
 func (p *fakePermit) End(outcome cell.Outcome, cost cell.Cost, _ time.Duration) {
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -168,7 +168,7 @@
 	if send.LastEvent != "" && !r.route.Verbatim && !r.permit.AwaitConfirmed(r.attemptCtx) {
 		return &entry.Lapsed{}
 	}
-	if isNewWork := send.LastEvent == "" || r.route.Verbatim; isNewWork && (!r.permit.AwaitKnown(r.attemptCtx) || !r.permit.IsOpen()) {
+	if isNewWork := send.LastEvent == "" || r.route.Verbatim; isNewWork && !r.permit.IsOpen() {
 		id, _, _ := r.permit.Endpoint()
 		return &entry.NotOpen{Endpoint: id}
 	}
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -55,9 +55,6 @@
 	// Endpoint returns the endpoint, its address and the ID of the start (one run of its process)
 	// that the permit is valid for.
 	Endpoint() (cell.EndpointID, netip.AddrPort, cell.StartID)
-	// AwaitKnown waits until this router's own configuration lists the endpoint, of which the dispatcher may have heard
-	// first. It reports whether the endpoint is listed; it is not if the grant expires or ctx ends first.
-	AwaitKnown(ctx context.Context) bool
 	// IsOpen reports whether this router's own configuration, as of now, has the endpoint open for new work. The
 	// dispatcher that granted may have known less.
 	IsOpen() bool
