Bound what refusals to callers that have closed the connection cost

Most have closed both sides and get nothing from it. At most 100 a second are written now, those of relays included, and each response is encoded once.

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	unreadRetryAfter = time.Second // unreadRetryAfter is the Retry-After of a refusal without a request to estimate it for.
-	discardTimeout   = time.Second // discardTimeout limits how long a caller may take to send the rest of a refused request.
-	maxDiscarding    = 64          // maxDiscarding is the maximum number of connections whose rest is awaited at the same time.
-	maxDiscard       = 1 << 20     // maxDiscard limits the bytes that are discarded of a connection.
-	maxDiscardReads  = 16          // maxDiscardReads limits the reads of bytes that have already arrived, each of relayBufferSize.
+	unreadRetryAfter  = time.Second // unreadRetryAfter is the Retry-After of a refusal without a request to estimate it for.
+	discardTimeout    = time.Second // discardTimeout limits how long a caller may take to send the rest of a refused request.
+	maxDiscarding     = 64          // maxDiscarding is the maximum number of connections whose rest is awaited at the same time.
+	maxDiscard        = 1 << 20     // maxDiscard limits the bytes that are discarded of a connection.
+	maxClosedRefusals = 100         // maxClosedRefusals limits the refusals a second to callers that have closed the connection, whose cost adds to an overload.
+	maxDiscardReads   = 16          // maxDiscardReads limits the reads of bytes that have already arrived, each of relayBufferSize.
 )
 
 // refuseUnread refuses the request on a new connection, from which nothing has been read, and closes the connection.
@@ -38,11 +39,27 @@
 	return err == nil
 }
 
+// refuseClosed writes a refusal to a caller that has closed the connection, in case it has closed only its sending side and
+// still waits for an answer. Most have closed both sides, so no more than maxClosedRefusals a second are written.
+func (s *Server) refuseClosed(raw net.Conn, refusal []byte) {
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok || !s.closedRefusals.Allow() || isReset(raw) {
+		return
+	}
+	_ = raw.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
+	if _, err := raw.Write(refusal); err == nil {
+		discardArrived(tcp) // Nothing more arrives, and unread bytes would reset the connection.
+	}
+}
+
 // encodeUnreadRefusal returns the complete response that refuses a request which is not read.
 func (s *Server) encodeUnreadRefusal() []byte {
 	return s.encode(Refusal{Code: result.Overloaded, NotRun: true, RetryAfter: unreadRetryAfter})
 }
 
+// encodeUnknownRefusal returns the complete response to a request that another router may have run.
+func (s *Server) encodeUnknownRefusal() []byte { return s.encode(Refusal{Code: result.OutcomeUnknown}) }
+
 // encode returns a complete response that refuses a request which was not read.
 func (s *Server) encode(refusal Refusal) []byte {
 	var rc fasthttp.RequestCtx
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -35,7 +35,8 @@
 		a.accepted.Add(1)
 		if a.busy() && hasClosed(raw) {
 			a.server.config.Unanswered(Unanswered{Cause: CallerClosed, Caller: raw.RemoteAddr()})
-			a.dropClosed(raw)
+			a.server.refuseClosed(raw, a.server.unreadRefusal())
+			raw.Close()
 			continue
 		}
 		if a.handOver(raw) {
@@ -54,15 +55,6 @@
 	}
 }
 
-// dropClosed closes a connection whose caller disconnected while it waited to be accepted. The caller may have closed only
-// its sending side and still wait for an answer, so a TCP connection that was not reset gets a refusal.
-func (a *acceptor) dropClosed(raw net.Conn) {
-	if tcp, ok := raw.(*net.TCPConn); ok && !isReset(raw) && a.server.writeUnreadRefusal(raw) {
-		discardArrived(tcp) // Nothing more arrives, and unread bytes would reset the connection.
-	}
-	raw.Close()
-}
-
 // conn is a caller's connection. While a request is served, a background goroutine reads up to one byte ahead, because
 // a disconnect is only seen by a read.
 type conn struct {
--- a/io/caller/relay_end.go
+++ b/io/caller/relay_end.go
@@ -22,7 +22,9 @@
 	switch {
 	case hasClosed(r.near):
 		r.report(CallerClosed)
-		r.answerClosed()
+		if r.received > 0 {
+			s.refuseClosed(r.near, s.unknownRefusal())
+		}
 		return
 	case r.received == 0 && s.closing.Err() != nil && !hasUnread(r.near):
 		return // There is no request to answer.
@@ -46,16 +48,6 @@
 	}
 }
 
-// answerClosed refuses the request of a caller that has disconnected, in case it has closed only its sending side and still
-// waits for an answer.
-func (r *relay) answerClosed() {
-	if r.received == 0 || isReset(r.near) {
-		return
-	}
-	_ = r.near.SetWriteDeadline(time.Now().Add(r.server.config.WriteTimeout))
-	_, _ = r.near.Write(r.server.encode(Refusal{Code: result.OutcomeUnknown})) // It fails if the caller has closed both sides.
-}
-
 // readHeader reads the header of the request from the bytes that were passed on, and returns its length in bytes.
 func (r *relay) readHeader(from *fasthttp.Request) (length int, err error) {
 	sent := bytes.NewReader(r.kept[:min(r.sent, len(r.kept))])
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"ryelug/core/cell"
 	"ryelug/core/result"
@@ -90,8 +91,10 @@
 	open   map[*conn]struct{}  // open holds the connections that are served here.
 	relays map[*relay]struct{} // relays holds the connections that are relayed to other routers.
 
-	unreadRefusal func() []byte // unreadRefusal returns the response to a request that is not read.
-	discarding    chan struct{} // discarding holds an element for each closed connection whose rest is being read.
+	unreadRefusal  func() []byte // unreadRefusal returns the response to a request that is not read.
+	unknownRefusal func() []byte // unknownRefusal returns the response to a request that another router may have run.
+	closedRefusals *rate.Limiter // closedRefusals limits the refusals to callers that have closed the connection.
+	discarding     chan struct{} // discarding holds an element for each closed connection whose rest is being read.
 }
 
 // New returns a Server with the given configuration; it accepts no connections until Serve or ServeOthers is called.
@@ -122,7 +125,8 @@
 	}
 	s := &Server{config: config, prefix: uuid.NewString(), open: make(map[*conn]struct{}), relays: make(map[*relay]struct{})}
 	s.discarding = make(chan struct{}, maxDiscarding)
-	s.unreadRefusal = sync.OnceValue(s.encodeUnreadRefusal)
+	s.unreadRefusal, s.unknownRefusal = sync.OnceValue(s.encodeUnreadRefusal), sync.OnceValue(s.encodeUnknownRefusal)
+	s.closedRefusals = rate.NewLimiter(maxClosedRefusals, maxClosedRefusals)
 	s.closing, s.close = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:                      s.serve,
