--- a/router/stops/stop_test.go
+++ b/router/stops/stop_test.go
@@ -21,7 +21,7 @@
 
 var (
 	seeds   = flag.Int("seeds", 2, "number of seeds of the soak")
-	first   = flag.Uint64("first", 1, "first seed of the soak")
+	first   = flag.Uint64("first", 101, "first seed of the soak")
 	seconds = flag.Float64("seconds", 10, "time of traffic per seed, in seconds")
 )
 
