Say at a stop whether a request in progress has run

Cause: the server ended requests in progress by itself, and does not know what was sent; a request whose context ended was always abandoned with outcome_unknown, as nobody used to read it.

Change: near the end of a shutdown the contexts of requests in progress are cancelled with ErrStopping, so that the handler answers: shutting_down, not run, if no endpoint has received anything of it, else outcome_unknown. Whoever has not answered after half of the reserve is refused by the server as before. An answer that is written while the server drains closes its connection, also if its request was read before. A router also stops accepting once the balancer has had time to notice, as balancer_lag says, after all that waits in the queue: while it accepts to its end in a flood, the queue is full when it must close it.

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -182,8 +182,8 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &headerTooLarge) {
 		code = result.TooLarge
 	}
-	if s.closing.Err() != nil {
-		code = result.ShuttingDown
+	if isTimeout(err) && s.closing.Err() != nil {
+		code = result.ShuttingDown // The rest of the request can't be awaited.
 	}
 	if link, ok := rc.Conn().(*conn); ok {
 		link.expect(restOfRequest)
--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -9,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"ryelug/core/result"
 	"ryelug/io/listener"
 	"ryelug/io/pause"
 )
@@ -23,29 +22,30 @@
 // Drain makes the server close each connection after its next answer, so that callers reconnect through the load balancer.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections that wait for a request and have received none, now and as soon as others become idle. It
-// implies Drain. The server still accepts connections and serves the first request of each.
-func (s *Server) CloseIdle() {
+// Retire stops accepting connections and closes those that wait for a request of which nothing has arrived, now and as soon
+// as others become idle. Connections that wait to be accepted are served first. It implies Drain and does not wait.
+func (s *Server) Retire() {
 	s.Drain()
 	s.retiring.Store(true)
+	s.close()
 	for _, one := range s.tracked() {
 		one.closeIfIdle()
 	}
 }
 
-// Shutdown stops accepting connections and closes idle ones. Connections that wait to be accepted and requests that have
-// been received are served first. Shutdown then waits until all requests are answered and all relayed connections are closed.
-// Shortly before ctx ends, or for flushReserve if it has ended, requests in progress are refused with OutcomeUnknown.
+// Shutdown calls Retire and waits until all requests are answered and all relayed connections are closed.
+// Shortly before ctx ends, or for flushReserve if it has ended, the contexts of requests in progress are cancelled with
+// ErrStopping, and those that are not answered then are refused with OutcomeUnknown.
 // It returns the error of ctx if connections were still open when that ended.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.close()
-	s.CloseIdle()
+	s.Retire()
 	patient, cancel := beforeEnd(ctx, flushReserve)
 	defer cancel()
 	s.awaitClosed(patient, func() {})
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), flushReserve)
 	defer cancel()
-	s.awaitClosed(ctx, s.refuseInProgress)
+	answerBy := time.Now().Add(flushReserve / 2)
+	s.awaitClosed(ctx, func() { s.refuseInProgress(answerBy) })
 	err := s.http.ShutdownWithContext(ctx) // fasthttp closes only listeners that it already serves.
 	for _, one := range s.tracked() {
 		one.reportUnanswered()
@@ -72,18 +72,22 @@
 	}
 }
 
-// refuseInProgress answers the requests that are still being served, here or by another router, which may have run, and those
-// of which only a part has arrived. Streams that have begun break off.
-func (s *Server) refuseInProgress() {
+// refuseInProgress ends the requests that are still being served, here or by another router, and those of which only a part
+// has arrived. Handlers, which know whether a request has run, may answer until answerBy. Streams that have begun break off.
+func (s *Server) refuseInProgress(answerBy time.Time) {
 	for _, one := range s.relaying() {
 		_ = one.far.Close() // The relay then ends and answers its caller. It fails if the connection was closed meanwhile.
 	}
 	for _, one := range s.tracked() {
-		if ex := one.exchange(); ex != nil {
-			ex.interrupt(Refusal{Code: result.OutcomeUnknown, Detail: "the router stops"})
-			continue
+		ex := one.exchange()
+		switch {
+		case ex == nil:
+			_ = one.SetReadDeadline(pastDeadline) // It fails if the connection was closed meanwhile.
+		case time.Now().Before(answerBy):
+			ex.cancel(ErrStopping)
+		default:
+			ex.interrupt()
 		}
-		_ = one.SetReadDeadline(pastDeadline) // It fails if the connection was closed meanwhile.
 	}
 }
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -15,6 +16,9 @@
 	"ryelug/core/result"
 )
 
+// ErrStopping is the cause with which Shutdown cancels the contexts of requests in progress.
+var ErrStopping = errors.New("the router stops")
+
 // Errors returned by a Writer: ErrGone when the caller has disconnected or the write to it has timed out, ErrAnswered when
 // the answer is already complete or the call does not fit its state.
 var (
@@ -43,11 +47,12 @@
 	buf             []byte     // buf holds the encoded event that is being written; only the fasthttp goroutine uses it.
 	unwritten       []byte     // unwritten is the part of buf that has not been written yet; only the fasthttp goroutine uses it.
 	closeOnce       sync.Once
-	written         *atomic.Int64 // written counts the events that fasthttp has taken, over all exchanges of the server.
-	done            func()        // done is called once, when fasthttp closes the stream.
-	broken          bool          // broken means that the stream must end without its final chunk, so that the caller sees it as incomplete.
-	interrupted     sync.Once     // interrupted makes interrupt refuse the request once.
-	closesOnRefusal bool          // closesOnRefusal means that a refusal after the start of the stream closes the connection instead of sending an error event.
+	written         *atomic.Int64           // written counts the events that fasthttp has taken, over all exchanges of the server.
+	done            func()                  // done is called once, when fasthttp closes the stream.
+	broken          bool                    // broken means that the stream must end without its final chunk, so that the caller sees it as incomplete.
+	interrupted     sync.Once               // interrupted makes interrupt refuse the request once.
+	cancel          context.CancelCauseFunc // cancel cancels the context of the handler.
+	closesOnRefusal bool                    // closesOnRefusal means that a refusal after the start of the stream closes the connection instead of sending an error event.
 }
 
 func newExchange(buffer int, written *atomic.Int64) *exchange {
@@ -145,11 +150,14 @@
 	return x.finish()
 }
 
+// stoppedRefusal refuses a request that the handler has not answered by the end of a shutdown.
+var stoppedRefusal = Refusal{Code: result.OutcomeUnknown, Detail: "the router stops"}
+
 // interrupt refuses the request in the background, because Refuse waits for the caller of a stream to read earlier events.
 // Calls after the first have no effect.
-func (x *exchange) interrupt(refusal Refusal) {
+func (x *exchange) interrupt() {
 	x.interrupted.Do(func() {
-		go func() { _ = x.Refuse(refusal) }() // It fails if the request was answered or its caller has gone meanwhile.
+		go func() { _ = x.Refuse(stoppedRefusal) }() // It fails if the request was answered or its caller has gone meanwhile.
 	})
 }
 
@@ -167,9 +175,14 @@
 	return x.broken
 }
 
-// ensureAnswered answers with InternalFailure if the handler has returned without completing its answer.
-func (x *exchange) ensureAnswered() {
-	_ = x.Refuse(Refusal{Code: result.InternalFailure, Detail: "the router ended the request without an answer"})
+// ensureAnswered answers if the handler has returned without completing its answer: with OutcomeUnknown if ctx, the context
+// of the handler, was cancelled by a stop, else with InternalFailure.
+func (x *exchange) ensureAnswered(ctx context.Context) {
+	refusal := Refusal{Code: result.InternalFailure, Detail: "the router ended the request without an answer"}
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		refusal = stoppedRefusal
+	}
+	_ = x.Refuse(refusal)
 }
 
 // Read implements io.Reader for the fasthttp goroutine, which writes the stream. It blocks until the next event.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -79,12 +79,12 @@
 	serial atomic.Uint64 // serial is the number of the latest request ID.
 
 	draining  atomic.Bool  // draining is set by Drain; each answer then closes its connection.
-	retiring  atomic.Bool  // retiring is set by CloseIdle; a connection then closes instead of waiting for a request.
+	retiring  atomic.Bool  // retiring is set by Retire; a connection then closes instead of waiting for a request.
 	accepting atomic.Int64 // accepting is the number of listeners that are being served.
 	relayed   atomic.Int64 // relayed is the number of connections that are currently relayed to other routers.
 	done      done
 
-	closing context.Context // closing is cancelled by Shutdown.
+	closing context.Context // closing is cancelled by Retire.
 	close   context.CancelFunc
 
 	openMu sync.Mutex          // openMu guards open and relays.
@@ -158,14 +158,14 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-// Serve accepts connections of callers on ln until Shutdown. It returns nil after Shutdown, else the error of the
+// Serve accepts connections of callers on ln until Retire or Shutdown. It returns nil after these, else the error of the
 // listener.
 func (s *Server) Serve(ln net.Listener) error {
 	return s.serveOn(&acceptor{finisher: graceful(ln), handOver: s.handOver, accepted: &s.done.own})
 }
 
 // ServeOthers accepts connections on ln that other routers have handed over, and serves one request on each,
-// until Shutdown. Its errors are those of Serve.
+// until Retire or Shutdown. Its errors are those of Serve.
 func (s *Server) ServeOthers(ln net.Listener) error {
 	never := func(net.Conn) bool { return false }
 	return s.serveOn(&acceptor{finisher: graceful(ln), handOver: never, singleRequest: true, accepted: &s.done.taken})
@@ -231,9 +231,10 @@
 		return
 	}
 	s.done.requests.Add(1)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancelCause := context.WithCancelCause(context.Background())
+	cancel := func() { cancelCause(nil) }
 	ex := newExchange(s.config.Buffer, &s.done.events)
-	ex.closesOnRefusal = s.config.Protocol != nil
+	ex.closesOnRefusal, ex.cancel = s.config.Protocol != nil, cancelCause
 	stop := func() {}
 	if isLink {
 		link.serving(ex)
@@ -242,6 +243,9 @@
 	}
 	go s.handle(ctx, req, ex)
 	head := <-ex.head
+	if s.draining.Load() {
+		rc.SetConnectionClose()
+	}
 	if !head.stream {
 		stop()
 		cancel()
@@ -276,7 +280,7 @@
 
 // handle runs the handler and completes its answer. It recovers from a panic, which ends only the request at hand.
 func (s *Server) handle(ctx context.Context, req *Request, ex *exchange) {
-	defer ex.ensureAnswered()
+	defer ex.ensureAnswered(ctx)
 	defer func() {
 		if cause := recover(); cause != nil {
 			s.config.Panicked(Panic{Request: req.ID, Cause: cause, Stack: debug.Stack()})
--- a/io/caller/unanswered.go
+++ b/io/caller/unanswered.go
@@ -15,7 +15,7 @@
 // Causes, in the order in which they are tested.
 const (
 	CallerClosed Cause = iota // CallerClosed: the caller closed the connection, or its sending side, before its answer.
-	Stopped                   // Stopped: the connection was closed by Shutdown, or was still open when Shutdown gave up.
+	Stopped                   // Stopped: the connection was closed by Retire or Shutdown, or was still open when Shutdown gave up.
 	RelayEnded                // RelayEnded: the router that the connection was handed over to closed it.
 	WriteFailed               // WriteFailed: the answer could not be written in time.
 	ReadFailed                // ReadFailed: the request did not arrive in time.
@@ -75,7 +75,7 @@
 	p.writeErr = err
 }
 
-// cause returns why the connection ends. stopping means that Shutdown has begun, closed that the caller has closed the
+// cause returns why the connection ends. stopping means that Retire or Shutdown was called, closed that the caller has closed the
 // connection.
 func (p *progress) cause(stopping, closed bool) Cause {
 	switch {
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -97,7 +97,7 @@
 	case *entry.Refuse:
 		r.refuse(action)
 	case *entry.Abandon:
-		r.abandon(action)
+		r.abandon(ctx, action)
 	}
 	return nil
 }
@@ -376,14 +376,18 @@
 	r.runner.config.Counter.Refused(refuse.Code)
 }
 
-// abandon ends a request whose caller has gone: if it was sent, the endpoint is ordered to stop and
+// abandon ends a request whose caller has gone, or whose router stops: if it was sent, the endpoint is ordered to stop and
 // the team pays the cost so far.
-func (r *run) abandon(abandon *entry.Abandon) {
+func (r *run) abandon(ctx context.Context, abandon *entry.Abandon) {
 	r.closeStream()
 	r.keyHold.SetUnanswered(!r.lifecycle.MayHaveRun())
 	r.cancelAtEndpoint(abandon.End == cell.Cancelled)
 	r.end(abandon.End)
-	_ = r.writer.Refuse(caller.Refusal{Code: result.OutcomeUnknown}) // Usually nobody is left to read it.
+	refusal := caller.Refusal{Code: result.OutcomeUnknown}
+	if errors.Is(context.Cause(ctx), caller.ErrStopping) && !r.lifecycle.MayHaveRun() {
+		refusal = caller.Refusal{Code: result.ShuttingDown, NotRun: true}
+	}
+	_ = r.writer.Refuse(refusal) // Usually nobody is left to read it, unless the router stops.
 	r.runner.config.Counter.Abandoned()
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -185,7 +185,7 @@
 	r.coordinator.Depart(ctx)
 	pause.For(patient, r.config.BalancerLag)
 	r.stopAccepting()
-	r.callers.CloseIdle()
+	r.callers.Retire()
 	r.awaitRequests(patient)
 	if r.config.CallerListener != nil {
 		if err := r.callers.Shutdown(ctx); err != nil {
