Close a stream that is queued while the acceptor closes

What callers saw: a request handed over to a router in the moment of its shutdown waited until that process ended, and then got outcome_unknown, although nobody had read it.

Cause: enqueue checks that the acceptor is open before it queues a stream; Close could empty the queue in between, and nobody accepts from it afterwards.

Evidence: go test -count=1 -run TestNoStreamStaysInTheQueueOfAClosedAcceptor ./io/handover, before: "1 != 0" within 0.1 s, 3 runs of 3. After: passes, 3 runs of 3 with -race.

Why it works: done is closed before the queue is emptied, so a stream that was queued too late sees it closed and empties the queue again; the other router gets the stream back unread.

--- a/io/handover/accept.go
+++ b/io/handover/accept.go
@@ -102,10 +102,15 @@
 	}
 	select {
 	case a.streams <- stream:
-		return true
 	default:
 		return false
 	}
+	select {
+	case <-a.done:
+		_ = a.Close() // Close may have emptied the queue before the stream was queued.
+	default:
+	}
+	return true
 }
 
 // reportLoad reports the processor utilisation of this router to the other end until the link is closed, and closes the
