--- a/router/router.go
+++ b/router/router.go
@@ -163,13 +163,13 @@
 	group.Go(func() error { return r.callers.ServeOthers(acceptor) })
 }
 
-// closingReserve is the part of Config.Grace that is kept for refusing what callers send until the end.
+// closingReserve is the part of Config.Grace that is kept for ending the requests that are still in progress.
 const closingReserve = 250 * time.Millisecond
 
 // shutDown leaves in steps: health checks fail and other routers take over this one's dispatching; after
-// BalancerLag, requests are refused, idle connections closed, and requests in progress finish; then the callers' server
-// refuses what was sent meanwhile and closes its listener; finally the other routers are told that this one is gone.
-// If Config.Grace runs out or ctx ends, it stops waiting.
+// BalancerLag, the listener and idle connections close, requests are refused, and those in progress finish; shortly before
+// the end of Config.Grace the callers' server ends those that are left; finally the other routers are told that this one is
+// gone. If Config.Grace runs out or ctx ends, it stops waiting.
 func (r *Router) shutDown(ctx context.Context) {
 	r.log.Info("The router leaves.")
 	patient := ctx
