--- a/router/dispatching/reports_test.go
+++ b/router/dispatching/reports_test.go
@@ -16,7 +16,10 @@
 	"ryelug/router/dispatching"
 )
 
-const keptQueryDelay = 100 * time.Millisecond
+const (
+	keptQueryDelay = 100 * time.Millisecond
+	joined         = 2 // joined is the number of entries that join.
+)
 
 // keptRole is a dispatcher of a pool with one engine.
 type keptRole struct {
@@ -47,14 +50,14 @@
 
 func routerOf(i int) cell.RouterID { return cell.RouterID(fmt.Sprintf("host-%d/1", i)) }
 
-func (r *keptRole) join(entries int) {
-	for i := range entries {
+func (r *keptRole) join() {
+	for i := range joined {
 		r.Received(r.now, routerOf(i), &wire.Join{Cell: "chat", Session: 1}, r.now)
 	}
 }
 
-func (r *keptRole) leave(entries int) {
-	for i := range entries {
+func (r *keptRole) leave() {
+	for i := range joined {
 		r.Lost(r.now, routerOf(i))
 	}
 }
@@ -74,20 +77,20 @@
 	t.Run("too early", func(t *testing.T) {
 		role := newKeptRole()
 		role.list(3)
-		role.join(2)
+		role.join()
 		role.queriesAfter(is.New(t), keptQueryDelay-time.Millisecond, 0)
 		role.queriesAfter(is.New(t), time.Millisecond, 1)
 	})
 	t.Run("half of the entries", func(t *testing.T) {
 		role := newKeptRole()
 		role.list(4)
-		role.join(2)
+		role.join()
 		role.queriesAfter(is.New(t), time.Minute, 0)
 	})
 	t.Run("majority lost before the delay has passed", func(t *testing.T) {
 		role := newKeptRole()
 		role.list(3)
-		role.join(2)
+		role.join()
 		role.queriesAfter(is.New(t), keptQueryDelay/2, 0)
 		role.list(6)
 		role.queriesAfter(is.New(t), time.Minute, 0)
@@ -98,7 +101,7 @@
 func TestEnginesAreNotAskedAgainWhenMoreRoutersAreListed(t *testing.T) {
 	role := newKeptRole()
 	role.list(3)
-	role.join(2)
+	role.join()
 	role.queriesAfter(is.New(t), keptQueryDelay, 1)
 	role.list(6)
 	role.queriesAfter(is.New(t), keptQueryDelay, 1)
@@ -107,11 +110,11 @@
 func TestEnginesAreAskedAgainWhenDispatchingStartsAnew(t *testing.T) {
 	role := newKeptRole()
 	role.list(3)
-	role.join(2)
+	role.join()
 	role.queriesAfter(is.New(t), keptQueryDelay, 1)
-	role.leave(2)
+	role.leave()
 	role.queriesAfter(is.New(t), 0, 0)
-	role.join(2)
+	role.join()
 	role.queriesAfter(is.New(t), keptQueryDelay-time.Millisecond, 0)
 	role.queriesAfter(is.New(t), time.Millisecond, 1)
 }
