Test that an answer written while the server drains closes its connection

Callers: requests on kept connections of a leaving router ended without an answer, thousands of them where routers leave in a flood.

Cause: whether an answer closes its connection was decided when its request was read. A request that had waited since before the signal was answered without "Connection: close", so its caller kept the connection and sent the next request on it, while the router closed it as idle, just after the answer, when the next request is most likely on its way.

--- a/io/caller/close.go
+++ b/io/caller/close.go
@@ -60,7 +60,7 @@
 // encodeUnknownRefusal returns the complete response to a request that another router may have run.
 func (s *Server) encodeUnknownRefusal() []byte { return s.encode(Refusal{Code: result.OutcomeUnknown}) }
 
-// encode returns a complete response that refuses a request which was not read.
+// encode returns the complete response to a request that is refused outside of fasthttp.
 func (s *Server) encode(refusal Refusal) []byte {
 	var rc fasthttp.RequestCtx
 	s.write(&rc, nil, head{refusal: refusal})
--- a/io/caller/stop_test.go
+++ b/io/caller/stop_test.go
@@ -209,3 +209,25 @@
 	}
 	is.Equal([]int{status(working), status(partial)}, []int{http.StatusBadGateway, http.StatusServiceUnavailable})
 }
+
+// Guards against an answer that leaves its connection open although the server has begun to drain.
+func TestAnswerOfARequestReadBeforeDrainClosesItsConnection(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	server := caller.New(caller.Config{Handler: &handlerFunc{serve: func(ctx context.Context, req *caller.Request, w caller.Writer) {
+		close(started)
+		<-release
+		echo(ctx, req, w)
+	}}})
+	ln := listen(t)
+	go func() { _ = server.Serve(ln) }()
+	conn := dial(t, ln.Addr().String())
+	_, err := fmt.Fprint(conn, request)
+	is.NoErr(err)
+	<-started
+	server.Drain()
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.True(resp.Close)
+}
