Carry an endpoint's load, the time of an answer and its bytes with the end of an attempt

They travel as optional fields of cell.End (and the load with the first token), behind a byte of flags in place of the former boolean, so an end without them has the size that it had; a progress report is one byte longer. Peer protocol version 8. core/rollout holds the types of an operator's order; nothing sets them yet.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -150,11 +150,23 @@
 	Unreached                       // Unreached: there was no connection to the endpoint and nothing was sent.
 )
 
+// EndpointLoad is the load that an endpoint reported in an answer. Its zero value means that the answer had none.
+type EndpointLoad struct {
+	Running uint16 // Running is the number of requests that run at the endpoint.
+	Waiting uint16 // Waiting is the number of requests that wait there for a slot.
+	Slots   uint16 // Slots is the number of requests that the endpoint runs at once.
+	Pace    uint16 // Pace is how long work takes at the endpoint at that moment, in percent of the usual time.
+}
+
+// IsKnown reports whether the endpoint reported its load together with its pace.
+func (l EndpointLoad) IsKnown() bool { return l.Pace > 0 }
+
 // Progress reports the cost of an attempt so far.
 type Progress struct {
 	Attempt    AttemptID     `msgpack:"a"`
 	Cost       Cost          `msgpack:"c"`
 	FirstToken time.Duration `msgpack:"f,omitempty"` // FirstToken is the time from sending to the first token; zero except in the one report after the first token.
+	Load       EndpointLoad  `msgpack:"l,omitempty"` // Load is the endpoint's load by the header of its answer.
 }
 
 // End reports that an attempt has ended, with its outcome and cost.
@@ -164,6 +176,9 @@
 	Cost       Cost          `msgpack:"c"`
 	FirstToken time.Duration `msgpack:"f,omitempty"` // FirstToken is the time from sending to the first token; zero if unknown.
 	IsBroken   bool          `msgpack:"b,omitempty"` // IsBroken is true if the connection closed before the answer was complete.
+	Load       EndpointLoad  `msgpack:"l,omitempty"` // Load is the endpoint's load by the header of its answer.
+	Took       time.Duration `msgpack:"d,omitempty"` // Took is the time from sending to the complete answer, or to the first event of a stream; zero unless the cell has a roll-out.
+	Bytes      uint32        `msgpack:"y,omitempty"` // Bytes is the size of the request's body and its answer; zero unless Load is known.
 }
 
 // Refusal tells an entry router that an attempt is rejected.
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -6,6 +6,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/engine"
 	"ryelug/core/result"
+	"ryelug/core/rollout"
 )
 
 // Event is an input to Dispatcher.Step; it is one of the pointer types of this package that have an event method.
@@ -26,6 +27,7 @@
 
 	Start      cell.StartID // Start identifies the current run of the endpoint's process if the users' platform, which registers the endpoint, provides it; empty if load reports do.
 	DataCentre string
+	Version    string    // Version is that of the endpoint's software, which a roll-out goes by; empty if unknown.
 	ColdUntil  time.Time // ColdUntil is the time at which the endpoint stops being cold, according to the users' platform.
 }
 
@@ -46,6 +48,9 @@
 	FairRate  float64         // FairRate is the cost per second that is divided evenly among the teams (max-min fairness), whatever their shares; zero if unknown.
 	Predicted bool            // Predicted selects endpoints by predicted time to the first token, for endpoints that reject what they can't handle.
 
+	Rollout       *rollout.Order // Rollout is the operator's order to move the cell's traffic to another version; nil if there is none.
+	RolloutBounds rollout.Bounds // RolloutBounds limits what a bad version may get.
+
 	EntryDataCentres map[cell.HostID]string // EntryDataCentres maps the hosts of entry routers to their data centres, as far as known.
 }
 
--- a/io/greeting/greeting.go
+++ b/io/greeting/greeting.go
@@ -14,7 +14,7 @@
 )
 
 // Version is the version of the protocol between routers; both ends of a link must have the same.
-const Version = 7
+const Version = 8
 
 // MaxFrame limits the body of a frame during the handshake, in bytes.
 const MaxFrame = 2 << 10
--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -242,17 +242,33 @@
 }
 
 func (d *Decoder) progress() cell.Progress {
-	return cell.Progress{Attempt: d.attempt(), Cost: cell.Cost(d.int()), FirstToken: d.duration()}
+	progress := cell.Progress{Attempt: d.attempt(), Cost: cell.Cost(d.int()), FirstToken: d.duration()}
+	if d.uint()&endHasLoad != 0 {
+		progress.Load = d.load()
+	}
+	return progress
+}
+
+func (d *Decoder) load() cell.EndpointLoad {
+	return cell.EndpointLoad{Running: d.uint16(), Waiting: d.uint16(), Slots: d.uint16(), Pace: d.uint16()}
 }
 
 func (d *Decoder) end() cell.End {
-	return cell.End{
+	end := cell.End{
 		Attempt:    d.attempt(),
 		Outcome:    cell.Outcome(d.uint8()),
 		Cost:       cell.Cost(d.int()),
 		FirstToken: d.duration(),
-		IsBroken:   d.bool(),
 	}
+	flags := d.uint()
+	end.IsBroken = flags&endIsBroken != 0
+	if flags&endHasLoad != 0 {
+		end.Load, end.Bytes = d.load(), d.uint32()
+	}
+	if flags&endHasTook != 0 {
+		end.Took = d.duration()
+	}
+	return end
 }
 
 func (d *Decoder) rejected() cell.RejectedPart {
--- a/io/wire/decode_test.go
+++ b/io/wire/decode_test.go
@@ -26,8 +26,11 @@
 		&Withdraw{"chat", 3, []cell.AttemptID{9, math.MaxUint64, 0, 1 << 63, 7}},
 		&Grants{"chat", 3, []cell.Grant{{Attempt: 9, Endpoint: "e", Start: "s", Fetch: "e2", Predicted: 120 * time.Millisecond}}},
 		&Refusals{"chat", 3, []cell.Refusal{{Attempt: 9, Code: 1006}}},
-		&Progress{"chat", 3, []cell.Progress{{Attempt: 9, Cost: 120}}},
-		&Ends{"chat", []cell.End{{Attempt: 9, Outcome: cell.Failed, IsBroken: true}}},
+		&Progress{"chat", 3, []cell.Progress{{Attempt: 9, Cost: 120}, {Attempt: 10, FirstToken: time.Second, Load: cell.EndpointLoad{Slots: 12, Pace: 100}}}},
+		&Ends{"chat", []cell.End{{Attempt: 9, Outcome: cell.Failed, IsBroken: true}, {
+			Attempt: 11, Outcome: cell.Completed, Load: cell.EndpointLoad{Running: 3, Waiting: 1, Slots: 6, Pace: 250}, Bytes: 812, Took: 31 * time.Millisecond,
+		}}},
+
 		&Counters{"chat", counters}, &Leaving{}, &ConfigNews{12, []byte("{}")},
 		&ConfigAsk{[]string{"ab"}}, &ConfigPart{"ab", []byte("part")}, &Members{[]cell.HostID{"a"}}, &Departed{}, &Waiting{[]cell.HostID{"a", "b"}},
 		&Listed{true, []Host{{"a", netip.MustParseAddrPort("192.0.2.1:7000"), "dc-a", true, 192}}},
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -197,6 +197,40 @@
 	e.attempt(&p.Attempt)
 	e.int(int64(p.Cost))
 	e.duration(p.FirstToken)
+	if !p.Load.IsKnown() {
+		e.uint(0)
+		return
+	}
+	e.uint(endHasLoad)
+	e.load(&p.Load)
+}
+
+// Flags of the optional fields of an attempt's end.
+const (
+	endIsBroken uint64 = 1 << iota
+	endHasLoad
+	endHasTook
+)
+
+func endFlags(end *cell.End) uint64 {
+	var flags uint64
+	if end.IsBroken {
+		flags |= endIsBroken
+	}
+	if end.Load.IsKnown() {
+		flags |= endHasLoad
+	}
+	if end.Took > 0 {
+		flags |= endHasTook
+	}
+	return flags
+}
+
+func (e *Encoder) load(load *cell.EndpointLoad) {
+	e.uint(uint64(load.Running))
+	e.uint(uint64(load.Waiting))
+	e.uint(uint64(load.Slots))
+	e.uint(uint64(load.Pace))
 }
 
 func (e *Encoder) end(end *cell.End) {
@@ -204,7 +238,15 @@
 	e.uint(uint64(end.Outcome))
 	e.int(int64(end.Cost))
 	e.duration(end.FirstToken)
-	e.keep(e.enc.EncodeBool(end.IsBroken))
+	flags := endFlags(end)
+	e.uint(flags)
+	if flags&endHasLoad != 0 {
+		e.load(&end.Load)
+		e.uint(uint64(end.Bytes))
+	}
+	if flags&endHasTook != 0 {
+		e.duration(end.Took)
+	}
 }
 
 func (e *Encoder) rejected(part *cell.RejectedPart) {
--- a/io/wire/scalar.go
+++ b/io/wire/scalar.go
@@ -104,6 +104,8 @@
 
 func (d *Decoder) uint16() uint16 { return uint16(d.atMost(math.MaxUint16)) }
 
+func (d *Decoder) uint32() uint32 { return uint32(d.atMost(math.MaxUint32)) }
+
 func (d *Decoder) uint8() uint8 { return uint8(d.atMost(math.MaxUint8)) }
 
 func (d *Decoder) atMost(limit uint64) uint64 {
