--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -35,24 +35,39 @@
 
 // Shutdown calls Retire and waits until all requests are answered and all relayed connections are closed.
 // Shortly before ctx ends, or for flushReserve if it has ended, the contexts of requests in progress are cancelled with
-// ErrStopping, and those that are not answered then are refused with OutcomeUnknown.
+// ErrStopping, and those that are not answered then are refused with OutcomeUnknown. Requests that other routers handed over
+// go on for Config.HandedOverGrace longer.
 // It returns the error of ctx if connections were still open when that ended.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Retire()
 	patient, cancel := beforeEnd(ctx, flushReserve)
 	defer cancel()
 	s.awaitClosed(patient, func() {})
-	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), flushReserve)
+	if s.config.HandedOverGrace > 0 {
+		s.endInProgress(ctx, func(c *conn) bool { return !c.handedOver })
+		extended, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.config.HandedOverGrace)
+		defer cancel()
+		s.awaitClosed(extended, func() {})
+	}
+	s.endInProgress(ctx, func(*conn) bool { return true })
+	ended, cancel := context.WithTimeout(context.WithoutCancel(ctx), 0)
 	defer cancel()
-	answerBy := time.Now().Add(flushReserve / 2)
-	s.awaitClosed(ctx, func() { s.refuseInProgress(answerBy) })
-	err := s.http.ShutdownWithContext(ctx) // fasthttp closes only listeners that it already serves.
+	err := s.http.ShutdownWithContext(ended) // fasthttp closes only listeners that it already serves.
 	for _, one := range s.tracked() {
 		one.reportUnanswered()
 	}
 	return err
 }
 
+// endInProgress ends the relays and the requests in progress on the connections that include selects, and waits at most
+// flushReserve for all connections to close.
+func (s *Server) endInProgress(ctx context.Context, include func(*conn) bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushReserve)
+	defer cancel()
+	answerBy := time.Now().Add(flushReserve / 2)
+	s.awaitClosed(ctx, func() { s.refuseInProgress(answerBy, include) })
+}
+
 // beforeEnd returns a context that ends earlier than ctx does, by the given margin; it never ends if ctx never does.
 func beforeEnd(ctx context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
 	if end, ok := ctx.Deadline(); ok {
@@ -72,15 +87,17 @@
 	}
 }
 
-// refuseInProgress ends the requests that are still being served, here or by another router, and those of which only a part
-// has arrived. Handlers, which know whether a request has run, may answer until answerBy. Streams that have begun break off.
-func (s *Server) refuseInProgress(answerBy time.Time) {
+// refuseInProgress ends the requests that are still being served by another router, or here on the connections that include
+// selects, and those of which only a part has arrived. Handlers, which know whether a request has run, may answer until
+// answerBy. Streams that have begun break off.
+func (s *Server) refuseInProgress(answerBy time.Time, include func(*conn) bool) {
 	for _, one := range s.relaying() {
 		_ = one.far.Close() // The relay then ends and answers its caller. It fails if the connection was closed meanwhile.
 	}
 	for _, one := range s.tracked() {
 		ex := one.exchange()
 		switch {
+		case !include(one):
 		case ex == nil:
 			_ = one.SetReadDeadline(pastDeadline) // It fails if the connection was closed meanwhile.
 		case time.Now().Before(answerBy):
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -49,7 +49,7 @@
 		}
 		a.open.Add(1)
 		return a.server.track(&conn{
-			Conn: raw, server: a.server, accepted: time.Now(), idle: true, writeTimeout: a.writeTimeout, singleRequest: a.singleRequest,
+			Conn: raw, server: a.server, accepted: time.Now(), idle: true, writeTimeout: a.writeTimeout, singleRequest: a.singleRequest, handedOver: a.singleRequest,
 			age: requestAge(raw, a.processorDelay()), release: func() { a.open.Add(-1) },
 		}), nil
 	}
@@ -62,6 +62,7 @@
 	server        *Server
 	writeTimeout  time.Duration
 	singleRequest bool          // singleRequest means that the connection is closed after its first request.
+	handedOver    bool          // handedOver means that another router accepted the connection and handed it over.
 	accepted      time.Time     // accepted is when the connection was accepted.
 	age           time.Duration // age is how long the first request had waited when the connection was accepted; takeAge resets it to zero.
 
--- a/io/caller/relay_stop_test.go
+++ b/io/caller/relay_stop_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -64,3 +66,51 @@
 		is.Equal(times, 1)
 	}
 }
+
+// Guards against streams of another router's callers that break off at the grace of this router, while the other router and
+// the endpoint go on.
+func TestHandedOverStreamsOutlastTheGraceOfTheirRouter(t *testing.T) {
+	const longer = 3 * time.Second // longer is above the time that the stream takes after the end of the grace.
+	begun, finish := make(chan struct{}, 2), make(chan struct{})
+	stream := func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		_ = w.Event(caller.Event{ID: "1", Data: []byte("first")})
+		begun <- struct{}{}
+		<-finish
+		_ = w.Event(caller.Event{ID: "2", Data: []byte("last")})
+		_ = w.Close()
+	}
+	is := is.New(t)
+	far := caller.New(caller.Config{Handler: &handlerFunc{serve: stream}, HandedOverGrace: longer})
+	near := handsOver(t, takesOver(t, far), &handlerFunc{serve: stream}, func(bool) {})
+	handedOver, own := listen(t), listen(t)
+	go func() { _ = near.Serve(handedOver) }()
+	go func() { _ = far.Serve(own) }()
+	body := func(address string) func() (string, error) {
+		conn := dial(t, address)
+		_, err := fmt.Fprint(conn, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		<-begun
+		return func() (string, error) {
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			data, err := io.ReadAll(resp.Body)
+			return string(data), err
+		}
+	}
+	readHandedOver, readOwn := body(handedOver.Addr().String()), body(own.Addr().String())
+	ended, end := context.WithCancel(t.Context())
+	end()
+	stopped := make(chan struct{})
+	go func() {
+		_ = far.Shutdown(ended) // An ended context is its error.
+		close(stopped)
+	}()
+	data, err := readOwn()
+	is.NoErr(err)
+	is.True(!strings.Contains(data, "last")) // A request of this router's own caller ends with the grace.
+	close(finish)
+	data, err = readHandedOver()
+	is.NoErr(err)
+	is.True(strings.Contains(data, "last"))
+	<-stopped
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -42,23 +42,24 @@
 
 // Config configures a Server. Zero timeouts, MaxHeader, MaxBody and Buffer take defaults.
 type Config struct {
-	Handler      Handler
-	ReadTimeout  time.Duration                         // ReadTimeout limits how long a request may take to arrive completely; zero means 10 s.
-	WriteTimeout time.Duration                         // WriteTimeout limits how long one write to a caller may block; zero means 30 s.
-	IdleTimeout  time.Duration                         // IdleTimeout limits the time between two requests on a connection; zero means one minute.
-	MaxHeader    int                                   // MaxHeader limits the request line and the header of a request, in bytes; zero means 8 KiB.
-	MaxBody      int                                   // MaxBody limits the body of a request, in bytes; zero means 4 MiB.
-	Buffer       int                                   // Buffer limits the number of events of a stream that are queued for a slow caller; zero means 64.
-	MaxConns     int                                   // MaxConns limits the open connections of callers; zero means the limit of fasthttp, and that no connection is relayed.
-	Protocol     *Protocol                             // Protocol decodes requests and encodes refusals; nil selects this project's own HTTP protocol.
-	Refused      func(result.Code)                     // Refused is called with the code for each request that could not be read; may be nil.
-	Shed         Shed                                  // Shed can refuse a request before resources are allocated for it; nil refuses none.
-	Elsewhere    func(age time.Duration) (Relay, bool) // Elsewhere returns another router to relay a new connection to, whose request has waited for age; nil disables relaying.
-	Timeout      func(req *Request) time.Duration      // Timeout returns the time from the arrival of a request by which its answer must be complete, zero for no limit; nil means that none has one. A relayed request is answered here then.
-	Late         func() time.Duration                  // Late returns how long runnable work currently waits for a processor; nil means zero.
-	Busy         func() bool                           // Busy reports whether the process is close to its capacity, so that callers may have disconnected while they waited to be accepted; nil means never.
-	Panicked     func(Panic)                           // Panicked is called when the handler panics; may be nil.
-	Unanswered   func(Unanswered)                      // Unanswered is called when a connection ends before the answer to a request on it has begun; may be nil.
+	Handler         Handler
+	ReadTimeout     time.Duration                         // ReadTimeout limits how long a request may take to arrive completely; zero means 10 s.
+	WriteTimeout    time.Duration                         // WriteTimeout limits how long one write to a caller may block; zero means 30 s.
+	HandedOverGrace time.Duration                         // HandedOverGrace is how much longer than others the requests of other routers' callers go on at a Shutdown; zero is no longer.
+	IdleTimeout     time.Duration                         // IdleTimeout limits the time between two requests on a connection; zero means one minute.
+	MaxHeader       int                                   // MaxHeader limits the request line and the header of a request, in bytes; zero means 8 KiB.
+	MaxBody         int                                   // MaxBody limits the body of a request, in bytes; zero means 4 MiB.
+	Buffer          int                                   // Buffer limits the number of events of a stream that are queued for a slow caller; zero means 64.
+	MaxConns        int                                   // MaxConns limits the open connections of callers; zero means the limit of fasthttp, and that no connection is relayed.
+	Protocol        *Protocol                             // Protocol decodes requests and encodes refusals; nil selects this project's own HTTP protocol.
+	Refused         func(result.Code)                     // Refused is called with the code for each request that could not be read; may be nil.
+	Shed            Shed                                  // Shed can refuse a request before resources are allocated for it; nil refuses none.
+	Elsewhere       func(age time.Duration) (Relay, bool) // Elsewhere returns another router to relay a new connection to, whose request has waited for age; nil disables relaying.
+	Timeout         func(req *Request) time.Duration      // Timeout returns the time from the arrival of a request by which its answer must be complete, zero for no limit; nil means that none has one. A relayed request is answered here then.
+	Late            func() time.Duration                  // Late returns how long runnable work currently waits for a processor; nil means zero.
+	Busy            func() bool                           // Busy reports whether the process is close to its capacity, so that callers may have disconnected while they waited to be accepted; nil means never.
+	Panicked        func(Panic)                           // Panicked is called when the handler panics; may be nil.
+	Unanswered      func(Unanswered)                      // Unanswered is called when a connection ends before the answer to a request on it has begun; may be nil.
 }
 
 // Shed reports whether a request is to be refused immediately, and with which refusal.
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -154,10 +154,11 @@
 func (p *Process) newRouter() *router.Router {
 	given := p.config.Settings
 	callers := caller.Config{
-		ReadTimeout: given.BodyTimeout,
-		MaxHeader:   given.MaxHeader,
-		MaxBody:     given.MaxBody,
-		MaxConns:    maxCallerConns(given),
+		ReadTimeout:     given.BodyTimeout,
+		HandedOverGrace: given.HandedOverGrace,
+		MaxHeader:       given.MaxHeader,
+		MaxBody:         given.MaxBody,
+		MaxConns:        maxCallerConns(given),
 	}
 	routerConfig := router.Config{
 		Host:             given.Host,
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -98,6 +98,8 @@
 		5*time.Second, time.Second, 10*time.Minute, func(s *Settings) *time.Duration { return &s.RevokeBound }),
 	durationKey("grace", "Time from the signal to stop to the end of the process, whatever still runs then; requests that are still in progress shortly before are refused.",
 		10*time.Minute, time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.Grace }),
+	durationKey("handed_over_grace", "Time beyond `grace` for which requests that other routers handed over go on: the router that accepted one may stop later than this one.",
+		0, 0, time.Hour, func(s *Settings) *time.Duration { return &s.HandedOverGrace }),
 	numberKey("processor_share", "Cores that the process may use; hosts with the most of them dispatch, and one that uses half of them hands new connections over. Zero is not known.",
 		0, 0, 1024, func(s *Settings) *float64 { return &s.ProcessorShare }),
 	numberKey("retry_ratio", "Retries that each request of a pool earns, in the whole fleet.", 0.2, 0, 10, func(s *Settings) *float64 { return &s.RetryRatio }),
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -42,14 +42,15 @@
 	ListLag        time.Duration // ListLag is how far the platform's list of hosts may be out of date.
 	CutOffAfter    time.Duration // CutOffAfter is the time without contact with the platform and with most other routers after which the router refuses new requests.
 
-	Registered  bool          // Registered is set if the endpoints and the configuration come from the platform's registry; otherwise they come from the configuration document of Environment.
-	RevokeBound time.Duration // RevokeBound is the time after which a revoked API key must not be served by any router.
-	Grace       time.Duration // Grace is the longest time from the stop signal to the end of the process; the process then ends even if requests are still running.
-	RetryRatio  float64       // RetryRatio is the number of retries that each request adds to the retry budget of its pool, in all routers together.
-	RetryBurst  float64       // RetryBurst is the maximum retry budget that a pool can save up, in all routers together.
-	ColdFactor  float64       // ColdFactor multiplies the request rate that the configuration allows a cold endpoint, one that is still warming up.
-	ColdSlack   float64       // ColdSlack is added to the request rate of a cold endpoint after ColdFactor is applied, in requests per second.
-	MemoryLimit int           // MemoryLimit is the memory of the process, in MiB; zero means no limit.
+	Registered      bool          // Registered is set if the endpoints and the configuration come from the platform's registry; otherwise they come from the configuration document of Environment.
+	RevokeBound     time.Duration // RevokeBound is the time after which a revoked API key must not be served by any router.
+	HandedOverGrace time.Duration // HandedOverGrace is how much longer than Grace the requests that other routers handed over go on.
+	Grace           time.Duration // Grace is the longest time from the stop signal to the end of the process; the process then ends even if requests are still running.
+	RetryRatio      float64       // RetryRatio is the number of retries that each request adds to the retry budget of its pool, in all routers together.
+	RetryBurst      float64       // RetryBurst is the maximum retry budget that a pool can save up, in all routers together.
+	ColdFactor      float64       // ColdFactor multiplies the request rate that the configuration allows a cold endpoint, one that is still warming up.
+	ColdSlack       float64       // ColdSlack is added to the request rate of a cold endpoint after ColdFactor is applied, in requests per second.
+	MemoryLimit     int           // MemoryLimit is the memory of the process, in MiB; zero means no limit.
 
 	KeyedRate      int           // KeyedRate is the maximum number of requests with an Idempotency-Key per second, in all routers together.
 	KeyedRetention time.Duration // KeyedRetention is how long the outcome of a request with an Idempotency-Key is kept; a later repeat runs again.
