Read the load that an endpoint reports with its pace, and report it to the dispatcher

A dispatcher can place work by how fast an endpoint is at the moment only if the entries pass on what the endpoints state. The field X-Server-Load is read if it has four figures; three, as earlier deployments send, give nothing, so that their ends stay as they are. The load goes with the report of the first token and with the end, together with the bytes moved and, for a whole answer, the time that it took.

--- a/io/endpoint/call.go
+++ b/io/endpoint/call.go
@@ -32,9 +32,10 @@
 type Answer struct {
 	Status      int
 	ContentType string
-	RequestID   string         // RequestID is the request id that the endpoint echoed; empty if it echoed none.
-	RetryAfter  time.Duration  // RetryAfter is the value of the Retry-After header, in whole seconds; zero if it is absent or not a number.
-	Header      []header.Field // Header holds the answer's fields without hop-by-hop ones; nil unless the Dialect is verbatim.
+	RequestID   string            // RequestID is the request id that the endpoint echoed; empty if it echoed none.
+	RetryAfter  time.Duration     // RetryAfter is the value of the Retry-After header, in whole seconds; zero if it is absent or not a number.
+	Load        cell.EndpointLoad // Load is the load that the endpoint reported; zero if it reported none or no pace.
+	Header      []header.Field    // Header holds the answer's fields without hop-by-hop ones; nil unless the Dialect is verbatim.
 	Body        []byte
 	Events      *Events // Events is nil for an answer that is no stream; otherwise the reader must close it.
 }
@@ -80,6 +81,8 @@
 	Endpoint   cell.EndpointID
 	Status     int
 	RetryAfter time.Duration // RetryAfter is the wait that the endpoint asked for; zero if it gave none.
+
+	Load cell.EndpointLoad // Load is the load that the endpoint reported; zero if it reported none or no pace.
 }
 
 // Error implements error.
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -230,6 +230,7 @@
 		ContentType: string(resp.Header.ContentType()),
 		RequestID:   echoed,
 		RetryAfter:  retryAfter(resp),
+		Load:        dialect.load(resp),
 	}
 	isOther := echoed != "" && echoed != call.RequestID
 	if isOther || (echoed == "" && c.served) {
@@ -271,7 +272,7 @@
 		return &ErrStartChanged{Endpoint: call.Endpoint, Want: call.Start, Answered: true}
 	}
 	if c.config.Dialect.refused(resp) {
-		return &ErrRefused{Endpoint: call.Endpoint, Status: answer.Status, RetryAfter: answer.RetryAfter}
+		return &ErrRefused{Endpoint: call.Endpoint, Status: answer.Status, RetryAfter: answer.RetryAfter, Load: answer.Load}
 	}
 	return nil
 }
--- a/io/endpoint/dialect.go
+++ b/io/endpoint/dialect.go
@@ -20,6 +20,7 @@
 	Start     string // Start is the header field with the name of the endpoint that the call is for; another endpoint at the same address answers 421.
 	Deadline  string // Deadline is the header field with the milliseconds left for the call.
 	Fetch     string // Fetch is the header field with the address of an engine that has cached parts of the prompt.
+	Load      string // Load is the header field of an answer with the endpoint's load: running,waiting,slots,pace. A field with fewer figures is ignored.
 	Seal      string // Seal is a header field that every answer with a status below 300 must have; one without it is not taken for the endpoint's.
 
 	Leaving string // Leaving is the header field with which an answer says, by 1, that its endpoint leaves and wants no further calls.
--- a/router/coordination/command.go
+++ b/router/coordination/command.go
@@ -30,7 +30,8 @@
 type firstToken struct {
 	cell    cell.ID
 	attempt cell.AttemptID
-	latency time.Duration // latency is the time from the send to the first token.
+	latency time.Duration     // latency is the time from the send to the first token.
+	load    cell.EndpointLoad // load is what the endpoint reported with it; zero if nothing.
 }
 
 // adopt puts a generation of the configuration into force.
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -200,7 +200,7 @@
 	case finish:
 		c.entryRole.Finish(now, cmd.cell, cmd.end)
 	case firstToken:
-		c.entryRole.ReportFirstToken(now, cmd.cell, cmd.attempt, cmd.latency)
+		c.entryRole.ReportFirstToken(now, cmd.cell, cmd.attempt, cmd.latency, cmd.load)
 	case adopt:
 		c.adopt(now, cmd.directory)
 	case hostList:
--- a/router/coordination/duty.go
+++ b/router/coordination/duty.go
@@ -35,9 +35,10 @@
 	c.postUncancellable(finish{cell: id, end: end})
 }
 
-// ReportFirstToken reports the first token of a granted attempt; latency is the time since the send.
-func (c *Coordinator) ReportFirstToken(id cell.ID, attempt cell.AttemptID, latency time.Duration) {
-	c.postUncancellable(firstToken{cell: id, attempt: attempt, latency: latency})
+// ReportFirstToken reports the first token of a granted attempt; latency is the time since the send. Load is what the
+// endpoint reported with it; zero if nothing.
+func (c *Coordinator) ReportFirstToken(id cell.ID, attempt cell.AttemptID, latency time.Duration, load cell.EndpointLoad) {
+	c.postUncancellable(firstToken{cell: id, attempt: attempt, latency: latency, load: load})
 }
 
 // Tell sends a message to the given router, or to every linked router if none is given.
--- a/router/grants.go
+++ b/router/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,10 @@
 	cell        cell.ID
 	attempt     cell.AttemptID
 	decision    lending.Decision
-	isBroken    bool // isBroken is set once the connection has closed before the answer was complete.
+	load        cell.EndpointLoad // load is what the endpoint reported in its latest answer; zero if nothing.
+	bytes       int               // bytes is the size of the request's body and its answer; only set with load.
+	took        time.Duration     // took is the time from the send to the complete answer; only set with load.
+	isBroken    bool              // isBroken is set once the connection has closed before the answer was complete.
 }
 
 // Attempt implements request.Permit.
@@ -112,12 +116,17 @@
 
 // ReportFirstToken implements request.Permit.
 func (p *permit) ReportFirstToken(first time.Duration) {
-	p.coordinator.ReportFirstToken(p.cell, p.attempt, first)
+	p.coordinator.ReportFirstToken(p.cell, p.attempt, first, p.load)
 }
 
 // ReportBroken implements request.Permit.
 func (p *permit) ReportBroken() { p.isBroken = true }
 
+// ReportLoad implements request.Permit.
+func (p *permit) ReportLoad(load cell.EndpointLoad, bytes int, took time.Duration) {
+	p.load, p.bytes, p.took = load, bytes, took
+}
+
 // ReportCost implements request.Permit. It only stores the cost; the coordinator reads it for its next progress
 // report to the dispatcher.
 func (p *permit) ReportCost(cost cell.Cost) { p.decision.Cost.Set(cost) }
@@ -125,5 +134,8 @@
 // End implements request.Permit.
 func (p *permit) End(outcome cell.Outcome, cost cell.Cost, firstToken time.Duration) {
 	end := cell.End{Attempt: p.attempt, Outcome: outcome, Cost: cost, FirstToken: firstToken, IsBroken: p.isBroken}
+	if p.load.IsKnown() {
+		end.Load, end.Bytes, end.Took = p.load, uint32(min(p.bytes, math.MaxUint32)), p.took
+	}
 	p.coordinator.Finish(p.cell, end)
 }
--- a/router/lending/role.go
+++ b/router/lending/role.go
@@ -204,10 +204,10 @@
 }
 
 // ReportFirstToken records that the first token of a granted attempt arrived, at the given time after
-// the request was sent. Shorter times count as 1 ms, since zero means no first token yet.
-func (r *Role) ReportFirstToken(now time.Time, id cell.ID, attempt cell.AttemptID, firstToken time.Duration) {
+// the request was sent, with the load that the endpoint reported. Shorter times count as 1 ms, since zero means no first token yet.
+func (r *Role) ReportFirstToken(now time.Time, id cell.ID, attempt cell.AttemptID, firstToken time.Duration, load cell.EndpointLoad) {
 	if cs, ok := r.cells[id]; ok {
-		r.step(now, cs, &lend.Progress{Progress: cell.Progress{Attempt: attempt, FirstToken: max(firstToken, time.Millisecond)}})
+		r.step(now, cs, &lend.Progress{Progress: cell.Progress{Attempt: attempt, FirstToken: max(firstToken, time.Millisecond), Load: load}})
 	}
 }
 
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -161,7 +161,9 @@
 func (p *fakePermit) Predicted() time.Duration       { return 0 }
 func (p *fakePermit) ReportFirstToken(time.Duration) {}
 func (p *fakePermit) ReportBroken()                  {}
-func (p *fakePermit) ReportCost(cell.Cost)           {}
+
+func (p *fakePermit) ReportLoad(cell.EndpointLoad, int, time.Duration) {}
+func (p *fakePermit) ReportCost(cell.Cost)                             {}
 
 func (p *fakePermit) AwaitConfirmed(context.Context) bool { return true }
 func (p *fakePermit) End(outcome cell.Outcome, cost cell.Cost, _ time.Duration) {
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -43,6 +43,7 @@
 	sentAt           time.Time          // start of the latest send that did not resume a stream
 	timeToFirstToken time.Duration      // time from sentAt to the first event under the current permit; zero before that event
 	meter            meter              // cost of the current attempt
+	answerBytes      int                // bytes of the answer under the current permit; only counted if the endpoint reports its load
 	lastError        error              // cause of the latest failure, until it is logged
 	keyHold          *keyed.OwnedRecord // nil for a request without an Idempotency-Key
 	attemptCtx       context.Context    // ends when the caller leaves or the attempt takes too long; ignores the caller if keyHold is set
@@ -122,7 +123,7 @@
 		return refusalEvent(err)
 	}
 	r.permit, r.grantedAt = permit, time.Now()
-	r.sent = false
+	r.sent, r.answerBytes = false, 0
 	r.meter = newMeter(r.route.Service, len(r.req.Body))
 	if r.keyHold != nil {
 		ctx = context.WithoutCancel(ctx)
@@ -182,6 +183,7 @@
 	}
 	r.sent = true
 	r.answer = answer
+	r.reportLoad(answer.Load, len(answer.Body))
 	if answer.Events != nil {
 		return r.nextEvent()
 	}
@@ -195,6 +197,19 @@
 // router that is overloaded may not have noticed by then that the caller closed it.
 const minAgeForLeftCheck = 200 * time.Millisecond
 
+// reportLoad reports the load in the endpoint's answer, if there is one, after more bytes of the answer have arrived.
+func (r *run) reportLoad(load cell.EndpointLoad, more int) {
+	if !load.IsKnown() {
+		return
+	}
+	r.answerBytes += more
+	took := time.Duration(0)
+	if r.answer == nil || r.answer.Events == nil {
+		took = time.Since(r.sentAt)
+	}
+	r.permit.ReportLoad(load, len(r.req.Body)+r.answerBytes, took)
+}
+
 // callerHasLeft reports whether the caller of a request older than minAgeForLeftCheck has closed
 // its connection. It is always false for a detached request.
 func (r *run) callerHasLeft() bool {
@@ -254,6 +269,7 @@
 	case errors.As(err, &start):
 		return &entry.StartChanged{Endpoint: call.Endpoint, Answered: start.Answered}
 	case errors.As(err, &refused):
+		r.reportLoad(refused.Load, 0)
 		return &entry.EndpointRefused{Endpoint: call.Endpoint, RetryAfter: refused.RetryAfter}
 	}
 	r.sent = true
@@ -277,6 +293,7 @@
 		return r.eventFromError(endpoint.Call{Endpoint: id}, err)
 	}
 	r.event = event
+	r.reportLoad(r.answer.Load, max(len(event.Raw), len(event.Data)))
 	if r.timeToFirstToken == 0 {
 		r.timeToFirstToken = time.Since(r.sentAt)
 		r.permit.ReportFirstToken(r.timeToFirstToken)
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -75,6 +75,10 @@
 	// ReportBroken reports that the connection closed before the answer was complete, so that the endpoint may have
 	// crashed.
 	ReportBroken()
+	// ReportLoad keeps the load that the endpoint reported in its latest answer, for the reports of the first token and of
+	// the end. Bytes is the size of the request's body and the answer so far; took is the time from the send to a
+	// complete answer, zero for a stream.
+	ReportLoad(load cell.EndpointLoad, bytes int, took time.Duration)
 	// ReportCost reports the cost so far, in tokens for an engine.
 	ReportCost(cost cell.Cost)
 	// End reports the outcome of the attempt, its cost (tokens for an engine, calls for a service)
