Play the load of a small service against the dispatcher in virtual time

The play counts what a change of the admission has to improve: three endpoints of six slots, 30 ms a call with a spread of half, objective 150 ms, 373 arrivals a second with peaks of 560, one to two milliseconds to and from the dispatcher, callers that return once. It asserts nothing yet.

--- /dev/null
+++ b/core/admission/small_service_test.go
@@ -0,0 +1,310 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+)
+
+// servicePlay plays the load of a small service in virtual time: callers whose requests reach the dispatcher, endpoints
+// that run a few calls at once and queue the others in the order of their arrival, and callers that were refused and
+// return once when told. Everything takes one to two milliseconds between the dispatcher and an entry.
+type servicePlay struct {
+	*simulation
+	random    *rand.Rand
+	work      time.Duration
+	slots     int
+	objective time.Duration
+	reports   bool // reports is set if the answers carry the endpoint's load with its pace.
+	start     time.Time
+
+	events    playEvents
+	endpoints map[cell.EndpointID]*playEndpoint
+	calls     map[cell.AttemptID]*playCall
+	result    playResult
+}
+
+// playEndpoint is one endpoint, and its pace as a factor of the time that work takes.
+type playEndpoint struct {
+	running int
+	queue   []*playCall
+	always  float64                                    // always is the pace without pauses.
+	paused  func(since time.Duration) (factor float64) // paused returns the factor of a pause.
+}
+
+type playCall struct {
+	attempt     cell.AttemptID
+	team        cell.TeamID
+	asked, sent time.Time
+	returns     bool
+	at          *playEndpoint
+	load        cell.EndpointLoad
+	took        time.Duration
+	endpoint    cell.EndpointID
+}
+
+// playResult counts callers by their last answer, and what the endpoints did.
+type playResult struct {
+	callers, inTime, late, refused int
+	refusals, refusedAgain         int
+	queuedBesideFree               int // queuedBesideFree counts calls that had to wait at an endpoint while another one had a free slot.
+	latencies                      []time.Duration
+}
+
+func (r *playResult) String() string {
+	slices.Sort(r.latencies)
+	median, p95 := r.latencies[len(r.latencies)/2], r.latencies[len(r.latencies)*95/100]
+	return fmt.Sprintf("%d callers: %d in time, %d late, %d refused (%d refusals, %d of callers that returned); %d waited beside a free slot; median %v, p95 %v",
+		r.callers, r.inTime, r.late, r.refused, r.refusals, r.refusedAgain, r.queuedBesideFree, median.Round(time.Millisecond), p95.Round(time.Millisecond))
+}
+
+// inTimeOfAnswered returns the fraction of the answered calls that were in time.
+func (r *playResult) inTimeOfAnswered() float64 { return float64(r.inTime) / float64(r.inTime+r.late) }
+
+type playEvent struct {
+	at     time.Time
+	number int
+	do     func()
+}
+
+type playEvents []playEvent
+
+func (e playEvents) Len() int { return len(e) }
+func (e playEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].number < e[j].number
+}
+func (e playEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *playEvents) Push(x any)   { *e = append(*e, x.(playEvent)) }
+func (e *playEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (p *servicePlay) after(wait time.Duration, do func()) {
+	p.last++ // also numbers the events, so that those of the same time keep their order
+	heap.Push(&p.events, playEvent{p.now.Add(wait), int(p.last), do})
+}
+
+// way returns the time between the dispatcher and an entry.
+func (p *servicePlay) way() time.Duration {
+	return time.Millisecond + time.Duration(p.random.Int64N(int64(time.Millisecond)))
+}
+
+// hop is the time between an entry and an endpoint.
+const hop = 500 * time.Microsecond
+
+func (p *servicePlay) ask(team cell.TeamID, returns bool) {
+	p.last++
+	call := &playCall{attempt: p.last, team: team, asked: p.now, returns: returns}
+	p.calls[call.attempt] = call
+	p.after(p.way(), func() {
+		demand := cell.Demand{Attempt: call.attempt, Team: team, Class: "charge", Deadline: call.asked.Add(p.objective)}
+		p.take(p.Step(p.now, &dispatch.Want{Router: entryRouter, Session: 1, Demands: []cell.Demand{demand}}))
+	})
+}
+
+func (p *servicePlay) take(actions []dispatch.Action) {
+	for _, action := range copyActions(actions) {
+		switch action := action.(type) {
+		case *dispatch.GrantTo:
+			call := p.calls[action.Grant.Attempt]
+			p.after(p.way(), func() {
+				call.sent, call.endpoint, call.at = p.now, action.Grant.Endpoint, p.endpoints[action.Grant.Endpoint]
+				p.after(hop, func() { p.arrive(call) })
+			})
+		case *dispatch.RefuseTo:
+			call, after := p.calls[action.Attempt], action.RetryAfter
+			delete(p.calls, action.Attempt)
+			p.after(p.way(), func() { p.refused(call, after) })
+		}
+	}
+}
+
+func (p *servicePlay) refused(call *playCall, after time.Duration) {
+	p.result.refusals++
+	if call.returns {
+		p.result.refusedAgain++
+		p.result.refused++
+		return
+	}
+	p.after(after, func() { p.ask(call.team, true) })
+}
+
+func (p *servicePlay) arrive(call *playCall) {
+	if call.at.running >= p.slots {
+		for _, other := range p.endpoints {
+			if other.running < p.slots {
+				p.result.queuedBesideFree++
+				break
+			}
+		}
+		call.at.queue = append(call.at.queue, call)
+		return
+	}
+	p.run(call)
+}
+
+func (at *playEndpoint) pace(since time.Duration) float64 {
+	if at.paused == nil {
+		return at.always
+	}
+	return at.always * at.paused(since)
+}
+
+func (p *servicePlay) run(call *playCall) {
+	at := call.at
+	at.running++
+	work := time.Duration(float64(p.work) * (0.5 + p.random.Float64()))
+	p.runOn(call, work)
+}
+
+// runOn runs a call by steps of a millisecond of usual work, since the pace changes while it runs.
+func (p *servicePlay) runOn(call *playCall, left time.Duration) {
+	step := min(left, time.Millisecond)
+	p.after(time.Duration(float64(step)*call.at.pace(p.now.Sub(p.start))), func() {
+		if left -= step; left > 0 {
+			p.runOn(call, left)
+			return
+		}
+		p.done(call)
+	})
+}
+
+func (p *servicePlay) done(call *playCall) {
+	at := call.at
+	at.running--
+	if p.reports {
+		pace := at.pace(p.now.Sub(p.start))
+		call.load = cell.EndpointLoad{Running: uint16(at.running), Waiting: uint16(len(at.queue)), Slots: uint16(p.slots), Pace: uint16(100 * pace)}
+	}
+	if len(at.queue) > 0 {
+		next := at.queue[0]
+		at.queue = at.queue[1:]
+		p.run(next)
+	}
+	p.after(hop, func() {
+		latency := p.now.Sub(call.asked)
+		p.result.latencies = append(p.result.latencies, latency)
+		if latency <= p.objective {
+			p.result.inTime++
+		} else {
+			p.result.late++
+		}
+		end := cell.End{Attempt: call.attempt, Outcome: cell.Completed, Cost: 1, Load: call.load}
+		if p.reports {
+			end.Took = (p.now.Sub(call.sent) + time.Millisecond - 1).Truncate(time.Millisecond)
+		}
+		p.after(p.way(), func() {
+			delete(p.calls, call.attempt)
+			p.take(p.Step(p.now, &dispatch.Ended{Router: entryRouter, Ends: []cell.End{end}}))
+		})
+	})
+}
+
+// smallService describes the play of a small service.
+type smallService struct {
+	endpoints, slots int
+	work, objective  time.Duration
+	rate             func(since time.Duration) float64 // rate returns the arrivals per second.
+	always           []float64                         // always is the pace of each endpoint without pauses; one if missing.
+	pauses           bool                              // pauses lets a third of the endpoints pause for some hundred milliseconds every second.
+	reports          bool
+	seed             uint64
+}
+
+const playedSpan = 20 * time.Second
+
+// play plays the load for playedSpan, and until the last calls have ended.
+func (s smallService) play() *playResult {
+	policy := dispatch.Policy{Predicted: true}
+	p := &servicePlay{
+		random: rand.New(rand.NewPCG(s.seed, 1)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports,
+		endpoints: map[cell.EndpointID]*playEndpoint{}, calls: map[cell.AttemptID]*playCall{},
+	}
+	for i := range s.endpoints {
+		id := cell.EndpointID(fmt.Sprintf("e%d", i))
+		policy.Endpoints = append(policy.Endpoints, dispatch.EndpointPolicy{Endpoint: id, WarmLimit: s.slots, Start: "s"})
+		at := &playEndpoint{always: 1}
+		if i < len(s.always) {
+			at.always = s.always[i]
+		}
+		if s.pauses {
+			at.paused = func(since time.Duration) float64 {
+				const period, pause = 1700 * time.Millisecond, 400 * time.Millisecond
+				if (since+time.Duration(i)*period/time.Duration(s.endpoints))%period < pause {
+					return 2.5
+				}
+				return 1
+			}
+		}
+		p.endpoints[id] = at
+	}
+	p.simulation = newSimulation(policy)
+	p.start = p.now
+	end := p.now.Add(playedSpan)
+	var arrive, tick func()
+	arrive = func() {
+		if p.now.After(end) {
+			return
+		}
+		p.result.callers++
+		p.ask(cell.TeamID(fmt.Sprintf("team%d", p.random.IntN(4))), false)
+		p.after(time.Duration(p.random.ExpFloat64()/s.rate(p.now.Sub(p.start))*float64(time.Second)), arrive)
+	}
+	tick = func() {
+		p.Step(p.now, &dispatch.Renew{Router: entryRouter, Session: 1, StakeUntil: p.now.Add(time.Second)})
+		p.take(p.Step(p.now, &dispatch.Tick{}))
+		if !p.now.After(end.Add(10 * time.Second)) {
+			p.after(20*time.Millisecond, tick)
+		}
+	}
+	arrive()
+	tick()
+	for len(p.events) > 0 {
+		event := heap.Pop(&p.events).(playEvent)
+		p.now = event.at
+		event.do()
+	}
+	return &p.result
+}
+
+// peaks returns arrivals of 373 a second, and of 560 in one second of three.
+func peaks(since time.Duration) float64 {
+	if since%(3*time.Second) < time.Second {
+		return 560
+	}
+	return 373
+}
+
+// bursts returns 500 arrivals a second for half a second, and hardly any in the three and a half seconds between.
+func bursts(since time.Duration) float64 {
+	if since%(4*time.Second) < 500*time.Millisecond {
+		return 500
+	}
+	return 2
+}
+
+func TestPlayOfASmallService(t *testing.T) {
+	for name, service := range map[string]smallService{
+		"peaks":            {rate: peaks},
+		"pauses":           {rate: peaks, pauses: true},
+		"one at half pace": {rate: peaks, always: []float64{2}},
+		"half and pauses":  {rate: peaks, always: []float64{2}, pauses: true},
+		"bursts":           {rate: bursts},
+	} {
+		for _, reports := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reports %t", name, reports), func(t *testing.T) {
+				service.endpoints, service.slots, service.work, service.objective = 3, 6, 30*time.Millisecond, 150*time.Millisecond
+				service.reports, service.seed = reports, 7
+				t.Log(service.play())
+			})
+		}
+	}
+}
