Keep the pace that endpoints report, and place calls and prompts by it

core/pace keeps the reported and the measured pace of an endpoint. Where an endpoint has reported one, a plain call is granted by its expected time at its endpoint: the usual time at the present pace, the wait there, the ways, and a margin that 95 in 100 calls stay below; no call waits at an endpoint while another has a free slot in which it is in time. Refusals and their times go by the rate at which the endpoints answer at the present pace. The engine's model is scaled by the pace, and long outputs go to slow engines last.

--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -41,6 +41,12 @@
 func (d *Dispatcher) endAttempt(slotIndex int32, end *cell.End) {
 	granted := *d.flights.At(slotIndex)
 	d.flights.Free(slotIndex)
+	if end.FirstToken == 0 { // The load in the end of a stream is as old as its first token, which reported it.
+		d.endpoints.Report(d.now, &granted.placed, end.Load)
+	}
+	if end.Outcome == cell.Completed && end.FirstToken == 0 {
+		d.endpoints.Took(d.now, &granted.placed, end.Took)
+	}
 	d.watchCrash(d.now, &granted, end)
 	if end.Outcome == cell.Completed {
 		d.suspects.Sound(d.now, &granted.prompt)
@@ -70,6 +76,7 @@
 		}
 		granted := d.flights.At(slotIndex)
 		d.teams[granted.team].active = now
+		d.endpoints.Report(now, &granted.placed, progress.Load)
 		d.endpoints.Begun(now, &granted.placed)
 		if granted.begunAt.IsZero() {
 			granted.begunAt = now
--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -53,8 +53,10 @@
 	order       []turn         // order is a buffer for the waiting requests in the order in which they are tried.
 	failedTries map[string]int // failedTries counts, by request class, the tries of the current pass that found no capacity.
 	decayedAt   time.Time      // decayedAt is the time of the last decay of the ledger.
+	callRate    float64        // callRate is the rate at which the endpoints answer calls, as of the last pass; zero unless calls are paced.
 	lastPassAt  time.Time      // lastPassAt is the time of the last pass over the waiting requests.
 	returns     queue.RetrySchedule
+	returnTimes queue.Appointments         // returnTimes are those of refused callers, in place of returns; only used while calls are paced.
 	sizes       map[string]*fair.SizeStats // sizes holds size statistics by request class.
 
 	flights    slot.Slab[attempt]
--- /dev/null
+++ b/core/admission/paced.go
@@ -0,0 +1,48 @@
+package admission
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/placing"
+	"ryelug/core/queue"
+)
+
+// pacedBacklog is the backlog up to which each event retries all waiting requests of a service whose endpoints report their
+// pace. Its slots are few and its calls short, so that a slot must not stay idle until the next pass.
+const pacedBacklog = 128
+
+// smallBacklog returns the backlog up to which each event retries all waiting requests.
+func (d *Dispatcher) smallBacklog() int {
+	if d.endpoints.HasPacedCalls() {
+		return pacedBacklog
+	}
+	return smallBacklog
+}
+
+// isReturn reports whether the caller of a new demand counts as one that was refused and returns as told. It records the demand.
+func (d *Dispatcher) isReturn(now time.Time, team int32, demand *cell.Demand) bool {
+	if !d.endpoints.HasPacedCalls() || demand.Avoid != "" {
+		return false
+	}
+	if d.returnTimes.Returns(now, team) {
+		return true
+	}
+	d.returnTimes.Asked(now)
+	return false
+}
+
+// retryAfter returns the time after which the team's caller that is refused now may retry.
+func (d *Dispatcher) retryAfter(now time.Time, team int32) time.Duration {
+	if rate := d.endpoints.CallRate(now); rate > 0 {
+		return d.returnTimes.Next(now, team, d.waiting.Len(), rate)
+	}
+	return d.returns.Next(now)
+}
+
+// wouldMissPaced reports whether a waiting call can't be in time behind the ones ahead of it, at the rate at which the
+// endpoints answer calls at their present pace.
+func (d *Dispatcher) wouldMissPaced(now time.Time, request *queue.Request, ahead int, callTime time.Duration) bool {
+	wait := time.Duration(float64(ahead) / d.callRate * float64(time.Second))
+	return wait+placing.NeededTime(request.Since, request.Deadline, callTime) > request.Deadline.Sub(now)
+}
--- a/core/admission/small_service_test.go
+++ b/core/admission/small_service_test.go
@@ -17,7 +17,8 @@
 // return once when told. Everything takes one to two milliseconds between the dispatcher and an entry.
 type servicePlay struct {
 	*simulation
-	random    *rand.Rand
+	random    *rand.Rand // random is for times on the way and of work.
+	arrivals  *rand.Rand // arrivals is for the arrivals, so that plays of the same seed have the same ones.
 	work      time.Duration
 	slots     int
 	objective time.Duration
@@ -225,7 +226,7 @@
 func (s smallService) play() *playResult {
 	policy := dispatch.Policy{Predicted: true}
 	p := &servicePlay{
-		random: rand.New(rand.NewPCG(s.seed, 1)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports,
+		random: rand.New(rand.NewPCG(s.seed, 1)), arrivals: rand.New(rand.NewPCG(s.seed, 2)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports,
 		endpoints: map[cell.EndpointID]*playEndpoint{}, calls: map[cell.AttemptID]*playCall{},
 	}
 	for i := range s.endpoints {
@@ -255,8 +256,8 @@
 			return
 		}
 		p.result.callers++
-		p.ask(cell.TeamID(fmt.Sprintf("team%d", p.random.IntN(4))), false)
-		p.after(time.Duration(p.random.ExpFloat64()/s.rate(p.now.Sub(p.start))*float64(time.Second)), arrive)
+		p.ask(cell.TeamID(fmt.Sprintf("team%d", p.arrivals.IntN(4))), false)
+		p.after(time.Duration(p.arrivals.ExpFloat64()/s.rate(p.now.Sub(p.start))*float64(time.Second)), arrive)
 	}
 	tick = func() {
 		p.Step(p.now, &dispatch.Renew{Router: entryRouter, Session: 1, StakeUntil: p.now.Add(time.Second)})
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -29,7 +29,7 @@
 	if !ok {
 		return
 	}
-	mustWait := false
+	mustWait, isPaced := false, d.endpoints.HasPacedCalls()
 	for i := range ev.Demands {
 		demand := &ev.Demands[i]
 		if d.entries.At(index).Knows(demand.Attempt) {
@@ -43,10 +43,10 @@
 		}
 		d.countDemand(team, demand)
 		slotIndex := d.waiting.Add(queue.Request{
-			Entry: index, Attempt: demand.Attempt, Team: team, Avoid: d.endpoints.Find(demand.Avoid), EstimatedCost: demand.Estimate, Since: now,
+			IsReturn: d.isReturn(now, team, demand), Entry: index, Attempt: demand.Attempt, Team: team, Avoid: d.endpoints.Find(demand.Avoid), EstimatedCost: demand.Estimate, Since: now,
 			Class: demand.Class, Prompt: demand.Prompt, Deadline: demand.Deadline,
 		}, d.ledger.Virtual())
-		if d.isFirstInOrder(now, int(team)) {
+		if !isPaced && d.isFirstInOrder(now, int(team)) {
 			d.try(now, slotIndex)
 		} else {
 			mustWait = true
@@ -70,11 +70,12 @@
 // each class only until maxFailedTries of its requests have found no capacity. Otherwise the cost of a pass would grow
 // with the backlog of an overload.
 func (d *Dispatcher) tryWaiting(now time.Time) {
-	if d.waiting.Len() > smallBacklog && now.Sub(d.lastPassAt) < minPassInterval {
+	if d.waiting.Len() > d.smallBacklog() && now.Sub(d.lastPassAt) < minPassInterval {
 		return
 	}
 	d.lastPassAt = now
-	ahead, callTime := 0, d.endpoints.LeastCallTime()
+	ahead, callTime := 0, d.endpoints.LeastCallTime(now)
+	d.callRate = d.endpoints.CallRate(now)
 	clear(d.failedTries)
 	for _, turn := range d.turns(now) {
 		slotIndex := turn.slotIndex
@@ -97,6 +98,7 @@
 type turn struct {
 	slotIndex int32   // slotIndex is the index of the request in Dispatcher.waiting.
 	within    bool    // within is true if the team's next request lies within its max-min share.
+	isReturn  bool    // isReturn is true if the request's caller was refused and returns as told.
 	counter   float64 // counter is the virtual counter that the team would have if its earlier requests in the order were granted.
 }
 
@@ -113,7 +115,7 @@
 			slotIndex = d.takeNextOldest(state, team)
 		}
 		next := d.turnOf(now, int(team), state.ahead)
-		next.slotIndex = slotIndex
+		next.slotIndex, next.isReturn = slotIndex, d.waiting.At(slotIndex).IsReturn
 		d.order = append(d.order, next)
 		state.ahead += max(1, d.waiting.At(slotIndex).EstimatedCost)
 	}
@@ -139,7 +141,8 @@
 	return turn{within: d.shares.WithinShare(now, team), counter: d.ledger.After(team, ahead)}
 }
 
-// compareTurns orders requests within their team's share first, then by ascending virtual counter of the team.
+// compareTurns orders requests within their team's share first, then those whose callers return as told, then by ascending
+// virtual counter of the team.
 func compareTurns(a, b turn) int {
 	if a.within != b.within {
 		if a.within {
@@ -147,6 +150,12 @@
 		}
 		return 1
 	}
+	if a.isReturn != b.isReturn {
+		if a.isReturn {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Compare(a.counter, b.counter)
 }
 
@@ -155,7 +164,13 @@
 // smallBacklog ahead never do.
 func (d *Dispatcher) wouldMissDeadline(now time.Time, slotIndex int32, ahead int, callTime time.Duration) bool {
 	request := d.waiting.At(slotIndex)
-	if ahead < smallBacklog || request.Deadline.IsZero() {
+	if request.Deadline.IsZero() {
+		return false
+	}
+	if d.callRate > 0 {
+		return d.wouldMissPaced(now, request, ahead, callTime)
+	}
+	if ahead < smallBacklog {
 		return false
 	}
 	return d.returns.Drain(now, ahead)+placing.NeededTime(request.Since, request.Deadline, callTime) > request.Deadline.Sub(now)
@@ -188,7 +203,7 @@
 func (d *Dispatcher) refuseForDeadline(now time.Time, slotIndex int32, choice placing.Choice) {
 	request := d.waiting.At(slotIndex)
 	d.sizesOfClass(request).Record(request.EstimatedCost, false)
-	d.refuse(slotIndex, result.QueueTimeout, d.returns.Next(now), choice)
+	d.refuse(slotIndex, result.QueueTimeout, d.retryAfter(now, request.Team), choice)
 }
 
 // placingRequest returns the properties of a waiting request that the choice of an endpoint depends on.
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -77,6 +77,7 @@
 	profile Profile
 	cache   cache
 
+	pace              float64       // pace is by how much work takes longer than by the profile; zero, like one, not at all.
 	running           int           // running is the number of running requests.
 	usedMemory        int           // usedMemory is the memory that the running requests will take at their ends, in tokens, without shared parts.
 	pendingPrefills   []time.Time   // pendingPrefills holds, in ascending order, the predicted ends of prefill of the requests without a first token.
@@ -90,6 +91,37 @@
 	return &Engine{profile: profile.WithDefaults(), cache: newCache()}
 }
 
+// SetPace sets by how much work takes longer at the engine now than by its profile. The prompts that were sent and are still to
+// be read take longer, or shorter, from now on.
+func (e *Engine) SetPace(now time.Time, pace float64) {
+	if pace == e.pace || e.pace == 0 && pace == 1 {
+		return
+	}
+	if left := e.idleAt.Sub(now); left > 0 {
+		e.idleAt = now.Add(time.Duration(float64(left) * pace / e.scale()))
+		if pending := len(e.pendingPrefills); pending > 0 && e.idleAt.Before(e.pendingPrefills[pending-1]) {
+			e.idleAt = e.pendingPrefills[pending-1] // The predicted ends stay in ascending order.
+		}
+	}
+	e.pace = pace
+}
+
+// scale returns by how much work takes longer than by the profile.
+func (e *Engine) scale() float64 {
+	if e.pace == 0 {
+		return 1
+	}
+	return e.pace
+}
+
+// scaled returns how long takes at the engine's present pace what takes this time by the profile.
+func (e *Engine) scaled(byProfile time.Duration) time.Duration {
+	if e.pace == 0 {
+		return byProfile
+	}
+	return time.Duration(e.pace * float64(byProfile))
+}
+
 // Running returns the number of running requests.
 func (e *Engine) Running() int { return e.running }
 
@@ -246,7 +278,7 @@
 		return 0
 	}
 	middle := length - tokens/2
-	return time.Duration(tokens)*(e.profile.Prefill+e.attention(middle)) + time.Duration(tokens)*e.step()/time.Duration(e.profile.Chunk)
+	return e.scaled(time.Duration(tokens)*(e.profile.Prefill+e.attention(middle)) + time.Duration(tokens)*e.step()/time.Duration(e.profile.Chunk))
 }
 
 // gap returns the longest pause between events of other streams while the last tokens of a prompt of the given total length
@@ -256,7 +288,7 @@
 	chunk := time.Duration(min(tokens, e.profile.Chunk))
 	window := min(tokens, e.profile.Stride*e.profile.Chunk)
 	steps := time.Duration(e.profile.Stride) * (e.step() + chunk*e.profile.Prefill)
-	return steps + time.Duration(window)*e.attention(length-window/2)
+	return e.scaled(steps + time.Duration(window)*e.attention(length-window/2))
 }
 
 // step returns the time of a step that reads no prompt tokens.
--- a/core/placing/call.go
+++ b/core/placing/call.go
@@ -71,10 +71,13 @@
 
 // LeastCallTime returns the least time to expect of a call at the open endpoints of a service; zero if no call has ended yet, and
 // for model engines.
-func (t *Table) LeastCallTime() time.Duration {
+func (t *Table) LeastCallTime(now time.Time) time.Duration {
 	if t.policy.Engine != nil {
 		return 0
 	}
+	if t.HasPacedCalls() {
+		return t.leastPacedTime(now)
+	}
 	var least time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
--- a/core/placing/endpoint.go
+++ b/core/placing/endpoint.go
@@ -7,6 +7,7 @@
 	"ryelug/core/dispatch"
 	"ryelug/core/engine"
 	"ryelug/core/limit"
+	"ryelug/core/pace"
 )
 
 // endpoint is the state of one endpoint: its configuration, its health and the requests that it runs.
@@ -22,6 +23,8 @@
 	reservedUntil time.Time      // reservedUntil is the time until which the engine is reserved for long prompts; zero if it never was.
 	engine        *engine.Engine // engine models the requests and the cache of an engine; nil if the endpoint is not an engine.
 	call          callTime       // call is the time that a call takes here; zero for an engine.
+	pace          pace.Endpoint  // pace is how fast the endpoint is, by its own reports; unknown if it makes none.
+	paced         pacedCalls     // paced is the time that a call takes here, if the cell's endpoints report a pace; zero for an engine.
 	missing       engine.Missing // missing is what the engine has not cached of the prompt that is being placed.
 }
 
@@ -30,6 +33,7 @@
 func (e *endpoint) applyPolicy(at *dispatch.EndpointPolicy, policy *dispatch.Policy) {
 	if e.start != at.Start {
 		e.start, e.health, e.running, e.call = at.Start, limit.Health{}, 0, 0
+		e.pace, e.paced = pace.Endpoint{}, pacedCalls{}
 		e.cold.SetStart(policy.ColdSpan)
 		e.engine = nil
 		if policy.Engine != nil {
--- /dev/null
+++ b/core/placing/paced.go
@@ -0,0 +1,210 @@
+package placing
+
+import (
+	"math"
+	"time"
+
+	"ryelug/core/cell"
+)
+
+const (
+	// inTimeFraction is the fraction of the calls that take no longer than the margin allows for.
+	inTimeFraction = 0.95
+	// marginStep is the change of the margin by one call; some fifty calls move it by the spread of the calls.
+	marginStep = 0.02
+	// minMargin and maxMargin are the bounds of the margin.
+	minMargin, maxMargin = 1.1, 3
+	// slowOutputWeight is the cost of the time that an output takes longer on a slow engine, per unit of that time. It is small, as a
+	// later end of a stream counts for less than a later first token.
+	slowOutputWeight = 0.1
+	// hopTime is the time between an entry and an endpoint, there and back, which no report contains.
+	hopTime = time.Millisecond
+)
+
+// pacedCalls holds the times of the calls at a service's endpoint that reports its pace. It answers a load near the capacity of a
+// few endpoints, where one call too many at a slow endpoint is late, and one too few leaves a slot idle.
+type pacedCalls struct {
+	usual time.Duration // usual is the moving average of the time of a call at the usual pace, without the wait for a slot; zero if unknown.
+	ways  time.Duration // ways is the moving average of the time that a grant and the end of its call take on their ways.
+}
+
+// margin is the factor by which calls exceed their expected times; inTimeFraction of them stay below it.
+type margin float64
+
+// factor returns the margin; callMargin until calls were measured.
+func (m margin) factor() float64 {
+	if m == 0 {
+		return callMargin
+	}
+	return float64(m)
+}
+
+// add records how much longer a call took than expected.
+func (m *margin) add(excess float64) {
+	next := m.factor()
+	if excess > next {
+		next += marginStep * inTimeFraction
+	} else {
+		next -= marginStep * (1 - inTimeFraction)
+	}
+	*m = margin(min(max(next, minMargin), maxMargin))
+}
+
+// HasPacedCalls reports whether the cell is a service of which an endpoint has reported its pace.
+func (t *Table) HasPacedCalls() bool { return t.isPaced && t.policy.Engine == nil }
+
+// Report records the load that the endpoint of a request has reported just now.
+func (t *Table) Report(now time.Time, placed *Placement, load cell.EndpointLoad) {
+	at := &t.endpoints[placed.EndpointIndex]
+	if !load.IsKnown() || at.start != placed.Start || !at.pace.Report(now, load) {
+		return
+	}
+	t.isPaced = true
+}
+
+// Took records that a granted call was answered completely in this time after its entry sent it.
+func (t *Table) Took(now time.Time, placed *Placement, took time.Duration) {
+	at := &t.endpoints[placed.EndpointIndex]
+	if !t.HasPacedCalls() || at.start != placed.Start || took <= 0 || placed.grantedAt.IsZero() {
+		return
+	}
+	ways := max(0, now.Sub(placed.grantedAt)-took)
+	work := float64(took) / placed.waitFactor
+	factor := at.pace.Factor(now)
+	if placed.factor > 0 {
+		factor = (factor + placed.factor) / 2 // The pace may have changed while the call ran.
+	}
+	sample := time.Duration(work / factor)
+	if at.paced.usual == 0 {
+		at.paced = pacedCalls{usual: sample, ways: ways}
+		return
+	}
+	if placed.factor > 0 {
+		t.margin.add(work / (float64(at.paced.usual) * placed.factor))
+	}
+	at.pace.Measured(now, factor, work/float64(at.paced.usual))
+	at.paced.usual += (sample - at.paced.usual) / callWeight
+	at.paced.ways += (ways - at.paced.ways) / callWeight
+}
+
+// pacedTime returns the time to expect of a call at the endpoint without margin and ways: the wait for a slot beside the calls
+// that run there, and the call itself.
+func (e *endpoint) pacedTime(now time.Time, running int) (wait, call time.Duration) {
+	call = time.Duration(float64(e.paced.usual) * e.pace.Factor(now))
+	wait = call * time.Duration(max(0, running+1-e.slots)) / time.Duration(max(1, e.slots))
+	return wait, call
+}
+
+// pacedExpected returns the time to expect of a call at the endpoint beside the calls that run there, with the margin.
+func (t *Table) pacedExpected(now time.Time, at *endpoint, running int) time.Duration {
+	wait, call := at.pacedTime(now, running)
+	return at.paced.ways + wait + time.Duration(t.margin.factor()*float64(call))
+}
+
+// limitAt returns the number of requests beside which the endpoint gets no other one. Where endpoints report their pace, a
+// service's endpoint gets only as many calls beyond its slots as end there while the end of one travels to the dispatcher and the
+// next grant back.
+func (t *Table) limitAt(now time.Time, at *endpoint, within bool) int {
+	if !t.HasPacedCalls() || at.paced.usual == 0 {
+		return at.limitFor(within)
+	}
+	_, call := at.pacedTime(now, 0)
+	queued := math.Ceil(float64(at.slots) * float64(at.paced.ways+hopTime) / float64(max(1, call)))
+	limit := at.slots + min(int(queued), at.queueLimit())
+	if within {
+		return limit
+	}
+	return max(1, int(beyondShareSlots*float64(limit)))
+}
+
+// choosePaced returns the endpoint for a call of a service whose endpoints report their pace: the one that answers first among
+// those with a free slot, and only without such an endpoint one at which the call waits. No endpoint gets a call that
+// it would answer too late.
+func (t *Table) choosePaced(now time.Time, request *Request) Choice {
+	choice := Choice{endpointIndex: -1, cacheHolder: -1, Verdict: Closed}
+	given := conditions{allFail: t.areAllFailing(now), obstacles: &choice.Obstacles}
+	free, queued := noOffer(), noOffer()
+	t.weighed += int64(len(t.endpoints))
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if !at.open || int32(i) == request.Avoid && t.hasOther(int32(i)) {
+			continue
+		}
+		cost, verdict := t.weigh(now, at, request, given)
+		if at.running < at.slots {
+			free.add(int32(i), cost, verdict)
+		} else {
+			queued.add(int32(i), cost, verdict)
+		}
+	}
+	switch {
+	case free.endpoint >= 0:
+		choice.Verdict, choice.endpointIndex = Admitted, free.endpoint
+	case queued.endpoint >= 0:
+		choice.Verdict, choice.endpointIndex = Admitted, queued.endpoint
+	default:
+		choice.Verdict = free.verdict.combine(queued.verdict)
+	}
+	return choice
+}
+
+// verdictOnPacedCall returns the verdict on a call at a service's endpoint that may get one more, and the time to expect of it.
+// A call that no endpoint could answer in time, even idle, is taken anyway.
+func (t *Table) verdictOnPacedCall(now time.Time, at *endpoint, request *Request) (time.Duration, Verdict) {
+	expected := t.pacedExpected(now, at, at.running)
+	least := t.leastPacedTime(now)
+	switch {
+	case expected <= request.left(now) || request.Deadline.Sub(request.Since) < least:
+		return expected, Admitted
+	case least > request.left(now):
+		return expected, Hopeless
+	}
+	return expected, Waits
+}
+
+// leastPacedTime returns the least time to expect of a call at the open endpoints if they had free slots; zero if unknown at one.
+func (t *Table) leastPacedTime(now time.Time) time.Duration {
+	var least time.Duration
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if !at.open {
+			continue
+		}
+		if at.paced.usual == 0 {
+			return 0
+		}
+		if expected := t.pacedExpected(now, at, 0); least == 0 || expected < least {
+			least = expected
+		}
+	}
+	return least
+}
+
+// CallRate returns how many calls the open endpoints of a service answer in a second at their present pace; zero if
+// unknown, and where endpoints report none.
+func (t *Table) CallRate(now time.Time) float64 {
+	rate := 0.0
+	if !t.HasPacedCalls() {
+		return 0
+	}
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if !at.open || at.paced.usual == 0 || at.health.AwaitsProbe(now) {
+			continue
+		}
+		_, call := at.pacedTime(now, 0)
+		rate += float64(at.slots) / max(time.Millisecond, call).Seconds()
+	}
+	return rate
+}
+
+// slowOutputCost returns the cost of generating a long output on an engine that is slower than usual in the long term, so that
+// slow engines get long outputs last.
+func (t *Table) slowOutputCost(at *endpoint, prompt *cell.Prompt) time.Duration {
+	slower := at.pace.Long() - 1
+	if slower <= 0 {
+		return 0
+	}
+	generating := time.Duration(prompt.Output) * t.policy.Engine.WithDefaults().Step
+	return time.Duration(slowOutputWeight * slower * float64(generating))
+}
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -18,6 +18,8 @@
 	endpoints  []endpoint
 	indexes    slot.Index[cell.EndpointID]
 	reservedAt time.Time // reservedAt is the time of the last reservation of an engine for long prompts.
+	isPaced    bool      // isPaced is set once an endpoint has reported a pace; nothing of pacedCalls and pace.Endpoint acts before.
+	margin     margin    // margin is by how much calls exceed the expected time; only kept while isPaced is set.
 	weighed    int64     // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
 }
 
@@ -95,11 +97,14 @@
 	}
 	if !request.Long && t.isFull(now, request.WithinShare) && !isLate {
 		verdict := Waits
-		if request.hasRunOut(now, t.LeastCallTime()) {
+		if request.hasRunOut(now, t.LeastCallTime(now)) {
 			verdict = Hopeless
 		}
 		return Choice{Verdict: verdict, endpointIndex: -1, cacheHolder: -1}
 	}
+	if t.HasPacedCalls() {
+		return t.choosePaced(now, request)
+	}
 	cacheHolder := t.lookUpCached(now, request.Prompt)
 	choice := Choice{endpointIndex: -1, cacheHolder: cacheHolder}
 	given := conditions{fetch: cacheHolder >= 0, allFail: t.areAllFailing(now), obstacles: &choice.Obstacles}
@@ -165,7 +170,7 @@
 	isOpen := false
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if at.open && !at.isReserved(now) && at.running < at.limitFor(within) {
+		if at.open && !at.isReserved(now) && at.running < t.limitAt(now, at, within) {
 			return false
 		}
 		isOpen = isOpen || at.open
@@ -183,6 +188,9 @@
 		if !at.open || at.engine == nil {
 			continue
 		}
+		if t.isPaced {
+			at.engine.SetPace(now, at.pace.Factor(now))
+		}
 		at.missing = at.engine.Missing(prompt)
 		if cacheHolder < 0 && len(prompt.Parts) > 1 && at.missing.Shared == 0 && !at.health.IsFailing(now) {
 			cacheHolder = int32(i)
@@ -247,6 +255,7 @@
 
 	grantedAt  time.Time // grantedAt is zero if another dispatcher granted the request.
 	waitFactor float64   // waitFactor is by how much the request was to take longer because it waits for a slot at its endpoint.
+	factor     float64   // factor is the endpoint's pace.Endpoint.Factor when the request was granted; zero if it reported none.
 }
 
 // Grant counts a request at the endpoint of a choice, which Choose must just have returned for it. It returns the
@@ -254,6 +263,9 @@
 func (t *Table) Grant(now time.Time, choice Choice, prompt *cell.Prompt) (Placement, cell.Grant) {
 	at := &t.endpoints[choice.endpointIndex]
 	placed := Placement{EndpointIndex: choice.endpointIndex, Start: at.start, grantedAt: now, waitFactor: at.waitFactor(at.running)}
+	if t.isPaced {
+		placed.factor = at.pace.Factor(now)
+	}
 	grant := cell.Grant{Endpoint: at.id, Start: at.start}
 	if at.engine != nil {
 		if choice.cacheHolder >= 0 && at.missing.Shared > 0 {
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -123,7 +123,7 @@
 		given.obstacles.Time++
 		return 0, Hopeless
 	}
-	if at.running >= at.limitFor(request.WithinShare) {
+	if at.running >= t.limitAt(now, at, request.WithinShare) {
 		given.obstacles.Slots++
 		return 0, Waits
 	}
@@ -138,6 +138,11 @@
 	}
 	if at.engine == nil {
 		verdict := at.verdictOnCall(now, request)
+		if t.isPaced {
+			var expected time.Duration
+			expected, verdict = t.verdictOnPacedCall(now, at, request)
+			cost += expected
+		}
 		if verdict != Admitted {
 			given.obstacles.Time++
 		}
@@ -156,6 +161,9 @@
 		given.obstacles.Memory++
 		return 0, Waits
 	}
+	if t.isPaced {
+		cost += t.slowOutputCost(at, request.Prompt)
+	}
 	if at.missing.Shared > 0 && given.fetch {
 		return cost + prediction.First + fetchWeight, Admitted
 	}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -18,6 +18,7 @@
 	Since         time.Time // Since is the time at which the request began to wait.
 	Moves         uint8     // Moves is the number of times that another cell of the pool passed the request on.
 
+	IsReturn bool        // IsReturn is set if the caller counts as one that was refused and returns as told.
 	Class    string      // Class groups requests of one kind, whose sizes are compared with each other.
 	Prompt   cell.Prompt // Prompt describes the request's prompt; empty where it is not needed.
 	Deadline time.Time   // Deadline is the deadline of the first token; zero if there is none.
