--- a/core/admission/paced.go
+++ b/core/admission/paced.go
@@ -8,14 +8,15 @@
 	"ryelug/core/queue"
 )
 
-// pacedBacklog is the backlog up to which each event retries all waiting requests of a service whose endpoints report their
-// pace. Its slots are few and its calls short, so that a slot must not stay idle until the next pass.
-const pacedBacklog = 128
+// pacedTries is the number of waiting requests times endpoints up to which each event retries all waiting requests of a service
+// whose endpoints report their pace. With few slots and short calls, a slot must not stay idle until the next pass; with many, a
+// pass for each event would use up the processor.
+const pacedTries = 512
 
 // smallBacklog returns the backlog up to which each event retries all waiting requests.
 func (d *Dispatcher) smallBacklog() int {
 	if d.endpoints.HasPacedCalls() {
-		return pacedBacklog
+		return max(smallBacklog, pacedTries/max(1, d.endpoints.Len()))
 	}
 	return smallBacklog
 }
--- a/core/admission/small_service_test.go
+++ b/core/admission/small_service_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -22,6 +23,7 @@
 	work      time.Duration
 	slots     int
 	objective time.Duration
+	slowWays  bool
 	reports   bool // reports is set if the answers carry the endpoint's load with its pace.
 	start     time.Time
 
@@ -95,7 +97,11 @@
 
 // way returns the time between the dispatcher and an entry.
 func (p *servicePlay) way() time.Duration {
-	return time.Millisecond + time.Duration(p.random.Int64N(int64(time.Millisecond)))
+	way := time.Millisecond + time.Duration(p.random.Int64N(int64(time.Millisecond)))
+	if p.slowWays && p.random.IntN(4) == 0 {
+		way += time.Duration(p.random.Int64N(int64(15 * time.Millisecond)))
+	}
+	return way
 }
 
 // hop is the time between an entry and an endpoint.
@@ -216,6 +222,8 @@
 	rate             func(since time.Duration) float64 // rate returns the arrivals per second.
 	always           []float64                         // always is the pace of each endpoint without pauses; one if missing.
 	pauses           bool                              // pauses lets a third of the endpoints pause for some hundred milliseconds every second.
+	slowWays         bool                              // slowWays lets a part of the messages take up to fifteen milliseconds longer.
+	load             float64                           // load is a factor of the arrivals; one if zero.
 	reports          bool
 	seed             uint64
 }
@@ -226,7 +234,7 @@
 func (s smallService) play() *playResult {
 	policy := dispatch.Policy{Predicted: true}
 	p := &servicePlay{
-		random: rand.New(rand.NewPCG(s.seed, 1)), arrivals: rand.New(rand.NewPCG(s.seed, 2)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports,
+		random: rand.New(rand.NewPCG(s.seed, 1)), arrivals: rand.New(rand.NewPCG(s.seed, 2)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports, slowWays: s.slowWays,
 		endpoints: map[cell.EndpointID]*playEndpoint{}, calls: map[cell.AttemptID]*playCall{},
 	}
 	for i := range s.endpoints {
@@ -257,7 +265,7 @@
 		}
 		p.result.callers++
 		p.ask(cell.TeamID(fmt.Sprintf("team%d", p.arrivals.IntN(4))), false)
-		p.after(time.Duration(p.arrivals.ExpFloat64()/s.rate(p.now.Sub(p.start))*float64(time.Second)), arrive)
+		p.after(time.Duration(p.arrivals.ExpFloat64()/(cmp.Or(s.load, 1)*s.rate(p.now.Sub(p.start)))*float64(time.Second)), arrive)
 	}
 	tick = func() {
 		p.Step(p.now, &dispatch.Renew{Router: entryRouter, Session: 1, StakeUntil: p.now.Add(time.Second)})
@@ -299,10 +307,14 @@
 		"one at half pace": {rate: peaks, always: []float64{2}},
 		"half and pauses":  {rate: peaks, always: []float64{2}, pauses: true},
 		"bursts":           {rate: bursts},
+		"slow ways":        {rate: peaks, pauses: true, slowWays: true},
+		"longer calls":     {rate: peaks, pauses: true, endpoints: 4, slots: 6, work: 60 * time.Millisecond, objective: 300 * time.Millisecond, load: 0.66},
 	} {
 		for _, reports := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, reports %t", name, reports), func(t *testing.T) {
-				service.endpoints, service.slots, service.work, service.objective = 3, 6, 30*time.Millisecond, 150*time.Millisecond
+				if service.endpoints == 0 {
+					service.endpoints, service.slots, service.work, service.objective = 3, 6, 30*time.Millisecond, 150*time.Millisecond
+				}
 				service.reports, service.seed = reports, 7
 				t.Log(service.play())
 			})
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -80,7 +80,8 @@
 		return
 	}
 	if placed.factor > 0 {
-		t.margin.add(work / (float64(at.paced.usual) * placed.factor))
+		total := float64(took + ways - at.paced.ways)
+		t.margin.add(total/(float64(at.paced.usual)*placed.factor) - (placed.waitFactor - 1))
 	}
 	at.pace.Measured(now, factor, work/float64(at.paced.usual))
 	at.paced.usual += (sample - at.paced.usual) / callWeight
@@ -109,7 +110,8 @@
 		return at.limitFor(within)
 	}
 	_, call := at.pacedTime(now, 0)
-	queued := math.Ceil(float64(at.slots) * float64(at.paced.ways+hopTime) / float64(max(1, call)))
+	ends := float64(at.slots) * float64(at.paced.ways+hopTime) / float64(max(1, call))
+	queued := math.Ceil(ends + math.Sqrt(ends)/2) // Ends come unevenly; fewer left slots idle in the play of a small service, and more gained nothing.
 	limit := at.slots + min(int(queued), at.queueLimit())
 	if within {
 		return limit
@@ -122,7 +124,7 @@
 // it would answer too late.
 func (t *Table) choosePaced(now time.Time, request *Request) Choice {
 	choice := Choice{endpointIndex: -1, cacheHolder: -1, Verdict: Closed}
-	given := conditions{allFail: t.areAllFailing(now), obstacles: &choice.Obstacles}
+	given := conditions{allFail: t.areAllFailing(now), least: t.leastPacedTime(now), obstacles: &choice.Obstacles}
 	free, queued := noOffer(), noOffer()
 	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
@@ -149,10 +151,9 @@
 }
 
 // verdictOnPacedCall returns the verdict on a call at a service's endpoint that may get one more, and the time to expect of it.
-// A call that no endpoint could answer in time, even idle, is taken anyway.
-func (t *Table) verdictOnPacedCall(now time.Time, at *endpoint, request *Request) (time.Duration, Verdict) {
+// Least is the result of leastPacedTime. A call that no endpoint could answer in time, even idle, is taken anyway.
+func (t *Table) verdictOnPacedCall(now time.Time, at *endpoint, request *Request, least time.Duration) (time.Duration, Verdict) {
 	expected := t.pacedExpected(now, at, at.running)
-	least := t.leastPacedTime(now)
 	switch {
 	case expected <= request.left(now) || request.Deadline.Sub(request.Since) < least:
 		return expected, Admitted
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -51,6 +51,9 @@
 	return endpointIndex
 }
 
+// Len returns the number of endpoints.
+func (t *Table) Len() int { return len(t.endpoints) }
+
 // Name returns the name of the endpoint at an index.
 func (t *Table) Name(index int32) cell.EndpointID { return t.endpoints[index].id }
 
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -112,6 +112,7 @@
 	fetch   bool // fetch is true if another engine has the shared parts cached, so that they can be copied.
 	allFail bool // allFail is true if every open endpoint fails and none is due for a probe: then failures exclude none of them.
 
+	least     time.Duration       // least is the least time to expect of a call; only set where endpoints report their pace.
 	obstacles *dispatch.Obstacles // obstacles counts, by reason, the endpoints that can't take the request now.
 }
 
@@ -140,7 +141,7 @@
 		verdict := at.verdictOnCall(now, request)
 		if t.isPaced {
 			var expected time.Duration
-			expected, verdict = t.verdictOnPacedCall(now, at, request)
+			expected, verdict = t.verdictOnPacedCall(now, at, request, given.least)
 			cost += expected
 		}
 		if verdict != Admitted {
