Probe endpoints that were slow by a report that is old, and hold the play of a small service to its results

An endpoint that gets nothing during a pause can't report its end, and an average over the few answers around a pause stayed far above what came after it: one endpoint at half speed with pauses stood idle for most of the time. The long-term pace is now a median; an old report loses its weight within a second, and until the next report the endpoint gets two calls at once. All waiting calls are tried in a pass, as the first ones may have too little time for a slow endpoint's free slot.

--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -80,7 +80,7 @@
 	for _, turn := range d.turns(now) {
 		slotIndex := turn.slotIndex
 		class := d.waiting.At(slotIndex).Class
-		if d.failedTries[class] < maxFailedTries {
+		if d.failedTries[class] < max(maxFailedTries, d.smallBacklog()) {
 			if d.try(now, slotIndex) {
 				continue
 			}
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -12,14 +12,16 @@
 	minPace = 10   // minPace is the least reported pace that counts; a smaller one is a fault of the report.
 	maxPace = 1000 // maxPace is the largest reported pace that counts; a larger one is a fault of the report.
 
+	slowPace = 150 // slowPace is the least reported pace that may be that of a pause.
+
 	freshFor  = 300 * time.Millisecond // freshFor is the age up to which a report counts in full; pauses last a few hundred milliseconds.
 	decayTime = 100 * time.Millisecond // decayTime is the time constant with which an older report approaches what was measured. An endpoint that gets nothing during a pause can't report its end.
 
-	staleAfter = time.Second     // staleAfter is the age from which the last report and the measured times count less and less.
-	staleTime  = 2 * time.Second // staleTime is the time constant with which they approach the usual pace: an endpoint that is avoided for its pace gets work again, and can report.
+	staleAfter = 500 * time.Millisecond // staleAfter is the age from which the last report and the measured times count less and less.
+	staleTime  = 300 * time.Millisecond // staleTime is the time constant with which they approach the usual pace: an endpoint that is avoided for its pace gets work again, and can report.
 
-	longTime      = 5 * time.Second // longTime is the time constant of the long-term averages, of reports and of measured times: longer than pauses, shorter than a change of the machines.
-	maxLongWeight = 0.2             // maxLongWeight is the most that one report or measured time counts in these averages.
+	longTime    = 4 * time.Second // longTime is the time in which a long-term median moves by a factor of e: longer than pauses, shorter than a change of the machines.
+	maxLongStep = 0.02            // maxLongStep is the most that one report or measured time moves a median, as a fraction.
 
 	errorDivisor = 64  // errorDivisor is the inverse weight of a new sample in the average errors.
 	minSamples   = 32  // minSamples is the number of measured times before reports can be found false.
@@ -30,9 +32,9 @@
 type Endpoint struct {
 	load       cell.EndpointLoad
 	reportedAt time.Time
-	long       float64 // long is the long-term average of the reported factor; zero before the first report.
+	long       float64 // long is the long-term median of the reported factor; zero before the first report.
 
-	measured             float64 // measured is the long-term average of the measured factor; zero before the first sample.
+	measured             float64 // measured is the long-term median of the measured factor; zero before the first sample.
 	measuredAt           time.Time
 	samples              int
 	withError, flatError float64 // withError and flatError are average squared errors of times expected with the reports, and without them.
@@ -47,15 +49,20 @@
 	if e.long == 0 {
 		e.long = factor
 	} else {
-		e.long += (factor - e.long) * longWeight(now.Sub(e.reportedAt))
+		e.long = towards(e.long, factor, now.Sub(e.reportedAt))
 	}
 	e.load, e.reportedAt = load, now
 	return true
 }
 
-// longWeight returns the weight of a sample in a long-term average, this time after the one before it.
-func longWeight(passed time.Duration) float64 {
-	return max(0, min(maxLongWeight, passed.Seconds()/longTime.Seconds()))
+// towards returns the long-term median after a sample that follows the one before by a time. A median leaves out pauses, which
+// take less than half of the time; an average of the few answers around a pause was far above what came after it.
+func towards(median, sample float64, passed time.Duration) float64 {
+	step := max(0, min(maxLongStep, passed.Seconds()/longTime.Seconds()))
+	if sample > median {
+		return min(sample, median*(1+step))
+	}
+	return max(sample, median/(1+step))
 }
 
 // IsKnown reports whether the endpoint has reported a pace.
@@ -91,6 +98,11 @@
 	return reported
 }
 
+// IsDoubtful reports whether the endpoint was slow by its last report, which is too old to say whether it still is.
+func (e *Endpoint) IsDoubtful(now time.Time) bool {
+	return e.load.Pace >= slowPace && now.Sub(e.reportedAt) > freshFor
+}
+
 // Long returns the factor of the endpoint in the long term, by which those are found that are permanently slower; one if unknown.
 func (e *Endpoint) Long() float64 {
 	if e.long == 0 {
@@ -111,7 +123,7 @@
 	with, flat := multiple-expected, multiple-e.measured
 	e.withError += (with*with - e.withError) / errorDivisor
 	e.flatError += (flat*flat - e.flatError) / errorDivisor
-	e.measured += flat * longWeight(now.Sub(e.measuredAt))
+	e.measured = towards(e.measured, multiple, now.Sub(e.measuredAt))
 	e.measuredAt = now
 	e.samples = min(e.samples+1, minSamples)
 }
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -15,6 +15,8 @@
 	marginStep = 0.03
 	// minMargin and maxMargin are the bounds of the margin.
 	minMargin, maxMargin = 1, 2
+	// probes is the number of calls that an endpoint gets at once until it reports anew, after it was slow by its last report.
+	probes = 2
 	// slowOutputWeight is the cost of the time that an output takes longer on a slow engine, per unit of that time. It is small, as a
 	// later end of a stream counts for less than a later first token.
 	slowOutputWeight = 0.1
@@ -117,6 +119,9 @@
 	ends := float64(at.slots) * float64(at.paced.ways+hopTime) / float64(max(1, call))
 	queued := math.Ceil(ends + math.Sqrt(ends)/2) // Ends come unevenly; fewer left slots idle in the play of a small service, and more gained nothing.
 	limit := at.slots + min(int(queued), at.queueLimit())
+	if at.pace.IsDoubtful(now) {
+		limit = min(limit, probes)
+	}
 	if within {
 		return limit
 	}
--- a/core/queue/appointments.go
+++ b/core/queue/appointments.go
@@ -91,18 +91,3 @@
 	}
 	return false
 }
-
-// Due returns the number of callers that were told to return within a time from now.
-func (a *Appointments) Due(now time.Time, within time.Duration) int {
-	a.drop(now)
-	due := 0
-	for i := range a.list {
-		if a.list[i].at.Sub(now) > within {
-			break
-		}
-		if a.list[i].used == 0 {
-			due++
-		}
-	}
-	return due
-}
