--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -27,8 +27,12 @@
 // pacedCalls holds the times of the calls at a service's endpoint that reports its pace. It answers a load near the capacity of a
 // few endpoints, where one call too many at a slow endpoint is late, and one too few leaves a slot idle.
 type pacedCalls struct {
-	usual time.Duration // usual is the moving average of the time of a call at the usual pace, without the wait for a slot; zero if unknown.
-	ways  time.Duration // ways is the moving average of the time that a grant and the end of its call take on their ways.
+	usual  time.Duration // usual is the moving average of the time of a call at the usual pace, without the wait for a slot; zero if unknown.
+	call   time.Duration // call is the time of a call at the pace at the time at, without the wait for a slot.
+	queued int           // queued is the number of calls that the endpoint gets beyond its slots at this pace.
+	at     time.Time     // at is the time for which call and queued hold; zero after a report or a measured time.
+
+	ways time.Duration // ways is the moving average of the time that a grant and the end of its call take on their ways.
 }
 
 // margin is the factor by which a call may take longer than expected and still be in time. It is as small as the late answers
@@ -66,7 +70,7 @@
 	if !load.IsKnown() || at.start != placed.Start || !at.pace.Report(now, load) {
 		return
 	}
-	t.isPaced = true
+	t.isPaced, at.paced.at = true, time.Time{}
 }
 
 // Took records that a granted call was answered completely in this time after its entry sent it.
@@ -92,12 +96,26 @@
 	at.pace.Measured(now, factor, work/float64(at.paced.usual))
 	at.paced.usual += (sample - at.paced.usual) / callWeight
 	at.paced.ways += (ways - at.paced.ways) / callWeight
+	at.paced.at = time.Time{}
+}
+
+// refresh updates the values that depend on the present pace, which a decision needs several times.
+func (e *endpoint) refresh(now time.Time) {
+	paced := &e.paced
+	if paced.at.Equal(now) {
+		return
+	}
+	paced.at = now
+	paced.call = time.Duration(float64(paced.usual) * e.pace.Factor(now))
+	ends := float64(e.slots) * float64(paced.ways+hopTime) / float64(max(1, paced.call))
+	paced.queued = min(int(math.Ceil(ends+math.Sqrt(ends)/2)), e.queueLimit()) // Ends come unevenly; fewer left slots idle in the play of a small service, and more gained nothing.
 }
 
 // pacedTime returns the time to expect of a call at the endpoint without margin and ways: the wait for a slot beside the calls
 // that run there, and the call itself.
 func (e *endpoint) pacedTime(now time.Time, running int) (wait, call time.Duration) {
-	call = time.Duration(float64(e.paced.usual) * e.pace.Factor(now))
+	e.refresh(now)
+	call = e.paced.call
 	wait = call * time.Duration(max(0, running+1-e.slots)) / time.Duration(max(1, e.slots))
 	return wait, call
 }
@@ -115,10 +133,8 @@
 	if !t.HasPacedCalls() || at.paced.usual == 0 {
 		return at.limitFor(within)
 	}
-	_, call := at.pacedTime(now, 0)
-	ends := float64(at.slots) * float64(at.paced.ways+hopTime) / float64(max(1, call))
-	queued := math.Ceil(ends + math.Sqrt(ends)/2) // Ends come unevenly; fewer left slots idle in the play of a small service, and more gained nothing.
-	limit := at.slots + min(int(queued), at.queueLimit())
+	at.refresh(now)
+	limit := at.slots + at.paced.queued
 	if at.pace.IsDoubtful(now) {
 		limit = min(limit, probes)
 	}
@@ -134,6 +150,10 @@
 func (t *Table) choosePaced(now time.Time, request *Request) Choice {
 	choice := Choice{endpointIndex: -1, cacheHolder: -1, Verdict: Closed}
 	given := conditions{allFail: t.areAllFailing(now), least: t.leastPacedTime(now), obstacles: &choice.Obstacles}
+	if t.isOpen() && request.hasRunOut(now, given.least) {
+		choice.Verdict = Hopeless
+		return choice
+	}
 	free, queued := noOffer(), noOffer()
 	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -138,16 +138,16 @@
 		cost += distanceWeight
 	}
 	if at.engine == nil {
-		verdict := at.verdictOnCall(now, request)
+		expected, verdict := time.Duration(0), Admitted
 		if t.isPaced {
-			var expected time.Duration
 			expected, verdict = t.verdictOnPacedCall(now, at, request, given.least)
-			cost += expected
+		} else {
+			verdict = at.verdictOnCall(now, request)
 		}
 		if verdict != Admitted {
 			given.obstacles.Time++
 		}
-		return cost, verdict
+		return cost + expected, verdict
 	}
 	prediction := at.engine.Predict(now, request.Prompt, at.missing, given.fetch)
 	if at.pausesTooLong(prediction, t.policy.Gap) {
