Show the pace of endpoints and the admission of paced calls in the metrics and the log

Operators see per endpoint the pace and its age, per service the rate of calls, the margin and the callers that were told to return, and in the line of a refusal the rate and the time that it rests on. Cells without a reported pace show and log what they did.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -56,6 +56,7 @@
 	callRate    float64        // callRate is the rate at which the endpoints answer calls, as of the last pass; zero unless calls are paced.
 	lastPassAt  time.Time      // lastPassAt is the time of the last pass over the waiting requests.
 	returns     queue.RetrySchedule
+	paced       dispatch.PacedSnapshot     // paced holds the counters of returnTimes.
 	returnTimes queue.Appointments         // returnTimes are those of refused callers, in place of returns; only used while calls are paced.
 	sizes       map[string]*fair.SizeStats // sizes holds size statistics by request class.
 
@@ -256,6 +257,7 @@
 		Team: d.teams[request.Team].id, WithinShare: d.shares.WithinShare(d.now, int(request.Team)), Best: choice.Best,
 		Waited: d.now.Sub(request.Since), Class: request.Class, Tokens: request.Prompt.Tokens(), Obstacles: choice.Obstacles,
 	}
+	d.describePaced(&details, &request)
 	if !request.Deadline.IsZero() {
 		details.TimeLeft = request.Deadline.Sub(d.now)
 	}
--- a/core/admission/paced.go
+++ b/core/admission/paced.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ryelug/core/cell"
+	"ryelug/core/dispatch"
 	"ryelug/core/placing"
 	"ryelug/core/queue"
 )
@@ -27,6 +28,7 @@
 		return false
 	}
 	if d.returnTimes.Returns(now, team) {
+		d.paced.Returned++
 		return true
 	}
 	d.returnTimes.Asked(now)
@@ -36,6 +38,7 @@
 // retryAfter returns the time after which the team's caller that is refused now may retry.
 func (d *Dispatcher) retryAfter(now time.Time, team int32) time.Duration {
 	if rate := d.endpoints.CallRate(now); rate > 0 {
+		d.paced.Told++
 		return d.returnTimes.Next(now, team, d.waiting.Len(), rate)
 	}
 	return d.returns.Next(now)
@@ -47,3 +50,24 @@
 	wait := time.Duration(float64(ahead) / d.callRate * float64(time.Second))
 	return wait+placing.NeededTime(request.Since, request.Deadline, callTime) > request.Deadline.Sub(now)
 }
+
+// describePaced adds to the details of a refusal what the endpoints' pace contributed, and counts callers that returned in vain.
+func (d *Dispatcher) describePaced(details *dispatch.RefusalDetails, request *queue.Request) {
+	if !d.endpoints.HasPacedCalls() {
+		return
+	}
+	if request.IsReturn {
+		d.paced.Again++
+	}
+	details.CallRate, details.CallTime = d.endpoints.CallRate(d.now), d.endpoints.LeastCallTime(d.now)
+}
+
+// pacedSnapshot returns the state for metrics; nil unless calls are paced.
+func (d *Dispatcher) pacedSnapshot() *dispatch.PacedSnapshot {
+	if !d.endpoints.HasPacedCalls() {
+		return nil
+	}
+	snapshot := d.paced
+	snapshot.CallRate, snapshot.Margin = d.endpoints.CallRate(d.now), d.endpoints.Margin()
+	return &snapshot
+}
--- a/core/admission/snapshot.go
+++ b/core/admission/snapshot.go
@@ -12,7 +12,7 @@
 
 // Snapshot returns the state after the last Step, for metrics.
 func (d *Dispatcher) Snapshot() dispatch.Snapshot {
-	snapshot := dispatch.Snapshot{Cell: d.cell, Entries: d.entries.Live(), Waiting: d.waiting.Len(), EndpointsEvaluated: d.endpoints.EndpointsEvaluated()}
+	snapshot := dispatch.Snapshot{Cell: d.cell, Entries: d.entries.Live(), Waiting: d.waiting.Len(), Paced: d.pacedSnapshot(), EndpointsEvaluated: d.endpoints.EndpointsEvaluated()}
 	snapshot.Held, snapshot.Total = d.stakes.HeldSince(d.now, d.now)
 	for i := range d.teams {
 		state := &d.teams[i]
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -192,6 +192,9 @@
 	Class       string        // Class names the kind of request, as in cell.Demand; empty if unknown.
 	Tokens      int           // Tokens is the length of the prompt in tokens.
 
+	CallRate float64       // CallRate is how many calls a second the endpoints answer at their present pace; zero unless they report one.
+	CallTime time.Duration // CallTime is the least time to expect of a call with CallRate known, with the margin.
+
 	Obstacles Obstacles
 }
 
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -15,9 +15,21 @@
 	Teams     []TeamSnapshot // Teams lists the teams with requests waiting or in flight.
 	Endpoints []flight.State
 
+	Paced *PacedSnapshot // Paced is the state of the admission of a service whose endpoints report their pace; nil for other cells.
+
 	EndpointsEvaluated int64 // EndpointsEvaluated counts the endpoints evaluated for requests so far; zero if the dispatcher does not predict answer times.
 }
 
+// PacedSnapshot holds the state of the admission of a service whose endpoints report their pace, for metrics.
+type PacedSnapshot struct {
+	CallRate float64 // CallRate is how many calls a second the endpoints answer at their present pace.
+	Margin   float64 // Margin is the factor by which a call may take longer than expected and still be in time.
+
+	Told     int64 // Told counts the refused callers that were told when to return.
+	Returned int64 // Returned counts the calls that were taken for those of callers that return as told.
+	Again    int64 // Again counts those of Returned that were refused again.
+}
+
 // TeamSnapshot holds the state of one team, for metrics.
 type TeamSnapshot struct {
 	Team     cell.TeamID
--- a/core/flight/table.go
+++ b/core/flight/table.go
@@ -123,6 +123,9 @@
 	Limit    int  // Limit is how many requests of all dispatchers together may be in flight now.
 	InFlight int  // InFlight is the number of flights of this dispatcher that may be running.
 	Free     int  // Free is how many grants this dispatcher could make now.
+
+	Pace    int           // Pace is how long work is taken to need at the endpoint now, in percent of the usual time; zero if it has reported none.
+	PaceAge time.Duration // PaceAge is the time since the endpoint's last report of its pace.
 }
 
 // States returns the states of all endpoints, in the order of their indexes.
@@ -130,7 +133,9 @@
 	states := make([]State, len(t.endpoints))
 	for i := range t.endpoints {
 		ep := &t.endpoints[i]
-		states[i] = State{ep.id, ep.slowStart.State(), ep.open, ep.limit(), ep.inFlight() + ep.lingering, ep.free()}
+		states[i] = State{
+			Endpoint: ep.id, State: ep.slowStart.State(), Open: ep.open, Limit: ep.limit(), InFlight: ep.inFlight() + ep.lingering, Free: ep.free(),
+		}
 	}
 	return states
 }
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -249,3 +249,6 @@
 	generating := time.Duration(prompt.Output) * t.policy.Engine.WithDefaults().Step
 	return time.Duration(slowOutputWeight * slower * float64(generating))
 }
+
+// Margin returns the factor by which a paced call may take longer than expected and still be in time, for metrics.
+func (t *Table) Margin() float64 { return t.margin.factor() }
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -346,9 +346,12 @@
 		if at.cold.IsCold(now) {
 			state = limit.Cold
 		}
-		dst = append(dst, flight.State{
-			Endpoint: at.id, State: state, Open: at.open, Limit: at.slots, InFlight: at.running, Free: max(0, at.slots-at.running),
-		})
+		one := flight.State{Endpoint: at.id, State: state, Open: at.open, Limit: at.slots, InFlight: at.running, Free: max(0, at.slots-at.running)}
+		if at.pace.IsKnown() {
+			one.Pace = int(100 * at.pace.Factor(now))
+			_, one.PaceAge = at.pace.Load(now)
+		}
+		dst = append(dst, one)
 	}
 	return dst
 }
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -138,7 +138,10 @@
 		cost += distanceWeight
 	}
 	if at.engine == nil {
-		expected, verdict := time.Duration(0), Admitted
+		var (
+			expected time.Duration
+			verdict  Verdict
+		)
 		if t.isPaced {
 			expected, verdict = t.verdictOnPacedCall(now, at, request, given.least)
 		} else {
--- a/router/dispatching/reports.go
+++ b/router/dispatching/reports.go
@@ -111,12 +111,16 @@
 	}
 	details := &action.RefusalDetails
 	info, _ := result.Lookup(action.Code)
-	r.config.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"cell": cs.id, "entry": action.Router, "attempt": action.Attempt, "code": info.Name, "team": details.Team,
 		"within_share": details.WithinShare, "left_ms": details.TimeLeft.Milliseconds(), "best_ms": details.Best.Milliseconds(),
 		"waited_ms": details.Waited.Milliseconds(), "retry_after_ms": action.RetryAfter.Milliseconds(),
 		"class": details.Class, "tokens": details.Tokens, "no_slot": details.Obstacles.Slots, "no_memory": details.Obstacles.Memory,
 		"pauses": details.Obstacles.Pauses, "too_late": details.Obstacles.Time, "resting": details.Obstacles.Unavailable,
 		"generation": r.directory.Generation,
-	}).Info("A request is refused.")
+	}
+	if details.CallRate > 0 {
+		fields["call_rate"], fields["call_ms"] = int(details.CallRate), details.CallTime.Milliseconds()
+	}
+	r.config.Log.WithFields(fields).Info("A request is refused.")
 }
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -164,6 +164,7 @@
 	Waiting     int                             `json:"waiting"` // Waiting is the number of queued requests of all teams.
 	Teams       map[cell.TeamID]teamVar         `json:"teams"`
 	Endpoints   map[cell.EndpointID]endpointVar `json:"endpoints"`
+	Paced       *pacedVar                       `json:"paced,omitempty"` // Paced is nil unless the cell is a service whose endpoints report their pace.
 }
 
 // teamVar is the JSON of a team in a cell.
@@ -179,7 +180,18 @@
 	Open     bool   `json:"open"` // Open is true if the configuration allows the endpoint new requests, even if it is unreachable now.
 	Limit    int    `json:"limit"`
 	InFlight int    `json:"in_flight"`
-	Free     int    `json:"free"` // Free is how many requests this dispatcher could grant to the endpoint now; it is 0 if the endpoint is closed or unreachable.
+	Free     int    `json:"free"`                  // Free is how many requests this dispatcher could grant to the endpoint now; it is 0 if the endpoint is closed or unreachable.
+	Pace     int    `json:"pace,omitempty"`        // Pace is how long work is taken to need there now, in percent of the usual time; absent if the endpoint reports none.
+	PaceAge  int64  `json:"pace_age_ms,omitempty"` // PaceAge is the time since its last report.
+}
+
+// pacedVar is the JSON of the admission of a service whose endpoints report their pace.
+type pacedVar struct {
+	CallRate float64 `json:"call_rate"` // CallRate is how many calls a second the endpoints answer at their present pace.
+	Margin   float64 `json:"margin"`    // Margin is the factor by which a call may take longer than expected and still be in time.
+	Told     int64   `json:"told"`      // Told counts the refused callers that were told when to return.
+	Returned int64   `json:"returned"`  // Returned counts the calls that were taken for those of callers that return as told.
+	Again    int64   `json:"again"`     // Again counts those of Returned that were refused again.
 }
 
 func (p *Process) cells() map[cell.ID]cellVar {
@@ -203,6 +215,9 @@
 		Teams:       make(map[cell.TeamID]teamVar, len(snapshot.Teams)),
 		Endpoints:   make(map[cell.EndpointID]endpointVar, len(snapshot.Endpoints)),
 	}
+	if paced := snapshot.Paced; paced != nil {
+		shown.Paced = &pacedVar{CallRate: paced.CallRate, Margin: paced.Margin, Told: paced.Told, Returned: paced.Returned, Again: paced.Again}
+	}
 	for _, team := range snapshot.Teams {
 		shown.Teams[team.Team] = teamVar{Queued: team.Queued, InFlight: team.InFlight, Counter: team.Counter}
 	}
@@ -213,6 +228,8 @@
 			Limit:    at.Limit,
 			InFlight: at.InFlight,
 			Free:     at.Free,
+			Pace:     at.Pace,
+			PaceAge:  at.PaceAge.Milliseconds(),
 		}
 	}
 	return shown
