Refuse a paced call that reaches the dispatcher too late to be in time

Where an entry was slow, a call reached the dispatcher with less time left than a call takes, and was granted like one whose objective no endpoint can meet. The dispatcher now learns the objective of a class from the largest times that its demands have, and takes calls that will be late only if the objective is less than the time of a call.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -57,6 +57,7 @@
 	lastPassAt  time.Time      // lastPassAt is the time of the last pass over the waiting requests.
 	returns     queue.RetrySchedule
 	paced       dispatch.PacedSnapshot     // paced holds the counters of returnTimes.
+	objectives  map[string]time.Duration   // objectives holds the time that demands have from the start, by request class; only kept while calls are paced.
 	returnTimes queue.Appointments         // returnTimes are those of refused callers, in place of returns; only used while calls are paced.
 	sizes       map[string]*fair.SizeStats // sizes holds size statistics by request class.
 
@@ -88,6 +89,7 @@
 		entries:     session.New(),
 		failedTries: make(map[string]int),
 		sizes:       make(map[string]*fair.SizeStats),
+		objectives:  make(map[string]time.Duration),
 		broken:      make(map[int32]*brokenEngine),
 	}
 	d.waiting = session.NewWaiting(d.entries, &d.ledger)
--- a/core/admission/paced.go
+++ b/core/admission/paced.go
@@ -27,6 +27,7 @@
 	if !d.endpoints.HasPacedCalls() || demand.Avoid != "" {
 		return false
 	}
+	d.learnObjective(now, demand)
 	if d.returnTimes.Returns(now, team) {
 		d.paced.Returned++
 		return true
@@ -35,6 +36,22 @@
 	return false
 }
 
+// objectiveDivisor is the inverse weight of a demand with less time than those before it in the objective of its class. Demands
+// have less time the longer they were on their way, so that the largest ones show the objective.
+const objectiveDivisor = 1024
+
+// learnObjective learns the objective of a class from the time that a new demand of it has.
+func (d *Dispatcher) learnObjective(now time.Time, demand *cell.Demand) {
+	if demand.Deadline.IsZero() {
+		return
+	}
+	known, left := d.objectives[demand.Class], demand.Deadline.Sub(now)
+	if left < known {
+		left = known - (known-left)/objectiveDivisor
+	}
+	d.objectives[demand.Class] = left
+}
+
 // retryAfter returns the time after which the team's caller that is refused now may retry.
 func (d *Dispatcher) retryAfter(now time.Time, team int32) time.Duration {
 	if rate := d.endpoints.CallRate(now); rate > 0 {
@@ -48,7 +65,7 @@
 // endpoints answer calls at their present pace.
 func (d *Dispatcher) wouldMissPaced(now time.Time, request *queue.Request, ahead int, callTime time.Duration) bool {
 	wait := time.Duration(float64(ahead) / d.callRate * float64(time.Second))
-	return wait+placing.NeededTime(request.Since, request.Deadline, callTime) > request.Deadline.Sub(now)
+	return wait+placing.PacedTime(d.objectives[request.Class], callTime) > request.Deadline.Sub(now)
 }
 
 // describePaced adds to the details of a refusal what the endpoints' pace contributed, and counts callers that returned in vain.
--- a/core/admission/small_service_test.go
+++ b/core/admission/small_service_test.go
@@ -20,14 +20,15 @@
 // return once when told. Everything takes one to two milliseconds between the dispatcher and an entry.
 type servicePlay struct {
 	*simulation
-	random    *rand.Rand // random is for times on the way and of work.
-	arrivals  *rand.Rand // arrivals is for the arrivals, so that plays of the same seed have the same ones.
-	work      time.Duration
-	slots     int
-	objective time.Duration
-	slowWays  bool
-	reports   bool // reports is set if the answers carry the endpoint's load with its pace.
-	start     time.Time
+	random      *rand.Rand // random is for times on the way and of work.
+	arrivals    *rand.Rand // arrivals is for the arrivals, so that plays of the same seed have the same ones.
+	work        time.Duration
+	slots       int
+	objective   time.Duration
+	slowWays    bool
+	slowEntries bool
+	reports     bool // reports is set if the answers carry the endpoint's load with its pace.
+	start       time.Time
 
 	events    playEvents
 	endpoints map[cell.EndpointID]*playEndpoint
@@ -112,7 +113,11 @@
 	p.last++
 	call := &playCall{attempt: p.last, team: team, asked: p.now, returns: returns}
 	p.calls[call.attempt] = call
-	p.after(p.way(), func() {
+	way := p.way()
+	if p.slowEntries && p.arrivals.IntN(10) == 0 {
+		way += time.Duration(p.arrivals.Int64N(int64(p.objective)))
+	}
+	p.after(way, func() {
 		demand := cell.Demand{Attempt: call.attempt, Team: team, Class: "charge", Deadline: call.asked.Add(p.objective)}
 		p.take(p.Step(p.now, &dispatch.Want{Router: entryRouter, Session: 1, Demands: []cell.Demand{demand}}))
 	})
@@ -224,6 +229,7 @@
 	always           []float64                         // always is the pace of each endpoint without pauses; one if missing.
 	pauses           bool                              // pauses lets a third of the endpoints pause for some hundred milliseconds every second.
 	slowWays         bool                              // slowWays lets a part of the messages take up to fifteen milliseconds longer.
+	slowEntries      bool                              // slowEntries lets a tenth of the requests reach the dispatcher late, some only at the end of their objective.
 	load             float64                           // load is a factor of the arrivals; one if zero.
 	reports          bool
 	seed             uint64
@@ -235,7 +241,7 @@
 func (s smallService) play() *playResult {
 	policy := dispatch.Policy{Predicted: true}
 	p := &servicePlay{
-		random: rand.New(rand.NewPCG(s.seed, 1)), arrivals: rand.New(rand.NewPCG(s.seed, 2)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports, slowWays: s.slowWays,
+		random: rand.New(rand.NewPCG(s.seed, 1)), arrivals: rand.New(rand.NewPCG(s.seed, 2)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports, slowWays: s.slowWays, slowEntries: s.slowEntries,
 		endpoints: map[cell.EndpointID]*playEndpoint{}, calls: map[cell.AttemptID]*playCall{},
 	}
 	for i := range s.endpoints {
@@ -322,6 +328,7 @@
 		{"one at half speed", with(short, func(s *smallService) { s.always = []float64{2} }), 0.99, 0.99},
 		{"one at half speed, and pauses", with(short, func(s *smallService) { s.always, s.pauses = []float64{2}, true }), 0.92, 0.97},
 		{"slow ways, and pauses", with(short, func(s *smallService) { s.slowWays, s.pauses = true, true }), 0.98, 0.99},
+		{"slow entries, and pauses", with(short, func(s *smallService) { s.slowEntries, s.pauses = true, true }), 0.95, 0.97},
 		{"overload", with(short, func(s *smallService) { s.load = 1.6 }), 0.8, 0.97},
 		{"bursts", with(short, func(s *smallService) { s.rate = bursts }), 0.999, 0.999},
 		{"longer calls, one at half speed, and pauses", with(long, func(s *smallService) { s.pauses, s.always = true, []float64{2} }), 0.97, 0.97},
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -208,9 +208,13 @@
 
 // placingRequest returns the properties of a waiting request that the choice of an endpoint depends on.
 func (d *Dispatcher) placingRequest(request *queue.Request, sizes *fair.SizeStats) placing.Request {
+	objective := time.Duration(0)
+	if d.endpoints.HasPacedCalls() {
+		objective = d.objectives[request.Class]
+	}
 	within := d.shares.WithinShare(d.now, int(request.Team)) || request.Class != "" && sizes.Favours(request.EstimatedCost)
 	return placing.Request{
-		Prompt: &request.Prompt, Since: request.Since, Deadline: request.Deadline, Avoid: request.Avoid, WithinShare: within, Long: sizes.LacksLong(request.EstimatedCost),
+		Prompt: &request.Prompt, Since: request.Since, Deadline: request.Deadline, Objective: objective, Avoid: request.Avoid, WithinShare: within, Long: sizes.LacksLong(request.EstimatedCost),
 		From: d.dataCentres[d.entries.At(request.Entry).Router.Host()],
 	}
 }
--- a/core/placing/call.go
+++ b/core/placing/call.go
@@ -57,6 +57,9 @@
 
 // hasRunOut reports whether a call that takes this time has too little time left, so that another one should get the slot.
 func (r *Request) hasRunOut(now time.Time, callTime time.Duration) bool {
+	if r.Objective > 0 {
+		return PacedTime(r.Objective, callTime) > r.left(now)
+	}
 	return NeededTime(r.Since, r.Deadline, callTime) > r.left(now)
 }
 
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -195,7 +195,7 @@
 func (t *Table) verdictOnPacedCall(now time.Time, at *endpoint, request *Request, least time.Duration) (time.Duration, Verdict) {
 	expected := t.pacedExpected(now, at, at.running)
 	switch {
-	case expected <= request.left(now) || request.Deadline.Sub(request.Since) < least:
+	case expected <= request.left(now) || PacedTime(request.Objective, least) == 0:
 		return expected, Admitted
 	case least > request.left(now):
 		return expected, Hopeless
@@ -203,6 +203,16 @@
 	return expected, Waits
 }
 
+// PacedTime returns how much of the time left until its deadline a paced call needs. It is zero if no call with this objective
+// has enough time: that is no reason to refuse them all. A call that reaches the dispatcher too late is refused, unlike
+// where no endpoint reports its pace, as it would take a slot from one that can be in time.
+func PacedTime(objective, callTime time.Duration) time.Duration {
+	if objective < callTime {
+		return 0
+	}
+	return callTime
+}
+
 // leastPacedTime returns the least time to expect of a call at the open endpoints if they had free slots; zero if unknown at one.
 func (t *Table) leastPacedTime(now time.Time) time.Duration {
 	var least time.Duration
--- a/core/placing/paced_test.go
+++ b/core/placing/paced_test.go
@@ -43,7 +43,7 @@
 
 // call returns a plain call with this time left.
 func call(now time.Time, left time.Duration) *placing.Request {
-	return &placing.Request{Prompt: &cell.Prompt{}, Since: now, Deadline: now.Add(left), Avoid: -1, WithinShare: true}
+	return &placing.Request{Prompt: &cell.Prompt{}, Since: now, Deadline: now.Add(left), Objective: left, Avoid: -1, WithinShare: true}
 }
 
 // A call that waits at an endpoint while another one has a free slot is answered later than it could be; where both have one, the
@@ -83,6 +83,8 @@
 	}
 	waited := call(now.Add(-120*time.Millisecond), 150*time.Millisecond)
 	is.Equal(service.Choose(now, waited).Verdict, placing.Hopeless)
+	waited.Since = now // A call that reached the dispatcher only now is refused as well.
+	is.Equal(service.Choose(now, waited).Verdict, placing.Hopeless)
 }
 
 // Cells whose endpoints report no pace must keep the behaviour that they have.
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -67,12 +67,13 @@
 // Request holds the properties of a request that the choice of an endpoint depends on.
 type Request struct {
 	Prompt      *cell.Prompt
-	Since       time.Time // Since is the time at which the request began to wait.
-	Deadline    time.Time // Deadline is the deadline of the first token; zero is none.
-	Avoid       int32     // Avoid is the index of an endpoint to avoid if another one is open; negative is none.
-	From        string    // From is the data centre of the entry router that holds the request.
-	WithinShare bool      // WithinShare is true if the request lies within its team's share, or is treated as if it did.
-	Long        bool      // Long is true if an engine may be reserved for the request: it is among the most expensive of its class, and too few of those are admitted.
+	Since       time.Time     // Since is the time at which the request began to wait.
+	Deadline    time.Time     // Deadline is the deadline of the first token; zero is none.
+	Objective   time.Duration // Objective is the time that requests of this class have from the start; only set for calls of a service whose endpoints report their pace.
+	Avoid       int32         // Avoid is the index of an endpoint to avoid if another one is open; negative is none.
+	From        string        // From is the data centre of the entry router that holds the request.
+	WithinShare bool          // WithinShare is true if the request lies within its team's share, or is treated as if it did.
+	Long        bool          // Long is true if an engine may be reserved for the request: it is among the most expensive of its class, and too few of those are admitted.
 }
 
 // left returns the time until the deadline; an hour if there is none.
