--- a/core/admission/small_service_test.go
+++ b/core/admission/small_service_test.go
@@ -20,15 +20,15 @@
 // return once when told. Everything takes one to two milliseconds between the dispatcher and an entry.
 type servicePlay struct {
 	*simulation
-	random      *rand.Rand // random is for times on the way and of work.
-	arrivals    *rand.Rand // arrivals is for the arrivals, so that plays of the same seed have the same ones.
-	work        time.Duration
-	slots       int
-	objective   time.Duration
-	slowWays    bool
-	slowEntries bool
-	reports     bool // reports is set if the answers carry the endpoint's load with its pace.
-	start       time.Time
+	random                    *rand.Rand // random is for times on the way and of work.
+	arrivals                  *rand.Rand // arrivals is for the arrivals, so that plays of the same seed have the same ones.
+	work                      time.Duration
+	slots                     int
+	objective                 time.Duration
+	slowWays                  bool
+	slowEntries, falseReports bool
+	reports                   bool // reports is set if the answers carry the endpoint's load with its pace.
+	start                     time.Time
 
 	events    playEvents
 	endpoints map[cell.EndpointID]*playEndpoint
@@ -195,6 +195,9 @@
 	at.running--
 	if p.reports {
 		pace := at.pace(p.now.Sub(p.start))
+		if p.falseReports {
+			pace = 0.2 + 9*p.arrivals.Float64()
+		}
 		call.load = cell.EndpointLoad{Running: uint16(at.running), Waiting: uint16(len(at.queue)), Slots: uint16(p.slots), Pace: uint16(100 * pace)}
 	}
 	if len(at.queue) > 0 {
@@ -230,6 +233,7 @@
 	pauses           bool                              // pauses lets a third of the endpoints pause for some hundred milliseconds every second.
 	slowWays         bool                              // slowWays lets a part of the messages take up to fifteen milliseconds longer.
 	slowEntries      bool                              // slowEntries lets a tenth of the requests reach the dispatcher late, some only at the end of their objective.
+	falseReports     bool                              // falseReports lets the endpoints report a pace that has nothing to do with their work.
 	load             float64                           // load is a factor of the arrivals; one if zero.
 	reports          bool
 	seed             uint64
@@ -241,7 +245,7 @@
 func (s smallService) play() *playResult {
 	policy := dispatch.Policy{Predicted: true}
 	p := &servicePlay{
-		random: rand.New(rand.NewPCG(s.seed, 1)), arrivals: rand.New(rand.NewPCG(s.seed, 2)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports, slowWays: s.slowWays, slowEntries: s.slowEntries,
+		random: rand.New(rand.NewPCG(s.seed, 1)), arrivals: rand.New(rand.NewPCG(s.seed, 2)), work: s.work, slots: s.slots, objective: s.objective, reports: s.reports, slowWays: s.slowWays, slowEntries: s.slowEntries, falseReports: s.falseReports,
 		endpoints: map[cell.EndpointID]*playEndpoint{}, calls: map[cell.AttemptID]*playCall{},
 	}
 	for i := range s.endpoints {
@@ -329,6 +333,8 @@
 		{"one at half speed, and pauses", with(short, func(s *smallService) { s.always, s.pauses = []float64{2}, true }), 0.92, 0.97},
 		{"slow ways, and pauses", with(short, func(s *smallService) { s.slowWays, s.pauses = true, true }), 0.98, 0.99},
 		{"slow entries, and pauses", with(short, func(s *smallService) { s.slowEntries, s.pauses = true, true }), 0.95, 0.97},
+		{"false reports", with(short, func(s *smallService) { s.falseReports = true }), 0.97, 0.97},
+		{"too slow for the objective", with(short, func(s *smallService) { s.always, s.load = []float64{6, 6, 6}, 0.15 }), 0, 0},
 		{"overload", with(short, func(s *smallService) { s.load = 1.6 }), 0.8, 0.97},
 		{"bursts", with(short, func(s *smallService) { s.rate = bursts }), 0.999, 0.999},
 		{"longer calls, one at half speed, and pauses", with(long, func(s *smallService) { s.pauses, s.always = true, []float64{2} }), 0.97, 0.97},
@@ -341,6 +347,7 @@
 			result := one.service.play()
 			t.Logf("with reports:    %v", result)
 			is.True(result.inTimeOfAnswered() >= one.answered)
+			is.True(float64(result.refused) <= 0.1*float64(result.callers))
 			is.True(float64(result.inTime) >= one.inTime*float64(result.callers))
 		})
 	}
