--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -53,8 +53,12 @@
 	order       []turn         // order is a buffer for the waiting requests in the order in which they are tried.
 	failedTries map[string]int // failedTries counts, by request class, the tries of the current pass that found no capacity.
 	decayedAt   time.Time      // decayedAt is the time of the last decay of the ledger.
+	callRate    float64        // callRate is the rate at which the endpoints answer calls, as of the last pass; zero unless calls are paced.
 	lastPassAt  time.Time      // lastPassAt is the time of the last pass over the waiting requests.
 	returns     queue.RetrySchedule
+	paced       dispatch.PacedSnapshot     // paced holds the counters of returnTimes.
+	objectives  map[string]time.Duration   // objectives holds the time that demands have from the start, by request class; only kept while calls are paced.
+	returnTimes queue.Appointments         // returnTimes are those of refused callers, in place of returns; only used while calls are paced.
 	sizes       map[string]*fair.SizeStats // sizes holds size statistics by request class.
 
 	flights    slot.Slab[attempt]
@@ -85,6 +89,7 @@
 		entries:     session.New(),
 		failedTries: make(map[string]int),
 		sizes:       make(map[string]*fair.SizeStats),
+		objectives:  make(map[string]time.Duration),
 		broken:      make(map[int32]*brokenEngine),
 	}
 	d.waiting = session.NewWaiting(d.entries, &d.ledger)
@@ -254,6 +259,7 @@
 		Team: d.teams[request.Team].id, WithinShare: d.shares.WithinShare(d.now, int(request.Team)), Best: choice.Best,
 		Waited: d.now.Sub(request.Since), Class: request.Class, Tokens: request.Prompt.Tokens(), Obstacles: choice.Obstacles,
 	}
+	d.describePaced(&details, &request)
 	if !request.Deadline.IsZero() {
 		details.TimeLeft = request.Deadline.Sub(d.now)
 	}
--- a/core/placing/call.go
+++ b/core/placing/call.go
@@ -57,6 +57,9 @@
 
 // hasRunOut reports whether a call that takes this time has too little time left, so that another one should get the slot.
 func (r *Request) hasRunOut(now time.Time, callTime time.Duration) bool {
+	if r.Objective > 0 {
+		return PacedTime(r.Objective, callTime) > r.left(now)
+	}
 	return NeededTime(r.Since, r.Deadline, callTime) > r.left(now)
 }
 
@@ -71,10 +74,13 @@
 
 // LeastCallTime returns the least time to expect of a call at the open endpoints of a service; zero if no call has ended yet, and
 // for model engines.
-func (t *Table) LeastCallTime() time.Duration {
+func (t *Table) LeastCallTime(now time.Time) time.Duration {
 	if t.policy.Engine != nil {
 		return 0
 	}
+	if t.HasPacedCalls() {
+		return t.leastPacedTime(now)
+	}
 	var least time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -67,12 +67,13 @@
 // Request holds the properties of a request that the choice of an endpoint depends on.
 type Request struct {
 	Prompt      *cell.Prompt
-	Since       time.Time // Since is the time at which the request began to wait.
-	Deadline    time.Time // Deadline is the deadline of the first token; zero is none.
-	Avoid       int32     // Avoid is the index of an endpoint to avoid if another one is open; negative is none.
-	From        string    // From is the data centre of the entry router that holds the request.
-	WithinShare bool      // WithinShare is true if the request lies within its team's share, or is treated as if it did.
-	Long        bool      // Long is true if an engine may be reserved for the request: it is among the most expensive of its class, and too few of those are admitted.
+	Since       time.Time     // Since is the time at which the request began to wait.
+	Deadline    time.Time     // Deadline is the deadline of the first token; zero is none.
+	Objective   time.Duration // Objective is the time that requests of this class have from the start; only set for calls of a service whose endpoints report their pace.
+	Avoid       int32         // Avoid is the index of an endpoint to avoid if another one is open; negative is none.
+	From        string        // From is the data centre of the entry router that holds the request.
+	WithinShare bool          // WithinShare is true if the request lies within its team's share, or is treated as if it did.
+	Long        bool          // Long is true if an engine may be reserved for the request: it is among the most expensive of its class, and too few of those are admitted.
 }
 
 // left returns the time until the deadline; an hour if there is none.
@@ -112,6 +113,7 @@
 	fetch   bool // fetch is true if another engine has the shared parts cached, so that they can be copied.
 	allFail bool // allFail is true if every open endpoint fails and none is due for a probe: then failures exclude none of them.
 
+	least     time.Duration       // least is the least time to expect of a call; only set where endpoints report their pace.
 	obstacles *dispatch.Obstacles // obstacles counts, by reason, the endpoints that can't take the request now.
 }
 
@@ -123,7 +125,7 @@
 		given.obstacles.Time++
 		return 0, Hopeless
 	}
-	if at.running >= at.limitFor(request.WithinShare) {
+	if at.running >= t.limitAt(now, at, request.WithinShare) {
 		given.obstacles.Slots++
 		return 0, Waits
 	}
@@ -137,11 +139,19 @@
 		cost += distanceWeight
 	}
 	if at.engine == nil {
-		verdict := at.verdictOnCall(now, request)
+		var (
+			expected time.Duration
+			verdict  Verdict
+		)
+		if t.isPaced {
+			expected, verdict = t.verdictOnPacedCall(now, at, request, given.least)
+		} else {
+			verdict = at.verdictOnCall(now, request)
+		}
 		if verdict != Admitted {
 			given.obstacles.Time++
 		}
-		return cost, verdict
+		return cost + expected, verdict
 	}
 	prediction := at.engine.Predict(now, request.Prompt, at.missing, given.fetch)
 	if at.pausesTooLong(prediction, t.policy.Gap) {
@@ -156,6 +166,9 @@
 		given.obstacles.Memory++
 		return 0, Waits
 	}
+	if t.isPaced {
+		cost += t.slowOutputCost(at, request.Prompt)
+	}
 	if at.missing.Shared > 0 && given.fetch {
 		return cost + prediction.First + fetchWeight, Admitted
 	}
