Decide by need and cost which requests leave a data centre

A constant of 10 ms for an endpoint in another data centre ignored the bytes, the state of the network path and whether the own data centre was full. core/crossing now predicts the time to the answer in both, and lets a bounded part of the demand leave where that is worthwhile. It is active in cells whose endpoints report a pace; elsewhere the constant stays.

--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -54,6 +54,7 @@
 	d.teams[granted.team].inFlight--
 	delete(d.entries.At(granted.entry).Flights, granted.attempt)
 	d.entries.Drop(granted.entry)
+	d.endpoints.Reported(&granted.placed, end.Load, int(end.Bytes))
 	d.endpoints.Ended(d.now, &granted.placed, end.Outcome)
 }
 
@@ -70,6 +71,7 @@
 		}
 		granted := d.flights.At(slotIndex)
 		d.teams[granted.team].active = now
+		d.endpoints.Reported(&granted.placed, progress.Load, 0)
 		d.endpoints.Begun(now, &granted.placed)
 		if granted.begunAt.IsZero() {
 			granted.begunAt = now
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -42,6 +42,7 @@
 			d.dues.AddDemand(now, int(team), max(1, demand.Estimate))
 		}
 		d.countDemand(team, demand)
+		d.endpoints.Arrived(now, d.dataCentres[ev.Router.Host()])
 		slotIndex := d.waiting.Add(queue.Request{
 			Entry: index, Attempt: demand.Attempt, Team: team, Avoid: d.endpoints.Find(demand.Avoid), EstimatedCost: demand.Estimate, Since: now,
 			Class: demand.Class, Prompt: demand.Prompt, Deadline: demand.Deadline,
@@ -195,7 +196,7 @@
 func (d *Dispatcher) placingRequest(request *queue.Request, sizes *fair.SizeStats) placing.Request {
 	within := d.shares.WithinShare(d.now, int(request.Team)) || request.Class != "" && sizes.Favours(request.EstimatedCost)
 	return placing.Request{
-		Prompt: &request.Prompt, Since: request.Since, Deadline: request.Deadline, Avoid: request.Avoid, WithinShare: within, Long: sizes.LacksLong(request.EstimatedCost),
+		Prompt: &request.Prompt, Since: request.Since, Deadline: request.Deadline, Avoid: request.Avoid, WithinShare: within, Long: sizes.LacksLong(request.EstimatedCost), Class: request.Class,
 		From: d.dataCentres[d.entries.At(request.Entry).Router.Host()],
 	}
 }
--- /dev/null
+++ b/core/crossing/control.go
@@ -0,0 +1,332 @@
+package crossing
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+)
+
+const (
+	// maxSites limits the data centres of a cell, as the state grows with their square. It is at most 64, the bits of Entered.
+	maxSites = 32
+	// maxClasses limits the request classes whose bytes are averaged separately.
+	maxClasses = 64
+	// usualBytes is the size assumed of a request with its answer while none of its class has ended.
+	usualBytes = 4_000
+)
+
+// Site is the index of a data centre in a Control.
+type Site int32
+
+// NoSite is the Site of an unknown data centre.
+const NoSite Site = -1
+
+// Scope is where a request may be sent.
+type Scope uint8
+
+// The scopes.
+const (
+	Anywhere Scope = iota // Anywhere: to all data centres.
+	Own                   // Own: to endpoints in the data centre of the entry only.
+	Others                // Others: to endpoints in other data centres, and to its own if none of them takes the request.
+)
+
+// Trip holds the properties of a request that the decision depends on.
+type Trip struct {
+	Class       string
+	Part        uint64        // Part identifies the shared part of the prompt; zero if there is none.
+	Waited      time.Duration // Waited is how long the request has waited for a grant.
+	Left        time.Duration // Left is the time until the objective.
+	OwnReread   time.Duration // OwnReread is the time to read again, in the own data centre, shared parts that an engine elsewhere has cached.
+	OtherReread time.Duration // OtherReread is the time to read shared parts again in the other data centre where this takes least.
+}
+
+// Decision is where a request may be sent, and why.
+type Decision struct {
+	Scope   Scope
+	Cause   Cause         // Cause says why the request leaves if it does.
+	InOwn   time.Duration // InOwn is the predicted time to the answer in the own data centre.
+	InOther time.Duration // InOther is the predicted time in the best other data centre, without the price of the bytes.
+	Bytes   int           // Bytes is the expected size of the request with its answer.
+	Waits   bool          // Waits is true if the request may wait for its turn to leave, where its own data centre can't answer it in time.
+}
+
+// Control decides on the traffic between the data centres of one cell. It is not safe for concurrent use.
+type Control struct {
+	config Config
+	sites  []site
+	bytes  map[string]int // bytes holds the moving average of the size of a request with its answer, by class.
+	spills []Spill        // spills are those since the last TakeSpills.
+}
+
+// New returns a Control without data centres.
+func New(config Config) *Control {
+	return &Control{config: config, bytes: make(map[string]int)}
+}
+
+// Config returns the configuration.
+func (c *Control) Config() Config { return c.config }
+
+// Site returns the index of a data centre, which is added if it is new; NoSite for an empty name and beyond maxSites.
+func (c *Control) Site(name string) Site {
+	for i := range c.sites {
+		if c.sites[i].name == name {
+			return Site(i)
+		}
+	}
+	if name == "" || len(c.sites) == maxSites {
+		return NoSite
+	}
+	c.sites = append(c.sites, site{name: name})
+	for i := range c.sites {
+		for len(c.sites[i].paths) < len(c.sites) {
+			c.sites[i].paths = append(c.sites[i].paths, path{})
+		}
+	}
+	return Site(len(c.sites) - 1)
+}
+
+// ClearLoads sets the loads of all data centres to zero, before AddLoad.
+func (c *Control) ClearLoads() {
+	for i := range c.sites {
+		c.sites[i].load = Load{}
+	}
+}
+
+// AddLoad adds the load of an open endpoint to that of its data centre.
+func (c *Control) AddLoad(at Site, load Load) {
+	if at == NoSite {
+		return
+	}
+	c.sites[at].load.Slots += load.Slots
+	c.sites[at].load.Running += load.Running
+}
+
+// Arrived records a request of a data centre's callers, which the part of the demand that may leave is counted by.
+func (c *Control) Arrived(now time.Time, from Site) {
+	if from == NoSite {
+		return
+	}
+	own := &c.sites[from]
+	c.update(now, from)
+	own.credit = min(maxCredit, own.credit+own.share)
+}
+
+// update updates the share of a data centre.
+func (c *Control) update(now time.Time, from Site) {
+	own := &c.sites[from]
+	hasRoom, hasPath, limit := false, false, 0.0
+	for i := range c.sites {
+		if Site(i) == from || c.sites[i].load.Slots == 0 {
+			continue
+		}
+		along := &own.paths[i]
+		along.refresh(now)
+		hasPath = hasPath || along.mayCarry(now)
+		limit = max(limit, along.share())
+		hasRoom = hasRoom || c.sites[i].load.hasRoom() && along.mayCarry(now)
+	}
+	if hasPath {
+		limit = max(limit, step) // The attempts that show whether a path that was cut has recovered.
+	}
+	own.update(now, hasRoom, limit)
+}
+
+// Decide returns where a request of a data centre's callers may be sent. It allocates nothing.
+func (c *Control) Decide(now time.Time, from Site, trip *Trip) Decision {
+	decision := Decision{Bytes: c.bytesOf(trip.Class)}
+	if from == NoSite || c.sites[from].load.Slots == 0 {
+		decision.Cause = OwnClosed
+		return decision
+	}
+	own := &c.sites[from]
+	isWorthwhile, hasRoom := c.compare(now, from, trip, &decision)
+	if isWorthwhile && own.load.Running >= own.load.Slots {
+		own.neededAt = now
+	}
+	c.update(now, from)
+	need := dearCredit
+	if isWorthwhile {
+		need = cheapCredit
+	}
+	decision.Scope, decision.Waits = Own, isWorthwhile && decision.InOther <= trip.Left
+	if hasRoom && own.share > 0 && own.credit >= need {
+		decision.Scope = Others
+	}
+	return decision
+}
+
+// compare predicts the time to the answer in the own and in the best other data centre, and reports whether leaving is
+// worthwhile, and whether another data centre has room at all.
+func (c *Control) compare(now time.Time, from Site, trip *Trip, decision *Decision) (isWorthwhile, hasRoom bool) {
+	own := &c.sites[from]
+	best := time.Duration(0)
+	for i := range c.sites {
+		to, along := &c.sites[i], &own.paths[i]
+		if !c.mayEnter(now, from, Site(i)) {
+			continue
+		}
+		answer := to.answer
+		if answer == 0 {
+			answer = own.answer
+		}
+		inOther := answer + along.delay + time.Duration(along.failures*float64(lossCost))
+		if !hasRoom || inOther < best {
+			best, hasRoom = inOther, true
+		}
+	}
+	decision.InOwn = own.answer + own.expectedWait(trip.Waited) + trip.OwnReread
+	if !hasRoom {
+		decision.Cause = Settles
+		return false, false
+	}
+	decision.InOther = best + trip.OtherReread
+	isLate := decision.InOwn > trip.Left || trip.Waited > time.Duration(lateFraction*float64(trip.Waited+trip.Left))
+	switch {
+	case isLate && decision.InOther <= trip.Left:
+		decision.Cause = OwnLate
+		return true, true
+	case decision.InOwn-decision.InOther > c.config.price(decision.Bytes):
+		decision.Cause = Gains
+		return true, true
+	}
+	decision.Cause = Settles
+	return false, true
+}
+
+// Entered returns the data centres that take a request of another one's callers, a bit for each.
+func (c *Control) Entered(now time.Time, from Site) uint64 {
+	var entered uint64
+	for i := range c.sites {
+		if c.mayEnter(now, from, Site(i)) {
+			entered |= 1 << i
+		}
+	}
+	return entered
+}
+
+func (c *Control) mayEnter(now time.Time, from, to Site) bool {
+	along := &c.sites[from].paths[to]
+	along.refresh(now)
+	return from != to && c.sites[to].load.hasRoom() && along.mayCarry(now)
+}
+
+// Cost returns the cost of an endpoint in another data centre, as a time: the delay and the failures of the path, the price of the
+// bytes, and the time to read a shared part where it won't be asked for again. It is zero in the own data centre.
+func (c *Control) Cost(now time.Time, from, to Site, trip *Trip) time.Duration {
+	if from == to {
+		return 0
+	}
+	if from == NoSite || to == NoSite {
+		return usualDelay
+	}
+	along := &c.sites[from].paths[to]
+	along.refresh(now)
+	cost := along.delay + c.config.price(c.bytesOf(trip.Class)) + time.Duration(along.failures*float64(lossCost))
+	if along.isCut {
+		cost += lossCost
+	}
+	if trip.Part != 0 && to != c.home(now, from, trip.Part) {
+		cost += trip.OtherReread
+	}
+	return cost
+}
+
+// home returns the data centre to which requests with a shared part leave if none has the part cached: the same one for all of
+// them, as long as it has room.
+func (c *Control) home(now time.Time, from Site, part uint64) Site {
+	home, most := NoSite, uint64(0)
+	for i := range c.sites {
+		if !c.mayEnter(now, from, Site(i)) {
+			continue
+		}
+		if weight := mix(part + uint64(i)); home == NoSite || weight > most {
+			home, most = Site(i), weight
+		}
+	}
+	return home
+}
+
+// mix distributes a number evenly over 64 bits (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Ticket is the record of a granted request, which its owner passes to Answered and Failed. Its zero value is not recorded.
+type Ticket struct {
+	isRecorded bool
+	from, to   Site
+	epoch      uint32
+	isAnswered bool
+}
+
+// Crosses reports whether the request went to another data centre.
+func (t *Ticket) Crosses() bool { return t.isRecorded && t.from != t.to }
+
+// Sent records a granted request.
+func (c *Control) Sent(now time.Time, from, to Site, trip *Trip, decision *Decision) Ticket {
+	if from == NoSite || to == NoSite {
+		return Ticket{}
+	}
+	own := &c.sites[from]
+	ticket := Ticket{isRecorded: true, from: from, to: to}
+	if from == to {
+		own.wait += (trip.Waited - own.wait) / answerWeight
+		return ticket
+	}
+	own.credit--
+	along := &own.paths[to]
+	ticket.epoch = along.sent(now)
+	along.counts[decision.Cause].add(decision.Bytes)
+	c.recordSpill(now, from, to, trip, decision)
+	return ticket
+}
+
+// Answered records the answer to a request, which took this time without the wait for a slot at its endpoint.
+func (c *Control) Answered(now time.Time, ticket *Ticket, took time.Duration) {
+	if !ticket.isRecorded || ticket.isAnswered {
+		return
+	}
+	ticket.isAnswered = true
+	usual := &c.sites[ticket.to].answer
+	if ticket.from != ticket.to {
+		c.sites[ticket.from].paths[ticket.to].answered(now, ticket.epoch, took, took-*usual, *usual > 0)
+		return
+	}
+	if *usual == 0 {
+		*usual = took
+	}
+	*usual += (took - *usual) / answerWeight
+}
+
+// Failed records the end of a request without an answer. It reports whether the path is to blame rather than the endpoint.
+func (c *Control) Failed(now time.Time, ticket *Ticket, outcome cell.Outcome) bool {
+	if !ticket.Crosses() || ticket.isAnswered {
+		return false
+	}
+	ticket.isAnswered = true
+	along := &c.sites[ticket.from].paths[ticket.to]
+	along.failed(now, ticket.epoch, outcome)
+	return along.isCut
+}
+
+// Learn records the size of a request with its answer.
+func (c *Control) Learn(class string, bytes int) {
+	average, known := c.bytes[class]
+	switch {
+	case bytes <= 0 || !known && len(c.bytes) == maxClasses:
+	case !known:
+		c.bytes[class] = bytes
+	default:
+		c.bytes[class] = average + (bytes-average)/answerWeight
+	}
+}
+
+func (c *Control) bytesOf(class string) int {
+	if average, known := c.bytes[class]; known {
+		return average
+	}
+	return usualBytes
+}
--- /dev/null
+++ b/core/crossing/site.go
@@ -0,0 +1,80 @@
+package crossing
+
+import "time"
+
+const (
+	// roomFraction is the fraction of its slots up to which a data centre takes requests of others; the rest is for its own.
+	roomFraction = 0.9
+	// step is the share from which on requests leave: a share that has just become necessary starts with it.
+	step = 0.1
+	// rise is the most by which the share changes in a second. With step it keeps the difference between the parts of the
+	// demand that leave in two adjacent seconds below 0.2, wherever the seconds begin: 0.18 + 0.06 d - 0.08 d^2 for a start
+	// d before the end of the first one, which is 0.191 at most.
+	rise = 0.16
+	// maxRise is the longest time that one update counts as time in which the share was needed.
+	maxRise = 200 * time.Millisecond
+	// hold is how long the share stays after the last request that needed it. Demand that comes in waves shorter than that
+	// doesn't change the share.
+	hold = time.Second
+	// maxCredit limits the requests that may leave at once because none could before.
+	maxCredit = 2
+	// cheapCredit and dearCredit are the credit that a request needs in order to leave: one for which leaving is worthwhile
+	// leaves before the others, so that the share is made up of such requests where there are enough.
+	cheapCredit, dearCredit = 0.5, 1.5
+	// lateFraction is the fraction of the time from Trip.Since to its deadline after which a waiting request counts as late.
+	lateFraction = 0.1
+	// answerWeight is the inverse weight of a new sample in the moving averages of a site.
+	answerWeight = 16
+)
+
+// Load is the use of a data centre's open endpoints.
+type Load struct {
+	Slots   int // Slots is the number of requests that they run at once; zero if none is open.
+	Running int // Running is the number of requests granted to them that have not ended.
+}
+
+// pressure returns the part of the slots that is in use, which is above 1 if requests wait for a slot at an endpoint.
+func (l Load) pressure() float64 { return float64(l.Running) / float64(max(1, l.Slots)) }
+
+// hasRoom reports whether the data centre takes requests of others.
+func (l Load) hasRoom() bool { return float64(l.Running) < roomFraction*float64(l.Slots) }
+
+// site is the state of a data centre, as the place of endpoints and of entries.
+type site struct {
+	name   string
+	load   Load
+	answer time.Duration // answer is the moving average of the time of an answer to a request that didn't leave; zero before the first.
+	wait   time.Duration // wait is the moving average of the wait for a grant of requests that didn't leave.
+
+	share    float64   // share is the part of the demand that leaves.
+	credit   float64   // credit is the number of requests that may leave now.
+	neededAt time.Time // neededAt is when a request last needed the share.
+	updated  time.Time // updated is when share was last updated.
+	paths    []path    // paths holds the paths to the other sites, by their index.
+}
+
+// update lets the share rise while it is needed and another data centre has room, and fall afterwards. It is at most limit, which
+// is what the paths let through.
+func (s *site) update(now time.Time, hasRoom bool, limit float64) {
+	passed := max(0, now.Sub(s.updated))
+	s.updated = now
+	switch sinceNeed := now.Sub(s.neededAt); {
+	case hasRoom && sinceNeed <= maxRise:
+		s.share = max(step, s.share+rise*min(passed, maxRise).Seconds())
+	case !hasRoom || sinceNeed > hold:
+		s.share -= rise * passed.Seconds()
+	}
+	s.share = max(0, min(s.share, limit))
+	if s.share == 0 {
+		s.credit = 0
+	}
+}
+
+// expectedWait returns how long a request of the site that has waited for this time is expected to wait on for a slot there.
+func (s *site) expectedWait(waited time.Duration) time.Duration {
+	if s.load.Running < s.load.Slots {
+		return 0
+	}
+	atEndpoint := time.Duration(float64(s.answer) * (s.load.pressure() - 1))
+	return atEndpoint + max(s.wait, waited)
+}
--- /dev/null
+++ b/core/placing/distance.go
@@ -0,0 +1,144 @@
+package placing
+
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/crossing"
+)
+
+// leave is the decision on whether a request may be sent to another data centre, with its inputs.
+type leave struct {
+	isDecided bool
+	from      crossing.Site
+	trip      crossing.Trip
+	decision  crossing.Decision
+	mayEnter  uint64 // mayEnter has a bit for each data centre that takes the request.
+}
+
+// scope returns where the request may be sent.
+func (l *leave) scope() crossing.Scope {
+	if l == nil {
+		return crossing.Anywhere
+	}
+	return l.decision.Scope
+}
+
+// excludes reports whether the decision excludes an endpoint.
+func (l *leave) excludes(at *endpoint) bool {
+	switch l.scope() {
+	case crossing.Own:
+		return at.site != l.from
+	case crossing.Others:
+		// A request that leaves doesn't wait for a slot at its endpoint: its own data centre could have done that as well.
+		return at.site == l.from || at.running >= at.slots || at.site == crossing.NoSite || l.mayEnter>>at.site&1 == 0
+	case crossing.Anywhere:
+	}
+	return false
+}
+
+// SetCrossing sets how the Table decides on requests for other data centres. It must be called before SetPolicy.
+func (t *Table) SetCrossing(config crossing.Config) { t.crossing = crossing.New(config) }
+
+// Crossing returns the decisions on requests for other data centres, for metrics and logs.
+func (t *Table) Crossing() *crossing.Control { return t.crossing }
+
+// reportsPace reports whether an endpoint has reported its pace.
+func (t *Table) reportsPace() bool { return t.paced }
+
+// DecidesCrossing reports whether the Table decides on requests for other data centres. If not, an endpoint in another data
+// centre costs distanceWeight more.
+func (t *Table) DecidesCrossing() bool { return t.crossing.Config().IsActive(t.reportsPace()) }
+
+// Arrived records a request of the callers of a data centre.
+func (t *Table) Arrived(now time.Time, dataCentre string) {
+	if t.DecidesCrossing() {
+		t.crossing.Arrived(now, t.crossing.Site(dataCentre))
+	}
+}
+
+// Reported records what an endpoint reported with the first token or the end of a request, and the bytes that the request has moved.
+func (t *Table) Reported(placed *Placement, load cell.EndpointLoad, bytes int) {
+	t.paced = t.paced || load.IsKnown()
+	if t.DecidesCrossing() {
+		t.crossing.Learn(placed.class, bytes)
+	}
+}
+
+// decideLeave decides whether a request may be sent to another data centre, for the choice that is being made. lookUpCached must
+// have been called for the prompt.
+func (t *Table) decideLeave(now time.Time, request *Request, given *conditions, choice *Choice) {
+	if !t.DecidesCrossing() {
+		return
+	}
+	l := &choice.leave
+	l.isDecided, l.from = true, t.crossing.Site(request.From)
+	l.trip = crossing.Trip{Class: request.Class, Waited: now.Sub(request.Since), Left: request.left(now)}
+	t.loadSites(now)
+	t.addRereads(request, l)
+	l.decision = t.crossing.Decide(now, l.from, &l.trip)
+	if l.decision.Scope == crossing.Others {
+		l.mayEnter = t.crossing.Entered(now, l.from)
+	}
+	given.leave = l
+}
+
+// loadSites passes the present load of each data centre to the Control. Endpoints that fail don't count: a data centre whose endpoints
+// all fail is treated as one that has none.
+func (t *Table) loadSites(now time.Time) {
+	t.crossing.ClearLoads()
+	for i := range t.endpoints {
+		if at := &t.endpoints[i]; at.open && !at.health.IsFailing(now) {
+			t.crossing.AddLoad(at.site, crossing.Load{Slots: at.slots, Running: at.running})
+		}
+	}
+}
+
+// addRereads sets the times to read the shared parts of a prompt for engines again, in its own and in other data centres.
+func (t *Table) addRereads(request *Request, l *leave) {
+	if t.policy.Engine == nil || len(request.Prompt.Parts) < 2 {
+		return
+	}
+	l.trip.Part = request.Prompt.Parts[0].ID
+	own, other := -1, -1
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		least := &other
+		if at.site == l.from {
+			least = &own
+		}
+		if at.open && at.engine != nil && (*least < 0 || at.missing.Shared < *least) {
+			*least = at.missing.Shared
+		}
+	}
+	prefill := t.policy.Engine.WithDefaults().Prefill
+	l.trip.OwnReread, l.trip.OtherReread = time.Duration(max(0, own))*prefill, time.Duration(max(0, other))*prefill
+}
+
+// distance returns the cost of the endpoint's distance from the entry of a request.
+func (t *Table) distance(now time.Time, at *endpoint, request *Request, given conditions) time.Duration {
+	switch {
+	case given.leave != nil:
+		return t.crossing.Cost(now, given.leave.from, at.site, &given.leave.trip)
+	case at.dataCentre != request.From:
+		return distanceWeight
+	}
+	return 0
+}
+
+// recordLeave records the data centre that a request is granted in.
+func (t *Table) recordLeave(now time.Time, placed *Placement, choice *Choice) {
+	if l := &choice.leave; l.isDecided {
+		placed.class = l.trip.Class
+		placed.ticket = t.crossing.Sent(now, l.from, t.endpoints[placed.EndpointIndex].site, &l.trip, &l.decision)
+	}
+}
+
+// endTicket records the end of a request for the path that it took. It reports whether the path rather than the endpoint failed.
+func (t *Table) endTicket(now time.Time, placed *Placement, outcome cell.Outcome) bool {
+	if outcome == cell.Completed && !placed.grantedAt.IsZero() {
+		t.crossing.Answered(now, &placed.ticket, time.Duration(float64(now.Sub(placed.grantedAt))/placed.waitFactor))
+		return false
+	}
+	return t.crossing.Failed(now, &placed.ticket, outcome)
+}
--- a/core/placing/endpoint.go
+++ b/core/placing/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/core/engine"
 	"ryelug/core/limit"
@@ -14,9 +15,10 @@
 	id            cell.EndpointID
 	start         cell.StartID // start identifies the endpoint's present run of its process; a restart changes it.
 	dataCentre    string
-	open          bool // open is true if the endpoint may get new requests.
-	slots         int  // slots is the largest number of requests that the endpoint may run at once.
-	running       int  // running is the number of requests granted to this start that have not ended.
+	site          crossing.Site // site is the index of dataCentre.
+	open          bool          // open is true if the endpoint may get new requests.
+	slots         int           // slots is the largest number of requests that the endpoint may run at once.
+	running       int           // running is the number of requests granted to this start that have not ended.
 	health        limit.Health
 	cold          limit.Rate     // cold limits the rate of grants while the endpoint is cold, that is shortly after its start.
 	reservedUntil time.Time      // reservedUntil is the time until which the engine is reserved for long prompts; zero if it never was.
--- a/core/placing/lane.go
+++ b/core/placing/lane.go
@@ -33,7 +33,7 @@
 	bestOffer, reserved, open := noOffer(), 0, 0
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil {
+		if !at.open || at.engine == nil || given.leave.excludes(at) {
 			continue
 		}
 		open++
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/core/engine"
 	"ryelug/core/flight"
@@ -19,6 +20,9 @@
 	indexes    slot.Index[cell.EndpointID]
 	reservedAt time.Time // reservedAt is the time of the last reservation of an engine for long prompts.
 	weighed    int64     // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
+
+	crossing *crossing.Control // crossing decides on requests for other data centres, in a cell where DecidesCrossing reports true.
+	paced    bool              // paced is true if an endpoint has reported its pace.
 }
 
 // EndpointsEvaluated returns the number of endpoints considered for requests so far, as a measure of the cost of decisions.
@@ -26,7 +30,7 @@
 
 // New returns an empty Table. The stakes limit the rate of grants to cold endpoints.
 func New(stakes *limit.Stakes) *Table {
-	return &Table{stakes: stakes, indexes: slot.NewIndex[cell.EndpointID]()}
+	return &Table{stakes: stakes, indexes: slot.NewIndex[cell.EndpointID](), crossing: crossing.New(crossing.Config{})}
 }
 
 // SetPolicy replaces the configuration of the cell. Endpoints that it does not list get no new requests.
@@ -36,7 +40,9 @@
 		t.endpoints[i].open = false
 	}
 	for i := range policy.Endpoints {
-		t.endpoints[t.Ensure(policy.Endpoints[i].Endpoint)].applyPolicy(&policy.Endpoints[i], policy)
+		at := &t.endpoints[t.Ensure(policy.Endpoints[i].Endpoint)]
+		at.applyPolicy(&policy.Endpoints[i], policy)
+		at.site = t.crossing.Site(at.dataCentre)
 	}
 }
 
@@ -84,6 +90,8 @@
 
 	endpointIndex int32 // endpointIndex is the index of the endpoint that admits the request; negative if none does.
 	cacheHolder   int32 // cacheHolder is the index of an engine that has the request's shared parts cached; negative if none does.
+
+	leave leave // leave is the decision on other data centres; unset if the Table makes none.
 }
 
 // Choose returns the endpoint for a request, or the reason why it waits or is refused. While an engine that has the
@@ -103,7 +111,12 @@
 	cacheHolder := t.lookUpCached(now, request.Prompt)
 	choice := Choice{endpointIndex: -1, cacheHolder: cacheHolder}
 	given := conditions{fetch: cacheHolder >= 0, allFail: t.areAllFailing(now), obstacles: &choice.Obstacles}
+	t.decideLeave(now, request, &given, &choice)
 	cacheHolders, others := t.bestOffer(now, request, given)
+	if given.leave.scope() == crossing.Others && cacheHolders.endpoint < 0 && others.endpoint < 0 {
+		choice.Obstacles, choice.leave.decision.Scope = dispatch.Obstacles{}, crossing.Own
+		cacheHolders, others = t.bestOffer(now, request, given)
+	}
 	switch {
 	case cacheHolders.endpoint >= 0:
 		choice.Verdict, choice.endpointIndex = Admitted, cacheHolders.endpoint
@@ -117,6 +130,9 @@
 	if choice.Verdict != Admitted && request.Long && t.pausesOthers(now, request) {
 		t.placeOnReserved(now, request, given, &choice)
 	}
+	if choice.Verdict == Hopeless && choice.leave.decision.Waits {
+		choice.Verdict = Waits // Another data centre can answer the request in time, once its turn to leave comes.
+	}
 	if choice.Verdict > Waits {
 		choice.Best = t.best(now, request.Prompt)
 	}
@@ -130,7 +146,7 @@
 	reserved := false
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || int32(i) == request.Avoid && t.hasOther(int32(i)) {
+		if !at.open || given.leave.excludes(at) || int32(i) == request.Avoid && t.hasOther(int32(i)) {
 			continue
 		}
 		if at.isReserved(now) {
@@ -245,8 +261,10 @@
 	run    engine.Run
 	hasRun bool // hasRun reports whether run is set.
 
-	grantedAt  time.Time // grantedAt is zero if another dispatcher granted the request.
-	waitFactor float64   // waitFactor is by how much the request was to take longer because it waits for a slot at its endpoint.
+	grantedAt  time.Time       // grantedAt is zero if another dispatcher granted the request.
+	class      string          // class is that of the request.
+	ticket     crossing.Ticket // ticket is the record of the request among those of its data centre.
+	waitFactor float64         // waitFactor is by how much the request was to take longer because it waits for a slot at its endpoint.
 }
 
 // Grant counts a request at the endpoint of a choice, which Choose must just have returned for it. It returns the
@@ -254,6 +272,7 @@
 func (t *Table) Grant(now time.Time, choice Choice, prompt *cell.Prompt) (Placement, cell.Grant) {
 	at := &t.endpoints[choice.endpointIndex]
 	placed := Placement{EndpointIndex: choice.endpointIndex, Start: at.start, grantedAt: now, waitFactor: at.waitFactor(at.running)}
+	t.recordLeave(now, &placed, &choice)
 	grant := cell.Grant{Endpoint: at.id, Start: at.start}
 	if at.engine != nil {
 		if choice.cacheHolder >= 0 && at.missing.Shared > 0 {
@@ -296,12 +315,14 @@
 func (t *Table) Begun(now time.Time, placed *Placement) {
 	if at := &t.endpoints[placed.EndpointIndex]; placed.hasRun && at.engine != nil && at.start == placed.Start {
 		at.engine.Begun(now, &placed.run)
+		t.crossing.Answered(now, &placed.ticket, now.Sub(placed.grantedAt))
 	}
 }
 
 // Ended removes a request and updates the endpoint's health by its outcome. It ignores requests of a former run of the endpoint's process.
 func (t *Table) Ended(now time.Time, placed *Placement, outcome cell.Outcome) {
 	at := &t.endpoints[placed.EndpointIndex]
+	isPathLost := t.endTicket(now, placed, outcome)
 	if at.start != placed.Start {
 		return
 	}
@@ -312,6 +333,9 @@
 	if at.engine == nil && outcome == cell.Completed && !placed.grantedAt.IsZero() {
 		at.call.add(now.Sub(placed.grantedAt), placed.waitFactor)
 	}
+	if isPathLost {
+		return // The endpoint's own data centre may well reach it.
+	}
 	at.health.RecordOutcome(now, outcome)
 	if outcome == cell.Unreached || outcome == cell.StartChanged {
 		at.cold.MarkCold(now)
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -38,7 +38,7 @@
 	maxPausedRequests = 4
 	// loadWeight is the cost of an endpoint with all slots in use, as each request slows down the tokens of all others.
 	loadWeight = 100 * time.Millisecond
-	// distanceWeight is the cost of the network delay to another data centre.
+	// distanceWeight is the cost of the network delay to another data centre where the Table doesn't decide on that.
 	distanceWeight = 10 * time.Millisecond
 	// failureWeight is the cost of an endpoint at which every request fails.
 	failureWeight = 500 * time.Millisecond
@@ -70,6 +70,7 @@
 	Since       time.Time // Since is the time at which the request began to wait.
 	Deadline    time.Time // Deadline is the deadline of the first token; zero is none.
 	Avoid       int32     // Avoid is the index of an endpoint to avoid if another one is open; negative is none.
+	Class       string    // Class names the kind of request, as in cell.Demand; empty if unknown.
 	From        string    // From is the data centre of the entry router that holds the request.
 	WithinShare bool      // WithinShare is true if the request lies within its team's share, or is treated as if it did.
 	Long        bool      // Long is true if an engine may be reserved for the request: it is among the most expensive of its class, and too few of those are admitted.
@@ -112,6 +113,7 @@
 	fetch   bool // fetch is true if another engine has the shared parts cached, so that they can be copied.
 	allFail bool // allFail is true if every open endpoint fails and none is due for a probe: then failures exclude none of them.
 
+	leave     *leave              // leave is the decision on other data centres; nil if the Table makes none.
 	obstacles *dispatch.Obstacles // obstacles counts, by reason, the endpoints that can't take the request now.
 }
 
@@ -133,9 +135,7 @@
 	}
 	cost := time.Duration(at.health.Failures(now) * float64(failureWeight))
 	cost += loadWeight * time.Duration(at.running) / time.Duration(max(1, at.slots))
-	if at.dataCentre != request.From {
-		cost += distanceWeight
-	}
+	cost += t.distance(now, at, request, given)
 	if at.engine == nil {
 		verdict := at.verdictOnCall(now, request)
 		if verdict != Admitted {
