--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -223,7 +223,7 @@
 	along := &c.sites[from].paths[to]
 	along.refresh(now)
 	cost := along.delay + c.config.price(c.bytesOf(trip.Class)) + time.Duration(along.failures*float64(lossCost))
-	if along.isCut {
+	if along.isProbed {
 		cost += lossCost
 	}
 	if trip.Part != 0 && to != c.home(now, from, trip.Part) {
@@ -309,7 +309,7 @@
 	ticket.isAnswered = true
 	along := &c.sites[ticket.from].paths[ticket.to]
 	along.failed(now, ticket.epoch, outcome)
-	return along.isCut
+	return along.isProbed
 }
 
 // Learn records the size of a request with its answer.
--- a/core/crossing/path.go
+++ b/core/crossing/path.go
@@ -21,13 +21,13 @@
 	lossDecay = 2 * time.Second
 	// lossCost is the cost of a path on which every attempt fails, as for an endpoint.
 	lossCost = 500 * time.Millisecond
-	// minStall is the least time without any answer to waiting attempts after which a path counts as cut.
+	// minStall is the least time without any answer to waiting attempts after which a path is probed.
 	minStall = 300 * time.Millisecond
 	// minAwaiting is the least number of such attempts: one of them alone may be a long one.
 	minAwaiting = 3
 	// stallFactor is that time as a multiple of the usual time of an answer on the path.
 	stallFactor = 3
-	// probeInterval is the time between two attempts on a path that counts as cut.
+	// probeInterval is the time between two attempts on a path that is probed.
 	probeInterval = 500 * time.Millisecond
 )
 
@@ -41,9 +41,9 @@
 
 	awaiting   int       // awaiting is the number of attempts of this epoch without an answer.
 	progressed time.Time // progressed is when the last answer came, or when awaiting rose from zero if that was later.
-	epoch      uint32    // epoch is increased when the path counts as cut, from when on older attempts aren't awaited.
-	isCut      bool      // isCut is true from a stall or many failures until the next answer.
-	nextProbe  time.Time // nextProbe is when a path that is cut may get its next attempt.
+	epoch      uint32    // epoch is increased when probing begins, from when on older attempts aren't awaited.
+	isProbed   bool      // isProbed is true while the path gets single attempts only: from a stall, many failures or the doubt of a long delay until the next answer.
+	nextProbe  time.Time // nextProbe is when a path that is probed may get its next attempt.
 
 	counts [causes]Amount
 }
@@ -54,37 +54,40 @@
 		p.delay, p.sampled, p.decayed = usualDelay, now, now
 	}
 	if now.Sub(p.sampled) > delayMemory {
+		if p.delay > 2*usualDelay && !p.isProbed {
+			p.probe(now)
+		}
 		p.delay, p.sampled = (p.delay+usualDelay)/2, now
 	}
 	if passed := now.Sub(p.decayed); passed > 0 {
 		p.failures /= 1 + passed.Seconds()/lossDecay.Seconds()
 		p.decayed = now
 	}
-	if !p.isCut && p.awaiting >= minAwaiting && now.Sub(p.progressed) > max(minStall, stallFactor*p.took) {
-		p.cut(now)
+	if !p.isProbed && p.awaiting >= minAwaiting && now.Sub(p.progressed) > max(minStall, stallFactor*p.took) {
+		p.probe(now)
 	}
 }
 
-func (p *path) cut(now time.Time) {
-	p.isCut, p.awaiting, p.nextProbe = true, 0, now.Add(probeInterval)
+func (p *path) probe(now time.Time) {
+	p.isProbed, p.awaiting, p.nextProbe = true, 0, now.Add(probeInterval)
 	p.epoch++
 }
 
 // share returns the largest part of a data centre's demand that may take the path; refresh must have been called.
 func (p *path) share() float64 {
-	if p.isCut {
+	if p.isProbed {
 		return 0
 	}
 	return max(0, 1-2*p.failures)
 }
 
 // mayCarry reports whether the path may get an attempt now; refresh must have been called.
-func (p *path) mayCarry(now time.Time) bool { return !p.isCut || !now.Before(p.nextProbe) }
+func (p *path) mayCarry(now time.Time) bool { return !p.isProbed || !now.Before(p.nextProbe) }
 
 // sent records an attempt and returns its epoch.
 func (p *path) sent(now time.Time) uint32 {
 	p.refresh(now)
-	if p.isCut {
+	if p.isProbed {
 		p.nextProbe = now.Add(probeInterval)
 	}
 	if p.awaiting == 0 {
@@ -99,7 +102,10 @@
 func (p *path) answered(now time.Time, epoch uint32, took, longer time.Duration, isCompared bool) {
 	p.refresh(now)
 	p.settle(epoch)
-	p.progressed, p.isCut = now, false
+	if isCompared && p.isProbed {
+		p.delay = max(0, longer)
+	}
+	p.progressed, p.isProbed = now, false
 	p.failures -= p.failures / lossWeight
 	if p.took == 0 {
 		p.took = took
@@ -119,8 +125,8 @@
 		return // The caller or the endpoint ended it.
 	}
 	p.failures += (1 - p.failures) / lossWeight
-	if !p.isCut && p.failures > 0.5 {
-		p.cut(now)
+	if !p.isProbed && p.failures > 0.5 {
+		p.probe(now)
 	}
 }
 
--- a/core/crossing/spill.go
+++ b/core/crossing/spill.go
@@ -73,8 +73,8 @@
 	From, To string
 	Share    float64 // Share is the part of From's demand that leaves it, to any data centre.
 	Delay    time.Duration
-	Failures float64 // Failures is the recent part of the attempts that failed.
-	IsCut    bool
+	Failures float64           // Failures is the recent part of the attempts that failed.
+	IsProbed bool              // IsProbed is true while the path gets single attempts only, which show whether it has recovered.
 	ByCause  map[string]Amount // ByCause holds the counts since the start by the names of the causes.
 }
 
@@ -88,7 +88,7 @@
 				continue
 			}
 			state := PathState{
-				From: c.sites[i].name, To: c.sites[j].name, Share: c.sites[i].share, Delay: along.delay, Failures: along.failures, IsCut: along.isCut,
+				From: c.sites[i].name, To: c.sites[j].name, Share: c.sites[i].share, Delay: along.delay, Failures: along.failures, IsProbed: along.isProbed,
 				ByCause: make(map[string]Amount),
 			}
 			for cause, amount := range along.counts {
