--- a/core/admission/snapshot.go
+++ b/core/admission/snapshot.go
@@ -21,6 +21,7 @@
 		}
 	}
 	snapshot.Endpoints = d.endpoints.States(d.now, nil)
+	snapshot.Crossings = d.endpoints.Crossing().Paths()
 	return snapshot
 }
 
--- a/core/admission/tally.go
+++ b/core/admission/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/core/queue"
 )
@@ -20,6 +21,11 @@
 	return dst
 }
 
+// TakeSpills appends the first requests since the last call that went to another data centre to dst and returns the result.
+func (d *Dispatcher) TakeSpills(dst []crossing.Spill) []crossing.Spill {
+	return d.endpoints.Crossing().TakeSpills(dst)
+}
+
 // countDemand adds a demand to the team's tally.
 func (d *Dispatcher) countDemand(team int32, demand *cell.Demand) {
 	tally := &d.teams[team].tally
--- a/core/dispatch/snapshot.go
+++ b/core/dispatch/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/flight"
 )
 
@@ -15,6 +16,8 @@
 	Teams     []TeamSnapshot // Teams lists the teams with requests waiting or in flight.
 	Endpoints []flight.State
 
+	Crossings []crossing.PathState // Crossings lists the paths to other data centres that requests have taken; nil if the dispatcher does not decide on them.
+
 	EndpointsEvaluated int64 // EndpointsEvaluated counts the endpoints evaluated for requests so far; zero if the dispatcher does not predict answer times.
 }
 
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -5,6 +5,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/crossing"
+	"ryelug/core/dispatch"
 )
 
 // leave is the decision on whether a request may be sent to another data centre, with its inputs.
@@ -115,6 +116,26 @@
 	l.trip.OwnReread, l.trip.OtherReread = time.Duration(max(0, own))*prefill, time.Duration(max(0, other))*prefill
 }
 
+// bestOfferInScope returns the best offers as bestOffer does. If no other data centre takes a request that may leave, they are those
+// of its own.
+func (t *Table) bestOfferInScope(now time.Time, request *Request, given conditions) (cacheHolders, others bestOffer) {
+	cacheHolders, others = t.bestOffer(now, request, given)
+	if given.leave.scope() == crossing.Others && cacheHolders.endpoint < 0 && others.endpoint < 0 {
+		*given.obstacles, given.leave.decision.Scope = dispatch.Obstacles{}, crossing.Own
+		cacheHolders, others = t.bestOffer(now, request, given)
+	}
+	return cacheHolders, others
+}
+
+// amend returns the verdict on a request with regard to other data centres: one that its own can't answer in time waits if another
+// one can, until its turn to leave comes.
+func (l *leave) amend(verdict Verdict) Verdict {
+	if verdict == Hopeless && l.decision.Waits {
+		return Waits
+	}
+	return verdict
+}
+
 // distance returns the cost of the endpoint's distance from the entry of a request.
 func (t *Table) distance(now time.Time, at *endpoint, request *Request, given conditions) time.Duration {
 	switch {
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -112,11 +112,7 @@
 	choice := Choice{endpointIndex: -1, cacheHolder: cacheHolder}
 	given := conditions{fetch: cacheHolder >= 0, allFail: t.areAllFailing(now), obstacles: &choice.Obstacles}
 	t.decideLeave(now, request, &given, &choice)
-	cacheHolders, others := t.bestOffer(now, request, given)
-	if given.leave.scope() == crossing.Others && cacheHolders.endpoint < 0 && others.endpoint < 0 {
-		choice.Obstacles, choice.leave.decision.Scope = dispatch.Obstacles{}, crossing.Own
-		cacheHolders, others = t.bestOffer(now, request, given)
-	}
+	cacheHolders, others := t.bestOfferInScope(now, request, given)
 	switch {
 	case cacheHolders.endpoint >= 0:
 		choice.Verdict, choice.endpointIndex = Admitted, cacheHolders.endpoint
@@ -130,9 +126,7 @@
 	if choice.Verdict != Admitted && request.Long && t.pausesOthers(now, request) {
 		t.placeOnReserved(now, request, given, &choice)
 	}
-	if choice.Verdict == Hopeless && choice.leave.decision.Waits {
-		choice.Verdict = Waits // Another data centre can answer the request in time, once its turn to leave comes.
-	}
+	choice.Verdict = choice.leave.amend(choice.Verdict)
 	if choice.Verdict > Waits {
 		choice.Best = t.best(now, request.Prompt)
 	}
--- a/router/config.go
+++ b/router/config.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/core/neighbour"
 	"ryelug/core/spread"
@@ -84,6 +85,7 @@
 	KeyedRate        float64                   // KeyedRate limits the requests with an Idempotency-Key of all routers together, in requests per second.
 	OldRecords       keyed.OldRecords          // OldRecords finds and deletes expired records of idempotency keys; if nil, this router deletes none.
 	Timings          coordination.Timings      // Timings holds the intervals and timeouts of coordination; equal on all routers of the environment.
+	Crossing         crossing.Config           // Crossing says how dispatchers decide on requests for other data centres.
 	Retries          request.Config            // Retries supplies the retry limits and the backoff; its other fields are ignored.
 	Grace            time.Duration             // Grace limits the duration of the shutdown; zero is no limit.
 	ProcessorShare   float64                   // ProcessorShare is how much processor this process may use, in cores; zero means unknown.
@@ -127,6 +129,7 @@
 		DataCentre:   r.config.DataCentre,
 		Peer:         r.config.peerConfig(),
 		Timings:      r.config.Timings,
+		Crossing:     r.config.Crossing,
 		SetFleetSize: r.divideFleetLimits,
 		Registered:   r.config.Source != nil,
 		Log:          r.config.Log,
--- a/router/coordination/config.go
+++ b/router/coordination/config.go
@@ -4,6 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/core/due"
 	"ryelug/core/spread"
@@ -30,6 +31,7 @@
 	DataCentre   string             // DataCentre is the data centre of this host; lists of hosts are passed on within it.
 	Peer         peer.Config        // Peer configures the links to other routers.
 	Timings      Timings            // Timings must be equal on all routers of an environment.
+	Crossing     crossing.Config    // Crossing says how the dispatchers here decide on requests for other data centres.
 	SetFleetSize func(routers int)  // SetFleetSize is called when the number of routers among which fleet-wide limits are divided changes; it may be nil.
 	Log          logrus.FieldLogger // Log receives the log lines of coordination and of both roles.
 	Standings    *due.Standings     // Standings is updated with the teams that receive less than their share.
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -108,6 +108,7 @@
 		Log:        operator.Part(config.Log, operator.DispatchPart),
 		StakeLease: config.Timings.StakeLease,
 		GrantValid: config.Timings.GrantValid,
+		Crossing:   config.Crossing,
 		Order:      config.Order,
 		Send:       c.sendToEntry,
 	})
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -8,6 +8,7 @@
 
 	"ryelug/core/admission"
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/core/flight"
 	"ryelug/core/suspect"
@@ -26,9 +27,10 @@
 // Config holds the settings of a Role and the functions that it calls.
 type Config struct {
 	Self       cell.RouterID
-	StakeLease time.Duration  // StakeLease is how long the stake (vote) of an entry counts, from the time at which this router sent the newest frame that the entry has acknowledged.
-	GrantValid time.Duration  // GrantValid is how long entries may use a grant.
-	Order      dispatch.Order // Order says which waiting request is served next; nil means fair sharing between teams.
+	StakeLease time.Duration   // StakeLease is how long the stake (vote) of an entry counts, from the time at which this router sent the newest frame that the entry has acknowledged.
+	GrantValid time.Duration   // GrantValid is how long entries may use a grant.
+	Crossing   crossing.Config // Crossing says how requests for other data centres are decided on.
+	Order      dispatch.Order  // Order says which waiting request is served next; nil means fair sharing between teams.
 	Log        logrus.FieldLogger
 	Send       func(to cell.RouterID, message wire.Message) // Send queues a message to an entry and must not block.
 }
@@ -44,6 +46,8 @@
 	leaving   bool
 
 	refusalLogLimiter *rate.Limiter        // refusalLogLimiter limits the rate of log lines on refusals.
+	spillLogLimiter   *rate.Limiter        // spillLogLimiter limits the rate of log lines on requests for other data centres.
+	spills            []crossing.Spill     // spills is a buffer that is reused between calls.
 	tallySecond       time.Time            // tallySecond is the start of the second that the running tallies cover.
 	tallies           []dispatch.TeamTally // tallies is a buffer that is reused between calls.
 }
@@ -107,7 +111,7 @@
 
 // New returns a Role without cells.
 func New(config Config) *Role {
-	return &Role{config: config, cells: make(map[cell.ID]*cellState), refusalLogLimiter: rate.NewLimiter(refusalLogRate, refusalLogRate)}
+	return &Role{config: config, cells: make(map[cell.ID]*cellState), refusalLogLimiter: rate.NewLimiter(refusalLogRate, refusalLogRate), spillLogLimiter: rate.NewLimiter(spillLogRate, spillLogRate)}
 }
 
 // Adopt applies a new generation of the configuration. Cells that are new in it are
@@ -127,7 +131,7 @@
 func (r *Role) addCell(now time.Time, id cell.ID) {
 	cs := &cellState{id: id, entries: make(map[cell.RouterID]cell.Session)}
 	if r.directory.Policy(id).Predicted {
-		cs.dispatcher = admission.New(admission.Config{Cell: id})
+		cs.dispatcher = admission.New(admission.Config{Cell: id, Crossing: r.config.Crossing})
 	} else {
 		reporting := dispatch.New(dispatch.Config{Cell: id, GrantValid: r.config.GrantValid, Order: r.config.Order})
 		cs.dispatcher, cs.reportBased = reporting, reporting
@@ -155,6 +159,7 @@
 		r.step(now, cs, &dispatch.Tick{})
 		r.sendBehind(now, cs)
 		r.logCrashes(cs)
+		r.logSpills(cs)
 		r.sendRejected(now, cs)
 	}
 	if second := now.Truncate(tallyInterval); !second.Equal(r.tallySecond) {
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
@@ -180,6 +181,7 @@
 		KeyedRate:        float64(given.KeyedRate),
 		OldRecords:       p.platform,
 		Timings:          timings(given),
+		Crossing:         crossing.Config{Mode: given.Crossing, ByteCost: given.CrossingByteCost},
 		BalancerLag:      given.BalancerLag,
 		ProcessorShare:   given.ProcessorShare,
 		StrainLate:       given.StrainLate,
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
 	"ryelug/core/entry"
 	"ryelug/core/result"
@@ -164,6 +165,18 @@
 	Waiting     int                             `json:"waiting"` // Waiting is the number of queued requests of all teams.
 	Teams       map[cell.TeamID]teamVar         `json:"teams"`
 	Endpoints   map[cell.EndpointID]endpointVar `json:"endpoints"`
+	Crossings   []crossingVar                   `json:"crossings,omitempty"` // Crossings lists the paths to other data centres that requests have taken.
+}
+
+// crossingVar is the JSON of the traffic of a cell from one data centre to another.
+type crossingVar struct {
+	From     string                     `json:"from"`
+	To       string                     `json:"to"`
+	Share    float64                    `json:"share"` // Share is the part of the demand at From that may leave it, to any data centre.
+	DelayMs  int64                      `json:"delay_ms"`
+	Failures float64                    `json:"failures"` // Failures is the recent part of the attempts that failed.
+	Probed   bool                       `json:"probed"`   // Probed is true while the path gets single attempts only.
+	ByCause  map[string]crossing.Amount `json:"by_cause"` // ByCause counts the requests and their bytes since this router began to dispatch the cell.
 }
 
 // teamVar is the JSON of a team in a cell.
@@ -215,5 +228,12 @@
 			Free:     at.Free,
 		}
 	}
+	for i := range snapshot.Crossings {
+		along := &snapshot.Crossings[i]
+		shown.Crossings = append(shown.Crossings, crossingVar{
+			From: along.From, To: along.To, Share: along.Share, DelayMs: along.Delay.Milliseconds(), Failures: along.Failures, Probed: along.IsProbed,
+			ByCause: along.ByCause,
+		})
+	}
 	return shown
 }
--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ryelug/core/crossing"
 	"ryelug/core/toml"
 )
 
@@ -102,6 +103,9 @@
 		0, 0, time.Hour, func(s *Settings) *time.Duration { return &s.HandedOverGrace }),
 	numberKey("processor_share", "Cores that the process may use; hosts with the most of them dispatch, and one that uses half of them hands new connections over. Zero is not known.",
 		0, 0, 1024, func(s *Settings) *float64 { return &s.ProcessorShare }),
+	crossingKey(),
+	durationKey("crossing_byte_cost", "Time that a megabyte between data centres is worth; the greater, the fewer requests leave to be answered sooner.",
+		20*time.Millisecond, 0, 10*time.Second, func(s *Settings) *time.Duration { return &s.CrossingByteCost }),
 	numberKey("retry_ratio", "Retries that each request of a pool earns, in the whole fleet.", 0.2, 0, 10, func(s *Settings) *float64 { return &s.RetryRatio }),
 	numberKey("retry_burst", "Retries of a pool that may be saved up, in the whole fleet.", 20, 0, 100_000, func(s *Settings) *float64 { return &s.RetryBurst }),
 	numberKey("cold_factor", "Factor of the rate of requests that the configuration allows a cold endpoint.", 1, 0.01, 100, func(s *Settings) *float64 { return &s.ColdFactor }),
@@ -283,6 +287,21 @@
 	}
 }
 
+func crossingKey() Key {
+	return Key{
+		Name: "crossing", initial: "auto", Allowed: `"auto", "always" or "never"`,
+		Text:       "Where the dispatcher decides which requests are worth sending to another data centre: in cells whose endpoints report their pace, in all, or in none; elsewhere an endpoint there costs 10 ms.",
+		setDefault: func(s *Settings) { s.Crossing = crossing.Auto },
+		set: func(s *Settings, v toml.Value) bool {
+			var given string
+			ok := v.Text(&given)
+			mode, known := crossing.ParseMode(given)
+			s.Crossing = mode
+			return ok && known
+		},
+	}
+}
+
 // formatDuration returns a duration as text, without zero seconds after minutes: "10m", not "10m0s".
 func formatDuration(d time.Duration) string {
 	text := d.String()
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ryelug/core/cell"
+	"ryelug/core/crossing"
 	"ryelug/core/toml"
 )
 
@@ -52,6 +53,9 @@
 	ColdSlack       float64       // ColdSlack is added to the request rate of a cold endpoint after ColdFactor is applied, in requests per second.
 	MemoryLimit     int           // MemoryLimit is the memory of the process, in MiB; zero means no limit.
 
+	Crossing         crossing.Mode // Crossing says in which cells the dispatcher decides which requests are worth sending to another data centre.
+	CrossingByteCost time.Duration // CrossingByteCost is the time that a megabyte between data centres is worth.
+
 	KeyedRate      int           // KeyedRate is the maximum number of requests with an Idempotency-Key per second, in all routers together.
 	KeyedRetention time.Duration // KeyedRetention is how long the outcome of a request with an Idempotency-Key is kept; a later repeat runs again.
 
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"ryelug/core/crossing"
 	"ryelug/core/result"
 	"ryelug/router/settings"
 )
@@ -27,8 +28,10 @@
 
 func TestParse(t *testing.T) {
 	is := is.New(t)
-	parsed, err := settings.Parse("f.toml", []byte(validSettings+"heartbeat = \"100ms\"\nlog_format = \"json\"\nmax_body = 2048\nkeyed_rate = 7"))
+	parsed, err := settings.Parse("f.toml", []byte(validSettings+"heartbeat = \"100ms\"\nlog_format = \"json\"\nmax_body = 2048\nkeyed_rate = 7\ncrossing = \"never\""))
 	is.NoErr(err)
+	is.Equal(parsed.Crossing, crossing.Never)
+	is.Equal(parsed.CrossingByteCost, 20*time.Millisecond)
 	is.Equal(parsed.Heartbeat, 100*time.Millisecond)
 	is.Equal(parsed.StakeLease, 800*time.Millisecond)
 	is.Equal(parsed.MaxBody, 2048)
@@ -54,6 +57,7 @@
 		{"duration as number", "heartbeat = 5", "", "heartbeat = 5 is wrong"},
 		{"size as text", "max_body = \"1MB\"", "", "a whole number from 1024 to"},
 		{"huge", "max_body = 99999999999", "", "max_body = 99999999999 is wrong"},
+		{"unknown mode", "crossing = \"often\"", "", `f.toml:9: crossing = "often" is wrong; allowed: "auto", "always" or "never"`},
 		{"no keyed requests", "keyed_rate = 0", "", "keyed_rate = 0 is wrong; allowed: a whole number from 1 to 10000"},
 		{"too many keyed requests", "keyed_rate = 10001", "", "keyed_rate = 10001 is wrong"},
 		{"short retention", "keyed_retention = \"9m\"", "", `keyed_retention = "9m" is wrong; allowed: a duration from "10m" to "168h0m"`},
