--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -10,7 +10,7 @@
 
 // leave is the decision on whether a request may be sent to another data centre, with its inputs.
 type leave struct {
-	isDecided bool
+	isDecided bool // isDecided is false where the Table makes no decision; then the other fields are zero.
 	from      crossing.Site
 	trip      crossing.Trip
 	decision  crossing.Decision
@@ -18,12 +18,7 @@
 }
 
 // scope returns where the request may be sent.
-func (l *leave) scope() crossing.Scope {
-	if l == nil {
-		return crossing.Anywhere
-	}
-	return l.decision.Scope
-}
+func (l *leave) scope() crossing.Scope { return l.decision.Scope }
 
 // excludes reports whether the decision excludes an endpoint.
 func (l *leave) excludes(at *endpoint) bool {
@@ -66,13 +61,11 @@
 	}
 }
 
-// decideLeave decides whether a request may be sent to another data centre, for the choice that is being made. lookUpCached must
-// have been called for the prompt.
-func (t *Table) decideLeave(now time.Time, request *Request, given *conditions, choice *Choice) {
+// decideLeave decides whether a request may be sent to another data centre. lookUpCached must have been called for its prompt.
+func (t *Table) decideLeave(now time.Time, request *Request, l *leave) {
 	if !t.DecidesCrossing() {
 		return
 	}
-	l := &choice.leave
 	l.isDecided, l.from = true, t.crossing.Site(request.From)
 	l.trip = crossing.Trip{Class: request.Class, Waited: now.Sub(request.Since), Left: request.left(now)}
 	t.loadSites(now)
@@ -81,7 +74,6 @@
 	if l.decision.Scope == crossing.Others {
 		l.mayEnter = t.crossing.Entered(now, l.from)
 	}
-	given.leave = l
 }
 
 // loadSites passes the present load of each data centre to the Control. Endpoints that fail don't count: a data centre whose endpoints
@@ -139,7 +131,7 @@
 // distance returns the cost of the endpoint's distance from the entry of a request.
 func (t *Table) distance(now time.Time, at *endpoint, request *Request, given conditions) time.Duration {
 	switch {
-	case given.leave != nil:
+	case given.leave.isDecided:
 		return t.crossing.Cost(now, given.leave.from, at.site, &given.leave.trip)
 	case at.dataCentre != request.From:
 		return distanceWeight
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -110,8 +110,8 @@
 	}
 	cacheHolder := t.lookUpCached(now, request.Prompt)
 	choice := Choice{endpointIndex: -1, cacheHolder: cacheHolder}
-	given := conditions{fetch: cacheHolder >= 0, allFail: t.areAllFailing(now), obstacles: &choice.Obstacles}
-	t.decideLeave(now, request, &given, &choice)
+	given := conditions{fetch: cacheHolder >= 0, allFail: t.areAllFailing(now), leave: &choice.leave, obstacles: &choice.Obstacles}
+	t.decideLeave(now, request, &choice.leave)
 	cacheHolders, others := t.bestOfferInScope(now, request, given)
 	switch {
 	case cacheHolders.endpoint >= 0:
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -113,7 +113,7 @@
 	fetch   bool // fetch is true if another engine has the shared parts cached, so that they can be copied.
 	allFail bool // allFail is true if every open endpoint fails and none is due for a probe: then failures exclude none of them.
 
-	leave     *leave              // leave is the decision on other data centres; nil if the Table makes none.
+	leave     *leave              // leave is the decision on other data centres.
 	obstacles *dispatch.Obstacles // obstacles counts, by reason, the endpoints that can't take the request now.
 }
 
