--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxSites limits the data centres of a cell, as the state grows with their square. It is at most 64, the bits of Entered.
-	maxSites = 32
+	// maxSites limits the data centres of a cell, as the state grows with their square. It is at most 32, the bits of Costs.entered.
+	maxSites = 16
 	// maxClasses limits the request classes whose bytes are averaged separately.
 	maxClasses = 64
 	// usualBytes is the size assumed of a request with its answer while none of its class has ended.
@@ -194,15 +194,52 @@
 	return false, true
 }
 
-// Entered returns the data centres that take a request of another one's callers, a bit for each.
-func (c *Control) Entered(now time.Time, from Site) uint64 {
-	var entered uint64
+// Costs holds, for each data centre, what a request costs there beyond what its endpoints tell.
+type Costs struct {
+	of      [maxSites]time.Duration
+	entered uint32 // entered has a bit for each data centre that takes the request.
+}
+
+// Of returns the cost of an endpoint in a data centre, as a time.
+func (c *Costs) Of(to Site) time.Duration {
+	if to == NoSite {
+		return usualDelay
+	}
+	return c.of[to]
+}
+
+// MayEnter reports whether a data centre takes the request although it has come elsewhere.
+func (c *Costs) MayEnter(to Site) bool { return to != NoSite && c.entered>>to&1 == 1 }
+
+// SetCosts sets the costs of a request of a data centre's callers: none there, elsewhere the delay and the failures of the path, the
+// price of the bytes, and the time to read a shared part where it won't be asked for again.
+func (c *Control) SetCosts(now time.Time, from Site, trip *Trip, costs *Costs) {
+	if from == NoSite {
+		return
+	}
+	price := c.config.price(c.bytesOf(trip.Class))
 	for i := range c.sites {
+		if Site(i) == from {
+			continue
+		}
+		along := &c.sites[from].paths[i]
 		if c.mayEnter(now, from, Site(i)) {
-			entered |= 1 << i
+			costs.entered |= 1 << i
+		}
+		costs.of[i] = along.delay + price + time.Duration(along.failures*float64(lossCost))
+		if along.isProbed {
+			costs.of[i] += lossCost
+		}
+	}
+	if trip.Part == 0 {
+		return
+	}
+	home := c.home(costs, trip.Part)
+	for i := range c.sites {
+		if Site(i) != from && Site(i) != home {
+			costs.of[i] += trip.OtherReread
 		}
 	}
-	return entered
 }
 
 func (c *Control) mayEnter(now time.Time, from, to Site) bool {
@@ -211,36 +248,12 @@
 	return from != to && c.sites[to].load.hasRoom() && along.mayCarry(now)
 }
 
-// Cost returns the cost of an endpoint in another data centre, as a time: the delay and the failures of the path, the price of the
-// bytes, and the time to read a shared part where it won't be asked for again. It is zero in the own data centre.
-func (c *Control) Cost(now time.Time, from, to Site, trip *Trip) time.Duration {
-	if from == to {
-		return 0
-	}
-	if from == NoSite || to == NoSite {
-		return usualDelay
-	}
-	along := &c.sites[from].paths[to]
-	along.refresh(now)
-	cost := along.delay + c.config.price(c.bytesOf(trip.Class)) + time.Duration(along.failures*float64(lossCost))
-	if along.isProbed {
-		cost += lossCost
-	}
-	if trip.Part != 0 && to != c.home(now, from, trip.Part) {
-		cost += trip.OtherReread
-	}
-	return cost
-}
-
 // home returns the data centre to which requests with a shared part leave if none has the part cached: the same one for all of
-// them, as long as it has room.
-func (c *Control) home(now time.Time, from Site, part uint64) Site {
+// them, as long as it takes them.
+func (c *Control) home(costs *Costs, part uint64) Site {
 	home, most := NoSite, uint64(0)
 	for i := range c.sites {
-		if !c.mayEnter(now, from, Site(i)) {
-			continue
-		}
-		if weight := mix(part + uint64(i)); home == NoSite || weight > most {
+		if weight := mix(part + uint64(i)); costs.MayEnter(Site(i)) && (home == NoSite || weight > most) {
 			home, most = Site(i), weight
 		}
 	}
--- a/core/crossing/world_test.go
+++ b/core/crossing/world_test.go
@@ -149,17 +149,15 @@
 	trip := crossing.Trip{Waited: waited, Left: objective - waited}
 	from := crossing.Site(c.from)
 	decision := w.control.Decide(w.now, from, &trip)
-	entered := ^uint64(0)
-	if decision.Scope == crossing.Others {
-		entered = w.control.Entered(w.now, from)
-	}
+	var costs crossing.Costs
+	w.control.SetCosts(w.now, from, &trip, &costs)
 	best, least := -1, time.Duration(0)
 	for site := range w.slots {
 		isOwn := site == c.from
-		if w.running[site] >= w.slots[site] || decision.Scope == crossing.Own && !isOwn || decision.Scope == crossing.Others && (isOwn || entered>>site&1 == 0) {
+		if w.running[site] >= w.slots[site] || decision.Scope == crossing.Own && !isOwn || decision.Scope == crossing.Others && (isOwn || !costs.MayEnter(crossing.Site(site))) {
 			continue
 		}
-		cost := w.control.Cost(w.now, from, crossing.Site(site), &trip) + w.loadCost(site)
+		cost := costs.Of(crossing.Site(site)) + w.loadCost(site)
 		if best < 0 || cost < least {
 			best, least = site, cost
 		}
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -14,7 +14,7 @@
 	from      crossing.Site
 	trip      crossing.Trip
 	decision  crossing.Decision
-	mayEnter  uint64 // mayEnter has a bit for each data centre that takes the request.
+	costs     crossing.Costs // costs is unset if the request may not leave.
 }
 
 // scope returns where the request may be sent.
@@ -27,7 +27,7 @@
 		return at.site != l.from
 	case crossing.Others:
 		// A request that leaves doesn't wait for a slot at its endpoint: its own data centre could have done that as well.
-		return at.site == l.from || at.running >= at.slots || at.site == crossing.NoSite || l.mayEnter>>at.site&1 == 0
+		return at.site == l.from || at.running >= at.slots || !l.costs.MayEnter(at.site)
 	case crossing.Anywhere:
 	}
 	return false
@@ -71,8 +71,8 @@
 	t.loadSites(now)
 	t.addRereads(request, l)
 	l.decision = t.crossing.Decide(now, l.from, &l.trip)
-	if l.decision.Scope == crossing.Others {
-		l.mayEnter = t.crossing.Entered(now, l.from)
+	if l.decision.Scope != crossing.Own {
+		t.crossing.SetCosts(now, l.from, &l.trip, &l.costs)
 	}
 }
 
@@ -129,10 +129,10 @@
 }
 
 // distance returns the cost of the endpoint's distance from the entry of a request.
-func (t *Table) distance(now time.Time, at *endpoint, request *Request, given conditions) time.Duration {
+func distance(at *endpoint, request *Request, given conditions) time.Duration {
 	switch {
 	case given.leave.isDecided:
-		return t.crossing.Cost(now, given.leave.from, at.site, &given.leave.trip)
+		return given.leave.costs.Of(at.site)
 	case at.dataCentre != request.From:
 		return distanceWeight
 	}
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -135,7 +135,7 @@
 	}
 	cost := time.Duration(at.health.Failures(now) * float64(failureWeight))
 	cost += loadWeight * time.Duration(at.running) / time.Duration(max(1, at.slots))
-	cost += t.distance(now, at, request, given)
+	cost += distance(at, request, given)
 	if at.engine == nil {
 		verdict := at.verdictOnCall(now, request)
 		if verdict != Admitted {
