--- a/core/admission/crossing_test.go
+++ b/core/admission/crossing_test.go
@@ -114,7 +114,7 @@
 // Callers of a data centre that is overloaded are served in time nearly as often as those of others that have free capacity, while
 // the waiting calls of the one don't hold up those of the others; with even demand nothing leaves.
 func TestCallsLeaveAnOverloadedDataCentre(t *testing.T) {
-	for name, demand := range map[string][3]float64{"even": {0.7, 0.7, 0.7}, "one-sided": {1.6, 0.4, 0.4}} {
+	for name, demand := range map[string][3]float64{"even": {0.7, 0.7, 0.7}, "one-sided": {1.5, 0.4, 0.4}} {
 		for _, mode := range []crossing.Mode{crossing.Auto, crossing.Never} {
 			t.Run(fmt.Sprint(name, " ", mode), func(t *testing.T) {
 				is := is.New(t)
--- a/core/crossing/control_test.go
+++ b/core/crossing/control_test.go
@@ -34,7 +34,7 @@
 }
 
 func onesided(_ float64, site int) float64 {
-	return [3]float64{1.6, 0.4, 0.4}[site]
+	return [3]float64{1.5, 0.4, 0.4}[site]
 }
 
 // Under each load the part of the demand that leaves a data centre changes slowly, and is next to nothing if no data centre is
