--- a/core/crossing/site.go
+++ b/core/crossing/site.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// roomFraction is the fraction of its slots up to which a data centre takes requests of others; the rest is for its own.
-	roomFraction = 0.9
+	// roomFraction is the fraction of its slots up to which a data centre takes requests of others; the rest is for its own. With 0.9,
+	// 0.900 of the calls at 1.4 of the capacity were in time beside data centres at 0.8 and 0.7 (in the simulation of core/admission), with
+	// 0.95 they were 0.939. With 1, 0.1 in place of 0.08 of an even 0.9 left, and the part that left differed by 0.24 between seconds.
+	roomFraction = 0.95
 	// step is the share from which on requests leave: a share that has just become necessary starts with it.
 	step = 0.1
 	// rise is the most by which the share rises in a second. With step it keeps the difference between the parts of the
