Predict by the models of the engines whether a request must leave, and let one leave that avoids the only endpoint of its data centre

A data centre whose engines had free slots but more prompts to read than they could in time counted as having room, and its requests were refused. A retry that avoids the only endpoint of its data centre found no open one and would have been refused.

--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -1,6 +1,7 @@
 package crossing
 
 import (
+	"cmp"
 	"time"
 
 	"ryelug/core/cell"
@@ -37,10 +38,17 @@
 	Part        uint64        // Part identifies the shared part of the prompt; zero if there is none.
 	Waited      time.Duration // Waited is how long the request has waited for a grant.
 	Left        time.Duration // Left is the time until the objective.
-	OwnReread   time.Duration // OwnReread is the time to read again, in the own data centre, shared parts that an engine elsewhere has cached.
+	InOwn       time.Duration // InOwn is the time to the answer in the own data centre by the models of its engines; zero if there are none.
+	InOther     time.Duration // InOther is the same in the other data centre where it is the shortest, without the delay of the path.
+	IsOwnLate   bool          // IsOwnLate is true if by these models no engine of the own data centre would answer in time.
 	OtherReread time.Duration // OtherReread is the time to read shared parts again in the other data centre where this takes least.
 }
 
+// hasWaitedLong reports whether the request has waited for so long that its own data centre counts as late.
+func (t *Trip) hasWaitedLong() bool {
+	return t.Waited > time.Duration(lateFraction*float64(t.Waited+t.Left))
+}
+
 // Decision is where a request may be sent, and why.
 type Decision struct {
 	Scope   Scope
@@ -141,7 +149,7 @@
 	}
 	own := &c.sites[from]
 	isWorthwhile, hasRoom := c.compare(now, from, trip, &decision)
-	if isWorthwhile && own.load.Running >= own.load.Slots {
+	if isWorthwhile && own.isShort(trip) {
 		own.need(now)
 	}
 	c.update(now, from)
@@ -166,25 +174,22 @@
 		if !c.mayEnter(now, from, Site(i)) {
 			continue
 		}
-		answer := to.answer
-		if answer == 0 {
-			answer = own.answer
-		}
+		answer := cmp.Or(trip.InOther, to.answer, own.answer)
 		inOther := answer + along.delay + time.Duration(along.failures*float64(lossCost))
 		if !hasRoom || inOther < best {
 			best, hasRoom = inOther, true
 		}
 	}
-	decision.InOwn = own.answer + own.expectedWait(trip.Waited) + trip.OwnReread
-	isLate := decision.InOwn > trip.Left || trip.Waited > time.Duration(lateFraction*float64(trip.Waited+trip.Left))
-	if isLate && own.load.Running >= own.load.Slots {
+	decision.InOwn = cmp.Or(trip.InOwn, own.answer) + own.expectedWait(trip.Waited)
+	isLate := trip.IsOwnLate || decision.InOwn > trip.Left || trip.hasWaitedLong()
+	if isLate && own.isShort(trip) {
 		own.lateAt = now
 	}
 	if !hasRoom {
 		decision.Cause = Settles
 		return false, false
 	}
-	decision.InOther = best + trip.OtherReread
+	decision.InOther = best
 	switch {
 	case isLate && decision.InOther <= trip.Left:
 		decision.Cause = OwnLate
--- a/core/crossing/site.go
+++ b/core/crossing/site.go
@@ -85,6 +85,12 @@
 	return float64(s.load.Running) < roomFraction*float64(s.load.Slots) && now.Sub(s.lateAt) > needGap
 }
 
+// isShort reports whether the site lacks capacity for a request: its slots are in use, its engines would be late, or what else keeps
+// its endpoints from taking the request, such as a cold start, has done so for long.
+func (s *site) isShort(trip *Trip) bool {
+	return s.load.Running >= s.load.Slots || trip.IsOwnLate || trip.hasWaitedLong()
+}
+
 // need records a request that needs the share.
 func (s *site) need(now time.Time) {
 	if now.Sub(s.neededAt) > needGap {
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -6,6 +6,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/crossing"
 	"ryelug/core/dispatch"
+	"ryelug/core/engine"
 )
 
 // leave is the decision on whether a request may be sent to another data centre, with its inputs.
@@ -69,7 +70,7 @@
 	l.isDecided, l.from = true, t.crossing.Site(request.From)
 	l.trip = crossing.Trip{Class: request.Class, Waited: now.Sub(request.Since), Left: request.left(now)}
 	t.loadSites(now)
-	t.addRereads(request, l)
+	t.predict(now, request, l)
 	l.decision = t.crossing.Decide(now, l.from, &l.trip)
 	if l.decision.Scope != crossing.Own {
 		t.crossing.SetCosts(now, l.from, &l.trip, &l.costs)
@@ -87,33 +88,58 @@
 	}
 }
 
-// addRereads sets the times to read the shared parts of a prompt for engines again, in its own and in other data centres.
-func (t *Table) addRereads(request *Request, l *leave) {
-	if t.policy.Engine == nil || len(request.Prompt.Parts) < 2 {
+// predict sets what the models of the engines tell about a request in its own and in other data centres.
+func (t *Table) predict(now time.Time, request *Request, l *leave) {
+	if t.policy.Engine == nil {
 		return
 	}
-	l.trip.Part = request.Prompt.Parts[0].ID
-	own, other := -1, -1
+	var own, other outlook
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		least := &other
-		if at.site == l.from {
-			least = &own
+		if !at.open || at.engine == nil {
+			continue
 		}
-		if at.open && at.engine != nil && (*least < 0 || at.missing.Shared < *least) {
-			*least = at.missing.Shared
+		prediction := at.engine.Predict(now, request.Prompt, at.missing, false)
+		if at.site == l.from {
+			own.add(at, prediction)
+			own.isInTime = own.isInTime || at.mayAnswer(prediction, l.trip.Left, request.WithinShare) && !at.pausesTooLong(prediction, t.policy.Gap)
+		} else if at.running < at.slots {
+			other.add(at, prediction)
 		}
 	}
-	prefill := t.policy.Engine.WithDefaults().Prefill
-	l.trip.OwnReread, l.trip.OtherReread = time.Duration(max(0, own))*prefill, time.Duration(max(0, other))*prefill
+	l.trip.InOwn, l.trip.InOther, l.trip.IsOwnLate = own.first, other.first, own.first > 0 && !own.isInTime
+	if len(request.Prompt.Parts) > 1 {
+		l.trip.Part = request.Prompt.Parts[0].ID
+		l.trip.OtherReread = time.Duration(other.shared) * t.policy.Engine.WithDefaults().Prefill
+	}
+}
+
+// outlook is what the engines of some data centres offer to a request; its first is zero if there are none.
+type outlook struct {
+	first    time.Duration // first is the shortest time to the first token.
+	shared   int           // shared is the least number of tokens of shared parts that must be read again.
+	isInTime bool          // isInTime is true if an engine would answer in time.
+}
+
+func (o *outlook) add(at *endpoint, prediction engine.Prediction) {
+	if o.first == 0 {
+		o.first, o.shared = prediction.First, at.missing.Shared
+	}
+	o.first, o.shared = min(o.first, prediction.First), min(o.shared, at.missing.Shared)
 }
 
 // bestOfferInScope returns the best offers as bestOffer does. If no other data centre takes a request that may leave, they are those
 // of its own.
 func (t *Table) bestOfferInScope(now time.Time, request *Request, given conditions) (cacheHolders, others bestOffer) {
 	cacheHolders, others = t.bestOffer(now, request, given)
-	if given.leave.scope() == crossing.Others && cacheHolders.endpoint < 0 && others.endpoint < 0 {
-		*given.obstacles, given.leave.decision.Scope = dispatch.Obstacles{}, crossing.Own
+	l := given.leave
+	if l.scope() == crossing.Others && cacheHolders.endpoint < 0 && others.endpoint < 0 {
+		*given.obstacles, l.decision.Scope = dispatch.Obstacles{}, crossing.Own
+		cacheHolders, others = t.bestOffer(now, request, given)
+	}
+	if l.scope() == crossing.Own && cacheHolders.endpoint < 0 && others.endpoint < 0 && cacheHolders.verdict.combine(others.verdict) == Closed {
+		l.decision.Scope, l.decision.Cause = crossing.Anywhere, crossing.OwnClosed // The request avoids the only endpoint of its data centre.
+		t.crossing.SetCosts(now, l.from, &l.trip, &l.costs)
 		cacheHolders, others = t.bestOffer(now, request, given)
 	}
 	return cacheHolders, others
--- a/core/placing/distance_test.go
+++ b/core/placing/distance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,74 +108,134 @@
 	is.Equal(table.Crossing().Paths()[0].ByCause["own_closed"].Requests, int64(1))
 }
 
-// newEngines returns a table of engines of five data centres, of which the first engines of "a" are full.
-func newEngines(now time.Time, engines, full int) *placing.Table {
-	t := placing.New(&limit.Stakes{})
+// engines is a table of engines of five data centres, "a" to "e", whose requests end 100 ms after the predicted first token.
+type engines struct {
+	*placing.Table
+	now     time.Time
+	running []*run
+}
+
+type run struct {
+	placed placing.Placement
+	begins time.Time
+	begun  bool
+}
+
+func newEngines(number int) *engines {
+	t := &engines{Table: placing.New(&limit.Stakes{}), now: time.Unix(1e9, 0)}
 	t.SetCrossing(crossing.Config{Mode: crossing.Always, ByteCost: 20 * time.Millisecond})
-	policy := newPolicy(engines)
+	policy := newPolicy(number)
 	for n := range policy.Endpoints {
 		policy.Endpoints[n].DataCentre = string(rune('a' + n%5))
 	}
 	t.SetPolicy(policy)
-	for range full * 32 {
-		grantFrom(t, now, "a", 1, 100)
-	}
 	return t
 }
 
-// grantFrom places a request of a data centre's callers with a shared part and returns the data centre that it is granted in; -1 if
-// none takes it now.
-func grantFrom(t *placing.Table, now time.Time, from string, part uint64, shared int) int {
+// place places a request of the callers of "a" that has waited since then, whose prompt has a shared and a short other part. It returns
+// the number of the data centre that it is granted in if the verdict is Admitted.
+func (t *engines) place(since time.Time, part uint64, shared int) (int, placing.Verdict) {
+	t.running = slices.DeleteFunc(t.running, func(one *run) bool {
+		if !one.begun && !t.now.Before(one.begins) {
+			one.begun = true
+			t.Begun(t.now, &one.placed)
+		}
+		isEnding := t.now.After(one.begins.Add(100 * time.Millisecond))
+		if isEnding {
+			t.Ended(t.now, &one.placed, cell.Completed)
+		}
+		return isEnding
+	})
 	request := &placing.Request{
 		Prompt: &cell.Prompt{Parts: []cell.Part{{ID: part, Tokens: shared}, {ID: part + 1<<32, Tokens: 10}}, Output: 10},
-		Since:  now.Add(-200 * time.Millisecond), Deadline: now.Add(time.Second), Avoid: -1, From: from, WithinShare: true,
+		Since:  since, Deadline: since.Add(600 * time.Millisecond), Avoid: -1, From: "a", WithinShare: true,
 	}
-	t.Arrived(now, from)
-	choice := t.Choose(now, request)
+	if since.Equal(t.now) {
+		t.Arrived(t.now, "a")
+	}
+	choice := t.Choose(t.now, request)
 	if choice.Verdict != placing.Admitted {
-		return -1
+		return 0, choice.Verdict
 	}
-	placed, _ := t.Grant(now, choice, request.Prompt)
-	t.Begun(now.Add(50*time.Millisecond), &placed)
-	if from == "a" && placed.EndpointIndex%5 != 0 {
-		t.Ended(now.Add(50*time.Millisecond), &placed, cell.Completed)
+	placed, grant := t.Grant(t.now, choice, request.Prompt)
+	t.running = append(t.running, &run{placed: placed, begins: t.now.Add(grant.Predicted)})
+	return int(placed.EndpointIndex) % 5, choice.Verdict
+}
+
+// Requests leave a data centre whose engines have free slots but so many prompts to read that they would be late: 19 of 20 are
+// served in time once the share has risen.
+func TestRequestsLeaveLateEngines(t *testing.T) {
+	is, table := is.New(t), newEngines(10)
+	var refused, own int
+	var waiting []time.Time
+	for i := range 2000 {
+		table.now = table.now.Add(10 * time.Millisecond)
+		waiting = append(waiting, table.now)
+		var kept []time.Time
+		for n, since := range waiting {
+			to, verdict := table.place(since, uint64(1000*i+n), 5000) // Two engines read 0.4 of these prompts.
+			switch {
+			case verdict == placing.Waits:
+				kept = append(kept, since)
+			case verdict != placing.Admitted && i >= 1000:
+				refused++
+			case verdict == placing.Admitted && to == 0:
+				own++
+			}
+		}
+		waiting = kept
 	}
-	return int(placed.EndpointIndex) % 5
+	t.Log("refused ", refused, " own ", own)
+	is.True(refused <= 50) // Of 1,000; the others wait for their turn to leave.
+	is.True(own > 300)
 }
 
-// Requests that leave a full data centre go to where their shared part is cached, and all of those with one part to the same data centre
-// if it is cached nowhere: elsewhere the part would be read again by each engine.
+// Requests that leave go to where their shared part is cached, and all of those with one part to the same data centre if it is cached
+// nowhere: elsewhere the part would be read again.
 func TestRequestsLeaveForTheirSharedPart(t *testing.T) {
-	is, now := is.New(t), time.Unix(1e9, 0)
-	table := newEngines(now, 10, 2)
+	is, table := is.New(t), newEngines(10)
+	for range 64 {
+		table.place(table.now.Add(-100*time.Millisecond), 1, 100)
+		table.Begun(table.now, &table.running[len(table.running)-1].placed)
+	}
+	table.running = nil // They occupy the slots of "a" throughout.
 	for _, engine := range []cell.EndpointID{"3", "8"} {
 		table.AddCached(cell.Cached{Endpoint: engine, Part: cell.Part{ID: 5, Tokens: 3000}})
 	}
 	left := make(map[uint64]map[int]int) // by part and data centre
-	for range 400 {
-		now = now.Add(5 * time.Millisecond)
-		for _, part := range []uint64{5, 6, 7} {
-			to := grantFrom(table, now, "a", part, 3000)
-			is.True(to != 0)
-			if to > 0 {
-				if left[part] == nil {
-					left[part] = make(map[int]int)
-				}
+	for i := range 600 {
+		table.now = table.now.Add(20 * time.Millisecond)
+		part, shared := uint64(5+i%3), 3000
+		if i < 200 {
+			part, shared = uint64(1000+i), 30 // Until the paths have been answered on, they get single requests only.
+		}
+		if to, verdict := table.place(table.now.Add(-100*time.Millisecond), part, shared); verdict == placing.Admitted {
+			if part < 1000 && left[part] == nil {
+				left[part] = make(map[int]int)
+			}
+			if part < 1000 {
 				left[part][to]++
 			}
 		}
+		table.Arrived(table.now, "a")
 	}
 	t.Log(left)
 	is.True(left[5][3] > 5)
 	for _, part := range []uint64{5, 6, 7} {
-		is.True(len(left[part]) == 1)
+		is.Equal(len(left[part]), 1)
 	}
 }
 
 // BenchmarkChooseWithCrossing measures a decision among 140 engines of five data centres, of which one is full.
 func BenchmarkChooseWithCrossing(b *testing.B) {
-	now := time.Unix(1e9, 0)
-	table := newEngines(now, 140, 28)
+	table := newEngines(140)
+	for range 28 * 32 {
+		table.place(table.now.Add(-100*time.Millisecond), 1, 100)
+	}
+	for i := range table.running {
+		table.Begun(table.now, &table.running[i].placed)
+	}
+	now := table.now
 	request := &placing.Request{
 		Prompt: &cell.Prompt{Parts: []cell.Part{{ID: 5, Tokens: 3000}, {ID: 6, Tokens: 10}}, Output: 10},
 		Since:  now.Add(-200 * time.Millisecond), Avoid: -1, From: "a", WithinShare: true,
