--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -60,6 +60,7 @@
 	d.teams[granted.team].inFlight--
 	delete(d.entries.At(granted.entry).Flights, granted.attempt)
 	d.entries.Drop(granted.entry)
+	d.endpoints.Reported(&granted.placed, int(end.Bytes))
 	d.endpoints.Ended(d.now, &granted.placed, end.Outcome)
 }
 
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -149,7 +149,7 @@
 // it would answer too late.
 func (t *Table) choosePaced(now time.Time, request *Request) Choice {
 	choice := Choice{endpointIndex: -1, cacheHolder: -1, Verdict: Closed}
-	given := conditions{allFail: t.areAllFailing(now), least: t.leastPacedTime(now), obstacles: &choice.Obstacles}
+	given := conditions{allFail: t.areAllFailing(now), least: t.leastPacedTime(now), leave: &choice.leave, obstacles: &choice.Obstacles}
 	if t.isOpen() && request.hasRunOut(now, given.least) {
 		choice.Verdict = Hopeless
 		return choice
--- a/core/placing/weigh.go
+++ b/core/placing/weigh.go
@@ -38,7 +38,7 @@
 	maxPausedRequests = 4
 	// loadWeight is the cost of an endpoint with all slots in use, as each request slows down the tokens of all others.
 	loadWeight = 100 * time.Millisecond
-	// distanceWeight is the cost of the network delay to another data centre.
+	// distanceWeight is the cost of the network delay to another data centre where the Table doesn't decide on that.
 	distanceWeight = 10 * time.Millisecond
 	// failureWeight is the cost of an endpoint at which every request fails.
 	failureWeight = 500 * time.Millisecond
@@ -71,6 +71,7 @@
 	Deadline    time.Time     // Deadline is the deadline of the first token; zero is none.
 	Objective   time.Duration // Objective is the time that requests of this class have from the start; only set for calls of a service whose endpoints report their pace.
 	Avoid       int32         // Avoid is the index of an endpoint to avoid if another one is open; negative is none.
+	Class       string        // Class names the kind of request, as in cell.Demand; empty if unknown.
 	From        string        // From is the data centre of the entry router that holds the request.
 	WithinShare bool          // WithinShare is true if the request lies within its team's share, or is treated as if it did.
 	Long        bool          // Long is true if an engine may be reserved for the request: it is among the most expensive of its class, and too few of those are admitted.
@@ -114,6 +115,7 @@
 	allFail bool // allFail is true if every open endpoint fails and none is due for a probe: then failures exclude none of them.
 
 	least     time.Duration       // least is the least time to expect of a call; only set where endpoints report their pace.
+	leave     *leave              // leave is the decision on other data centres.
 	obstacles *dispatch.Obstacles // obstacles counts, by reason, the endpoints that can't take the request now.
 }
 
@@ -135,9 +137,7 @@
 	}
 	cost := time.Duration(at.health.Failures(now) * float64(failureWeight))
 	cost += loadWeight * time.Duration(at.running) / time.Duration(max(1, at.slots))
-	if at.dataCentre != request.From {
-		cost += distanceWeight
-	}
+	cost += distance(at, request, given)
 	if at.engine == nil {
 		var (
 			expected time.Duration
