--- a/core/placing/distance_test.go
+++ b/core/placing/distance_test.go
@@ -108,6 +108,45 @@
 	is.Equal(table.Crossing().Paths()[0].ByCause["own_closed"].Requests, int64(1))
 }
 
+// A retry that avoids the only open endpoint of its data centre goes to another one.
+func TestRetryAvoidsOnlyOwnEndpoint(t *testing.T) {
+	is, now := is.New(t), time.Unix(1e9, 0)
+	table := newService(crossing.Always)
+	table.SetPolicy(&dispatch.Policy{Predicted: true, Endpoints: []dispatch.EndpointPolicy{
+		{Endpoint: "0", WarmLimit: siteSlots, Start: "s", DataCentre: "a"}, {Endpoint: "3", WarmLimit: siteSlots, Start: "s", DataCentre: "b"},
+	}})
+	choice := table.Choose(now, &placing.Request{Prompt: &cell.Prompt{}, Since: now, Avoid: table.Find("0"), From: "a", WithinShare: true})
+	is.Equal(choice.Verdict, placing.Admitted)
+}
+
+// Attempts that a cut path loses don't make endpoints count as failing for the callers of their own data centre.
+func TestCutPathIsNotTheEndpointsFailure(t *testing.T) {
+	is, now := is.New(t), time.Unix(1e9, 0)
+	table := newService(crossing.Always)
+	place := func(from string) (placing.Placement, bool) {
+		now = now.Add(200 * time.Millisecond)
+		request := &placing.Request{Prompt: &cell.Prompt{}, Since: now, Avoid: -1, From: from, WithinShare: true}
+		choice := table.Choose(now, request)
+		if choice.Verdict != placing.Admitted {
+			return placing.Placement{}, false
+		}
+		placed, _ := table.Grant(now, choice, request.Prompt)
+		return placed, true
+	}
+	table.SetPolicy(&dispatch.Policy{Predicted: true, Endpoints: []dispatch.EndpointPolicy{
+		{Endpoint: "0", WarmLimit: siteSlots, Start: "s", DataCentre: "a"}, {Endpoint: "3", WarmLimit: siteSlots, Start: "s", DataCentre: "b"},
+	}})
+	for range 50 { // Callers of "d", which has no endpoints, reach neither of the others.
+		if placed, ok := place("d"); ok {
+			table.Ended(now, &placed, cell.Unreached)
+		}
+		placed, ok := place("a")
+		is.True(ok)
+		is.Equal(table.Name(placed.EndpointIndex), cell.EndpointID("0"))
+		table.Ended(now, &placed, cell.Completed)
+	}
+}
+
 // engines is a table of engines of five data centres, "a" to "e", whose requests end 100 ms after the predicted first token.
 type engines struct {
 	*placing.Table
