--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -42,7 +42,9 @@
 			d.dues.AddDemand(now, int(team), max(1, demand.Estimate))
 		}
 		d.countDemand(team, demand)
-		d.endpoints.Arrived(now, d.dataCentres[ev.Router.Host()])
+		if d.endpoints.DecidesCrossing() {
+			d.endpoints.Arrived(now, d.dataCentres[ev.Router.Host()])
+		}
 		slotIndex := d.waiting.Add(queue.Request{
 			Entry: index, Attempt: demand.Attempt, Team: team, Avoid: d.endpoints.Find(demand.Avoid), EstimatedCost: demand.Estimate, Since: now,
 			Class: demand.Class, Prompt: demand.Prompt, Deadline: demand.Deadline,
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -47,11 +47,9 @@
 // centre costs distanceWeight more.
 func (t *Table) DecidesCrossing() bool { return t.crossing.Config().IsActive(t.reportsPace()) }
 
-// Arrived records a request of the callers of a data centre.
+// Arrived records a request of the callers of a data centre. It need not be called unless DecidesCrossing reports true.
 func (t *Table) Arrived(now time.Time, dataCentre string) {
-	if t.DecidesCrossing() {
-		t.crossing.Arrived(now, t.crossing.Site(dataCentre))
-	}
+	t.crossing.Arrived(now, t.crossing.Site(dataCentre))
 }
 
 // Reported records what an endpoint reported with the first token or the end of a request, and the bytes that the request has moved.
