--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -50,11 +50,9 @@
 	return !t.HasPacedCalls() && t.crossing.Config().IsActive(t.reportsPace())
 }
 
-// Arrived records a request of the callers of a data centre.
+// Arrived records a request of the callers of a data centre. It need not be called unless DecidesCrossing reports true.
 func (t *Table) Arrived(now time.Time, dataCentre string) {
-	if t.DecidesCrossing() {
-		t.crossing.Arrived(now, t.crossing.Site(dataCentre))
-	}
+	t.crossing.Arrived(now, t.crossing.Site(dataCentre))
 }
 
 // Reported records the bytes that a request has moved.
--- a/core/placing/distance_test.go
+++ b/core/placing/distance_test.go
@@ -148,14 +148,16 @@
 		placed, _ := table.Grant(now, choice, request.Prompt)
 		return placed, true
 	}
-	for range 50 { // Callers of "d", which has no endpoints, reach none of the others.
+	table.SetPolicy(&dispatch.Policy{Predicted: true, Endpoints: []dispatch.EndpointPolicy{
+		{Endpoint: "0", WarmLimit: siteSlots, Start: "s", DataCentre: "a"}, {Endpoint: "3", WarmLimit: siteSlots, Start: "s", DataCentre: "b"},
+	}})
+	for range 50 { // Callers of "d", which has no endpoints, reach neither of the others.
 		if placed, ok := place("d"); ok {
 			table.Ended(now, &placed, cell.Unreached)
 		}
-	}
-	for range 50 {
 		placed, ok := place("a")
-		is.True(ok && placed.EndpointIndex < 3)
+		is.True(ok)
+		is.Equal(table.Name(placed.EndpointIndex), cell.EndpointID("0"))
 		table.Ended(now, &placed, cell.Completed)
 	}
 }
