--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -50,6 +50,9 @@
 	RetryBurst      float64       // RetryBurst is the maximum retry budget that a pool can save up, in all routers together.
 	ColdFactor      float64       // ColdFactor multiplies the request rate that the configuration allows a cold endpoint, one that is still warming up.
 	ColdSlack       float64       // ColdSlack is added to the request rate of a cold endpoint after ColdFactor is applied, in requests per second.
+	RolloutShare    float64       // RolloutShare is the largest fraction of a service's requests that a bad version may get between an order and its deadline; zero means that there are no roll-outs.
+	RolloutSlack    float64       // RolloutSlack is the number of requests that a bad version may get beyond RolloutShare.
+	RolloutRollback time.Duration // RolloutRollback is the time after the fiftieth bad answer of a version from which no request may be sent to it.
 	MemoryLimit     int           // MemoryLimit is the memory of the process, in MiB; zero means no limit.
 
 	KeyedRate      int           // KeyedRate is the maximum number of requests with an Idempotency-Key per second, in all routers together.
@@ -126,6 +129,7 @@
 	r.check(!r.present["peer_key"] || !r.present["peer_key_file"], "peer_key_file", "only one of peer_key and peer_key_file")
 	r.check(s.LinkSilent >= 2*s.Heartbeat, "link_silent", "at least twice heartbeat")
 	r.check(s.IdleHeartbeat == 0 || s.Registered && s.IdleHeartbeat >= s.Heartbeat, "idle_heartbeat", "at least heartbeat, with registered = true only")
+	r.check(s.RolloutShare == 0 || s.Registered, "rollout_share", "zero, or with registered = true only")
 	r.check(s.StakeLease > s.LinkSilent, "stake_lease", "more than link_silent")
 	r.check(s.GrantValid < s.StakeLease, "grant_valid", "less than stake_lease")
 	r.check(s.CallersAddress != s.OperatorAddress, "operator_address", "another address than callers_address")
