--- a/router/directory/registry.go
+++ b/router/directory/registry.go
@@ -12,6 +12,7 @@
 	"ryelug/core/config"
 	"ryelug/core/dispatch"
 	"ryelug/core/engine"
+	"ryelug/core/rollout"
 )
 
 // Registry is the configuration in force where a platform registers the endpoints itself,
@@ -25,7 +26,10 @@
 	Endpoints  []Endpoint
 	Entries    map[cell.HostID]string // Entries maps the host of each router to its data centre.
 	FairRate   float64                // FairRate is the cost per second, in a pool of engines, that is divided evenly among the teams (max-min fairness); zero if it is unknown.
+	Rollouts   []rollout.Order        // Rollouts are the orders to move a pool's requests to endpoints of another version; one for a pool at most.
 	TeamHeader string                 // TeamHeader is the name of the request header that tells endpoints the team.
+
+	RolloutBounds rollout.Bounds // RolloutBounds limits what a bad version may get.
 }
 
 // Route maps the requests with a given Host header and path prefix to pools.
@@ -63,6 +67,7 @@
 	Pool       cell.ID
 	DataCentre string
 	Address    netip.AddrPort
+	Version    string    // Version is that of the endpoint's software; empty if it is unknown.
 	Slots      int       // Slots is the number of requests that the endpoint runs at once.
 	Closed     bool      // Closed says that the endpoint gets no new requests, for example while it is being drained.
 	ColdUntil  time.Time // ColdUntil is when the endpoint stops being cold (restricted in its rate after a start); zero if it is not cold.
@@ -92,6 +97,11 @@
 		d.registeredRoutes[routeKey{strings.ToLower(route.Host), route.Prefix}] = route
 	}
 	d.indexRegisteredPools(r)
+	for i := range r.Rollouts {
+		if policy, ok := d.policies[r.Rollouts[i].Cell]; ok {
+			policy.Rollout, policy.RolloutBounds = &r.Rollouts[i], r.RolloutBounds
+		}
+	}
 	for _, endpoint := range r.Endpoints {
 		policy, ok := d.policies[endpoint.Pool]
 		if !ok {
@@ -102,6 +112,7 @@
 		policy.Endpoints = append(policy.Endpoints, dispatch.EndpointPolicy{
 			Endpoint: endpoint.ID, WarmLimit: endpoint.Slots, ColdLimit: endpoint.Slots, Closed: endpoint.Closed,
 			Start: endpoint.Start, DataCentre: endpoint.DataCentre, ColdUntil: endpoint.ColdUntil,
+			Version: endpoint.Version,
 		})
 	}
 	return d
