--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -12,6 +12,7 @@
 	"ryelug/core/placing"
 	"ryelug/core/queue"
 	"ryelug/core/result"
+	"ryelug/core/rollout"
 	"ryelug/core/session"
 	"ryelug/core/slot"
 	"ryelug/core/suspect"
@@ -64,6 +65,7 @@
 	crashes    []Crash                 // crashes are those since the last TakeCrashes.
 	rejections []suspect.Rejection     // rejections are those since the last TakeRejections.
 	stakes     limit.Stakes
+	verdicts   []rollout.Verdict       // verdicts are those since the last TakeVerdicts.
 	outbox     dispatch.Outbox
 }
 
--- a/core/rollout/order.go
+++ b/core/rollout/order.go
@@ -16,6 +16,19 @@
 	RolledBack                  // RolledBack: endpoints of the target version get no requests.
 )
 
+// String returns the state's name, as in the store.
+func (s State) String() string {
+	switch s {
+	case Running:
+		return "running"
+	case Completed:
+		return "completed"
+	case RolledBack:
+		return "rolled_back"
+	}
+	return "unknown"
+}
+
 // Order is an operator's order to move a cell's traffic to the endpoints of another version, with what is known of its state.
 type Order struct {
 	Cell     cell.ID
@@ -24,6 +37,8 @@
 	Duration time.Duration // Duration is the time from the order to its deadline.
 	Seen     time.Time     // Seen is when the order is taken to have been given: its first sight here, less the time that its status says had passed by then.
 	State    State
+
+	ConfirmedAt time.Time // ConfirmedAt is when the store last confirmed the roll-outs to this router; a target gets nothing without a recent one.
 }
 
 // Bounds limits what a bad version may get.
@@ -35,3 +50,8 @@
 
 // Deadline returns when the roll-out must have a final state.
 func (o *Order) Deadline() time.Time { return o.Seen.Add(o.Duration) }
+
+// IsSame reports whether both orders are the same one, of which possibly different states are known.
+func (o *Order) IsSame(other *Order) bool {
+	return o.Cell == other.Cell && o.Target == other.Target && o.Revision == other.Revision
+}
