Move the requests of a cell to another version, and compare both versions

A roll-out must not expose many requests to a bad version, whoever dispatches. Each dispatcher counts for itself what it grants and what the target gets; sequential tests compare the failures and times of both groups by class, and the judge's verdict follows.

--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -29,11 +29,13 @@
 	return a.begunAt
 }
 
-// addAttempt records a granted attempt at its entry and its team, and charges the team.
-func (d *Dispatcher) addAttempt(granted attempt) {
-	d.entries.At(granted.entry).Flights[granted.attempt] = d.flights.Put(granted)
+// addAttempt records a granted attempt at its entry and its team, and charges the team. It returns the attempt's index.
+func (d *Dispatcher) addAttempt(granted attempt) int32 {
+	slotIndex := d.flights.Put(granted)
+	d.entries.At(granted.entry).Flights[granted.attempt] = slotIndex
 	d.teams[granted.team].inFlight++
 	d.ledger.Charge(int(granted.team), granted.charged)
+	return slotIndex
 }
 
 // endAttempt removes an attempt that has ended. The charge remains, unless the attempt never ran at an endpoint:
@@ -42,6 +44,9 @@
 	granted := *d.flights.At(slotIndex)
 	d.flights.Free(slotIndex)
 	d.watchCrash(d.now, &granted, end)
+	if d.rollout != nil {
+		d.countEnd(slotIndex, &granted, end)
+	}
 	if end.Outcome == cell.Completed {
 		d.suspects.Sound(d.now, &granted.prompt)
 	}
--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -65,7 +65,9 @@
 	crashes    []Crash                 // crashes are those since the last TakeCrashes.
 	rejections []suspect.Rejection     // rejections are those since the last TakeRejections.
 	stakes     limit.Stakes
-	verdicts   []rollout.Verdict       // verdicts are those since the last TakeVerdicts.
+	rollout    *rolloutState     // rollout is the move of the cell's traffic to another version; nil if there is none.
+	version    string            // version is that of the endpoints when all last had the same one; kept only where there may be roll-outs.
+	verdicts   []rollout.Verdict // verdicts are those since the last TakeVerdicts.
 	outbox     dispatch.Outbox
 }
 
@@ -129,6 +131,7 @@
 		return nil
 	case *dispatch.Tick:
 		d.findCrashes(now)
+		d.stepRollout(now)
 	case *dispatch.Load, *dispatch.Unreachable, *dispatch.SiblingService, *dispatch.Move:
 		return nil // Reports and moves between cells don't apply: the platform's registry describes the endpoints, and the pool is one cell.
 	}
@@ -154,6 +157,7 @@
 		d.ledger.SetShare(int(d.teamOf(policy.Teams[i].Team)), policy.Teams[i].Share)
 	}
 	d.endpoints.SetPolicy(policy)
+	d.setRollout(policy)
 }
 
 // teamOf returns the index of a team, adding the team if it is new.
--- a/core/admission/rollout.go
+++ b/core/admission/rollout.go
@@ -1,6 +1,27 @@
 package admission
 
-import "ryelug/core/rollout"
+import (
+	"time"
+
+	"ryelug/core/cell"
+	"ryelug/core/dispatch"
+	"ryelug/core/placing"
+	"ryelug/core/queue"
+	"ryelug/core/rollout"
+)
+
+// rolloutState is the move of the cell's traffic to endpoints of another version.
+type rolloutState struct {
+	trial  *rollout.Trial
+	grants []rolloutGrant // grants holds, by the index of the attempt, those that the trial counts.
+}
+
+// rolloutGrant is what the trial needs of an attempt when it ends. Its group is zero for an attempt that the trial does not count.
+type rolloutGrant struct {
+	group    rollout.Group
+	class    string
+	expected time.Duration
+}
 
 // TakeVerdicts returns the verdicts on the cell's roll-out since the last call, which must be written to the store. A verdict is
 // returned again from time to time until the policy's order has a final state.
@@ -11,4 +32,117 @@
 }
 
 // Rollout returns the state of the cell's roll-out, and false if there is none.
-func (d *Dispatcher) Rollout() (rollout.Status, bool) { return rollout.Status{}, false }
+func (d *Dispatcher) Rollout() (rollout.Status, bool) {
+	if d.rollout == nil {
+		return rollout.Status{}, false
+	}
+	return d.rollout.trial.Status(d.now), true
+}
+
+// setRollout applies the policy's order. Without an order the roll-out stays in its state for as long as endpoints of several
+// versions are open.
+func (d *Dispatcher) setRollout(policy *dispatch.Policy) {
+	if policy.RolloutBounds.Share <= 0 {
+		d.rollout = nil
+		return
+	}
+	order := policy.Rollout
+	if order == nil {
+		d.holdVersions(policy)
+		return
+	}
+	if d.rollout != nil && d.isSameOrder(order) {
+		d.rollout.trial.Update(*order)
+	} else {
+		d.rollout = &rolloutState{trial: rollout.New(rollout.Config{Order: *order, Bounds: policy.RolloutBounds})}
+	}
+	d.endpoints.SetTarget(order.Target)
+}
+
+func (d *Dispatcher) isSameOrder(order *rollout.Order) bool {
+	current := d.rollout.trial.Order()
+	return current.IsSame(order)
+}
+
+// holdVersions handles a policy without an order. Endpoints of a new version that start before the order is known must get nothing,
+// so while several versions are open only the one that was in use before gets requests.
+func (d *Dispatcher) holdVersions(policy *dispatch.Policy) {
+	version, isMixed := placing.CommonVersion(policy.Endpoints)
+	switch {
+	case !isMixed:
+		d.rollout, d.version = nil, version
+		return
+	case d.rollout != nil:
+		d.rollout.trial.Remove()
+	default:
+		if d.version == "" {
+			d.version = version
+		}
+		trial := rollout.New(rollout.Config{Order: rollout.Order{Cell: d.cell, Target: d.version, State: rollout.Completed}, Bounds: policy.RolloutBounds})
+		trial.Remove()
+		d.rollout = &rolloutState{trial: trial}
+	}
+	order := d.rollout.trial.Order()
+	d.endpoints.SetTarget(order.Target)
+}
+
+// stepRollout advances the roll-out. This dispatcher is the judge if it holds more than half of the stakes.
+func (d *Dispatcher) stepRollout(now time.Time) {
+	if d.rollout == nil {
+		return
+	}
+	held, total := d.stakes.HeldSince(now, now)
+	verdict, ok := d.rollout.trial.Step(now, d.endpoints.Capacity(now), 2*held > total)
+	if ok {
+		d.verdicts = append(d.verdicts, verdict)
+	}
+	d.endpoints.SetFaulty(d.rollout.trial)
+}
+
+// choose returns the endpoint for a waiting request, or the reason why it waits or is refused.
+func (d *Dispatcher) choose(now time.Time, request *placing.Request, class string) placing.Choice {
+	if d.rollout == nil {
+		return d.endpoints.Choose(now, request)
+	}
+	trial := d.rollout.trial
+	picked := trial.Pick(now, class)
+	other := rollout.Stable + rollout.Target - picked
+	hasFailedAtTarget := request.Avoid >= 0 && d.endpoints.GroupOf(request.Avoid) == rollout.Target
+	if picked == rollout.Target && hasFailedAtTarget && trial.MayUse(now, rollout.Stable) {
+		picked, other = rollout.Stable, rollout.Target
+	}
+	if trial.IsRemoved() && !d.endpoints.HasOpen(picked) {
+		return d.endpoints.ChooseIn(now, request, other, trial)
+	}
+	choice := d.endpoints.ChooseIn(now, request, picked, trial)
+	if choice.Verdict == placing.Admitted || !trial.MayUse(now, other) || other == rollout.Target && hasFailedAtTarget {
+		return choice
+	}
+	instead := d.endpoints.ChooseIn(now, request, other, trial)
+	if instead.Verdict == placing.Admitted || other == rollout.Stable {
+		return instead
+	}
+	return choice
+}
+
+// countGrant records the grant of a request whose attempt has the index.
+func (r *rolloutState) countGrant(now time.Time, index int32, request *queue.Request, group rollout.Group, grant *cell.Grant, expected time.Duration) {
+	for len(r.grants) <= int(index) {
+		r.grants = append(r.grants, rolloutGrant{})
+	}
+	r.grants[index] = rolloutGrant{group: group, class: request.Class, expected: expected}
+	r.trial.Granted(now, group, request.Class, grant.Endpoint)
+}
+
+// countEnd records the end of an attempt with the index, which still counts at its endpoint.
+func (d *Dispatcher) countEnd(index int32, granted *attempt, end *cell.End) {
+	if int(index) >= len(d.rollout.grants) || d.rollout.grants[index].group == 0 {
+		return
+	}
+	counted := &d.rollout.grants[index]
+	sample := d.endpoints.Sample(d.now, &granted.placed)
+	sample.Group, sample.Class, sample.Expected = counted.group, counted.class, counted.expected
+	sample.Outcome, sample.Took, sample.GrantedAt = end.Outcome, end.Took, granted.grantedAt
+	d.rollout.trial.Ended(d.now, sample)
+	*counted = rolloutGrant{}
+}
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -169,7 +169,7 @@
 	request := d.waiting.At(slotIndex)
 	sizes := d.sizesOfClass(request)
 	placingRequest := d.placingRequest(request, sizes)
-	choice := d.endpoints.Choose(now, &placingRequest)
+	choice := d.choose(now, &placingRequest, request.Class)
 	switch choice.Verdict {
 	case placing.Admitted:
 		sizes.Record(request.EstimatedCost, true)
@@ -218,10 +218,13 @@
 	granted.placed, cellGrant = d.endpoints.Grant(now, choice, &request.Prompt)
 	cellGrant.Attempt = request.Attempt
 	d.countGrant(request)
-	d.waiting.Take(slotIndex)
+	taken := d.waiting.Take(slotIndex)
 	d.shares.Charge(int(granted.team), granted.charged)
 	d.dues.Begin(now, int(granted.team), granted.charged)
 	d.returns.Granted(now)
-	d.addAttempt(granted)
+	index := d.addAttempt(granted)
+	if d.rollout != nil {
+		d.rollout.countGrant(now, index, &taken, d.endpoints.GroupOf(granted.placed.EndpointIndex), &cellGrant, granted.placed.Expected(&cellGrant))
+	}
 	d.outbox.Grant(d.entries.At(granted.entry), cellGrant)
 }
--- a/core/placing/call.go
+++ b/core/placing/call.go
@@ -78,7 +78,7 @@
 	var least time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if expected := at.call.expected(1); at.open && expected > 0 && (least == 0 || expected < least) {
+		if expected := at.call.expected(1); t.admits(at) && expected > 0 && (least == 0 || expected < least) {
 			least = expected
 		}
 	}
--- a/core/placing/endpoint.go
+++ b/core/placing/endpoint.go
@@ -7,6 +7,7 @@
 	"ryelug/core/dispatch"
 	"ryelug/core/engine"
 	"ryelug/core/limit"
+	"ryelug/core/rollout"
 )
 
 // endpoint is the state of one endpoint: its configuration, its health and the requests that it runs.
@@ -22,6 +23,9 @@
 	reservedUntil time.Time      // reservedUntil is the time until which the engine is reserved for long prompts; zero if it never was.
 	engine        *engine.Engine // engine models the requests and the cache of an engine; nil if the endpoint is not an engine.
 	call          callTime       // call is the time that a call takes here; zero for an engine.
+	group         rollout.Group  // group is the endpoint's group in the cell's roll-out; zero if there is none.
+	version       string
+	isFaulty      bool           // isFaulty is true if the roll-out leaves the endpoint out.
 	missing       engine.Missing // missing is what the engine has not cached of the prompt that is being placed.
 }
 
@@ -43,6 +47,7 @@
 	}
 	e.open = !at.Closed
 	e.slots = at.WarmLimit
+	e.version = at.Version
 }
 
 // limitFor returns the number of requests beside which the endpoint gets no other one: a few slots are kept for requests within
--- a/core/placing/lane.go
+++ b/core/placing/lane.go
@@ -20,7 +20,7 @@
 // maxPausedRequests requests and is not reserved. It checks only the first such engine.
 func (t *Table) pausesOthers(now time.Time, request *Request) bool {
 	for i := range t.endpoints {
-		if at := &t.endpoints[i]; at.open && at.engine != nil && at.running > maxPausedRequests && !at.isReserved(now) {
+		if at := &t.endpoints[i]; t.admits(at) && at.engine != nil && at.running > maxPausedRequests && !at.isReserved(now) {
 			return at.pausesTooLong(at.engine.Predict(now, request.Prompt, at.missing, false), t.policy.Gap)
 		}
 	}
@@ -33,7 +33,7 @@
 	bestOffer, reserved, open := noOffer(), 0, 0
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil {
+		if !t.admits(at) || at.engine == nil {
 			continue
 		}
 		open++
@@ -57,7 +57,7 @@
 	var least *endpoint
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil || at.isReserved(now) || at.health.IsFailing(now) {
+		if !t.admits(at) || at.engine == nil || at.isReserved(now) || at.health.IsFailing(now) {
 			continue
 		}
 		if least == nil || at.running < least.running {
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -18,6 +18,7 @@
 	endpoints  []endpoint
 	indexes    slot.Index[cell.EndpointID]
 	reservedAt time.Time // reservedAt is the time of the last reservation of an engine for long prompts.
+	selection  selection // selection holds the endpoints that a roll-out allows for the request that is being placed.
 	weighed    int64     // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
 }
 
@@ -130,7 +131,7 @@
 	reserved := false
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || int32(i) == request.Avoid && t.hasOther(int32(i)) {
+		if !t.admits(at) || int32(i) == request.Avoid && t.hasOther(int32(i)) {
 			continue
 		}
 		if at.isReserved(now) {
@@ -153,7 +154,7 @@
 // isOpen reports whether any endpoint is open.
 func (t *Table) isOpen() bool {
 	for i := range t.endpoints {
-		if t.endpoints[i].open {
+		if t.admits(&t.endpoints[i]) {
 			return true
 		}
 	}
@@ -165,10 +166,10 @@
 	isOpen := false
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if at.open && !at.isReserved(now) && at.running < at.limitFor(within) {
+		if t.admits(at) && !at.isReserved(now) && at.running < at.limitFor(within) {
 			return false
 		}
-		isOpen = isOpen || at.open
+		isOpen = isOpen || t.admits(at)
 	}
 	return isOpen
 }
@@ -180,7 +181,7 @@
 	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil {
+		if !t.admits(at) || at.engine == nil {
 			continue
 		}
 		at.missing = at.engine.Missing(prompt)
@@ -198,7 +199,7 @@
 	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil {
+		if !t.admits(at) || at.engine == nil {
 			continue
 		}
 		if first := at.engine.Predict(now, prompt, at.missing, false).First; best == 0 || first < best {
@@ -211,7 +212,7 @@
 // areAllFailing reports whether every open endpoint fails and is not due for a probe.
 func (t *Table) areAllFailing(now time.Time) bool {
 	for i := range t.endpoints {
-		if at := &t.endpoints[i]; at.open && !at.health.AwaitsProbe(now) {
+		if at := &t.endpoints[i]; t.admits(at) && !at.health.AwaitsProbe(now) {
 			return false
 		}
 	}
@@ -221,7 +222,7 @@
 // hasOther reports whether another endpoint than the one at the index is open.
 func (t *Table) hasOther(than int32) bool {
 	for i := range t.endpoints {
-		if int32(i) != than && t.endpoints[i].open {
+		if int32(i) != than && t.admits(&t.endpoints[i]) {
 			return true
 		}
 	}
