Drive the status of a roll-out from its dispatcher, and report how long answers take

The judge's verdicts go to the registry, which writes them; the judge also repeats the present state, so that a final state that the store has lost is written again. Entries report the time of an answer while their cell has a running order alone.

--- a/router/config.go
+++ b/router/config.go
@@ -11,6 +11,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/neighbour"
+	"ryelug/core/rollout"
 	"ryelug/core/spread"
 	"ryelug/io/caller"
 	"ryelug/io/handover"
@@ -71,26 +72,27 @@
 	PeerListener net.Listener // PeerListener accepts the links of other routers.
 	// PeerDial connects to the PeerListener or HandoverListener of another router.
 	PeerDial         func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-	Callers          caller.Config             // Callers configures the server for callers; New sets its handler and callbacks.
-	CallerListener   net.Listener              // CallerListener accepts connections from callers; nil in tests that call Serve directly.
-	HandoverListener net.Listener              // HandoverListener accepts callers' connections that other routers hand over; nil accepts none.
-	Neighbours       func() []neighbour.Router // Neighbours returns the routers to which this one may hand connections over; nil disables handing over.
-	Platform         configuration.Platform    // Platform stores the configuration document; unused when Source is set.
-	Source           Source                    // Source replaces the configuration document as the source of the directory; nil where the document is used.
-	Hosts            poll.Lister               // Hosts reads the platform's list of hosts.
-	Endpoints        Endpoints                 // Endpoints sends requests to endpoints and reads their load reports.
-	Counter          request.Counter           // Counter counts the outcomes of requests for the metrics.
-	Keys             *keyed.Keeper             // Keys keeps the records of idempotency keys; if nil, requests with an Idempotency-Key are refused.
-	KeyedRate        float64                   // KeyedRate limits the requests with an Idempotency-Key of all routers together, in requests per second.
-	OldRecords       keyed.OldRecords          // OldRecords finds and deletes expired records of idempotency keys; if nil, this router deletes none.
-	Timings          coordination.Timings      // Timings holds the intervals and timeouts of coordination; equal on all routers of the environment.
-	Retries          request.Config            // Retries supplies the retry limits and the backoff; its other fields are ignored.
-	Grace            time.Duration             // Grace limits the duration of the shutdown; zero is no limit.
-	ProcessorShare   float64                   // ProcessorShare is how much processor this process may use, in cores; zero means unknown.
-	StrainLate       time.Duration             // StrainLate is the scheduling delay from which the process counts as overloaded, so that new requests are refused or go to other routers; zero disables that.
-	Usage            Usage                     // Usage measures the processor use of this process.
-	BalancerLag      time.Duration             // BalancerLag is how long the balancer takes to notice that this router is leaving.
-	Log              logrus.FieldLogger        // Log receives the log lines of all parts of the router.
+	Callers          caller.Config                      // Callers configures the server for callers; New sets its handler and callbacks.
+	CallerListener   net.Listener                       // CallerListener accepts connections from callers; nil in tests that call Serve directly.
+	HandoverListener net.Listener                       // HandoverListener accepts callers' connections that other routers hand over; nil accepts none.
+	Neighbours       func() []neighbour.Router          // Neighbours returns the routers to which this one may hand connections over; nil disables handing over.
+	Platform         configuration.Platform             // Platform stores the configuration document; unused when Source is set.
+	Source           Source                             // Source replaces the configuration document as the source of the directory; nil where the document is used.
+	SetRollout       func(rollout.Order, rollout.State) // SetRollout has the state of a roll-out written to the store, for its judge; nil if there are no roll-outs.
+	Hosts            poll.Lister                        // Hosts reads the platform's list of hosts.
+	Endpoints        Endpoints                          // Endpoints sends requests to endpoints and reads their load reports.
+	Counter          request.Counter                    // Counter counts the outcomes of requests for the metrics.
+	Keys             *keyed.Keeper                      // Keys keeps the records of idempotency keys; if nil, requests with an Idempotency-Key are refused.
+	KeyedRate        float64                            // KeyedRate limits the requests with an Idempotency-Key of all routers together, in requests per second.
+	OldRecords       keyed.OldRecords                   // OldRecords finds and deletes expired records of idempotency keys; if nil, this router deletes none.
+	Timings          coordination.Timings               // Timings holds the intervals and timeouts of coordination; equal on all routers of the environment.
+	Retries          request.Config                     // Retries supplies the retry limits and the backoff; its other fields are ignored.
+	Grace            time.Duration                      // Grace limits the duration of the shutdown; zero is no limit.
+	ProcessorShare   float64                            // ProcessorShare is how much processor this process may use, in cores; zero means unknown.
+	StrainLate       time.Duration                      // StrainLate is the scheduling delay from which the process counts as overloaded, so that new requests are refused or go to other routers; zero disables that.
+	Usage            Usage                              // Usage measures the processor use of this process.
+	BalancerLag      time.Duration                      // BalancerLag is how long the balancer takes to notice that this router is leaving.
+	Log              logrus.FieldLogger                 // Log receives the log lines of all parts of the router.
 
 	Order       dispatch.Order // Order picks the next request among waiting ones; nil is fair queueing by team share, others are baselines for measurements.
 	LocalQueues bool           // LocalQueues makes each router dispatch for itself, with its own part of each endpoint's limit; a baseline for measurements.
@@ -132,6 +134,7 @@
 		Log:          r.config.Log,
 		Standings:    r.standings,
 		Unserved:     r.unserved,
+		SetRollout:   r.config.SetRollout,
 		Order:        r.config.Order,
 		LocalQueues:  r.config.LocalQueues,
 	}
--- a/router/coordination/config.go
+++ b/router/coordination/config.go
@@ -6,6 +6,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/due"
+	"ryelug/core/rollout"
 	"ryelug/core/spread"
 	"ryelug/io/peer"
 	"ryelug/io/wire"
@@ -35,6 +36,8 @@
 	Standings    *due.Standings     // Standings is updated with the teams that receive less than their share.
 	Unserved     *due.Unserved      // Unserved holds the requests that this entry refused without asking a dispatcher; they are reported to the dispatchers.
 
+	SetRollout func(order rollout.Order, state rollout.State) // SetRollout has the state of a roll-out written by its judge; it must not block; nil if there are no roll-outs.
+
 	Registered  bool           // Registered is set where the platform registers the endpoints. A dispatcher may then grant requests that need no stake even while it holds none, a router that is cut off keeps serving with its own stake, and a router keeps links to a few others only (core/overlay).
 	Order       dispatch.Order // Order picks the next request among waiting ones; nil is fair queueing by team share.
 	LocalQueues bool           // LocalQueues makes this router dispatch for itself only; a baseline for measurements.
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -110,6 +110,7 @@
 		GrantValid: config.Timings.GrantValid,
 		Order:      config.Order,
 		Send:       c.sendToEntry,
+		SetRollout: config.SetRollout,
 	})
 	c.entryRole = lending.New(lending.Config{
 		Self:             config.Self,
--- a/router/dispatching/role.go
+++ b/router/dispatching/role.go
@@ -10,6 +10,7 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/flight"
+	"ryelug/core/rollout"
 	"ryelug/core/suspect"
 	"ryelug/io/wire"
 	"ryelug/router/directory"
@@ -31,6 +32,9 @@
 	Order      dispatch.Order // Order says which waiting request is served next; nil means fair sharing between teams.
 	Log        logrus.FieldLogger
 	Send       func(to cell.RouterID, message wire.Message) // Send queues a message to an entry and must not block.
+	// SetRollout has the state of a roll-out written to the store where that shows another one. It is called repeatedly by the judge of
+	// the roll-out and must not block; nil if there are no roll-outs.
+	SetRollout func(order rollout.Order, state rollout.State)
 }
 
 // Role implements this router's dispatcher role for all cells: it decides which waiting requests of the
@@ -103,6 +107,7 @@
 	behindSentAt  time.Time                      // behindSentAt is when the entries were last told which teams are behind.
 	rejectedSent  []uint64                       // rejectedSent holds the prompt parts that the entries were last told to reject.
 	rejectedAt    time.Time                      // rejectedAt is when the entries were last told which prompt parts to reject.
+	rollout       judgedRollout
 }
 
 // New returns a Role without cells.
@@ -156,6 +161,7 @@
 		r.sendBehind(now, cs)
 		r.logCrashes(cs)
 		r.sendRejected(now, cs)
+		r.judgeRollout(now, cs)
 	}
 	if second := now.Truncate(tallyInterval); !second.Equal(r.tallySecond) {
 		r.logTallies(r.tallySecond)
--- a/router/grants.go
+++ b/router/grants.go
@@ -8,6 +8,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/result"
+	"ryelug/core/rollout"
 	"ryelug/io/pause"
 	"ryelug/router/coordination"
 	"ryelug/router/directory"
@@ -66,7 +67,8 @@
 	cell        cell.ID
 	attempt     cell.AttemptID
 	decision    lending.Decision
-	isBroken    bool // isBroken is set once the connection has closed before the answer was complete.
+	took        time.Duration // took is the time from sending to the answer; zero unless the cell has a running roll-out.
+	isBroken    bool          // isBroken is set once the connection has closed before the answer was complete.
 }
 
 // Attempt implements request.Permit.
@@ -115,6 +117,17 @@
 	p.coordinator.ReportFirstToken(p.cell, p.attempt, first)
 }
 
+// ReportTook implements request.Permit. The time is of use to the judge of a roll-out alone.
+func (p *permit) ReportTook(took time.Duration) {
+	d := p.directory()
+	if d == nil {
+		return
+	}
+	if order := d.Policy(p.cell).Rollout; order != nil && order.State == rollout.Running {
+		p.took = took
+	}
+}
+
 // ReportBroken implements request.Permit.
 func (p *permit) ReportBroken() { p.isBroken = true }
 
@@ -124,6 +137,6 @@
 
 // End implements request.Permit.
 func (p *permit) End(outcome cell.Outcome, cost cell.Cost, firstToken time.Duration) {
-	end := cell.End{Attempt: p.attempt, Outcome: outcome, Cost: cost, FirstToken: firstToken, IsBroken: p.isBroken}
+	end := cell.End{Attempt: p.attempt, Outcome: outcome, Cost: cost, FirstToken: firstToken, IsBroken: p.isBroken, Took: p.took}
 	p.coordinator.Finish(p.cell, end)
 }
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ryelug/core/dispatch"
+	"ryelug/core/rollout"
 	"ryelug/io/caller"
 	"ryelug/io/endpoint"
 	"ryelug/io/listener"
@@ -212,12 +213,17 @@
 			Processor: int(given.ProcessorShare * 1000), Others: given.OthersAddress,
 		},
 		Cold:        users.ColdBound{Factor: given.ColdFactor, Slack: given.ColdSlack},
+		Rollouts:    rollout.Bounds{Share: given.RolloutShare, Slack: int(given.RolloutSlack), Rollback: given.RolloutRollback},
+		GrantValid:  given.GrantValid,
 		RevokeBound: given.RevokeBound,
 		Now:         p.config.Now,
 		Log:         operator.Part(p.config.Log, operator.ConfigPart),
 		Seed:        p.config.Seed,
 	})
 	routerConfig.Source, routerConfig.Hosts = p.registry, p.registry
+	if given.RolloutShare > 0 {
+		routerConfig.SetRollout = p.registry.SetRollout
+	}
 	routerConfig.Neighbours = p.registry.Neighbours
 	routerConfig.Callers.Protocol = users.Callers()
 	routerConfig.Endpoints = p.newEndpoints(users.Endpoints())
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -82,6 +82,10 @@
 		gauges["confirmed_ms_ago"] = func() any { return p.registry.ConfirmedAgo().Milliseconds() }
 		gauges["platform_calls_by_purpose"] = func() any { return p.registry.CallsByPurpose() }
 		gauges["platform_era"] = func() any { return p.registry.Era() }
+		if p.config.Settings.RolloutShare > 0 {
+			gauges["rollouts"] = func() any { orders, _ := p.registry.Rollouts(); return orders }
+			gauges["rollout_writes"] = func() any { _, writes := p.registry.Rollouts(); return writes }
+		}
 		gauges["kinds_confirmed_ms_ago"] = func() any { return kindAges(p.registry) }
 	}
 	return gauges
--- a/router/request/fake_test.go
+++ b/router/request/fake_test.go
@@ -160,6 +160,7 @@
 func (p *fakePermit) Fetch() netip.AddrPort          { return netip.AddrPort{} }
 func (p *fakePermit) Predicted() time.Duration       { return 0 }
 func (p *fakePermit) ReportFirstToken(time.Duration) {}
+func (p *fakePermit) ReportTook(time.Duration)       {}
 func (p *fakePermit) ReportBroken()                  {}
 func (p *fakePermit) ReportCost(cell.Cost)           {}
 
--- a/router/request/run.go
+++ b/router/request/run.go
@@ -185,6 +185,7 @@
 	if answer.Events != nil {
 		return r.nextEvent()
 	}
+	r.permit.ReportTook(time.Since(r.sentAt))
 	if r.route.Verbatim && answer.Status >= http.StatusInternalServerError {
 		return &entry.FailedAnswer{Endpoint: call.Endpoint}
 	}
@@ -280,6 +281,9 @@
 	if r.timeToFirstToken == 0 {
 		r.timeToFirstToken = time.Since(r.sentAt)
 		r.permit.ReportFirstToken(r.timeToFirstToken)
+		if !r.sentAt.Before(r.grantedAt) { // A resumed stream counts from its first send, elsewhere.
+			r.permit.ReportTook(r.timeToFirstToken)
+		}
 	}
 	return &entry.Streamed{Endpoint: id, ID: event.ID, Done: string(event.Data) == endpoint.Done}
 }
--- a/router/request/runner.go
+++ b/router/request/runner.go
@@ -72,6 +72,8 @@
 	AwaitConfirmed(ctx context.Context) bool
 	// ReportFirstToken reports that the first token has arrived, and how long after the send.
 	ReportFirstToken(first time.Duration)
+	// ReportTook reports the time from sending to the complete answer, or to the first event of a stream.
+	ReportTook(took time.Duration)
 	// ReportBroken reports that the connection closed before the answer was complete, so that the endpoint may have
 	// crashed.
 	ReportBroken()
