--- a/core/placing/rollout.go
+++ b/core/placing/rollout.go
@@ -79,6 +79,7 @@
 			sum.StableRunning += at.running
 			if at.open {
 				sum.StableEndpoints++
+				sum.StableSlots += at.slots
 			}
 		case at.open && !at.isFaulty:
 			sum.TargetEndpoints++
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"math"
 	"time"
 
 	"ryelug/core/cell"
@@ -16,30 +15,13 @@
 	bucketSpan = 250 * time.Millisecond
 	// recentDecay is by how much the recent samples of the stable group lose weight in each bucket; the mean age is about a second.
 	recentDecay = 0.8
-	// priorWeight is the number of samples that a rate over a longer time counts for in one over a shorter time.
-	priorWeight = 10
-	// leastFailureRate and leastSlowRate are the least rates that the stable group is taken to have, so that a few bad
-	// answers that come together by chance are no evidence.
-	leastFailureRate = 0.005
-	leastSlowRate    = 0.02
+	// A bucket is disrupted if at least disruptedFailures requests of the stable group failed, and more than a part of disruptedRate
+	// plus disruptedFactor times the usual one.
+	disruptedFailures = 3
+	disruptedRate     = 0.1
+	disruptedFactor   = 3
 	// slowFactor is how many times the median of the stable group a slow answer takes.
 	slowFactor = 2
-	// fewMore and manyMore are how much more often than the stable group a bad version fails, by the two tests on failures; the
-	// first finds a version that fails one in ten, the second decides sooner on one that fails half. slowMore is that of the test
-	// on slow answers. manyMore and slowMore are parts of what the stable group does well.
-	fewMore  = 0.05
-	manyMore = 0.4
-	slowMore = 0.4
-	// errorOdds is the inverse of the probability that chance alone condemns a good version.
-	errorOdds = 1000
-)
-
-// The sequential tests of each class.
-const (
-	fewTest = iota
-	manyTest
-	slowTest
-	testCount
 )
 
 // rates counts samples and the bad ones among them, with weights.
@@ -61,24 +43,15 @@
 
 // class is the evidence on the requests of one route class.
 type class struct {
-	name     string
+	evidence
 	requests int // requests counts the grants, less those that were not sent.
 	exposed  int // exposed counts those to the target.
-	target   int // target counts the samples of the target.
 
 	total, recent, bucket rates     // total, recent and bucket are those of the stable group: since the order, in the last seconds, and in the present bucket.
 	times                 histogram // times holds the recent times of the stable group.
 	slowFrom              float64   // slowFrom is the time from which an answer is slow in this bucket; zero if not known.
 
-	tests [testCount]float64 // tests holds the logarithms of the odds that the target is bad, each at least zero (CUSUM).
-	// parts holds, for each target endpoint, its samples in this bucket and what it contributed to the odds since they were zero.
-	parts []part
-}
-
-// part is what one target endpoint contributes to the evidence on a class.
-type part struct {
-	bucket rates
-	tests  [testCount]float64
+	buckets []rates // buckets holds, by target endpoint, its samples in this bucket.
 }
 
 // addSample records a response, or a refusal. The index of the endpoint is negative for the stable group.
@@ -111,8 +84,9 @@
 	endpoint.slots = max(sample.Slots, 1)
 	t.counts.TargetSamples++
 	t.counts.TargetFailures += int(one.failed)
-	state.target++
-	if sample.GrantedAt.Before(endpoint.failedAt) {
+	state.samples++
+	t.all.samples++
+	if endpoint.isFaulty || sample.GrantedAt.Before(endpoint.failedAt) {
 		return // The crash or the cut that ended an earlier request may have ended this one too, so it is no evidence of its own.
 	}
 	if hasFailed {
@@ -122,10 +96,10 @@
 	if sample.Running >= min(t.level(endpoint), sample.Slots) {
 		endpoint.loaded++
 	}
-	for len(state.parts) <= int(at) {
-		state.parts = append(state.parts, part{})
+	for len(state.buckets) <= int(at) {
+		state.buckets = append(state.buckets, rates{})
 	}
-	state.parts[at].bucket.add(&one)
+	state.buckets[at].add(&one)
 }
 
 // measure returns the time of an answer in relation to what was expected of it, in seconds; zero if it is no evidence.
@@ -143,114 +117,40 @@
 func (t *Trial) closeBucket() {
 	for i := range t.classes {
 		state := &t.classes[i]
-		state.total.add(&state.bucket)
-		state.recent.add(&state.bucket)
-		state.test()
-		state.recent.scale(recentDecay)
-		state.times.scale(recentDecay)
-		state.bucket = rates{}
-		if median := state.times.median(); median > 0 {
-			state.slowFrom = slowFactor * median
+		tests := state.closeStable()
+		for at := range state.buckets {
+			if state.buckets[at].samples > 0 {
+				added := tests.add(&state.buckets[at])
+				state.add(at, &added)
+				t.all.add(at, &added)
+				state.buckets[at] = rates{}
+			}
 		}
+		state.settle()
 	}
+	t.all.settle()
 }
 
-// test adds the bucket's samples of the target to the odds of each test.
-func (c *class) test() {
-	failed := baseRate(c.total.failed, c.total.samples, c.recent.failed, c.recent.samples, c.bucket.failed, c.bucket.samples, leastFailureRate)
-	slow := baseRate(c.total.slow, c.total.timed, c.recent.slow, c.recent.timed, c.bucket.slow, c.bucket.timed, leastSlowRate)
-	few := oddsOf(failed, min(0.99, failed+fewMore))
-	many := oddsOf(failed, failed+manyMore*(1-failed))
-	late := oddsOf(slow, slow+slowMore*(1-slow))
-	var sum [testCount]float64
-	for i := range c.parts {
-		at := &c.parts[i]
-		added := [testCount]float64{
-			few.of(at.bucket.failed, at.bucket.samples), many.of(at.bucket.failed, at.bucket.samples), late.of(at.bucket.slow, at.bucket.timed),
-		}
-		for k := range added {
-			sum[k] += added[k]
-			at.tests[k] += added[k]
-		}
-		at.bucket = rates{}
+// closeStable ends the bucket of the stable group, and returns the tests of the target's samples in it.
+func (c *class) closeStable() tests {
+	if !c.isDisrupted() {
+		c.total.add(&c.bucket)
 	}
-	for k := range sum {
-		c.tests[k] += sum[k]
-		if c.tests[k] <= 0 {
-			c.clearTest(k)
-		}
+	c.recent.add(&c.bucket)
+	failed := baseRate(ratio{c.total.failed, c.total.samples}, ratio{c.recent.failed, c.recent.samples}, ratio{c.bucket.failed, c.bucket.samples}, leastFailureRate)
+	slow := baseRate(ratio{c.total.slow, c.total.timed}, ratio{c.recent.slow, c.recent.timed}, ratio{c.bucket.slow, c.bucket.timed}, leastSlowRate)
+	c.recent.scale(recentDecay)
+	c.times.scale(recentDecay)
+	c.bucket = rates{}
+	if median := c.times.median(); median > 0 {
+		c.slowFrom = slowFactor * median
 	}
+	return tests{few: stepOf(failed, min(0.99, failed+fewMore)), many: stepOf(failed, failed+manyMore*(1-failed)), slow: stepOf(slow, slow+slowMore*(1-slow))}
 }
 
-// clearTest sets the odds of a test to zero.
-func (c *class) clearTest(k int) {
-	c.tests[k] = 0
-	for i := range c.parts {
-		c.parts[i].tests[k] = 0
-	}
-}
-
-// baseRate returns the rate of bad answers to expect of a good target: the largest of the stable group's rates since the order,
-// in the last seconds and in this bucket. The largest one is taken so that a disruption of both groups is held against neither.
-func baseRate(totalBad, total, recentBad, recent, bucketBad, bucket, least float64) float64 {
-	overall := (totalBad + 0.5) / (total + 1)
-	lately := (recentBad + priorWeight*overall) / (recent + priorWeight)
-	now := (bucketBad + priorWeight*lately) / (bucket + priorWeight)
-	return min(0.9, max(least, overall, lately, now))
-}
-
-// odds holds by how much one bad and one good answer change the logarithm of the odds that the target is bad.
-type odds struct{ bad, good float64 }
-
-// oddsOf returns the odds of a good target with the first rate of bad answers against a bad one with the second.
-func oddsOf(good, bad float64) odds {
-	return odds{bad: math.Log(bad / good), good: math.Log((1 - bad) / (1 - good))}
-}
-
-func (o odds) of(bad, all float64) float64 { return bad*o.bad + (all-bad)*o.good }
-
-// threshold returns the logarithm of the odds from which a test of the class condemns the target. A test is made on every
-// sample of each class.
-func (t *Trial) threshold(state *class) float64 {
-	return math.Log(errorOdds*testCount*float64(len(t.classes))) + math.Log(1+float64(state.target))
-}
-
-const (
-	binsPerOctave = 4
-	binCount      = 30 * binsPerOctave
-	firstBin      = -20 // firstBin is the binary logarithm of the least time that is told apart.
-)
-
-// histogram counts times, with weights, in bins of equal ratio.
-type histogram struct {
-	bins [binCount]float32
-	sum  float64
-}
-
-func (h *histogram) add(value float64) {
-	bin := int((math.Log2(value) - firstBin) * binsPerOctave)
-	h.bins[min(binCount-1, max(0, bin))]++
-	h.sum++
-}
-
-func (h *histogram) scale(factor float64) {
-	for i := range h.bins {
-		h.bins[i] *= float32(factor)
-	}
-	h.sum *= factor
-}
-
-// median returns the upper end of the median's bin; zero without enough values.
-func (h *histogram) median() float64 {
-	if h.sum < 2 {
-		return 0
-	}
-	left := h.sum / 2
-	for i := range h.bins {
-		left -= float64(h.bins[i])
-		if left <= 0 {
-			return math.Exp2(float64(i+1)/binsPerOctave + firstBin)
-		}
-	}
-	return 0
+// isDisrupted reports whether the stable group failed far more often in this bucket than since the order. Such a bucket would hide for
+// the rest of the roll-out that the target fails a little more often; that it lasts is seen in the recent samples.
+func (c *class) isDisrupted() bool {
+	usual := (c.total.failed + 0.5) / (c.total.samples + 1)
+	return c.bucket.failed >= disruptedFailures && c.bucket.failed > (disruptedRate+disruptedFactor*usual)*c.bucket.samples
 }
--- a/core/rollout/sample.go
+++ b/core/rollout/sample.go
@@ -35,6 +35,7 @@
 	TargetEndpoints int // TargetEndpoints is the number of open target endpoints.
 	ReadySlots      int // ReadySlots is the number of slots of the target endpoints that are open, not cold and not failing.
 	StableEndpoints int // StableEndpoints is the number of open endpoints of other versions.
+	StableSlots     int // StableSlots is the number of slots of these.
 	StableRunning   int // StableRunning is the number of requests that run at endpoints of other versions.
 }
 
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"time"
 
 	"ryelug/core/cell"
@@ -38,6 +39,7 @@
 
 	counts     Counts
 	classes    []class
+	all        evidence // all is the evidence on all classes together.
 	classIndex map[string]int32
 	endpoints  []endpoint // endpoints are the target endpoints that got requests.
 	index      map[cell.EndpointID]int32
@@ -57,7 +59,7 @@
 
 // New returns the Trial of an order.
 func New(config Config) *Trial {
-	t := &Trial{bounds: config.Bounds, classIndex: make(map[string]int32), index: make(map[cell.EndpointID]int32), state: Running}
+	t := &Trial{bounds: config.Bounds, classIndex: make(map[string]int32), index: make(map[cell.EndpointID]int32), all: evidence{name: "all classes"}, state: Running}
 	t.Update(config.Order)
 	return t
 }
@@ -205,7 +207,7 @@
 	}
 	if !ok {
 		index = int32(len(t.classes))
-		t.classes = append(t.classes, class{name: name})
+		t.classes = append(t.classes, class{evidence: evidence{name: fmt.Sprintf("class %q", name)}})
 		t.classIndex[name] = index
 	}
 	return index
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -67,32 +68,30 @@
 
 // convict stops the target, or one of its endpoints, if a test condemns it.
 func (t *Trial) convict() {
+	t.convictBy(&t.all)
 	for i := range t.classes {
-		for k := range t.classes[i].tests {
-			if state := &t.classes[i]; state.tests[k] >= t.threshold(state) && !t.leaveOut(state, k) {
-				t.stop(&t.classes[i], k)
-			}
-		}
+		t.convictBy(&t.classes[i].evidence)
 	}
 }
 
-// stop records that the target is bad.
-func (t *Trial) stop(state *class, test int) {
-	if t.isStopped {
-		return
-	}
-	t.isStopped = true
-	kind := "fails more often"
-	if test == slowTest {
-		kind = "is slower"
+func (t *Trial) convictBy(found *evidence) {
+	for test := range found.odds {
+		if t.isStopped || found.odds[test] < found.threshold(len(t.classes)) || t.leaveOut(found, test) {
+			continue
+		}
+		t.isStopped = true
+		kind := "fails more often"
+		if test == slowTest {
+			kind = "is slower"
+		}
+		t.reason = fmt.Sprintf("the target %s in %s", kind, found.name)
 	}
-	t.reason = fmt.Sprintf("the target %s in class %q", kind, state.name)
 }
 
 // leaveOut reports whether a test rests on one endpoint alone. This one gets nothing more, and its samples no longer count. A
 // second such endpoint shows that it is the version after all.
-func (t *Trial) leaveOut(state *class, test int) bool {
-	sampled, faulty, worst := 0, 0, 0
+func (t *Trial) leaveOut(found *evidence, test int) bool {
+	sampled, faulty := 0, 0
 	for i := range t.endpoints {
 		if t.endpoints[i].samples > 0 {
 			sampled++
@@ -101,23 +100,14 @@
 			faulty++
 		}
 	}
-	for i := range state.parts {
-		if state.parts[i].tests[test] > state.parts[worst].tests[test] {
-			worst = i
-		}
-	}
-	rest := state.tests[test] - state.parts[worst].tests[test]
-	if sampled < comparedEndpoints || faulty > 0 || rest >= faultyPart*state.tests[test] {
+	worst, rest := found.worst(test)
+	if sampled < comparedEndpoints || faulty > 0 || rest >= faultyPart*found.odds[test] {
 		return false
 	}
 	t.endpoints[worst].isFaulty = true
+	t.all.leaveOut(worst)
 	for i := range t.classes {
-		for k := range t.classes[i].tests {
-			if len(t.classes[i].parts) > worst {
-				t.classes[i].tests[k] = max(0, t.classes[i].tests[k]-t.classes[i].parts[worst].tests[k])
-				t.classes[i].parts[worst] = part{}
-			}
-		}
+		t.classes[i].leaveOut(worst)
 	}
 	return true
 }
@@ -145,15 +135,13 @@
 // obstacle returns why the roll-out can't be completed now; empty if it can. It may be able to a little later if canWait. A mere
 // doubt is none when time is up.
 func (t *Trial) obstacle(capacity Capacity, isLast bool) (reason string, canWait bool) {
-	worst := 0.0
+	worst := slices.Max(t.all.odds[:])
 	for i := range t.classes {
 		state := &t.classes[i]
-		for _, odds := range state.tests {
-			worst = max(worst, odds)
-		}
+		worst = max(worst, slices.Max(state.odds[:]))
 		needed := min(wantedSamples, neededPart*float64(state.requests))
-		if state.requests >= leastTraffic && float64(state.target) < needed {
-			return fmt.Sprintf("too few samples: %d of %d requests in class %q", state.target, state.requests, state.name), true
+		if state.requests >= leastTraffic && float64(state.samples) < needed {
+			return fmt.Sprintf("too few samples: %d of %d requests in %s", state.samples, state.requests, state.name), true
 		}
 	}
 	needed := min(neededSamples, neededPart*float64(t.counts.Requests))
@@ -166,7 +154,7 @@
 		return "the target is probably worse", true
 	case worst > doubtfulOdds && !isLast:
 		return "the target may be worse", true
-	case float64(capacity.ReadySlots) < capacityMargin*t.demand.value:
+	case float64(capacity.ReadySlots) < t.neededSlots(capacity):
 		return fmt.Sprintf("too little capacity: %d slots for %.1f requests", capacity.ReadySlots, t.demand.value), true
 	case t.isFaultUnclear():
 		return "an endpoint of the target is bad, and too few others were tried under load", true
@@ -174,6 +162,15 @@
 	return "", false
 }
 
+// neededSlots returns the number of slots that the target needs: as many as the other version has suffice, however busy that one is.
+func (t *Trial) neededSlots(capacity Capacity) float64 {
+	needed := capacityMargin * t.demand.value
+	if capacity.StableSlots > 0 {
+		needed = min(needed, float64(capacity.StableSlots))
+	}
+	return needed
+}
+
 // isFaultUnclear reports whether an endpoint is left out as faulty although no other one was tried under the same load.
 func (t *Trial) isFaultUnclear() bool {
 	needed, others := 0, 0
