Find versions that fail a little or late, also while both versions are disturbed

The trial completed versions that fail one in ten after a disruption of both versions, and versions of which one endpoint was left out as faulty by chance. Buckets in which the old version is disrupted count for nothing, classes are judged together too, the last stage keeps its credit for bursts, and after an endpoint was left out the others must show that they are good.

--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -20,6 +20,8 @@
 	disruptedFailures = 3
 	disruptedRate     = 0.1
 	disruptedFactor   = 3
+	// maxDisrupted is the number of buckets after which the stable group is taken to fail as usual.
+	maxDisrupted = 12
 	// slowFactor is how many times the median of the stable group a slow answer takes.
 	slowFactor = 2
 )
@@ -51,6 +53,8 @@
 	times                 histogram // times holds the recent times of the stable group.
 	slowFrom              float64   // slowFrom is the time from which an answer is slow in this bucket; zero if not known.
 
+	disrupted int // disrupted counts the disrupted buckets up to now.
+
 	buckets []rates // buckets holds, by target endpoint, its samples in this bucket.
 }
 
@@ -119,12 +123,13 @@
 		state := &t.classes[i]
 		tests := state.closeStable()
 		for at := range state.buckets {
-			if state.buckets[at].samples > 0 {
+			if state.buckets[at].samples > 0 && state.disrupted == 0 {
 				added := tests.add(&state.buckets[at])
 				state.add(at, &added)
 				t.all.add(at, &added)
-				state.buckets[at] = rates{}
+				t.endpoints[at].addOdds(&added)
 			}
+			state.buckets[at] = rates{}
 		}
 		state.settle()
 	}
@@ -133,10 +138,13 @@
 
 // closeStable ends the bucket of the stable group, and returns the tests of the target's samples in it.
 func (c *class) closeStable() tests {
-	if !c.isDisrupted() {
+	if c.isDisrupted() {
+		c.disrupted++
+	} else {
+		c.disrupted = 0
 		c.total.add(&c.bucket)
+		c.recent.add(&c.bucket)
 	}
-	c.recent.add(&c.bucket)
 	failed := baseRate(ratio{c.total.failed, c.total.samples}, ratio{c.recent.failed, c.recent.samples}, ratio{c.bucket.failed, c.bucket.samples}, leastFailureRate)
 	slow := baseRate(ratio{c.total.slow, c.total.timed}, ratio{c.recent.slow, c.recent.timed}, ratio{c.bucket.slow, c.bucket.timed}, leastSlowRate)
 	c.recent.scale(recentDecay)
@@ -148,9 +156,17 @@
 	return tests{few: stepOf(failed, min(0.99, failed+fewMore)), many: stepOf(failed, failed+manyMore*(1-failed)), slow: stepOf(slow, slow+slowMore*(1-slow))}
 }
 
-// isDisrupted reports whether the stable group failed far more often in this bucket than since the order. Such a bucket would hide for
-// the rest of the roll-out that the target fails a little more often; that it lasts is seen in the recent samples.
+// isDisrupted reports whether the stable group failed far more often in this bucket than since the order. Such a bucket counts for
+// nothing: the target fails then too, and would seem no worse than the other version for the rest of the roll-out.
 func (c *class) isDisrupted() bool {
 	usual := (c.total.failed + 0.5) / (c.total.samples + 1)
-	return c.bucket.failed >= disruptedFailures && c.bucket.failed > (disruptedRate+disruptedFactor*usual)*c.bucket.samples
+	isBad := c.bucket.failed >= disruptedFailures && c.bucket.failed > (disruptedRate+disruptedFactor*usual)*c.bucket.samples
+	return isBad && c.disrupted < maxDisrupted
+}
+
+// addOdds adds what a bucket of the endpoint's samples contributes.
+func (e *endpoint) addOdds(added *logOdds) {
+	for k := range added {
+		e.odds[k] += added[k]
+	}
 }
--- a/core/rollout/simulation_test.go
+++ b/core/rollout/simulation_test.go
@@ -244,9 +244,9 @@
 	switch {
 	case s.faulty && at.id == "new0", isTarget && s.kind == failsHalf, isTarget && s.kind == lateOnset && s.elapsed() > s.onset,
 		isTarget && s.kind == underLoadOnly && float64(at.running) >= max(2, 0.8*busy), isTarget && s.kind == oneRouteOnly && class == "class0":
-		failing = 0.5
+		failing = max(failing, 0.5)
 	case isTarget && s.kind == failsOneInTen:
-		failing = 0.1
+		failing = max(failing, 0.1)
 	case isTarget && s.kind == slowBy3:
 		took, isLate = 3*took, true
 	case isTarget && s.kind == slowBy8:
--- a/core/rollout/stage.go
+++ b/core/rollout/stage.go
@@ -35,6 +35,7 @@
 	loaded   int  // loaded counts the samples that were taken beside as many other requests as the other version runs.
 	isFaulty bool // isFaulty is true if it alone is bad, not its version.
 
+	odds     logOdds   // odds are the sums over its samples; since another one was found faulty, if one was.
 	failedAt time.Time // failedAt is the time of its last failure that counted.
 }
 
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -43,6 +43,7 @@
 	classIndex map[string]int32
 	endpoints  []endpoint // endpoints are the target endpoints that got requests.
 	index      map[cell.EndpointID]int32
+	faultTest  int // faultTest is the test that left an endpoint out.
 	reserve    int // reserve is the number of target grants that are withheld for classes with too few samples.
 
 	startedAt  time.Time // startedAt is the time of the first Step.
@@ -101,7 +102,11 @@
 	if float64(state.exposed+1) > maxClassShare*float64(state.requests+1) {
 		return Stable
 	}
-	if state.exposed < wantedSamples || t.MayUse(now, Target) {
+	wanted := float64(wantedSamples)
+	if t.stage(now) == 3 {
+		wanted = state.neededSamples() // The credit is for the bursts.
+	}
+	if float64(state.exposed) < wanted || t.MayUse(now, Target) {
 		return Target
 	}
 	return Stable
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -21,6 +21,8 @@
 	faultyPart = 0.25
 	// comparedEndpoints is the least number of endpoints with samples of which one can be faulty.
 	comparedEndpoints = 3
+	// soundOdds is the logarithm of the odds, over all their samples, below which the other endpoints are good.
+	soundOdds = -3
 	// neededLoaded is the number of samples under load that another endpoint needs before one is left out as faulty.
 	neededLoaded = 10
 	// repeatAfter is the time after which a verdict that the store does not show is returned again.
@@ -105,6 +107,10 @@
 		return false
 	}
 	t.endpoints[worst].isFaulty = true
+	t.faultTest = test
+	for i := range t.endpoints {
+		t.endpoints[i].odds = logOdds{} // A version may turn bad late, so only what follows shows that the others are good.
+	}
 	t.all.leaveOut(worst)
 	for i := range t.classes {
 		t.classes[i].leaveOut(worst)
@@ -139,8 +145,7 @@
 	for i := range t.classes {
 		state := &t.classes[i]
 		worst = max(worst, slices.Max(state.odds[:]))
-		needed := min(wantedSamples, neededPart*float64(state.requests))
-		if state.requests >= leastTraffic && float64(state.samples) < needed {
+		if state.requests >= leastTraffic && float64(state.samples) < state.neededSamples() {
 			return fmt.Sprintf("too few samples: %d of %d requests in %s", state.samples, state.requests, state.name), true
 		}
 	}
@@ -157,11 +162,14 @@
 	case float64(capacity.ReadySlots) < t.neededSlots(capacity):
 		return fmt.Sprintf("too little capacity: %d slots for %.1f requests", capacity.ReadySlots, t.demand.value), true
 	case t.isFaultUnclear():
-		return "an endpoint of the target is bad, and too few others were tried under load", true
+		return "an endpoint of the target is bad, and the others may be too", true
 	}
 	return "", false
 }
 
+// neededSamples returns the number of samples without which the class is not known to be good.
+func (c *class) neededSamples() float64 { return min(wantedSamples, neededPart*float64(c.requests)) }
+
 // neededSlots returns the number of slots that the target needs: as many as the other version has suffice, however busy that one is.
 func (t *Trial) neededSlots(capacity Capacity) float64 {
 	needed := capacityMargin * t.demand.value
@@ -171,15 +179,17 @@
 	return needed
 }
 
-// isFaultUnclear reports whether an endpoint is left out as faulty although no other one was tried under the same load.
+// isFaultUnclear reports whether an endpoint is left out as faulty although too little shows that the others are good, or no other
+// one was tried under the same load.
 func (t *Trial) isFaultUnclear() bool {
-	needed, others := 0, 0
+	needed, loaded, others, hasFaulty := 0, 0, 0.0, false
 	for i := range t.endpoints {
 		if at := &t.endpoints[i]; at.isFaulty {
-			needed = max(needed, min(neededLoaded, at.loaded))
+			needed, hasFaulty = max(needed, min(neededLoaded, at.loaded)), true
 		} else {
-			others = max(others, at.loaded)
+			loaded = max(loaded, at.loaded)
+			others += at.odds[t.faultTest]
 		}
 	}
-	return others < needed
+	return hasFaulty && (loaded < needed || others > soundOdds)
 }
