Let only the judge expose requests to the target, and a late judge decide on what it has

The samples of other dispatchers serve no verdict, so their exposure was for nothing. A dispatcher that became judge in the second half had to show as many samples as one that was it from the start, or completed bad versions on none. A faulty endpoint that got all of the first requests condemned its version; now it is left out if the version has three.

--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -76,3 +76,84 @@
 		}
 	}
 }
+
+// Guards against an exposure that grows with the number of dispatchers, one after the other and side by side, and against a new judge
+// that completes a version on too little evidence. Without a judge the target gets nothing.
+func TestSeveralDispatchers(t *testing.T) {
+	for seed := range *seeds / 4 {
+		given := randomScenario(4*seed, kind(1+seed%uint64(kindCount-1)))
+		given.turns = 2 + int(seed%3)
+		if seed%2 == 0 {
+			given.splits = []float64{0.7, 0.1, 0.1, 0.1}
+		}
+		if seed%6 == 5 {
+			given.splits = []float64{0.5, 0.5}
+		}
+		got := play(given)
+		checkBounds(t, given, got)
+		if got.state == rollout.Completed || seed%6 == 5 && got.exposed > 0 {
+			t.Errorf("%+v: %+v", given, got)
+		}
+	}
+}
+
+// Guards against good versions that are rolled back because the judge is lost.
+func TestGoodVersionsOfSeveralJudges(t *testing.T) {
+	completed := 0
+	for seed := range *seeds / 4 {
+		given := randomScenario(4*seed, good)
+		given.turns = 2 + int(seed%3)
+		got := play(given)
+		if got.state == rollout.Completed && got.at < given.duration {
+			completed++
+		} else {
+			t.Logf("%+v: %+v", given, got)
+		}
+	}
+	if uint64(completed) < *seeds/4*9/10 {
+		t.Errorf("%d of %d good versions were completed", completed, *seeds/4)
+	}
+}
+
+// Guards against a target that gets requests from a dispatcher that the store no longer tells about the roll-out.
+func TestStoreIsSilent(t *testing.T) {
+	for seed := range uint64(10) {
+		given := randomScenario(4*seed, good)
+		given.sickAfter = 4 * time.Second
+		got := play(given)
+		if got.state == rollout.Completed || got.lastSent > 6*time.Second+100*time.Millisecond {
+			t.Errorf("%+v: %+v", given, got)
+		}
+	}
+}
+
+// Guards against a good version that is rolled back because one of its endpoints is faulty.
+func TestFaultyEndpoint(t *testing.T) {
+	completed := 0
+	for seed := range uint64(20) {
+		given := randomScenario(4*seed, good)
+		given.faulty, given.endpoints = true, given.endpoints+1
+		got := play(given)
+		if got.state == rollout.Completed {
+			completed++
+		} else {
+			t.Logf("%+v: %+v", given, got)
+		}
+	}
+	if completed < 18 {
+		t.Errorf("%d of 20 versions with a faulty endpoint were completed", completed)
+	}
+}
+
+// Guards against good versions of services with few requests that are never completed, for want of samples.
+func TestFewRequests(t *testing.T) {
+	for seed := range uint64(20) {
+		given := randomScenario(4*seed, good)
+		given.rate = 15 + 2*float64(seed)
+		got := play(given)
+		checkBounds(t, given, got)
+		if got.state != rollout.Completed {
+			t.Errorf("%+v: %+v", given, got)
+		}
+	}
+}
--- a/core/rollout/simulation_test.go
+++ b/core/rollout/simulation_test.go
@@ -123,6 +123,7 @@
 		s.servers = append(s.servers, &server{id: cell.EndpointID(fmt.Sprint("old", i)), group: rollout.Stable}, &server{id: cell.EndpointID(fmt.Sprint("new", i)), group: rollout.Target})
 	}
 	s.restart()
+	s.judge = -1
 	for i, part := range s.splits {
 		if part > 0.5 {
 			s.judge = i
--- a/core/rollout/stage.go
+++ b/core/rollout/stage.go
@@ -50,16 +50,21 @@
 	return o.Deadline().Add(-min(lead, o.Duration/2))
 }
 
-// stage returns the present stage: 1 with few requests, 2 with more of them, 3 with bursts. A dispatcher that starts during the
-// roll-out passes through all of them in the time that is left.
+// isLate reports whether this dispatcher became the judge in the second half of the time until the verdict.
+func (t *Trial) isLate() bool {
+	return t.startedAt.Sub(t.order.Seen) > t.order.verdictAt().Sub(t.order.Seen)/2
+}
+
+// stage returns the present stage: 1 with few requests, 2 with more of them, 3 with bursts. A judge that starts during the
+// roll-out skips the first one, and passes through the others in the time that is left.
 func (t *Trial) stage(now time.Time) int {
-	began := t.startedAt
-	if began.Before(t.order.Seen) {
-		began = t.order.Seen
+	began, ends := t.order.Seen, t.order.verdictAt()
+	isFirst := t.startedAt.Sub(began) < time.Duration(initialUntil*float64(ends.Sub(began)))
+	if !isFirst {
+		began, ends = t.startedAt, t.order.lastMoment()
 	}
-	span := t.order.verdictAt().Sub(began)
-	switch passed := float64(now.Sub(began)) / float64(max(1, span)); {
-	case passed < initialUntil:
+	switch passed := float64(now.Sub(began)) / float64(max(1, ends.Sub(began))); {
+	case passed < initialUntil && isFirst:
 		return 1
 	case passed < middleUntil:
 		return 2
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -8,18 +8,22 @@
 
 const (
 	// finalOdds is the logarithm of the odds from which a target is bad when time is up.
-	finalOdds = 6
+	finalOdds = 6.0
+	// lateSamples is the least number of samples where the judge began in the second half, and lateOdds replaces finalOdds there
+	// below neededSamples. Such a judge goes by that an earlier one would have ended the roll-out of a bad version.
+	lateOdds    = 2.0
+	lateSamples = 12
 	// doubtfulOdds is that from which the verdict waits for more samples if there is time.
 	doubtfulOdds = 3
 	// neededSamples is the number of samples that excludes a version that fails one in ten, with an error of 1 in 1,000.
 	neededSamples = 65
-	// neededPart is the part of the requests that must be samples of the target where neededSamples are out of reach.
-	neededPart = 0.04
-	// leastTraffic is the number of requests from which a class needs samples.
+	// neededPart is the part of all samples that must be of the target where neededSamples are out of reach.
+	neededPart = 0.03
+	// leastTraffic is the number of samples of the other version from which a class needs samples.
 	leastTraffic = 25
 	// faultyPart is the part of the odds that must remain without one endpoint; otherwise that one is faulty, not the version.
 	faultyPart = 0.25
-	// comparedEndpoints is the least number of endpoints with samples of which one can be faulty.
+	// comparedEndpoints is the least number of endpoints of which one can be faulty.
 	comparedEndpoints = 3
 	// soundOdds is the logarithm of the odds, over all their samples, below which the other endpoints are good.
 	soundOdds = -3
@@ -34,8 +38,9 @@
 // Step advances the time, and must be called at least every 100 ms. It returns a verdict that the judge must have written to
 // the store, and whether there is one. It returns the verdict again from time to time until Update shows a final state.
 func (t *Trial) Step(now time.Time, capacity Capacity, isJudge bool) (Verdict, bool) {
-	if t.startedAt.IsZero() {
-		t.startedAt, t.bucketEnds = now, now.Add(bucketSpan)
+	t.isJudge = isJudge
+	if isJudge && t.startedAt.IsZero() {
+		t.startedAt = now
 	}
 	if t.isRemoved {
 		return Verdict{}, false
@@ -45,6 +50,7 @@
 		t.bucketEnds = now.Add(bucketSpan)
 		t.convict()
 	}
+	t.targets = capacity.TargetEndpoints
 	t.demand.addAt(now, float64(capacity.StableRunning))
 	t.countReserve()
 	t.updateBurst(now)
@@ -93,17 +99,14 @@
 // leaveOut reports whether a test rests on one endpoint alone. This one gets nothing more, and its samples no longer count. A
 // second such endpoint shows that it is the version after all.
 func (t *Trial) leaveOut(found *evidence, test int) bool {
-	sampled, faulty := 0, 0
+	faulty := 0
 	for i := range t.endpoints {
-		if t.endpoints[i].samples > 0 {
-			sampled++
-		}
 		if t.endpoints[i].isFaulty {
 			faulty++
 		}
 	}
 	worst, rest := found.worst(test)
-	if sampled < comparedEndpoints || faulty > 0 || rest >= faultyPart*found.odds[test] {
+	if t.targets < comparedEndpoints || faulty > 0 || rest >= faultyPart*found.odds[test] {
 		return false
 	}
 	t.endpoints[worst].isFaulty = true
@@ -124,10 +127,14 @@
 		t.state = RolledBack
 		return
 	}
-	if now.Before(t.order.verdictAt()) {
+	verdictAt, lastMoment := t.order.verdictAt(), t.order.lastMoment()
+	if t.isLate() {
+		verdictAt = lastMoment
+	}
+	if now.Before(verdictAt) {
 		return
 	}
-	isLast := !now.Before(t.order.lastMoment())
+	isLast := !now.Before(lastMoment)
 	obstacle, canWait := t.obstacle(capacity, isLast)
 	isConfirmed := now.Sub(t.order.ConfirmedAt) <= confirmedFor
 	switch {
@@ -145,17 +152,23 @@
 	for i := range t.classes {
 		state := &t.classes[i]
 		worst = max(worst, slices.Max(state.odds[:]))
-		if state.requests >= leastTraffic && float64(state.samples) < state.neededSamples() {
+		if state.total.samples >= leastTraffic && float64(state.samples) < state.neededSamples() {
 			return fmt.Sprintf("too few samples: %d of %d requests in %s", state.samples, state.requests, state.name), true
 		}
 	}
-	needed := min(neededSamples, neededPart*float64(t.counts.Requests))
+	needed, tolerated := min(neededSamples, neededPart*float64(t.counts.StableSamples+t.counts.TargetSamples)), finalOdds
+	if t.isLate() {
+		needed = max(needed, lateSamples)
+	}
+	if t.isLate() && t.counts.TargetSamples < neededSamples {
+		tolerated = lateOdds
+	}
 	switch {
 	case capacity.TargetEndpoints == 0:
 		return "no endpoint of the target", false
 	case t.counts.TargetSamples == 0 || float64(t.counts.TargetSamples) < needed:
 		return fmt.Sprintf("too few samples: %d of %d requests", t.counts.TargetSamples, t.counts.Requests), true
-	case worst > finalOdds:
+	case worst > tolerated:
 		return "the target is probably worse", true
 	case worst > doubtfulOdds && !isLast:
 		return "the target may be worse", true
@@ -168,7 +181,9 @@
 }
 
 // neededSamples returns the number of samples without which the class is not known to be good.
-func (c *class) neededSamples() float64 { return min(wantedSamples, neededPart*float64(c.requests)) }
+func (c *class) neededSamples() float64 {
+	return min(wantedSamples, neededPart*(c.total.samples+float64(c.samples)))
+}
 
 // neededSlots returns the number of slots that the target needs: as many as the other version has suffice, however busy that one is.
 func (t *Trial) neededSlots(capacity Capacity) float64 {
