--- /dev/null
+++ b/core/rollout/trial_test.go
@@ -0,0 +1,107 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/core/rollout"
+)
+
+// tried is a Trial after 10.5 s of 100 requests a second, of which those at the target fail in part.
+type tried struct {
+	*rollout.Trial
+	now      time.Time
+	order    rollout.Order
+	capacity rollout.Capacity
+	verdicts []rollout.Verdict
+}
+
+func try(failEvery int, capacity rollout.Capacity) *tried {
+	began := time.Unix(1000, 0)
+	order := rollout.Order{Cell: "c", Target: "v2", Revision: 1, Duration: 12 * time.Second, Seen: began, ConfirmedAt: began, State: rollout.Running}
+	t := &tried{
+		Trial: rollout.New(rollout.Config{Order: order, Bounds: rollout.Bounds{Share: 0.1, Slack: 50, Rollback: 5 * time.Second}}),
+		now:   began, order: order, capacity: capacity,
+	}
+	exposed := 0
+	for t.now.Before(began.Add(10500 * time.Millisecond)) {
+		t.step(10 * time.Millisecond)
+		endpoint := cell.EndpointID(fmt.Sprint("e", exposed%3))
+		if focus := t.Focus(); focus != "" {
+			endpoint = focus
+		}
+		sample := rollout.Sample{Group: t.Pick(t.now, "k"), Class: "k", Endpoint: endpoint, Outcome: cell.Completed, Took: time.Millisecond, Running: 1, Slots: 4, GrantedAt: t.now}
+		t.Granted(t.now, sample.Group, "k", endpoint)
+		if sample.Group == rollout.Target {
+			if exposed++; failEvery > 0 && exposed%failEvery == 0 {
+				sample.Outcome = cell.Failed
+			}
+		}
+		t.Ended(t.now, sample)
+	}
+	return t
+}
+
+// step lets time pass, with a new confirmation of the order.
+func (t *tried) step(span time.Duration) {
+	t.now = t.now.Add(span)
+	t.order.ConfirmedAt = t.now
+	t.Update(t.order)
+	if verdict, ok := t.Step(t.now, t.capacity, true); ok {
+		t.verdicts = append(t.verdicts, verdict)
+	}
+}
+
+var enough = rollout.Capacity{TargetEndpoints: 3, ReadySlots: 12, StableEndpoints: 3, StableSlots: 12, StableRunning: 6}
+
+// Guards against a verdict that is lost with a write, or with the store's state: the judge returns it until the store has it.
+func TestVerdictIsRepeated(t *testing.T) {
+	is := is.New(t)
+	tried := try(0, enough)
+	is.Equal(len(tried.verdicts), 1)
+	is.Equal(tried.verdicts[0].State, rollout.Completed)
+	tried.step(time.Second)
+	is.Equal(len(tried.verdicts), 2)
+	tried.order.State = rollout.Completed
+	tried.step(2 * time.Second)
+	is.Equal(len(tried.verdicts), 2)
+	tried.order.State = rollout.Running // The store was restored from an older copy.
+	tried.step(time.Second)
+	is.Equal(len(tried.verdicts), 3)
+	is.Equal(tried.verdicts[2].State, rollout.Completed)
+	is.Equal(tried.Pick(tried.now, "k"), rollout.Target)
+}
+
+// Guards against a dispatcher that goes by its own verdict although the store has another one.
+func TestStorePrecedes(t *testing.T) {
+	is := is.New(t)
+	tried := try(0, enough)
+	tried.order.State = rollout.RolledBack
+	tried.step(10 * time.Millisecond)
+	is.Equal(tried.Pick(tried.now, "k"), rollout.Stable)
+	is.True(!tried.MayUse(tried.now, rollout.Target))
+}
+
+// Guards against the end of the old version before the target can do its work.
+func TestCapacityFirst(t *testing.T) {
+	is := is.New(t)
+	few := enough
+	few.ReadySlots = 6
+	is.Equal(len(try(0, few).verdicts), 0)
+	tried := try(0, few)
+	tried.step(600 * time.Millisecond)
+	is.Equal(tried.verdicts[0].State, rollout.RolledBack)
+}
+
+// Guards against a verdict that waits for the deadline although the target is known to be bad: one in four of its answers fails.
+func TestVerdictOnFailures(t *testing.T) {
+	is := is.New(t)
+	tried := try(4, enough)
+	is.Equal(tried.verdicts[0].State, rollout.RolledBack)
+	is.True(tried.verdicts[0].Counts.Exposed < 50)
+	is.True(tried.verdicts[0].Order.ConfirmedAt.Before(tried.order.Seen.Add(8 * time.Second)))
+}
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -148,6 +148,9 @@
 // obstacle returns why the roll-out can't be completed now; empty if it can. It may be able to a little later if canWait. A mere
 // doubt is none when time is up.
 func (t *Trial) obstacle(capacity Capacity, isLast bool) (reason string, canWait bool) {
+	if capacity.TargetEndpoints == 0 {
+		return "no endpoint of the target", false
+	}
 	worst := slices.Max(t.all.odds[:])
 	for i := range t.classes {
 		state := &t.classes[i]
@@ -164,8 +167,6 @@
 		tolerated = lateOdds
 	}
 	switch {
-	case capacity.TargetEndpoints == 0:
-		return "no endpoint of the target", false
 	case t.counts.TargetSamples == 0 || float64(t.counts.TargetSamples) < needed:
 		return fmt.Sprintf("too few samples: %d of %d requests", t.counts.TargetSamples, t.counts.Requests), true
 	case worst > tolerated:
