Tell the next judge by notes among the counters what the former one found

A judge that dies between its verdict and the write left the next one without the samples to complete a good version before the deadline. A note (sound, good or bad) now travels as a counter that entries bring to their next dispatcher anyway. Bursts leave an endpoint that gets no requests.

--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -221,7 +221,7 @@
 		}
 	}
 	for i := range counters {
-		if counters[i].Team == dispatch.VirtualTime {
+		if counters[i].Team == dispatch.VirtualTime || d.learnNote(&counters[i]) {
 			continue
 		}
 		index := d.teamOf(counters[i].Team)
--- a/core/admission/rollout.go
+++ b/core/admission/rollout.go
@@ -70,7 +70,10 @@
 	version, isMixed := placing.CommonVersion(policy.Endpoints)
 	switch {
 	case !isMixed:
-		d.rollout, d.version = nil, version
+		d.rollout = nil
+		if version != "" {
+			d.version = version
+		}
 		return
 	case d.rollout != nil:
 		d.rollout.trial.Remove()
@@ -146,3 +149,14 @@
 	d.rollout.trial.Ended(d.now, sample)
 	*counted = rolloutGrant{}
 }
+
+// learnNote reports whether a counter is a note about a roll-out, and passes it on.
+func (d *Dispatcher) learnNote(counter *cell.TeamCounter) bool {
+	if !rollout.IsNote(counter) {
+		return false
+	}
+	if d.rollout != nil {
+		d.rollout.trial.Learn(counter)
+	}
+	return true
+}
--- a/core/admission/snapshot.go
+++ b/core/admission/snapshot.go
@@ -25,7 +25,7 @@
 }
 
 // Counters appends the virtual time, under the name dispatch.VirtualTime, and then the settled virtual counters of the
-// teams that have waiting or running requests or were active within activePeriod. It returns the extended slice.
+// teams that have waiting or running requests or were active within activePeriod. Notes about a roll-out follow, if there is one. It returns the extended slice.
 func (d *Dispatcher) Counters(dst []cell.TeamCounter) []cell.TeamCounter {
 	dst = append(dst, cell.TeamCounter{Team: dispatch.VirtualTime, Service: d.ledger.SettledVirtual()})
 	for i := range d.teams {
@@ -34,5 +34,8 @@
 			dst = append(dst, cell.TeamCounter{Team: state.id, Service: d.ledger.Settled(i)})
 		}
 	}
+	if d.rollout != nil {
+		dst = d.rollout.trial.Notes(dst)
+	}
 	return dst
 }
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// Guards against a judge that dies as it writes its verdict: the next one must come to the same before the deadline.
+func TestLostWrite(t *testing.T) {
+	completed := uint64(0)
+	for seed := range *seeds / 4 {
+		given := randomScenario(4*seed, kind(seed%uint64(kindCount)))
+		given.lostWrite = true
+		got := play(given)
+		checkBounds(t, given, got)
+		switch {
+		case given.kind != good && got.state == rollout.Completed:
+			t.Errorf("%+v: %+v", given, got)
+		case given.kind == good && (got.state != rollout.Completed || got.at > given.duration):
+			t.Logf("%+v: %+v", given, got)
+		case given.kind == good:
+			completed++
+		}
+	}
+	if count := *seeds / 4 / uint64(kindCount); completed < count*9/10 {
+		t.Errorf("%d of %d good versions were completed", completed, count)
+	}
+}
+
 // Guards against a target that gets requests from a dispatcher that the store no longer tells about the roll-out.
 func TestStoreIsSilent(t *testing.T) {
 	for seed := range uint64(10) {
--- a/core/rollout/stage.go
+++ b/core/rollout/stage.go
@@ -24,6 +24,9 @@
 	burstLevels    = 4    // burstLevels is the number of requests of a burst, as a multiple of those that run at once.
 	savedShare     = 0.02 // savedShare is the part of all requests that a burst needs at most; it is what the first stages save.
 	leastBurst     = 4    // leastBurst is the least number of requests of a burst.
+
+	// burstPatience is how long a burst may get no request before it goes to another endpoint: this one may be closed, or failing.
+	burstPatience = 300 * time.Millisecond
 )
 
 // endpoint is a target endpoint.
@@ -75,8 +78,9 @@
 // burst is a run of requests that all go to one target endpoint, so that it is as busy as those of the other version. Without
 // it, a version that is bad only under load would look good at a small share.
 type burst struct {
-	isActive bool
-	endpoint int32
+	isActive  bool
+	endpoint  int32     // endpoint is the index of the present or last endpoint.
+	grantedAt time.Time // grantedAt is when the burst began or got its last request.
 }
 
 // isFull reports whether the endpoint of a burst runs enough requests.
@@ -93,26 +97,34 @@
 // updateBurst begins and ends the bursts of the last stage.
 func (t *Trial) updateBurst(now time.Time) {
 	credit := t.credit(now)
-	if t.burst.isActive && (credit < 1 || t.endpoints[t.burst.endpoint].isFaulty) {
+	isStuck := now.Sub(t.burst.grantedAt) > burstPatience
+	if t.burst.isActive && (credit < 1 || isStuck || t.endpoints[t.burst.endpoint].isFaulty) {
 		t.burst.isActive = false
 	}
 	if t.burst.isActive || t.state != Running || t.isStopped || t.stage(now) < 3 {
 		return
 	}
-	next := int32(-1)
-	for i := range t.endpoints {
-		at := &t.endpoints[i]
-		if !at.isFaulty && at.slots > 0 && (next < 0 || at.loaded < t.endpoints[next].loaded) {
-			next = int32(i)
-		}
-	}
+	next := t.nextFocus()
 	if next < 0 {
 		return
 	}
 	needed := min(float64(burstLevels*t.level(&t.endpoints[next])), savedShare*float64(t.counts.Requests))
 	if credit >= max(leastBurst, needed) {
-		t.burst = burst{isActive: true, endpoint: next}
+		t.burst = burst{isActive: true, endpoint: next, grantedAt: now}
+	}
+}
+
+// nextFocus returns the endpoint for the next burst: the one with the fewest samples under load, and not the last one if there is
+// another; negative if there is none.
+func (t *Trial) nextFocus() int32 {
+	next, last := int32(-1), t.burst.endpoint
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if !at.isFaulty && at.slots > 0 && (next < 0 || next == last || int32(i) != last && at.loaded < t.endpoints[next].loaded) {
+			next = int32(i)
+		}
 	}
+	return next
 }
 
 // average is a moving average with a time constant of averageSpan, or over samples with the inverse weight averageWeight.
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -54,6 +54,10 @@
 	demand     average // demand is the number of requests that run at endpoints of other versions.
 	pressure   average // pressure is the number of requests per slot at endpoints of other versions.
 
+	notes   notes
+	heard   heard
+	isSound bool // isSound is true if the evidence suffices for Completed, in the last stage.
+
 	state     State  // state is the final state that this dispatcher goes by; Running until then.
 	isStopped bool   // isStopped is true if the target gets nothing more here, whoever is judge.
 	reason    string // reason is that of state or isStopped.
@@ -64,6 +68,7 @@
 func New(config Config) *Trial {
 	t := &Trial{bounds: config.Bounds, classIndex: make(map[string]int32), index: make(map[cell.EndpointID]int32), all: evidence{name: "all classes"}, state: Running}
 	t.Update(config.Order)
+	t.setNotes()
 	return t
 }
 
@@ -151,7 +156,7 @@
 }
 
 // Granted records a grant.
-func (t *Trial) Granted(_ time.Time, group Group, class string, endpoint cell.EndpointID) {
+func (t *Trial) Granted(now time.Time, group Group, class string, endpoint cell.EndpointID) {
 	state := &t.classes[t.ensureClass(class)]
 	t.counts.Requests++
 	state.requests++
@@ -159,6 +164,7 @@
 		t.counts.Exposed++
 		state.exposed++
 		t.endpoints[t.ensureEndpoint(endpoint)].running++
+		t.burst.grantedAt = now
 	}
 }
 
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -14,7 +14,7 @@
 	lateOdds    = 2.0
 	lateSamples = 12
 	// doubtfulOdds is that from which the verdict waits for more samples if there is time.
-	doubtfulOdds = 3
+	doubtfulOdds = 3.0
 	// neededSamples is the number of samples that excludes a version that fails one in ten, with an error of 1 in 1,000.
 	neededSamples = 65
 	// neededPart is the part of all samples that must be of the target where neededSamples are out of reach.
@@ -128,71 +128,90 @@
 		return
 	}
 	verdictAt, lastMoment := t.order.verdictAt(), t.order.lastMoment()
-	if t.isLate() {
+	isLast := !now.Before(lastMoment)
+	doubt := t.doubt(isLast)
+	t.isSound = doubt == "" && t.stage(now) == 3 && !t.isLate()
+	if t.isLate() && !t.heard.isGood {
 		verdictAt = lastMoment
 	}
 	if now.Before(verdictAt) {
 		return
 	}
-	isLast := !now.Before(lastMoment)
-	obstacle, canWait := t.obstacle(capacity, isLast)
 	isConfirmed := now.Sub(t.order.ConfirmedAt) <= confirmedFor
+	obstacle := doubt
+	if obstacle == "" {
+		obstacle = t.lackOfCapacity(capacity)
+	}
 	switch {
+	case capacity.TargetEndpoints == 0:
+		t.state, t.reason = RolledBack, "no endpoint of the target"
 	case obstacle == "" && isConfirmed:
 		t.state, t.reason = Completed, "the target is as good"
-	case obstacle != "" && (!canWait || isLast):
+	case obstacle != "" && isLast:
 		t.state, t.reason = RolledBack, obstacle
 	}
 }
 
-// obstacle returns why the roll-out can't be completed now; empty if it can. It may be able to a little later if canWait. A mere
-// doubt is none when time is up.
-func (t *Trial) obstacle(capacity Capacity, isLast bool) (reason string, canWait bool) {
-	if capacity.TargetEndpoints == 0 {
-		return "no endpoint of the target", false
-	}
-	worst := slices.Max(t.all.odds[:])
+// doubt returns why the target may not be good; empty if the evidence suffices. Slight doubts count only while there is time for
+// more samples.
+func (t *Trial) doubt(isLast bool) string {
+	worst, tolerated := slices.Max(t.all.odds[:]), doubtfulOdds
 	for i := range t.classes {
-		state := &t.classes[i]
-		worst = max(worst, slices.Max(state.odds[:]))
-		if state.total.samples >= leastTraffic && float64(state.samples) < state.neededSamples() {
-			return fmt.Sprintf("too few samples: %d of %d requests in %s", state.samples, state.requests, state.name), true
-		}
+		worst = max(worst, slices.Max(t.classes[i].odds[:]))
 	}
-	needed, tolerated := min(neededSamples, neededPart*float64(t.counts.StableSamples+t.counts.TargetSamples)), finalOdds
-	if t.isLate() {
-		needed = max(needed, lateSamples)
+	isProven := t.isLate() && (t.heard.isSound || t.heard.isGood)
+	if lack := t.lackOfSamples(); lack != "" && !isProven {
+		return lack
 	}
-	if t.isLate() && t.counts.TargetSamples < neededSamples {
+	switch isFew := t.counts.TargetSamples < neededSamples; {
+	case t.isLate() && isFew && !isProven:
 		tolerated = lateOdds
+	case isLast && !isProven:
+		tolerated = finalOdds
 	}
 	switch {
-	case t.counts.TargetSamples == 0 || float64(t.counts.TargetSamples) < needed:
-		return fmt.Sprintf("too few samples: %d of %d requests", t.counts.TargetSamples, t.counts.Requests), true
 	case worst > tolerated:
-		return "the target is probably worse", true
-	case worst > doubtfulOdds && !isLast:
-		return "the target may be worse", true
-	case float64(capacity.ReadySlots) < t.neededSlots(capacity):
-		return fmt.Sprintf("too little capacity: %d slots for %.1f requests", capacity.ReadySlots, t.demand.value), true
+		return "the target is probably worse"
 	case t.isFaultUnclear():
-		return "an endpoint of the target is bad, and the others may be too", true
+		return "an endpoint of the target is bad, and the others may be too"
 	}
-	return "", false
+	return ""
 }
 
-// neededSamples returns the number of samples without which the class is not known to be good.
-func (c *class) neededSamples() float64 {
-	return min(wantedSamples, neededPart*(c.total.samples+float64(c.samples)))
+// lackOfSamples returns which samples are missing; empty if there are enough.
+func (t *Trial) lackOfSamples() string {
+	for i := range t.classes {
+		state := &t.classes[i]
+		if state.total.samples >= leastTraffic && float64(state.samples) < state.neededSamples() {
+			return fmt.Sprintf("too few samples: %d of %d requests in %s", state.samples, state.requests, state.name)
+		}
+	}
+	needed := max(1, min(neededSamples, neededPart*float64(t.counts.StableSamples+t.counts.TargetSamples)))
+	if t.isLate() {
+		needed = max(needed, lateSamples)
+	}
+	if float64(t.counts.TargetSamples) < needed {
+		return fmt.Sprintf("too few samples: %d of %d requests", t.counts.TargetSamples, t.counts.Requests)
+	}
+	return ""
 }
 
-// neededSlots returns the number of slots that the target needs: as many as the other version has suffice, however busy that one is.
-func (t *Trial) neededSlots(capacity Capacity) float64 {
+// lackOfCapacity returns what the target lacks to do the work of the other version; empty if it lacks nothing. As many slots as the other
+// version has suffice, however busy that one is.
+func (t *Trial) lackOfCapacity(capacity Capacity) string {
 	needed := capacityMargin * t.demand.value
 	if capacity.StableSlots > 0 {
 		needed = min(needed, float64(capacity.StableSlots))
 	}
-	return needed
+	if float64(capacity.ReadySlots) < needed {
+		return fmt.Sprintf("too little capacity: %d slots for %.1f requests", capacity.ReadySlots, t.demand.value)
+	}
+	return ""
+}
+
+// neededSamples returns the number of samples without which the class is not known to be good.
+func (c *class) neededSamples() float64 {
+	return min(wantedSamples, neededPart*(c.total.samples+float64(c.samples)))
 }
 
 // isFaultUnclear reports whether an endpoint is left out as faulty although too little shows that the others are good, or no other
