--- a/core/admission/rollout_test.go
+++ b/core/admission/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,11 +16,13 @@
 // rolloutRun plays a roll-out of a service with three endpoints of each version.
 type rolloutRun struct {
 	*simulation
-	policy   dispatch.Policy
-	began    time.Time
-	grants   map[string]int // grants counts the grants by version.
-	verdicts []rollout.Verdict
-	isBad    bool
+	policy    dispatch.Policy
+	began     time.Time
+	grants    map[string]int // grants counts the grants by version.
+	verdicts  []rollout.Verdict
+	random    *rand.Rand
+	failEvery int           // failEvery makes one in so many answers of the target fail; zero means none.
+	slower    time.Duration // slower is added to the time of the target's answers.
 }
 
 // newRolloutRun returns a run whose endpoints of the target v2 are open; without an order.
@@ -32,7 +35,7 @@
 			})
 		}
 	}
-	r := &rolloutRun{simulation: newSimulation(policy), policy: policy, grants: map[string]int{}}
+	r := &rolloutRun{simulation: newSimulation(policy), policy: policy, grants: map[string]int{}, random: rand.New(rand.NewPCG(1, 1))}
 	r.tick, r.began = 10*time.Millisecond, r.now
 	return r
 }
@@ -63,18 +66,21 @@
 	r.Step(r.now, &policy)
 }
 
-// play sends 200 requests a second for the span. Each takes 30 ms; those at the target fail if it is bad.
+// play sends 200 requests a second for the span. Each takes 30 ms, unless the target is bad.
 func (r *rolloutRun) play(span time.Duration) {
 	started := map[cell.AttemptID]cell.EndpointID{}
 	for end := r.now.Add(span); r.now.Before(end); {
 		r.now = r.now.Add(r.tick)
 		r.Step(r.now, &dispatch.Renew{Router: entryRouter, Session: 1, StakeUntil: r.now.Add(time.Second)})
 		for attempt, endpoint := range started {
-			if r.now.Sub(r.running[attempt]) < 30*time.Millisecond {
+			ended := cell.End{Attempt: attempt, Outcome: cell.Completed, Took: 30 * time.Millisecond}
+			if endpoint[:2] == "v2" {
+				ended.Took += r.slower
+			}
+			if r.now.Sub(r.running[attempt]) < ended.Took {
 				continue
 			}
-			ended := cell.End{Attempt: attempt, Outcome: cell.Completed, Took: 30 * time.Millisecond}
-			if r.isBad && endpoint[:2] == "v2" {
+			if endpoint[:2] == "v2" && r.failEvery > 0 && r.random.IntN(r.failEvery) == 0 {
 				ended.Outcome = cell.Failed
 			}
 			delete(started, attempt)
@@ -135,7 +141,7 @@
 func TestBadVersionIsRolledBack(t *testing.T) {
 	is := is.New(t)
 	r := newRolloutRun()
-	r.isBad = true
+	r.failEvery = 2
 	r.begin(1)
 	r.open()
 	r.play(8 * time.Second)
@@ -149,13 +155,28 @@
 	r.policy.Rollout = nil
 	r.play(time.Second)
 	is.Equal(r.grants["v2"], bad)
-	r.isBad = false
+	r.failEvery = 0
 	r.begin(2)
 	r.play(11 * time.Second)
 	is.Equal(len(r.verdicts), 2)
 	is.Equal(r.verdicts[1].State, rollout.Completed)
 }
 
+// Guards against bad versions that pass because the dispatcher sends less to endpoints that fail or are slow.
+func TestBadVersions(t *testing.T) {
+	for _, bad := range []rolloutRun{{failEvery: 2}, {failEvery: 10}, {slower: 60 * time.Millisecond}, {slower: 210 * time.Millisecond}} {
+		r := newRolloutRun()
+		r.failEvery, r.slower = bad.failEvery, bad.slower
+		r.begin(1)
+		r.open()
+		r.play(11500 * time.Millisecond)
+		if len(r.verdicts) == 0 || r.verdicts[0].State != rollout.RolledBack || 10*r.grants["v2"] > r.grants["v1"]+r.grants["v2"] {
+			t.Errorf("one in %d fails, slower by %v: %v, %+v", bad.failEvery, bad.slower, r.grants, r.verdicts)
+		}
+		t.Log(r.grants, r.verdicts[0].Reason, r.verdicts[0].Counts)
+	}
+}
+
 // A dispatcher that holds no majority of the stakes writes no verdict, and sends nothing to the target.
 func TestNoVerdictWithoutMajority(t *testing.T) {
 	is := is.New(t)
