Give every endpoint of the target its turn

At a small share all requests of the target went to the same idle endpoint, so the bursts of the last stage never reached the others. The Trial now gets the open target endpoints with each Step and takes one after the other.

--- a/core/admission/rollout_test.go
+++ b/core/admission/rollout_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,7 +74,8 @@
 	for end := r.now.Add(span); r.now.Before(end); {
 		r.now = r.now.Add(r.tick)
 		r.Step(r.now, &dispatch.Renew{Router: entryRouter, Session: 1, StakeUntil: r.now.Add(time.Second)})
-		for attempt, endpoint := range started {
+		for _, attempt := range slices.Sorted(maps.Keys(started)) {
+			endpoint := started[attempt]
 			ended := cell.End{Attempt: attempt, Outcome: cell.Completed, Took: 30 * time.Millisecond}
 			if endpoint[:2] == "v2" {
 				ended.Took += r.slower
@@ -208,7 +211,7 @@
 	r.open()
 	r.play(time.Second)
 	trial := rollout.New(rollout.Config{Order: *r.policy.Rollout, Bounds: r.policy.RolloutBounds})
-	trial.Step(r.now, rollout.Capacity{TargetEndpoints: 3, ReadySlots: 18}, true)
+	trial.Step(r.now, rollout.Capacity{Targets: []rollout.Offer{{Endpoint: "v2-0", Slots: 6}}, ReadySlots: 18}, true)
 	sample := rollout.Sample{Group: rollout.Stable, Class: "k", Endpoint: "v1-0", Outcome: cell.Completed, Took: time.Millisecond, Slots: 6, Running: 1}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/core/placing/rollout.go
+++ b/core/placing/rollout.go
@@ -69,9 +69,9 @@
 	return choice
 }
 
-// Capacity sums up the endpoints of both groups.
+// Capacity sums up the endpoints of both groups. Its slice is valid until the next call.
 func (t *Table) Capacity(now time.Time) rollout.Capacity {
-	var sum rollout.Capacity
+	sum := rollout.Capacity{Targets: t.offers[:0]}
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
 		switch {
@@ -82,12 +82,13 @@
 				sum.StableSlots += at.slots
 			}
 		case at.open && !at.isFaulty:
-			sum.TargetEndpoints++
+			sum.Targets = append(sum.Targets, rollout.Offer{Endpoint: at.id, Slots: at.slots})
 			if !at.cold.IsCold(now) && !at.health.IsFailing(now) {
 				sum.ReadySlots += at.slots
 			}
 		}
 	}
+	t.offers = sum.Targets
 	return sum
 }
 
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -8,6 +8,7 @@
 	"ryelug/core/engine"
 	"ryelug/core/flight"
 	"ryelug/core/limit"
+	"ryelug/core/rollout"
 	"ryelug/core/slot"
 )
 
@@ -17,9 +18,10 @@
 	stakes     *limit.Stakes
 	endpoints  []endpoint
 	indexes    slot.Index[cell.EndpointID]
-	reservedAt time.Time // reservedAt is the time of the last reservation of an engine for long prompts.
-	selection  selection // selection holds the endpoints that a roll-out allows for the request that is being placed.
-	weighed    int64     // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
+	reservedAt time.Time       // reservedAt is the time of the last reservation of an engine for long prompts.
+	selection  selection       // selection holds the endpoints that a roll-out allows for the request that is being placed.
+	offers     []rollout.Offer // offers is a buffer of Capacity.
+	weighed    int64           // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
 }
 
 // EndpointsEvaluated returns the number of endpoints considered for requests so far, as a measure of the cost of decisions.
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -85,7 +85,6 @@
 		return
 	}
 	endpoint := &t.endpoints[at]
-	endpoint.slots = max(sample.Slots, 1)
 	t.counts.TargetSamples++
 	t.counts.TargetFailures += int(one.failed)
 	state.samples++
--- a/core/rollout/sample.go
+++ b/core/rollout/sample.go
@@ -30,13 +30,19 @@
 	GrantedAt time.Time // GrantedAt is when the request was granted.
 }
 
+// Offer is an endpoint that may get requests.
+type Offer struct {
+	Endpoint cell.EndpointID
+	Slots    int // Slots is the number of requests that the endpoint runs at once.
+}
+
 // Capacity describes the endpoints of both groups at one moment.
 type Capacity struct {
-	TargetEndpoints int // TargetEndpoints is the number of open target endpoints.
-	ReadySlots      int // ReadySlots is the number of slots of the target endpoints that are open, not cold and not failing.
-	StableEndpoints int // StableEndpoints is the number of open endpoints of other versions.
-	StableSlots     int // StableSlots is the number of slots of these.
-	StableRunning   int // StableRunning is the number of requests that run at endpoints of other versions.
+	Targets         []Offer // Targets are the open target endpoints; the slice may be reused after the call.
+	ReadySlots      int     // ReadySlots is the number of slots of the target endpoints that are open, not cold and not failing.
+	StableEndpoints int     // StableEndpoints is the number of open endpoints of other versions.
+	StableSlots     int     // StableSlots is the number of slots of these.
+	StableRunning   int     // StableRunning is the number of requests that run at endpoints of other versions.
 }
 
 // Counts sums up what a Trial has seen.
@@ -60,8 +66,9 @@
 // Status is the state of a Trial, for metrics and logs.
 type Status struct {
 	Order  Order
-	State  State  // State is the final state once there is a verdict, before the store has it.
-	Stage  int    // Stage is the present stage, 1 to 3.
-	Reason string // Reason is that of the verdict, or why the target gets nothing; empty if neither applies.
+	State  State             // State is the final state once there is a verdict, before the store has it.
+	Stage  int               // Stage is the present stage, 1 to 3.
+	Reason string            // Reason is that of the verdict, or why the target gets nothing; empty if neither applies.
+	Faulty []cell.EndpointID // Faulty are the target endpoints that are left out because they alone are bad.
 	Counts Counts
 }
--- a/core/rollout/simulation_test.go
+++ b/core/rollout/simulation_test.go
@@ -189,10 +189,12 @@
 	if s.judge >= 0 && s.now.Sub(s.toldAt) >= time.Second {
 		s.toldAt, s.notes = s.now, s.trials[s.judge].Notes(s.notes[:0])
 	}
-	capacity := rollout.Capacity{TargetEndpoints: s.endpoints, ReadySlots: s.endpoints * s.slots, StableEndpoints: s.endpoints, StableSlots: s.endpoints * s.slots}
+	capacity := rollout.Capacity{ReadySlots: s.endpoints * s.slots, StableEndpoints: s.endpoints, StableSlots: s.endpoints * s.slots}
 	for _, one := range s.servers {
 		if one.group == rollout.Stable {
 			capacity.StableRunning += one.running
+		} else {
+			capacity.Targets = append(capacity.Targets, rollout.Offer{Endpoint: one.id, Slots: s.slots})
 		}
 	}
 	for i, trial := range s.trials {
--- a/core/rollout/stage.go
+++ b/core/rollout/stage.go
@@ -25,17 +25,19 @@
 	savedShare     = 0.02 // savedShare is the part of all requests that a burst needs at most; it is what the first stages save.
 	leastBurst     = 4    // leastBurst is the least number of requests of a burst.
 
-	// burstPatience is how long a burst may get no request before it goes to another endpoint: this one may be closed, or failing.
-	burstPatience = 300 * time.Millisecond
+	// grantPatience is how long the target may get no request before the next one goes to another endpoint: this one may be full,
+	// or failing.
+	grantPatience = 300 * time.Millisecond
 )
 
 // endpoint is a target endpoint.
 type endpoint struct {
 	id       cell.EndpointID
 	running  int // running is the number of requests granted here that have not ended.
-	slots    int // slots is the number of requests that it runs at once; zero until a request has ended.
+	slots    int // slots is the number of requests that it runs at once.
 	samples  int
 	loaded   int  // loaded counts the samples that were taken beside as many other requests as the other version runs.
+	isOpen   bool // isOpen is true if it may get requests.
 	isFaulty bool // isFaulty is true if it alone is bad, not its version.
 
 	odds     logOdds   // odds are the sums over its samples; since another one was found faulty, if one was.
@@ -78,9 +80,8 @@
 // burst is a run of requests that all go to one target endpoint, so that it is as busy as those of the other version. Without
 // it, a version that is bad only under load would look good at a small share.
 type burst struct {
-	isActive  bool
-	endpoint  int32     // endpoint is the index of the present or last endpoint.
-	grantedAt time.Time // grantedAt is when the burst began or got its last request.
+	isActive bool
+	endpoint int32 // endpoint is the index of the present or last endpoint.
 }
 
 // isFull reports whether the endpoint of a burst runs enough requests.
@@ -97,7 +98,7 @@
 // updateBurst begins and ends the bursts of the last stage.
 func (t *Trial) updateBurst(now time.Time) {
 	credit := t.credit(now)
-	isStuck := now.Sub(t.burst.grantedAt) > burstPatience
+	isStuck := now.Sub(t.grantedAt) > grantPatience
 	if t.burst.isActive && (credit < 1 || isStuck || t.endpoints[t.burst.endpoint].isFaulty) {
 		t.burst.isActive = false
 	}
@@ -110,7 +111,38 @@
 	}
 	needed := min(float64(burstLevels*t.level(&t.endpoints[next])), savedShare*float64(t.counts.Requests))
 	if credit >= max(leastBurst, needed) {
-		t.burst = burst{isActive: true, endpoint: next, grantedAt: now}
+		t.burst = burst{isActive: true, endpoint: next}
+		t.grantedAt = now
+	}
+}
+
+// mayGet reports whether the endpoint may get requests.
+func (e *endpoint) mayGet() bool { return e.isOpen && !e.isFaulty && e.slots > 0 }
+
+// setTargets takes over which target endpoints are open.
+func (t *Trial) setTargets(offers []Offer) {
+	for i := range t.endpoints {
+		t.endpoints[i].isOpen = false
+	}
+	for i := range offers {
+		at := &t.endpoints[t.ensureEndpoint(offers[i].Endpoint)]
+		at.isOpen, at.slots = true, offers[i].Slots
+	}
+	t.targets = 0
+	for i := range t.endpoints {
+		if t.endpoints[i].mayGet() {
+			t.targets++
+		}
+	}
+}
+
+// rotate advances to the next endpoint for the requests outside bursts: at a small share all would go to the same idle one.
+func (t *Trial) rotate() {
+	for range t.endpoints {
+		t.turn = (t.turn + 1) % int32(len(t.endpoints))
+		if t.endpoints[t.turn].mayGet() {
+			return
+		}
 	}
 }
 
@@ -120,7 +152,7 @@
 	next, last := int32(-1), t.burst.endpoint
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.isFaulty && at.slots > 0 && (next < 0 || next == last || int32(i) != last && at.loaded < t.endpoints[next].loaded) {
+		if at.mayGet() && (next < 0 || next == last || int32(i) != last && at.loaded < t.endpoints[next].loaded) {
 			next = int32(i)
 		}
 	}
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -51,8 +51,10 @@
 	startedAt  time.Time // startedAt is when this dispatcher was first the judge; zero before.
 	bucketEnds time.Time // bucketEnds is when the present bucket of samples ends.
 	burst      burst
-	demand     average // demand is the number of requests that run at endpoints of other versions.
-	pressure   average // pressure is the number of requests per slot at endpoints of other versions.
+	turn       int32     // turn is the index of the endpoint that gets the next request outside bursts.
+	grantedAt  time.Time // grantedAt is when the target last got a request, or a burst began.
+	demand     average   // demand is the number of requests that run at endpoints of other versions.
+	pressure   average   // pressure is the number of requests per slot at endpoints of other versions.
 
 	notes   notes
 	heard   heard
@@ -164,7 +166,8 @@
 		t.counts.Exposed++
 		state.exposed++
 		t.endpoints[t.ensureEndpoint(endpoint)].running++
-		t.burst.grantedAt = now
+		t.grantedAt = now
+		t.rotate()
 	}
 }
 
@@ -195,8 +198,13 @@
 
 // Focus returns the target endpoint that requests of the target are to go to; empty if any may get them.
 func (t *Trial) Focus() cell.EndpointID {
-	if t.state == Running && t.burst.isActive {
+	switch {
+	case t.state != Running || t.isRemoved:
+		return ""
+	case t.burst.isActive:
 		return t.endpoints[t.burst.endpoint].id
+	case int(t.turn) < len(t.endpoints) && t.endpoints[t.turn].mayGet():
+		return t.endpoints[t.turn].id
 	}
 	return ""
 }
@@ -209,7 +217,13 @@
 
 // Status returns the state of the Trial.
 func (t *Trial) Status(now time.Time) Status {
-	return Status{Order: t.order, State: t.state, Stage: t.stage(now), Reason: t.reason, Counts: t.counts}
+	status := Status{Order: t.order, State: t.state, Stage: t.stage(now), Reason: t.reason, Counts: t.counts}
+	for i := range t.endpoints {
+		if t.endpoints[i].isFaulty {
+			status.Faulty = append(status.Faulty, t.endpoints[i].id)
+		}
+	}
+	return status
 }
 
 // ensureClass returns the index of a class. Classes beyond maxClasses count as one.
--- a/core/rollout/trial_test.go
+++ b/core/rollout/trial_test.go
@@ -1,7 +1,6 @@
 package rollout_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -30,10 +29,7 @@
 	exposed := 0
 	for t.now.Before(began.Add(10500 * time.Millisecond)) {
 		t.step(10 * time.Millisecond)
-		endpoint := cell.EndpointID(fmt.Sprint("e", exposed%3))
-		if focus := t.Focus(); focus != "" {
-			endpoint = focus
-		}
+		endpoint := t.Focus()
 		sample := rollout.Sample{Group: t.Pick(t.now, "k"), Class: "k", Endpoint: endpoint, Outcome: cell.Completed, Took: time.Millisecond, Running: 1, Slots: 4, GrantedAt: t.now}
 		t.Granted(t.now, sample.Group, "k", endpoint)
 		if sample.Group == rollout.Target {
@@ -56,7 +52,7 @@
 	}
 }
 
-var enough = rollout.Capacity{TargetEndpoints: 3, ReadySlots: 12, StableEndpoints: 3, StableSlots: 12, StableRunning: 6}
+var enough = rollout.Capacity{Targets: []rollout.Offer{{Endpoint: "e0", Slots: 4}, {Endpoint: "e1", Slots: 4}, {Endpoint: "e2", Slots: 4}}, ReadySlots: 12, StableEndpoints: 3, StableSlots: 12, StableRunning: 6}
 
 // Guards against a verdict that is lost with a write, or with the store's state: the judge returns it until the store has it.
 func TestVerdictIsRepeated(t *testing.T) {
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -45,12 +45,15 @@
 	if t.isRemoved {
 		return Verdict{}, false
 	}
+	t.setTargets(capacity.Targets)
+	if now.Sub(t.grantedAt) > grantPatience {
+		t.rotate()
+	}
 	if !now.Before(t.bucketEnds) {
 		t.closeBucket()
 		t.bucketEnds = now.Add(bucketSpan)
 		t.convict()
 	}
-	t.targets = capacity.TargetEndpoints
 	t.demand.addAt(now, float64(capacity.StableRunning))
 	t.countReserve()
 	t.updateBurst(now)
@@ -143,7 +146,7 @@
 		obstacle = t.lackOfCapacity(capacity)
 	}
 	switch {
-	case capacity.TargetEndpoints == 0:
+	case len(capacity.Targets) == 0:
 		t.state, t.reason = RolledBack, "no endpoint of the target"
 	case obstacle == "" && isConfirmed:
 		t.state, t.reason = Completed, "the target is as good"
