--- a/core/rollout/stage.go
+++ b/core/rollout/stage.go
@@ -24,17 +24,23 @@
 	burstLevels    = 4    // burstLevels is the number of requests of a burst, as a multiple of those that run at once.
 	savedShare     = 0.02 // savedShare is the part of all requests that a burst needs at most; it is what the first stages save.
 	leastBurst     = 4    // leastBurst is the least number of requests of a burst.
+
+	// grantPatience is how long the target may get no request before the next one goes to another endpoint: this one may be full,
+	// or failing.
+	grantPatience = 300 * time.Millisecond
 )
 
 // endpoint is a target endpoint.
 type endpoint struct {
 	id       cell.EndpointID
 	running  int // running is the number of requests granted here that have not ended.
-	slots    int // slots is the number of requests that it runs at once; zero until a request has ended.
+	slots    int // slots is the number of requests that it runs at once.
 	samples  int
 	loaded   int  // loaded counts the samples that were taken beside as many other requests as the other version runs.
+	isOpen   bool // isOpen is true if it may get requests.
 	isFaulty bool // isFaulty is true if it alone is bad, not its version.
 
+	odds     logOdds   // odds are the sums over its samples; since another one was found faulty, if one was.
 	failedAt time.Time // failedAt is the time of its last failure that counted.
 }
 
@@ -49,16 +55,21 @@
 	return o.Deadline().Add(-min(lead, o.Duration/2))
 }
 
-// stage returns the present stage: 1 with few requests, 2 with more of them, 3 with bursts. A dispatcher that starts during the
-// roll-out passes through all of them in the time that is left.
+// isLate reports whether this dispatcher became the judge in the second half of the time until the verdict.
+func (t *Trial) isLate() bool {
+	return t.startedAt.Sub(t.order.Seen) > t.order.verdictAt().Sub(t.order.Seen)/2
+}
+
+// stage returns the present stage: 1 with few requests, 2 with more of them, 3 with bursts. A judge that starts during the
+// roll-out skips the first one, and passes through the others in the time that is left.
 func (t *Trial) stage(now time.Time) int {
-	began := t.startedAt
-	if began.Before(t.order.Seen) {
-		began = t.order.Seen
+	began, ends := t.order.Seen, t.order.verdictAt()
+	isFirst := t.startedAt.Sub(began) < time.Duration(initialUntil*float64(ends.Sub(began)))
+	if !isFirst {
+		began, ends = t.startedAt, t.order.lastMoment()
 	}
-	span := t.order.verdictAt().Sub(began)
-	switch passed := float64(now.Sub(began)) / float64(max(1, span)); {
-	case passed < initialUntil:
+	switch passed := float64(now.Sub(began)) / float64(max(1, ends.Sub(began))); {
+	case passed < initialUntil && isFirst:
 		return 1
 	case passed < middleUntil:
 		return 2
@@ -70,7 +81,7 @@
 // it, a version that is bad only under load would look good at a small share.
 type burst struct {
 	isActive bool
-	endpoint int32
+	endpoint int32 // endpoint is the index of the present or last endpoint.
 }
 
 // isFull reports whether the endpoint of a burst runs enough requests.
@@ -87,26 +98,65 @@
 // updateBurst begins and ends the bursts of the last stage.
 func (t *Trial) updateBurst(now time.Time) {
 	credit := t.credit(now)
-	if t.burst.isActive && (credit < 1 || t.endpoints[t.burst.endpoint].isFaulty) {
+	isStuck := now.Sub(t.grantedAt) > grantPatience
+	if t.burst.isActive && (credit < 1 || isStuck || t.endpoints[t.burst.endpoint].isFaulty) {
 		t.burst.isActive = false
 	}
 	if t.burst.isActive || t.state != Running || t.isStopped || t.stage(now) < 3 {
 		return
 	}
-	next := int32(-1)
-	for i := range t.endpoints {
-		at := &t.endpoints[i]
-		if !at.isFaulty && at.slots > 0 && (next < 0 || at.loaded < t.endpoints[next].loaded) {
-			next = int32(i)
-		}
-	}
+	next := t.nextFocus()
 	if next < 0 {
 		return
 	}
 	needed := min(float64(burstLevels*t.level(&t.endpoints[next])), savedShare*float64(t.counts.Requests))
 	if credit >= max(leastBurst, needed) {
 		t.burst = burst{isActive: true, endpoint: next}
+		t.grantedAt = now
+	}
+}
+
+// mayGet reports whether the endpoint may get requests.
+func (e *endpoint) mayGet() bool { return e.isOpen && !e.isFaulty && e.slots > 0 }
+
+// setTargets takes over which target endpoints are open.
+func (t *Trial) setTargets(offers []Offer) {
+	for i := range t.endpoints {
+		t.endpoints[i].isOpen = false
+	}
+	for i := range offers {
+		at := &t.endpoints[t.ensureEndpoint(offers[i].Endpoint)]
+		at.isOpen, at.slots = true, offers[i].Slots
+	}
+	t.targets = 0
+	for i := range t.endpoints {
+		if t.endpoints[i].mayGet() {
+			t.targets++
+		}
+	}
+}
+
+// rotate advances to the next endpoint for the requests outside bursts: at a small share all would go to the same idle one.
+func (t *Trial) rotate() {
+	for range t.endpoints {
+		t.turn = (t.turn + 1) % int32(len(t.endpoints))
+		if t.endpoints[t.turn].mayGet() {
+			return
+		}
+	}
+}
+
+// nextFocus returns the endpoint for the next burst: the one with the fewest samples under load, and not the last one if there is
+// another; negative if there is none.
+func (t *Trial) nextFocus() int32 {
+	next, last := int32(-1), t.burst.endpoint
+	for i := range t.endpoints {
+		at := &t.endpoints[i]
+		if at.mayGet() && (next < 0 || next == last || int32(i) != last && at.loaded < t.endpoints[next].loaded) {
+			next = int32(i)
+		}
 	}
+	return next
 }
 
 // average is a moving average with a time constant of averageSpan, or over samples with the inverse weight averageWeight.
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -43,13 +43,22 @@
 	classIndex map[string]int32
 	endpoints  []endpoint // endpoints are the target endpoints that got requests.
 	index      map[cell.EndpointID]int32
+	faultTest  int // faultTest is the test that left an endpoint out.
 	reserve    int // reserve is the number of target grants that are withheld for classes with too few samples.
 
-	startedAt  time.Time // startedAt is the time of the first Step.
+	targets    int       // targets is the number of open target endpoints that are not left out.
+	isJudge    bool      // isJudge is true if this dispatcher was the judge in the last Step. Only the judge's samples serve a verdict, so it alone exposes requests.
+	startedAt  time.Time // startedAt is when this dispatcher was first the judge; zero before.
 	bucketEnds time.Time // bucketEnds is when the present bucket of samples ends.
 	burst      burst
-	demand     average // demand is the number of requests that run at endpoints of other versions.
-	pressure   average // pressure is the number of requests per slot at endpoints of other versions.
+	turn       int32     // turn is the index of the endpoint that gets the next request outside bursts.
+	grantedAt  time.Time // grantedAt is when the target last got a request, or a burst began.
+	demand     average   // demand is the number of requests that run at endpoints of other versions.
+	pressure   average   // pressure is the number of requests per slot at endpoints of other versions.
+
+	notes   notes
+	heard   heard
+	isSound bool // isSound is true if the evidence suffices for Completed, in the last stage.
 
 	state     State  // state is the final state that this dispatcher goes by; Running until then.
 	isStopped bool   // isStopped is true if the target gets nothing more here, whoever is judge.
@@ -61,6 +70,7 @@
 func New(config Config) *Trial {
 	t := &Trial{bounds: config.Bounds, classIndex: make(map[string]int32), index: make(map[cell.EndpointID]int32), all: evidence{name: "all classes"}, state: Running}
 	t.Update(config.Order)
+	t.setNotes()
 	return t
 }
 
@@ -101,7 +111,11 @@
 	if float64(state.exposed+1) > maxClassShare*float64(state.requests+1) {
 		return Stable
 	}
-	if state.exposed < wantedSamples || t.MayUse(now, Target) {
+	wanted := float64(wantedSamples)
+	if t.stage(now) == 3 {
+		wanted = state.neededSamples() // The credit is for the bursts.
+	}
+	if float64(state.exposed) < wanted || t.MayUse(now, Target) {
 		return Target
 	}
 	return Stable
@@ -125,7 +139,7 @@
 
 // mayExpose reports whether the target may get one more request.
 func (t *Trial) mayExpose(now time.Time) bool {
-	if t.state != Running || t.isRemoved || t.isStopped || now.Sub(t.order.ConfirmedAt) > confirmedFor {
+	if t.state != Running || t.isRemoved || t.isStopped || !t.isJudge || now.Sub(t.order.ConfirmedAt) > confirmedFor {
 		return false
 	}
 	return now.Before(t.order.Deadline()) && t.credit(now) >= 1 && !t.burst.isFull(t)
@@ -144,7 +158,7 @@
 }
 
 // Granted records a grant.
-func (t *Trial) Granted(_ time.Time, group Group, class string, endpoint cell.EndpointID) {
+func (t *Trial) Granted(now time.Time, group Group, class string, endpoint cell.EndpointID) {
 	state := &t.classes[t.ensureClass(class)]
 	t.counts.Requests++
 	state.requests++
@@ -152,6 +166,8 @@
 		t.counts.Exposed++
 		state.exposed++
 		t.endpoints[t.ensureEndpoint(endpoint)].running++
+		t.grantedAt = now
+		t.rotate()
 	}
 }
 
@@ -182,8 +198,13 @@
 
 // Focus returns the target endpoint that requests of the target are to go to; empty if any may get them.
 func (t *Trial) Focus() cell.EndpointID {
-	if t.state == Running && t.burst.isActive {
+	switch {
+	case t.state != Running || t.isRemoved:
+		return ""
+	case t.burst.isActive:
 		return t.endpoints[t.burst.endpoint].id
+	case int(t.turn) < len(t.endpoints) && t.endpoints[t.turn].mayGet():
+		return t.endpoints[t.turn].id
 	}
 	return ""
 }
@@ -196,7 +217,13 @@
 
 // Status returns the state of the Trial.
 func (t *Trial) Status(now time.Time) Status {
-	return Status{Order: t.order, State: t.state, Stage: t.stage(now), Reason: t.reason, Counts: t.counts}
+	status := Status{Order: t.order, State: t.state, Stage: t.stage(now), Reason: t.reason, Counts: t.counts}
+	for i := range t.endpoints {
+		if t.endpoints[i].isFaulty {
+			status.Faulty = append(status.Faulty, t.endpoints[i].id)
+		}
+	}
+	return status
 }
 
 // ensureClass returns the index of a class. Classes beyond maxClasses count as one.
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -8,19 +8,25 @@
 
 const (
 	// finalOdds is the logarithm of the odds from which a target is bad when time is up.
-	finalOdds = 6
+	finalOdds = 6.0
+	// lateSamples is the least number of samples where the judge began in the second half, and lateOdds replaces finalOdds there
+	// below neededSamples. Such a judge goes by that an earlier one would have ended the roll-out of a bad version.
+	lateOdds    = 2.0
+	lateSamples = 12
 	// doubtfulOdds is that from which the verdict waits for more samples if there is time.
-	doubtfulOdds = 3
+	doubtfulOdds = 3.0
 	// neededSamples is the number of samples that excludes a version that fails one in ten, with an error of 1 in 1,000.
 	neededSamples = 65
-	// neededPart is the part of the requests that must be samples of the target where neededSamples are out of reach.
-	neededPart = 0.04
-	// leastTraffic is the number of requests from which a class needs samples.
+	// neededPart is the part of all samples that must be of the target where neededSamples are out of reach.
+	neededPart = 0.03
+	// leastTraffic is the number of samples of the other version from which a class needs samples.
 	leastTraffic = 25
 	// faultyPart is the part of the odds that must remain without one endpoint; otherwise that one is faulty, not the version.
 	faultyPart = 0.25
-	// comparedEndpoints is the least number of endpoints with samples of which one can be faulty.
+	// comparedEndpoints is the least number of endpoints of which one can be faulty.
 	comparedEndpoints = 3
+	// soundOdds is the logarithm of the odds, over all their samples, below which the other endpoints are good.
+	soundOdds = -3
 	// neededLoaded is the number of samples under load that another endpoint needs before one is left out as faulty.
 	neededLoaded = 10
 	// repeatAfter is the time after which a verdict that the store does not show is returned again.
@@ -32,12 +38,17 @@
 // Step advances the time, and must be called at least every 100 ms. It returns a verdict that the judge must have written to
 // the store, and whether there is one. It returns the verdict again from time to time until Update shows a final state.
 func (t *Trial) Step(now time.Time, capacity Capacity, isJudge bool) (Verdict, bool) {
-	if t.startedAt.IsZero() {
-		t.startedAt, t.bucketEnds = now, now.Add(bucketSpan)
+	t.isJudge = isJudge
+	if isJudge && t.startedAt.IsZero() {
+		t.startedAt = now
 	}
 	if t.isRemoved {
 		return Verdict{}, false
 	}
+	t.setTargets(capacity.Targets)
+	if now.Sub(t.grantedAt) > grantPatience {
+		t.rotate()
+	}
 	if !now.Before(t.bucketEnds) {
 		t.closeBucket()
 		t.bucketEnds = now.Add(bucketSpan)
@@ -91,20 +102,21 @@
 // leaveOut reports whether a test rests on one endpoint alone. This one gets nothing more, and its samples no longer count. A
 // second such endpoint shows that it is the version after all.
 func (t *Trial) leaveOut(found *evidence, test int) bool {
-	sampled, faulty := 0, 0
+	faulty := 0
 	for i := range t.endpoints {
-		if t.endpoints[i].samples > 0 {
-			sampled++
-		}
 		if t.endpoints[i].isFaulty {
 			faulty++
 		}
 	}
 	worst, rest := found.worst(test)
-	if sampled < comparedEndpoints || faulty > 0 || rest >= faultyPart*found.odds[test] {
+	if t.targets < comparedEndpoints || faulty > 0 || rest >= faultyPart*found.odds[test] {
 		return false
 	}
 	t.endpoints[worst].isFaulty = true
+	t.faultTest = test
+	for i := range t.endpoints {
+		t.endpoints[i].odds = logOdds{} // A version may turn bad late, so only what follows shows that the others are good.
+	}
 	t.all.leaveOut(worst)
 	for i := range t.classes {
 		t.classes[i].leaveOut(worst)
@@ -118,68 +130,104 @@
 		t.state = RolledBack
 		return
 	}
-	if now.Before(t.order.verdictAt()) {
+	verdictAt, lastMoment := t.order.verdictAt(), t.order.lastMoment()
+	isLast := !now.Before(lastMoment)
+	doubt := t.doubt(isLast)
+	t.isSound = doubt == "" && t.stage(now) == 3 && !t.isLate()
+	if t.isLate() && !t.heard.isGood {
+		verdictAt = lastMoment
+	}
+	if now.Before(verdictAt) {
 		return
 	}
-	isLast := !now.Before(t.order.lastMoment())
-	obstacle, canWait := t.obstacle(capacity, isLast)
 	isConfirmed := now.Sub(t.order.ConfirmedAt) <= confirmedFor
+	obstacle := doubt
+	if obstacle == "" {
+		obstacle = t.lackOfCapacity(capacity)
+	}
 	switch {
+	case len(capacity.Targets) == 0:
+		t.state, t.reason = RolledBack, "no endpoint of the target"
 	case obstacle == "" && isConfirmed:
 		t.state, t.reason = Completed, "the target is as good"
-	case obstacle != "" && (!canWait || isLast):
+	case obstacle != "" && isLast:
 		t.state, t.reason = RolledBack, obstacle
 	}
 }
 
-// obstacle returns why the roll-out can't be completed now; empty if it can. It may be able to a little later if canWait. A mere
-// doubt is none when time is up.
-func (t *Trial) obstacle(capacity Capacity, isLast bool) (reason string, canWait bool) {
-	worst := slices.Max(t.all.odds[:])
+// doubt returns why the target may not be good; empty if the evidence suffices. Slight doubts count only while there is time for
+// more samples.
+func (t *Trial) doubt(isLast bool) string {
+	worst, tolerated := slices.Max(t.all.odds[:]), doubtfulOdds
 	for i := range t.classes {
-		state := &t.classes[i]
-		worst = max(worst, slices.Max(state.odds[:]))
-		needed := min(wantedSamples, neededPart*float64(state.requests))
-		if state.requests >= leastTraffic && float64(state.samples) < needed {
-			return fmt.Sprintf("too few samples: %d of %d requests in %s", state.samples, state.requests, state.name), true
-		}
+		worst = max(worst, slices.Max(t.classes[i].odds[:]))
+	}
+	isProven := t.isLate() && (t.heard.isSound || t.heard.isGood)
+	if lack := t.lackOfSamples(); lack != "" && !isProven {
+		return lack
+	}
+	switch isFew := t.counts.TargetSamples < neededSamples; {
+	case t.isLate() && isFew && !isProven:
+		tolerated = lateOdds
+	case isLast && !isProven:
+		tolerated = finalOdds
 	}
-	needed := min(neededSamples, neededPart*float64(t.counts.Requests))
 	switch {
-	case capacity.TargetEndpoints == 0:
-		return "no endpoint of the target", false
-	case t.counts.TargetSamples == 0 || float64(t.counts.TargetSamples) < needed:
-		return fmt.Sprintf("too few samples: %d of %d requests", t.counts.TargetSamples, t.counts.Requests), true
-	case worst > finalOdds:
-		return "the target is probably worse", true
-	case worst > doubtfulOdds && !isLast:
-		return "the target may be worse", true
-	case float64(capacity.ReadySlots) < t.neededSlots(capacity):
-		return fmt.Sprintf("too little capacity: %d slots for %.1f requests", capacity.ReadySlots, t.demand.value), true
+	case worst > tolerated:
+		return "the target is probably worse"
 	case t.isFaultUnclear():
-		return "an endpoint of the target is bad, and too few others were tried under load", true
+		return "an endpoint of the target is bad, and the others may be too"
 	}
-	return "", false
+	return ""
 }
 
-// neededSlots returns the number of slots that the target needs: as many as the other version has suffice, however busy that one is.
-func (t *Trial) neededSlots(capacity Capacity) float64 {
+// lackOfSamples returns which samples are missing; empty if there are enough.
+func (t *Trial) lackOfSamples() string {
+	for i := range t.classes {
+		state := &t.classes[i]
+		if state.total.samples >= leastTraffic && float64(state.samples) < state.neededSamples() {
+			return fmt.Sprintf("too few samples: %d of %d requests in %s", state.samples, state.requests, state.name)
+		}
+	}
+	needed := max(1, min(neededSamples, neededPart*float64(t.counts.StableSamples+t.counts.TargetSamples)))
+	if t.isLate() {
+		needed = max(needed, lateSamples)
+	}
+	if float64(t.counts.TargetSamples) < needed {
+		return fmt.Sprintf("too few samples: %d of %d requests", t.counts.TargetSamples, t.counts.Requests)
+	}
+	return ""
+}
+
+// lackOfCapacity returns what the target lacks to do the work of the other version; empty if it lacks nothing. As many slots as the other
+// version has suffice, however busy that one is.
+func (t *Trial) lackOfCapacity(capacity Capacity) string {
 	needed := capacityMargin * t.demand.value
 	if capacity.StableSlots > 0 {
 		needed = min(needed, float64(capacity.StableSlots))
 	}
-	return needed
+	if float64(capacity.ReadySlots) < needed {
+		return fmt.Sprintf("too little capacity: %d slots for %.1f requests", capacity.ReadySlots, t.demand.value)
+	}
+	return ""
+}
+
+// neededSamples returns the number of samples without which the class is not known to be good.
+func (c *class) neededSamples() float64 {
+	return min(wantedSamples, neededPart*(c.total.samples+float64(c.samples)))
 }
 
-// isFaultUnclear reports whether an endpoint is left out as faulty although no other one was tried under the same load.
+// isFaultUnclear reports whether an endpoint is left out as faulty although too little shows that the others are good, or no other
+// one was tried under the same load.
 func (t *Trial) isFaultUnclear() bool {
-	needed, others := 0, 0
+	needed, loaded, others, hasFaulty := 0, 0, 0.0, false
 	for i := range t.endpoints {
 		if at := &t.endpoints[i]; at.isFaulty {
-			needed = max(needed, min(neededLoaded, at.loaded))
+			needed, hasFaulty = max(needed, min(neededLoaded, at.loaded)), true
 		} else {
-			others = max(others, at.loaded)
+			loaded = max(loaded, at.loaded)
+			others += at.odds[t.faultTest]
 		}
 	}
-	return others < needed
+	return hasFaulty && (loaded < needed || others > soundOdds)
 }
