--- a/router/grants.go
+++ b/router/grants.go
@@ -79,10 +79,10 @@
 	return p.decision.Endpoint, p.decision.Address, p.decision.Start
 }
 
-// IsOpen implements request.Permit.
+// IsOpen implements request.Permit. An endpoint that this router did not know of when the grant arrived is not open.
 func (p *permit) IsOpen() bool {
 	d := p.directory()
-	return d == nil || !d.IsClosed(p.decision.Endpoint)
+	return d == nil || p.decision.Address.IsValid() && !d.IsClosed(p.decision.Endpoint)
 }
 
 // Fetch implements request.Permit.
