--- a/router/dispatching/rollout.go
+++ b/router/dispatching/rollout.go
@@ -14,9 +14,13 @@
 	finalInterval = time.Second            // afterwards, for as long as the order exists
 )
 
+// progressInterval is the interval of the log lines on a running roll-out at its judge.
+const progressInterval = time.Second
+
 // rolloutJudge is implemented by dispatchers that judge roll-outs.
 type rolloutJudge interface {
 	TakeVerdicts() []rollout.Verdict
+	Rollout() (rollout.Status, bool)
 }
 
 // judgedRollout is what the judge of a cell's roll-out has decided and told.
@@ -24,6 +28,7 @@
 	order   rollout.Order // order is the one that verdict is about.
 	verdict rollout.State // verdict is the final state by the dispatcher; zero if there is none.
 	told    time.Time     // told is when the state was last told.
+	logged  time.Time     // logged is when the progress was last logged.
 }
 
 // judgeRollout tells the state of a cell's roll-out while this router is its judge: the holder of most stakes, of whom there is one at
@@ -51,21 +56,30 @@
 	}
 	cs.rollout.told = now
 	r.config.SetRollout(*order, state)
+	if status, ok := judge.Rollout(); ok && state == rollout.Running && now.Sub(cs.rollout.logged) >= progressInterval {
+		cs.rollout.logged = now
+		r.config.Log.WithFields(evidence(now, cs, &status.Order, &status.Counts)).WithFields(logrus.Fields{"stage": status.Stage, "reason": status.Reason}).
+			Info("A roll-out is running.")
+	}
 }
 
 // takeVerdict tells a verdict at once, and logs it when it is new.
 func (r *Role) takeVerdict(now time.Time, cs *cellState, verdict *rollout.Verdict) {
 	isNew := cs.rollout.verdict != verdict.State || !cs.rollout.order.IsSame(&verdict.Order)
-	cs.rollout = judgedRollout{order: verdict.Order, verdict: verdict.State, told: now}
+	cs.rollout = judgedRollout{order: verdict.Order, verdict: verdict.State, told: now, logged: cs.rollout.logged}
 	r.config.SetRollout(verdict.Order, verdict.State)
 	if !isNew {
 		return
 	}
-	counts := &verdict.Counts
-	r.config.Log.WithFields(logrus.Fields{
-		"cell": cs.id, "target": verdict.Order.Target, "state": verdict.State.String(), "reason": verdict.Reason,
-		"elapsed_ms": now.Sub(verdict.Order.Seen).Milliseconds(), "confirmed_ms_ago": now.Sub(verdict.Order.ConfirmedAt).Milliseconds(),
+	r.config.Log.WithFields(evidence(now, cs, &verdict.Order, &verdict.Counts)).
+		WithFields(logrus.Fields{"state": verdict.State.String(), "reason": verdict.Reason}).Info("A roll-out is judged.")
+}
+
+// evidence returns what a roll-out is judged by, for the log.
+func evidence(now time.Time, cs *cellState, order *rollout.Order, counts *rollout.Counts) logrus.Fields {
+	return logrus.Fields{
+		"cell": cs.id, "target": order.Target, "elapsed_ms": now.Sub(order.Seen).Milliseconds(), "confirmed_ms_ago": now.Sub(order.ConfirmedAt).Milliseconds(),
 		"requests": counts.Requests, "exposed": counts.Exposed, "target_samples": counts.TargetSamples, "target_failures": counts.TargetFailures,
 		"stable_samples": counts.StableSamples, "stable_failures": counts.StableFailures,
-	}).Info("A roll-out is judged.")
+	}
 }
