--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -82,7 +82,7 @@
 func (t *Table) loadSites(now time.Time) {
 	t.crossing.ClearLoads()
 	for i := range t.endpoints {
-		if at := &t.endpoints[i]; at.open && !at.health.IsFailing(now) {
+		if at := &t.endpoints[i]; t.admits(at) && !at.health.IsFailing(now) {
 			t.crossing.AddLoad(at.site, crossing.Load{Slots: at.slots, Running: at.running})
 		}
 	}
@@ -96,7 +96,7 @@
 	var own, other outlook
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil {
+		if !t.admits(at) || at.engine == nil {
 			continue
 		}
 		prediction := at.engine.Predict(now, request.Prompt, at.missing, false)
--- a/core/placing/endpoint.go
+++ b/core/placing/endpoint.go
@@ -9,6 +9,7 @@
 	"ryelug/core/engine"
 	"ryelug/core/limit"
 	"ryelug/core/pace"
+	"ryelug/core/rollout"
 )
 
 // endpoint is the state of one endpoint: its configuration, its health and the requests that it runs.
@@ -27,6 +28,9 @@
 	call          callTime       // call is the time that a call takes here; zero for an engine.
 	pace          pace.Endpoint  // pace is how fast the endpoint is, by its own reports; unknown if it makes none.
 	paced         pacedCalls     // paced is the time that a call takes here, if the cell's endpoints report a pace; zero for an engine.
+	group         rollout.Group  // group is the endpoint's group in the cell's roll-out; zero if there is none.
+	version       string
+	isFaulty      bool           // isFaulty is true if the roll-out leaves the endpoint out.
 	missing       engine.Missing // missing is what the engine has not cached of the prompt that is being placed.
 }
 
@@ -49,6 +53,7 @@
 	}
 	e.open = !at.Closed
 	e.slots = at.WarmLimit
+	e.version = at.Version
 }
 
 // limitFor returns the number of requests beside which the endpoint gets no other one: a few slots are kept for requests within
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -158,7 +158,7 @@
 	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || int32(i) == request.Avoid && t.hasOther(int32(i)) {
+		if !t.admits(at) || int32(i) == request.Avoid && t.hasOther(int32(i)) {
 			continue
 		}
 		cost, verdict := t.weigh(now, at, request, given)
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -9,6 +9,7 @@
 	"ryelug/core/engine"
 	"ryelug/core/flight"
 	"ryelug/core/limit"
+	"ryelug/core/rollout"
 	"ryelug/core/slot"
 )
 
@@ -24,6 +25,9 @@
 	weighed    int64     // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
 
 	crossing *crossing.Control // crossing decides on requests for other data centres, in a cell where DecidesCrossing reports true.
+
+	selection selection       // selection holds the endpoints that a roll-out allows for the request that is being placed.
+	offers    []rollout.Offer // offers is a buffer of Capacity.
 }
 
 // EndpointsEvaluated returns the number of endpoints considered for requests so far, as a measure of the cost of decisions.
@@ -150,7 +154,7 @@
 	reserved := false
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || given.leave.excludes(at) || int32(i) == request.Avoid && t.hasOther(int32(i)) {
+		if !t.admits(at) || given.leave.excludes(at) || int32(i) == request.Avoid && t.hasOther(int32(i)) {
 			continue
 		}
 		if at.isReserved(now) {
@@ -173,7 +177,7 @@
 // isOpen reports whether any endpoint is open.
 func (t *Table) isOpen() bool {
 	for i := range t.endpoints {
-		if t.endpoints[i].open {
+		if t.admits(&t.endpoints[i]) {
 			return true
 		}
 	}
@@ -185,10 +189,10 @@
 	isOpen := false
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if at.open && !at.isReserved(now) && at.running < t.limitAt(now, at, within) {
+		if t.admits(at) && !at.isReserved(now) && at.running < t.limitAt(now, at, within) {
 			return false
 		}
-		isOpen = isOpen || at.open
+		isOpen = isOpen || t.admits(at)
 	}
 	return isOpen
 }
@@ -200,7 +204,7 @@
 	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil {
+		if !t.admits(at) || at.engine == nil {
 			continue
 		}
 		if t.isPaced {
@@ -221,7 +225,7 @@
 	t.weighed += int64(len(t.endpoints))
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.engine == nil {
+		if !t.admits(at) || at.engine == nil {
 			continue
 		}
 		if first := at.engine.Predict(now, prompt, at.missing, false).First; best == 0 || first < best {
@@ -234,7 +238,7 @@
 // areAllFailing reports whether every open endpoint fails and is not due for a probe.
 func (t *Table) areAllFailing(now time.Time) bool {
 	for i := range t.endpoints {
-		if at := &t.endpoints[i]; at.open && !at.health.AwaitsProbe(now) {
+		if at := &t.endpoints[i]; t.admits(at) && !at.health.AwaitsProbe(now) {
 			return false
 		}
 	}
@@ -244,7 +248,7 @@
 // hasOther reports whether another endpoint than the one at the index is open.
 func (t *Table) hasOther(than int32) bool {
 	for i := range t.endpoints {
-		if int32(i) != than && t.endpoints[i].open {
+		if int32(i) != than && t.admits(&t.endpoints[i]) {
 			return true
 		}
 	}
--- a/router/coordination/coordinator.go
+++ b/router/coordination/coordinator.go
@@ -111,6 +111,7 @@
 		Crossing:   config.Crossing,
 		Order:      config.Order,
 		Send:       c.sendToEntry,
+		SetRollout: config.SetRollout,
 	})
 	c.entryRole = lending.New(lending.Config{
 		Self:             config.Self,
--- a/router/grants.go
+++ b/router/grants.go
@@ -9,6 +9,7 @@
 
 	"ryelug/core/cell"
 	"ryelug/core/result"
+	"ryelug/core/rollout"
 	"ryelug/io/pause"
 	"ryelug/router/coordination"
 	"ryelug/router/directory"
@@ -69,7 +70,7 @@
 	decision    lending.Decision
 	load        cell.EndpointLoad // load is what the endpoint reported in its latest answer; zero if nothing.
 	bytes       int               // bytes is the size of the request's body and its answer; only set with load.
-	took        time.Duration     // took is the time from the send to the complete answer; only set with load.
+	took        time.Duration     // took is the time from sending to the answer; only set with load, or while the cell has a running roll-out.
 	isBroken    bool              // isBroken is set once the connection has closed before the answer was complete.
 }
 
@@ -81,10 +82,10 @@
 	return p.decision.Endpoint, p.decision.Address, p.decision.Start
 }
 
-// IsOpen implements request.Permit.
+// IsOpen implements request.Permit. An endpoint that this router did not know of when the grant arrived is not open.
 func (p *permit) IsOpen() bool {
 	d := p.directory()
-	return d == nil || !d.IsClosed(p.decision.Endpoint)
+	return d == nil || p.decision.Address.IsValid() && !d.IsClosed(p.decision.Endpoint)
 }
 
 // Fetch implements request.Permit.
@@ -119,12 +120,23 @@
 	p.coordinator.ReportFirstToken(p.cell, p.attempt, first, p.load)
 }
 
+// ReportTook implements request.Permit. The time is of use to the judge of a roll-out alone.
+func (p *permit) ReportTook(took time.Duration) {
+	d := p.directory()
+	if d == nil {
+		return
+	}
+	if order := d.Policy(p.cell).Rollout; order != nil && order.State == rollout.Running {
+		p.took = took
+	}
+}
+
 // ReportBroken implements request.Permit.
 func (p *permit) ReportBroken() { p.isBroken = true }
 
 // ReportLoad implements request.Permit.
 func (p *permit) ReportLoad(load cell.EndpointLoad, bytes int, took time.Duration) {
-	p.load, p.bytes, p.took = load, bytes, took
+	p.load, p.bytes, p.took = load, bytes, max(p.took, took)
 }
 
 // ReportCost implements request.Permit. It only stores the cost; the coordinator reads it for its next progress
@@ -133,9 +145,9 @@
 
 // End implements request.Permit.
 func (p *permit) End(outcome cell.Outcome, cost cell.Cost, firstToken time.Duration) {
-	end := cell.End{Attempt: p.attempt, Outcome: outcome, Cost: cost, FirstToken: firstToken, IsBroken: p.isBroken}
+	end := cell.End{Attempt: p.attempt, Outcome: outcome, Cost: cost, FirstToken: firstToken, IsBroken: p.isBroken, Took: p.took}
 	if p.load.IsKnown() {
-		end.Load, end.Bytes, end.Took = p.load, uint32(min(p.bytes, math.MaxUint32)), p.took
+		end.Load, end.Bytes = p.load, uint32(min(p.bytes, math.MaxUint32))
 	}
 	p.coordinator.Finish(p.cell, end)
 }
