Let a request leave its data centre at once if that can't take it

Change: if no endpoint of the own data centre takes a request now, those of all data centres are tried; the share that changes slowly bounds only what leaves although its own data centre could take it.

--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -56,7 +56,6 @@
 	InOwn   time.Duration // InOwn is the predicted time to the answer in the own data centre.
 	InOther time.Duration // InOther is the predicted time in the best other data centre, without the price of the bytes.
 	Bytes   int           // Bytes is the expected size of the request with its answer.
-	Waits   bool          // Waits is true if the request may wait for its turn to leave, where its own data centre can't answer it in time.
 }
 
 // Control decides on the traffic between the data centres of one cell. It is not safe for concurrent use.
@@ -157,7 +156,7 @@
 	if isWorthwhile {
 		need = cheapCredit
 	}
-	decision.Scope, decision.Waits = Own, isWorthwhile && decision.InOther <= trip.Left
+	decision.Scope = Own
 	if hasRoom && own.share > 0 && own.credit >= need {
 		decision.Scope = Others
 	}
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -129,7 +129,7 @@
 }
 
 // bestOfferInScope returns the best offers as bestOffer does. If no other data centre takes a request that may leave, they are those
-// of its own.
+// of its own. If its own can't take a request that should stay, they are those of all: no endpoint is idle while a request waits.
 func (t *Table) bestOfferInScope(now time.Time, request *Request, given conditions) (cacheHolders, others bestOffer) {
 	cacheHolders, others = t.bestOffer(now, request, given)
 	l := given.leave
@@ -137,23 +137,18 @@
 		*given.obstacles, l.decision.Scope = dispatch.Obstacles{}, crossing.Own
 		cacheHolders, others = t.bestOffer(now, request, given)
 	}
-	if l.scope() == crossing.Own && cacheHolders.endpoint < 0 && others.endpoint < 0 && cacheHolders.verdict.combine(others.verdict) == Closed {
-		l.decision.Scope, l.decision.Cause = crossing.Anywhere, crossing.OwnClosed // The request avoids the only endpoint of its data centre.
+	if l.scope() == crossing.Own && cacheHolders.endpoint < 0 && others.endpoint < 0 {
+		l.decision.Scope, l.decision.Cause = crossing.Anywhere, crossing.OwnLate
+		if cacheHolders.verdict.combine(others.verdict) == Closed {
+			l.decision.Cause = crossing.OwnClosed // The request avoids the only endpoint of its data centre.
+		}
 		t.crossing.SetCosts(now, l.from, &l.trip, &l.costs)
+		*given.obstacles = dispatch.Obstacles{}
 		cacheHolders, others = t.bestOffer(now, request, given)
 	}
 	return cacheHolders, others
 }
 
-// amend returns the verdict on a request with regard to other data centres: one that its own can't answer in time waits if another
-// one can, until its turn to leave comes.
-func (l *leave) amend(verdict Verdict) Verdict {
-	if verdict == Hopeless && l.decision.Waits {
-		return Waits
-	}
-	return verdict
-}
-
 // distance returns the cost of the endpoint's distance from the entry of a request.
 func distance(at *endpoint, request *Request, given conditions) time.Duration {
 	switch {
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -140,7 +140,6 @@
 	if choice.Verdict != Admitted && request.Long && t.pausesOthers(now, request) {
 		t.placeOnReserved(now, request, given, &choice)
 	}
-	choice.Verdict = choice.leave.amend(choice.Verdict)
 	if choice.Verdict > Waits {
 		choice.Best = t.best(now, request.Prompt)
 	}
