Start a new endpoint of a paced service from the times of the others

An endpoint without measured times was expected to answer at once, so that it got calls with no time left, and hid from the refusal at once that no other one had time.

--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -86,17 +86,27 @@
 		factor = (factor + placed.factor) / 2 // The pace may have changed while the call ran.
 	}
 	sample := time.Duration(work / factor)
+	t.mean.add(sample, ways)
 	if at.paced.usual == 0 {
-		at.paced = pacedCalls{usual: sample, ways: ways}
+		at.paced.add(sample, ways)
 		return
 	}
 	if placed.margin > 0 {
 		t.margin.add(placed.margin, now.Add(-at.paced.ways/2).After(placed.deadline))
 	}
 	at.pace.Measured(now, factor, work/float64(at.paced.usual))
-	at.paced.usual += (sample - at.paced.usual) / callWeight
-	at.paced.ways += (ways - at.paced.ways) / callWeight
-	at.paced.at = time.Time{}
+	at.paced.add(sample, ways)
+}
+
+// add records the time of a call, at the usual pace and without the wait for a slot, and that of its grant and end on their ways.
+func (p *pacedCalls) add(usual, ways time.Duration) {
+	p.at = time.Time{}
+	if p.usual == 0 {
+		p.usual, p.ways = usual, ways
+		return
+	}
+	p.usual += (usual - p.usual) / callWeight
+	p.ways += (ways - p.ways) / callWeight
 }
 
 // refresh updates the values that depend on the present pace, which a decision needs several times.
@@ -195,7 +205,7 @@
 func (t *Table) verdictOnPacedCall(now time.Time, at *endpoint, request *Request, least time.Duration) (time.Duration, Verdict) {
 	expected := t.pacedExpected(now, at, at.running)
 	switch {
-	case expected <= request.left(now) || PacedTime(request.Objective, least) == 0:
+	case expected <= request.left(now) || least > 0 && PacedTime(request.Objective, least) == 0:
 		return expected, Admitted
 	case least > request.left(now):
 		return expected, Hopeless
@@ -213,17 +223,14 @@
 	return callTime
 }
 
-// leastPacedTime returns the least time to expect of a call at the open endpoints if they had free slots; zero if unknown at one.
+// leastPacedTime returns the least time to expect of a call at the open endpoints if they had free slots; zero if unknown at all.
 func (t *Table) leastPacedTime(now time.Time) time.Duration {
 	var least time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open {
+		if !at.open || at.paced.usual == 0 {
 			continue
 		}
-		if at.paced.usual == 0 {
-			return 0
-		}
 		if expected := t.pacedExpected(now, at, 0); least == 0 || expected < least {
 			least = expected
 		}
--- a/core/placing/paced_test.go
+++ b/core/placing/paced_test.go
@@ -133,3 +133,17 @@
 		service.Choose(now, request)
 	}
 }
+
+// A new endpoint must not get calls that have too little time left, as if calls took no time there.
+func TestNewEndpointStartsFromTheTimesOfTheOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	service := newService(now, 1, 100, 100)
+	policy := dispatch.Policy{Endpoints: []dispatch.EndpointPolicy{{Endpoint: "new", WarmLimit: 1, Start: "s"}}}
+	service.SetPolicy(&policy)
+	now = now.Add(2 * callTime)
+	late := call(now, 20*time.Millisecond)
+	late.Objective = 150 * time.Millisecond
+	is.Equal(service.Choose(now, late).Verdict, placing.Hopeless)
+	is.Equal(service.Choose(now, call(now, 150*time.Millisecond)).Verdict, placing.Admitted)
+}
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -17,10 +17,11 @@
 	stakes     *limit.Stakes
 	endpoints  []endpoint
 	indexes    slot.Index[cell.EndpointID]
-	reservedAt time.Time // reservedAt is the time of the last reservation of an engine for long prompts.
-	isPaced    bool      // isPaced is set once an endpoint has reported a pace; nothing of pacedCalls and pace.Endpoint acts before.
-	margin     margin    // margin is by how much calls exceed the expected time; only kept while isPaced is set.
-	weighed    int64     // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
+	reservedAt time.Time  // reservedAt is the time of the last reservation of an engine for long prompts.
+	isPaced    bool       // isPaced is set once an endpoint has reported a pace; nothing of pacedCalls and pace.Endpoint acts before.
+	mean       pacedCalls // mean is the mean of the times of the calls at all endpoints, from which new endpoints start; only kept while isPaced is set.
+	margin     margin     // margin is by how much calls exceed the expected time; only kept while isPaced is set.
+	weighed    int64      // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
 }
 
 // EndpointsEvaluated returns the number of endpoints considered for requests so far, as a measure of the cost of decisions.
@@ -38,7 +39,11 @@
 		t.endpoints[i].open = false
 	}
 	for i := range policy.Endpoints {
-		t.endpoints[t.Ensure(policy.Endpoints[i].Endpoint)].applyPolicy(&policy.Endpoints[i], policy)
+		at := &t.endpoints[t.Ensure(policy.Endpoints[i].Endpoint)]
+		at.applyPolicy(&policy.Endpoints[i], policy)
+		if at.engine == nil && at.paced.usual == 0 {
+			at.paced = pacedCalls{usual: t.mean.usual, ways: t.mean.ways}
+		}
 	}
 }
 
