--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -19,10 +19,11 @@
 	stakes     *limit.Stakes
 	endpoints  []endpoint
 	indexes    slot.Index[cell.EndpointID]
-	reservedAt time.Time // reservedAt is the time of the last reservation of an engine for long prompts.
-	isPaced    bool      // isPaced is set once an endpoint has reported a pace; nothing of pacedCalls and pace.Endpoint acts before.
-	margin     margin    // margin is by how much calls exceed the expected time; only kept while isPaced is set.
-	weighed    int64     // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
+	reservedAt time.Time  // reservedAt is the time of the last reservation of an engine for long prompts.
+	isPaced    bool       // isPaced is set once an endpoint has reported a pace; nothing of pacedCalls and pace.Endpoint acts before.
+	mean       pacedCalls // mean is the mean of the times of the calls at all endpoints, from which new endpoints start; only kept while isPaced is set.
+	margin     margin     // margin is by how much calls exceed the expected time; only kept while isPaced is set.
+	weighed    int64      // weighed counts the endpoints considered for requests, as a measure of the cost of decisions.
 
 	crossing *crossing.Control // crossing decides on requests for other data centres, in a cell where DecidesCrossing reports true.
 
@@ -48,6 +49,9 @@
 		at := &t.endpoints[t.Ensure(policy.Endpoints[i].Endpoint)]
 		at.applyPolicy(&policy.Endpoints[i], policy)
 		at.site = t.crossing.Site(at.dataCentre)
+		if at.engine == nil && at.paced.usual == 0 {
+			at.paced = pacedCalls{usual: t.mean.usual, ways: t.mean.ways}
+		}
 	}
 }
 
