Count answers that callers and endpoints leave unread against the budget

Cause: 120 callers that do not read their answers made a router with memory_limit = 144 use 191 MiB (responses of 4 MiB) and 635 MiB (streams, 64 events of 128 KiB queued for each).

Change: an answer over 16 KiB and an event over 4 KiB take their bytes from the budget, at the endpoint's side while they are read and at the caller's side until they are written; a stream queues at most 32 KiB beyond one event. The write timeout applies to each 64 KiB, so that a steady reader gets a large answer however long that takes. An answer is written without a copy. One bounded log line per eviction, gauge memory_refused by cause.

--- a/core/holding/budget.go
+++ b/core/holding/budget.go
@@ -27,7 +27,7 @@
 
 // Causes.
 const (
-	None    Cause = iota // None: the holder is not evicted.
+	None    Cause = iota // None: the holder is not evicted; of a body that is refused nevertheless, that it arrived too slowly.
 	Stalled              // Stalled: the budget is exhausted and the holder makes no progress.
 	Largest              // Largest: the budget is exhausted, and the holder is the largest of the client that holds the most.
 	Full                 // Full: the budget stayed exhausted, and no holder may be evicted.
@@ -36,7 +36,16 @@
 
 // String returns the name of the cause in logs and metrics.
 func (c Cause) String() string {
-	return [causes]string{"none", "stalled", "largest", "full"}[c]
+	return [causes]string{"slow", "stalled", "largest", "full"}[c]
+}
+
+// Causes returns all causes.
+func Causes() []Cause {
+	all := make([]Cause, causes)
+	for i := range all {
+		all[i] = Cause(i)
+	}
+	return all
 }
 
 // reserveDivisor is the divisor of the size that gives the bytes which only connections may take, so that ordinary
@@ -71,6 +80,8 @@
 	Client string // Client identifies the peer that the bytes are held for: its address or team.
 	// Evict makes the holder release its bytes soon; it must not block. Nil means that the holder is never evicted.
 	Evict func()
+	// OnlyStalled excludes the holder from eviction while its peer makes progress, because its request was forwarded.
+	OnlyStalled bool
 
 	previous, next *Holder
 	client         *client
@@ -126,8 +137,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := b.config.Size - b.config.Size/reserveDivisor
-	if excess := b.total - b.used[Connections] + max(0, b.used[Connections]-b.config.Size/reserveDivisor) + bytes - limit; excess > 0 {
+	reserve := b.config.Size / reserveDivisor
+	others := b.total - b.used[Connections]
+	if excess := others + bytes + max(reserve, b.used[Connections]) - b.config.Size; excess > 0 {
 		if h.cause == None {
 			h.progressAt = now
 		}
@@ -263,6 +275,9 @@
 		if now.Sub(one.progressAt) >= b.config.StallAfter && (stalled == nil || one.progressAt.Before(stalled.progressAt)) {
 			stalled = one
 		}
+		if one.OnlyStalled {
+			continue
+		}
 		if largest == nil || one.client.bytes > largest.client.bytes || one.client.bytes == largest.client.bytes && one.bytes > largest.bytes {
 			largest = one
 		}
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -11,6 +11,7 @@
 	"ryelug/core/holding"
 	"ryelug/core/result"
 	"ryelug/io/handover"
+	"ryelug/io/held"
 )
 
 const (
@@ -18,7 +19,6 @@
 	maxSegment       = 256 << 10              // maxSegment limits the bytes that are taken from the budget and read at a time.
 	wholeBody        = 64 << 10               // wholeBody is the announced length up to which the buffer for a body is allocated at once.
 	takeWait         = time.Second            // takeWait is how long bytes of the budget are awaited; nothing is read from the peer meanwhile.
-	takePoll         = 10 * time.Millisecond  // takePoll is the time between two attempts to take bytes.
 	progressInterval = 100 * time.Millisecond // progressInterval is the least time between two records of progress.
 	refusalTimeout   = time.Second            // refusalTimeout limits the write of a refusal to a caller that may not read it.
 	rawPerBody       = 8                      // rawPerBody is the number of bytes on the wire that a chunked body may take for each byte of MaxBody: chunks of one byte take six.
@@ -63,7 +63,7 @@
 	}
 	link, _ := rc.Conn().(*conn)
 	r := &bodyReader{server: s, link: link, from: stream, length: length, started: time.Now()}
-	r.holder.Kind, r.holder.Client, r.holder.Evict = holding.Bodies, clientOf(rc), r.evict
+	r.holder.Kind, r.holder.Client, r.holder.Evict = holding.Bodies, clientOf(rc.RemoteAddr()), r.evict
 	err := r.read()
 	if err == nil && !s.config.Budget.Keep(&r.holder) {
 		err = errEvicted
@@ -78,11 +78,11 @@
 }
 
 // clientOf returns the client that the bytes of a request are held for: the address of its connection without the port.
-func clientOf(rc *fasthttp.RequestCtx) string {
-	if tcp, ok := rc.RemoteAddr().(*net.TCPAddr); ok {
+func clientOf(address net.Addr) string {
+	if tcp, ok := address.(*net.TCPAddr); ok {
 		return tcp.IP.String()
 	}
-	return rc.RemoteAddr().String()
+	return address.String()
 }
 
 // bodyFailure returns the refusal of a body that could not be read; nil if err is nil.
@@ -182,7 +182,7 @@
 
 // take takes bytes from the budget.
 func (r *bodyReader) take(bytes int) error {
-	switch r.server.take(&r.holder, int64(bytes)) {
+	switch held.Take(r.server.config.Budget, &r.holder, int64(bytes), takeWait) {
 	case holding.None:
 		return nil
 	case holding.Full:
@@ -331,25 +331,3 @@
 	r.link.limitRead(pace)
 	return pace
 }
-
-// take takes bytes from the budget for a holder, and evicts others where it says so. It waits up to takeWait for them and
-// returns holding.None if they were taken.
-func (s *Server) take(h *holding.Holder, bytes int64) holding.Cause {
-	budget := s.config.Budget
-	for began := time.Now(); ; time.Sleep(takePoll) {
-		now := time.Now()
-		ok, victim := budget.Take(now, h, bytes)
-		if ok {
-			return holding.None
-		}
-		if victim != nil && victim != h {
-			victim.Evict()
-		}
-		if cause := budget.Evicted(h); cause != holding.None {
-			return cause
-		}
-		if now.Sub(began) >= takeWait {
-			return holding.Full
-		}
-	}
-}
--- a/io/caller/closing.go
+++ b/io/caller/closing.go
@@ -183,9 +183,10 @@
 
 // becomeIdle records that the last request was answered and its connection stays open.
 func (c *conn) becomeIdle() {
+	c.endServing()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.served = true, nil
+	c.idle = true
 }
 
 // becomeActive records that a part of a request was received, possibly together with the request before it.
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -86,6 +86,7 @@
 	readAhead   []byte    // readAhead holds bytes of the next request that watch or a relay has read, if any.
 	progress    progress
 	rest        rest
+	unread      bool // unread means that the caller does not read its answer, which is ended.
 	evicted     bool // evicted means that the rest of the body that is being read is not awaited.
 	rawLimit    int  // rawLimit is the number of bytes on the wire that the request may take; zero means no limit.
 }
@@ -143,16 +144,30 @@
 	}
 }
 
-// Write implements net.Conn. It fails if the data is not written within the write timeout.
+// maxWrite is the number of bytes that must be written within the write timeout: a caller that reads steadily gets a
+// large answer, however long that takes.
+const maxWrite = 64 << 10
+
+// Write implements net.Conn. It fails if maxWrite bytes, or all, are not written within the write timeout.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		ex, err := c.limitWrite()
+		if err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+maxWrite)])
+		written += n
+		c.mu.Lock()
+		c.progress.noteWrite(n, err)
+		c.mu.Unlock()
+		if ex != nil {
+			ex.outflow.progressed()
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
 	}
-	n, err := c.Conn.Write(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.progress.noteWrite(n, err)
-	return n, err
 }
 
 // begin records the ID of the request that is about to be served.
@@ -175,6 +190,7 @@
 		return net.ErrClosed
 	}
 	c.reportUnanswered()
+	defer c.endServing()
 	defer c.server.untrack(c) // Shutdown waits for what closeAnswered still reads.
 	if c.release != nil {
 		c.release()
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -52,6 +52,7 @@
 	broken          bool                    // broken means that the stream must end without its final chunk, so that the caller sees it as incomplete.
 	interrupted     sync.Once               // interrupted makes interrupt refuse the request once.
 	cancel          context.CancelCauseFunc // cancel cancels the context of the handler.
+	outflow         outflow                 // outflow counts what the caller has not read of the answer.
 	closesOnRefusal bool                    // closesOnRefusal means that a refusal after the start of the stream closes the connection instead of sending an error event.
 }
 
@@ -73,6 +74,7 @@
 		return ErrAnswered
 	}
 	x.ended = true
+	x.outflow.holdWhole(len(answer.Body))
 	x.head <- head{answer: &answer}
 	return nil
 }
@@ -105,6 +107,9 @@
 		return ErrGone
 	default:
 	}
+	if !x.outflow.holdEvent(&event, x.gone) {
+		return ErrGone
+	}
 	event.Data, event.Raw = bytes.Clone(event.Data), bytes.Clone(event.Raw)
 	select {
 	case x.events <- event:
@@ -188,11 +193,13 @@
 // Read implements io.Reader for the fasthttp goroutine, which writes the stream. It blocks until the next event.
 func (x *exchange) Read(p []byte) (int, error) {
 	if len(x.unwritten) == 0 {
+		x.outflow.eventWritten()
 		event, open := <-x.events
 		if !open {
 			return 0, x.streamEnd()
 		}
 		x.written.Add(1)
+		x.outflow.eventTaken(&event)
 		x.buf = appendEvent(x.buf[:0], &event)
 		x.unwritten = x.buf
 	}
@@ -250,7 +257,7 @@
 	if h.answer.Replayed {
 		rc.Response.Header.Set(headerReplayed, "true")
 	}
-	rc.SetBody(h.answer.Body)
+	rc.Response.SetBodyRaw(h.answer.Body)
 }
 
 // writeHead copies the status and the header, or the content type if there is no header, to the fasthttp response.
--- a/io/caller/hold.go
+++ b/io/caller/hold.go
@@ -1,9 +1,13 @@
 package caller
 
 import (
+	"os"
+	"sync/atomic"
 	"time"
 
 	"ryelug/core/holding"
+	"ryelug/io/handover"
+	"ryelug/io/held"
 )
 
 // endHold releases the bytes that a request holds; h is nil if it holds none.
@@ -43,3 +47,157 @@
 	defer c.mu.Unlock()
 	return isTimeout(c.progress.readErr)
 }
+
+// limitWrite sets the write deadline for the next part of an answer, and returns the exchange of the answer, if there is one.
+func (c *conn) limitWrite() (*exchange, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unread {
+		return nil, os.ErrDeadlineExceeded
+	}
+	return c.served, c.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+}
+
+// evictWrite ends the write of an answer that the caller does not read.
+func (c *conn) evictWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = true
+	if stream, ok := c.Conn.(*handover.Stream); ok {
+		_ = stream.Close() // Its deadlines do not end a write that is blocked.
+		return
+	}
+	_ = c.SetWriteDeadline(pastDeadline)
+}
+
+// endServing ends the hold of the answer that was being written, if there is one.
+func (c *conn) endServing() {
+	c.mu.Lock()
+	ex := c.served
+	c.served = nil
+	c.mu.Unlock()
+	if ex != nil {
+		ex.outflow.end()
+	}
+}
+
+const (
+	freeResponse = 16 << 10        // freeResponse is the size up to which an answer is covered by the share of its connection.
+	freeEvent    = 4 << 10         // freeEvent is the same for an event.
+	maxQueued    = 32 << 10        // maxQueued limits the bytes of a stream that are queued, unless a single event is larger.
+	copiesPerOut = 2               // copiesPerOut is the number of copies of an event that a stream holds: as queued and as encoded.
+	responseWait = 3 * time.Second // responseWait is how long bytes for an answer are awaited; its endpoint waits meanwhile.
+)
+
+// outflow counts the bytes of one answer that its caller has not read. Its budget may be nil.
+type outflow struct {
+	link   *conn // link is nil if nothing is counted.
+	budget *holding.Budget
+	holder holding.Holder
+	holds  atomic.Bool  // holds means that the holder may hold bytes.
+	queued atomic.Int64 // queued is the number of bytes in the queue of a stream.
+	drain  chan struct{} // drain wakes holdEvent when the queue has become shorter.
+	taken  int64        // taken is the number of bytes held for the event that is being written.
+	ends   atomic.Int32 // ends counts the calls of end.
+}
+
+// count makes the outflow of an answer count against the budget of the connection's server, if that has one.
+func (o *outflow) count(link *conn) {
+	if o.budget = link.server.config.Budget; o.budget != nil {
+		o.link = link
+	}
+}
+
+// take takes bytes of the answer from the budget; small answers never come here.
+func (o *outflow) take(bytes int64) holding.Cause {
+	if !o.holds.Load() {
+		o.holder.Kind, o.holder.Client, o.holder.OnlyStalled = holding.Responses, clientOf(o.link.RemoteAddr()), true
+		o.holder.Evict = o.evict
+		o.holds.Store(true)
+	}
+	return held.Take(o.budget, &o.holder, bytes, responseWait)
+}
+
+// evict implements holding.Holder.Evict.
+func (o *outflow) evict() {
+	o.link.server.config.Evicted(Eviction{Kind: holding.Responses, Cause: holding.Stalled, Caller: o.link.RemoteAddr()})
+	o.link.evictWrite()
+}
+
+// holdWhole takes the bytes of a complete answer. An answer that is not covered after responseWait is counted beyond the
+// budget, because it is in memory already.
+func (o *outflow) holdWhole(bytes int) {
+	if bytes <= freeResponse || o.link == nil {
+		return
+	}
+	if o.take(int64(bytes)) != holding.None {
+		o.budget.Force(time.Now(), &o.holder, int64(bytes))
+	}
+}
+
+// holdEvent takes the bytes of an event, and waits while the caller does not read the earlier ones. It returns false if the
+// stream has ended, or is ended because the budget is exhausted.
+func (o *outflow) holdEvent(event *Event, gone <-chan struct{}) bool {
+	if o.link == nil {
+		return true
+	}
+	if o.drain == nil {
+		o.drain = make(chan struct{}, 1)
+	}
+	size := int64(len(event.Data) + len(event.Raw))
+	for o.queued.Load() > 0 && o.queued.Load()+size > maxQueued {
+		select {
+		case <-o.drain:
+		case <-gone:
+			return false
+		}
+	}
+	if size > freeEvent {
+		event.held = copiesPerOut * size
+		switch o.take(event.held) {
+		case holding.None:
+		case holding.Full:
+			o.evict()
+			return false
+		default:
+			return false // It is evicted already.
+		}
+	}
+	o.queued.Add(size)
+	return true
+}
+
+// eventTaken records that an event has left the queue and is being written.
+func (o *outflow) eventTaken(event *Event) {
+	if o.link == nil {
+		return
+	}
+	o.taken = event.held
+	o.queued.Add(-int64(len(event.Data) + len(event.Raw)))
+	select {
+	case o.drain <- struct{}{}:
+	default:
+	}
+}
+
+// eventWritten releases the bytes of the event that was written.
+func (o *outflow) eventWritten() {
+	if o.taken > 0 {
+		o.budget.Release(&o.holder, o.taken)
+		o.taken = 0
+	}
+}
+
+// progressed records that the caller has read a part of the answer.
+func (o *outflow) progressed() {
+	if o.holds.Load() {
+		o.budget.Progress(time.Now(), &o.holder)
+	}
+}
+
+// end is called when the handler has returned and when the answer was written, and releases all bytes at the later one.
+func (o *outflow) end() {
+	if o.ends.Add(1) == 2 && o.holds.Load() {
+		o.budget.End(&o.holder)
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -256,6 +256,7 @@
 	ex.closesOnRefusal, ex.cancel = s.config.Protocol != nil, cancelCause
 	stop := func() {}
 	if isLink {
+		ex.outflow.count(link)
 		link.serving(ex)
 		stop = link.watch(cancel)
 		req.HasDisconnected = func() bool { return hasClosed(link.Conn) }
@@ -300,6 +301,7 @@
 // handle runs the handler and completes its answer. It recovers from a panic, which ends only the request at hand.
 func (s *Server) handle(ctx context.Context, req *Request, ex *exchange, held *holding.Holder) {
 	defer s.endHold(held)
+	defer ex.outflow.end()
 	defer ex.ensureAnswered(ctx)
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ryelug/core/cell"
+	"ryelug/core/holding"
 )
 
 // Defaults of Config; sizes are in bytes.
@@ -36,18 +37,19 @@
 	Dialect Dialect // Dialect describes the protocol of the endpoints; zero is that of the product's own endpoints.
 	// Dial opens a connection; nil dials TCP.
 	Dial           func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-	ConnectTimeout time.Duration // ConnectTimeout bounds dialling a connection plus fetching the first load report on it.
-	AnswerTimeout  time.Duration // AnswerTimeout bounds the wait for the header of an answer; zero leaves it to the context.
-	FirstTimeout   time.Duration // FirstTimeout bounds the wait for the first event of a stream.
-	EventTimeout   time.Duration // EventTimeout bounds the wait for each later event.
-	WriteTimeout   time.Duration // WriteTimeout bounds sending a call.
-	IdleReuse      time.Duration // IdleReuse is the longest idle time after which a connection is reused without a new load report.
-	IdleKeep       time.Duration // IdleKeep is the idle time after which a connection is closed.
-	MaxIdle        int           // MaxIdle limits the idle connections to all endpoints together.
-	MaxHeader      int           // MaxHeader limits the header of an answer, in bytes.
-	MaxBody        int           // MaxBody limits the body of an answer that is no stream, in bytes.
-	MaxEvent       int           // MaxEvent limits one event of a stream, in bytes.
-	MaxBuffered    int           // MaxBuffered limits the bytes buffered for all answers and events that are being read, together.
+	ConnectTimeout time.Duration   // ConnectTimeout bounds dialling a connection plus fetching the first load report on it.
+	AnswerTimeout  time.Duration   // AnswerTimeout bounds the wait for the header of an answer; zero leaves it to the context.
+	FirstTimeout   time.Duration   // FirstTimeout bounds the wait for the first event of a stream.
+	EventTimeout   time.Duration   // EventTimeout bounds the wait for each later event.
+	WriteTimeout   time.Duration   // WriteTimeout bounds sending a call.
+	IdleReuse      time.Duration   // IdleReuse is the longest idle time after which a connection is reused without a new load report.
+	IdleKeep       time.Duration   // IdleKeep is the idle time after which a connection is closed.
+	MaxIdle        int             // MaxIdle limits the idle connections to all endpoints together.
+	MaxHeader      int             // MaxHeader limits the header of an answer, in bytes.
+	MaxBody        int             // MaxBody limits the body of an answer that is no stream, in bytes.
+	MaxEvent       int             // MaxEvent limits one event of a stream, in bytes.
+	Budget         *holding.Budget // Budget bounds the bytes that the process holds for its peers; nil means no bound.
+	MaxBuffered    int             // MaxBuffered limits the bytes buffered for all answers and events that are being read, together.
 }
 
 // Client sends calls to endpoints; it never sends a call twice.
--- a/io/endpoint/held.go
+++ b/io/endpoint/held.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"time"
+
+	"ryelug/core/holding"
+	"ryelug/io/held"
 )
 
 // minCountedEventBytes is how far the size of an event must grow before its bytes are counted again as buffered.
@@ -13,6 +17,31 @@
 type buffered struct {
 	client *Client
 	bytes  int64
+	holder *holding.Holder // holder holds the bytes of the budget; nil until more than freeBytes are buffered.
+	taken  int64           // taken is the number of bytes taken from the budget.
+}
+
+const (
+	freeBytes  = 16 << 10        // freeBytes is the size up to which an answer or event takes nothing from the budget.
+	takenBytes = 64 << 10        // takenBytes is the least number of bytes that are taken from the budget at a time.
+	budgetWait = 3 * time.Second // budgetWait is how long bytes of the budget are awaited; the endpoint waits meanwhile.
+)
+
+// take takes bytes from the budget for what is buffered beyond freeBytes.
+func (h *buffered) take() error {
+	budget := h.client.config.Budget
+	if budget == nil || h.bytes <= freeBytes || h.bytes <= h.taken {
+		return nil
+	}
+	if h.holder == nil {
+		h.holder = &holding.Holder{Kind: holding.Responses, OnlyStalled: true}
+	}
+	more := max(takenBytes, h.bytes-h.taken)
+	if held.Take(budget, h.holder, more, budgetWait) != holding.None {
+		return h.client.newErrTooLong("no memory for an answer of more than %d bytes", h.bytes)
+	}
+	h.taken += more
+	return nil
 }
 
 // add counts more buffered bytes, and returns an error if the client's total exceeds MaxBuffered.
@@ -21,13 +50,17 @@
 	if total := h.client.buffered.Add(int64(count)); total > int64(h.client.config.MaxBuffered) {
 		return h.client.newErrTooLong("answers and events being read take %d bytes together, %d are allowed", total, h.client.config.MaxBuffered)
 	}
-	return nil
+	return h.take()
 }
 
 // release takes the counted bytes off the client's total.
 func (h *buffered) release() {
 	h.client.buffered.Add(-h.bytes)
 	h.bytes = 0
+	if h.holder != nil {
+		h.client.config.Budget.End(h.holder)
+		h.taken = 0
+	}
 }
 
 // countingReader counts the bytes read as buffered, and fails if they exceed the client's limit.
--- a/router/process/process.go
+++ b/router/process/process.go
@@ -267,6 +267,7 @@
 		FirstTimeout:   max(given.EventTimeout, given.AnswerTimeout),
 		EventTimeout:   given.EventTimeout,
 		IdleReuse:      given.IdleReuse,
+		Budget:         p.budget,
 		MaxBuffered:    given.MemoryLimit << 20 / heldMemoryDivisor,
 	})
 	return p.endpoints
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -79,6 +79,7 @@
 	}
 	if p.budget != nil {
 		gauges["memory_held"] = func() any { return p.budget.Figures() }
+		gauges["memory_refused"] = func() any { return p.router.Evicted() }
 	}
 	if p.registry != nil {
 		gauges["told_dropped"] = func() any { return p.registry.Dropped() }
--- a/router/router.go
+++ b/router/router.go
@@ -42,6 +42,7 @@
 	handoverTaker  *handover.Acceptor                  // handoverTaker is nil if Config.HandoverListener is.
 	earlyLog       *earlyRefusalLog                    // earlyLog logs requests that are refused before a dispatcher is asked.
 	unanswered     *unansweredLog                      // unanswered logs connections that end without an answer.
+	evicted        *evictedLog                         // evicted logs requests and responses that are ended for the memory that they take.
 	handedOver     atomic.Int64                        // handedOver counts connections that were handed over to other routers.
 
 	closedMu sync.Mutex     // closedMu guards closed, and orders requests.Add before requests.Wait.
@@ -64,6 +65,7 @@
 	})
 	r.earlyLog = newEarlyRefusalLog(r.requestLog, conf.DataCentre)
 	r.unanswered = newUnansweredLog(r.requestLog)
+	r.evicted = newEvictedLog(r.requestLog)
 	r.coordinator = coordination.New(r.coordinationConfig())
 	r.configuration = configuration.New(r.configurationConfig())
 	r.runner = request.New(request.Config{
@@ -83,6 +85,7 @@
 	conf.Callers.Refused = conf.Counter.Refused
 	conf.Callers.Panicked = r.panicked
 	conf.Callers.Unanswered = r.unanswered.record
+	conf.Callers.Evicted = r.evicted.record
 	conf.Callers.Shed = r.shed
 	conf.Callers.Late, conf.Callers.Busy = r.schedulingDelay, r.admission.IsBusy
 	if conf.Neighbours != nil {
