Count handed-over connections against the budget at both routers

Cause: a router that hands a connection over keeps up to 80 KiB of its request, and each end of the stream a window of 64 KiB, without a bound over all connections.

Change: a relayed connection takes half a connection's share; a request or an answer beyond 16 KiB takes its window, and what is kept, once. The first 4 KiB of a chunked body take nothing from the budget and no buffer of their own.

--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -65,6 +65,9 @@
 	r := &bodyReader{server: s, link: link, from: stream, length: length, started: time.Now()}
 	r.holder.Kind, r.holder.Client, r.holder.Evict = holding.Bodies, clientOf(rc.RemoteAddr()), r.evict
 	err := r.read()
+	if r.first != nil {
+		relayBuffers.Put(r.first)
+	}
 	if err == nil && !s.config.Budget.Keep(&r.holder) {
 		err = errEvicted
 	}
@@ -157,12 +160,13 @@
 	length  int // length is the announced length, negative for a chunked body.
 	started time.Time
 
-	segments   [][]byte  // segments holds the bytes that have arrived, all full but the last.
-	last       []byte    // last is the whole body, or its beginning if its length is known.
-	received   int       // received is the number of bytes in segments or in last.
-	arrived    int       // arrived is the number of bytes that were read.
-	progressAt time.Time // progressAt is when progress was last recorded.
-	full       bool      // full means that the budget stayed exhausted.
+	first      *[relayBufferSize]byte // first is the first segment of a chunked body, which the share of the connection covers.
+	segments   [][]byte               // segments holds the bytes that have arrived, all full but the last.
+	last       []byte                 // last is the whole body, or its beginning if its length is known.
+	received   int                    // received is the number of bytes in segments or in last.
+	arrived    int                    // arrived is the number of bytes that were read.
+	progressAt time.Time              // progressAt is when progress was last recorded.
+	full       bool                   // full means that the budget stayed exhausted.
 }
 
 // evict implements holding.Holder.Evict.
@@ -266,13 +270,12 @@
 // readSegment takes a segment of at most limit bytes from the budget and reads until it is full. It returns io.EOF at the
 // end of a body.
 func (r *bodyReader) readSegment(limit int) error {
-	size := min(max(freeBody, r.received), maxSegment, limit)
-	if err := r.take(size); err != nil {
+	segment, err := r.newSegment(limit)
+	if err != nil {
 		return err
 	}
-	segment := make([]byte, size)
 	filled := 0
-	for filled < size {
+	for filled < len(segment) {
 		n, err := r.readSome(segment[filled:])
 		filled += n
 		if err != nil {
@@ -286,19 +289,38 @@
 	return nil
 }
 
+// newSegment returns the next segment, of at most limit bytes.
+func (r *bodyReader) newSegment(limit int) ([]byte, error) {
+	if r.length < 0 && r.received == 0 {
+		r.first = relayBuffers.Get().(*[relayBufferSize]byte)
+		return r.first[:min(relayBufferSize, limit)], nil
+	}
+	size := min(max(freeBody, r.received), maxSegment, limit)
+	if err := r.take(size); err != nil {
+		return nil, err
+	}
+	return make([]byte, size), nil
+}
+
 // join allocates the buffer for the whole body, moves the segments there and releases their bytes.
 func (r *bodyReader) join(length int) error {
-	if err := r.take(length); err != nil {
-		return err
+	if length > freeBody {
+		if err := r.take(length); err != nil {
+			return err
+		}
 	}
 	r.last = make([]byte, length)
-	moved, held := 0, 0
-	for _, segment := range r.segments {
+	moved, taken := 0, 0
+	for i, segment := range r.segments {
 		moved += copy(r.last[moved:], segment)
-		held += cap(segment)
+		if i > 0 || r.first == nil {
+			taken += cap(segment)
+		}
 	}
 	r.segments = nil
-	r.server.config.Budget.Release(&r.holder, int64(held))
+	if taken > 0 {
+		r.server.config.Budget.Release(&r.holder, int64(taken))
+	}
 	return nil
 }
 
--- /dev/null
+++ b/io/caller/body_test.go
@@ -0,0 +1,229 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/holding"
+	"ryelug/core/result"
+	"ryelug/io/caller"
+)
+
+const (
+	heldBody   = 128 << 10
+	connMemory = 1 << 10
+)
+
+// budgeted returns a configuration with a budget for one body of heldBody bytes and a little more.
+func budgeted() (caller.Config, *holding.Budget) {
+	budget := holding.New(holding.Config{Size: 4 * heldBody, StallAfter: 50 * time.Millisecond})
+	return caller.Config{MaxBody: heldBody, Budget: budget, ConnMemory: connMemory}, budget
+}
+
+// awaitReleased waits until no bytes are held any more.
+func awaitReleased(t *testing.T, budget *holding.Budget) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		held := budget.Figures().Held
+		sum := int64(0)
+		for _, bytes := range held {
+			sum += bytes
+		}
+		if sum == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("bytes are still held: %v", held)
+		}
+	}
+}
+
+func announce(length int) string { return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", length) }
+
+// Guards against bodies that stop short of their end and use up the memory for those that do not.
+func TestStalledBodyIsRefusedWhileMemoryIsShort(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	config, r := record(config, echo)
+	address := serveOn(listen(t), config)
+	short := announce(heldBody) + strings.Repeat("x", heldBody-1)
+	first, second := send(t, address, short), send(t, address, short)
+	time.Sleep(100 * time.Millisecond) // Longer than StallAfter.
+	third := send(t, address, short+"x")
+	reader := bufio.NewReader(third)
+	assertAnswered(is, reader)
+	third.Close()
+	is.Equal(<-r.refused, result.RequestTimeout)
+	is.Equal(r.handler.calls.Load(), int64(1))
+	first.Close()
+	second.Close()
+	awaitReleased(t, budget)
+}
+
+// Guards against a refusal that waits for the body of a request which is announced over the limit.
+func TestAnnouncedBodyOverTheLimitIsRefusedAtItsHead(t *testing.T) {
+	is := is.New(t)
+	config, _ := budgeted()
+	config, r := record(config, echo)
+	conn := send(t, serveOn(listen(t), config), announce(heldBody+1))
+	assertEnd(is, conn, http.StatusRequestEntityTooLarge)
+	is.Equal(<-r.refused, result.TooLarge)
+}
+
+// Guards against chunks, trailers and extensions that make a request of legal size cost without a limit.
+func TestChunkedBodyOverALimitIsRefused(t *testing.T) {
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, one := range map[string]struct {
+		text string
+		want int
+	}{
+		"the body":        {chunked + strings.Repeat("1000\r\n"+strings.Repeat("x", 4096)+"\r\n", heldBody/4096) + "1\r\nx\r\n", http.StatusRequestEntityTooLarge},
+		"a trailer":       {chunked + "1\r\nx\r\n0\r\nX: " + strings.Repeat("x", 64<<10), http.StatusRequestEntityTooLarge},
+		"chunk extension": {chunked + "1;" + strings.Repeat("x", 10*heldBody), http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			config, budget := budgeted()
+			config, r := record(config, echo)
+			conn := dial(t, serveOn(listen(t), config))
+			go func() { _, _ = io.WriteString(conn, one.text) }() // The server may close the connection before it has all.
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is := is.New(t)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, one.want)
+			is.Equal(r.handler.calls.Load(), int64(0))
+			conn.Close()
+			awaitReleased(t, budget)
+		})
+	}
+}
+
+// Guards against a body that arrives so slowly that it holds its connection for the whole of the read timeout, and against
+// the refusal of one that is slow but within the minimum rate.
+func TestBodyBelowTheMinimumRateIsRefused(t *testing.T) {
+	for name, one := range map[string]struct {
+		rate int
+		want int
+	}{
+		"below":  {1 << 20, http.StatusRequestTimeout},
+		"within": {1000, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			config, budget := budgeted()
+			config.BodyRate, config.BodyGrace = one.rate, 200*time.Millisecond
+			config, _ = record(config, echo)
+			conn := send(t, serveOn(listen(t), config), announce(16<<10)+strings.Repeat("x", 12<<10))
+			go func() {
+				for range 40 {
+					time.Sleep(10 * time.Millisecond)
+					if _, err := io.WriteString(conn, strings.Repeat("x", 4<<10/40+1)); err != nil {
+						return
+					}
+				}
+			}()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, one.want)
+			conn.Close()
+			awaitReleased(t, budget)
+		})
+	}
+}
+
+// Guards against bytes that neither or only one of the two routers counts while a handed-over request is held, and against
+// bytes that stay counted afterwards.
+func TestBothRoutersCountAHandedOverRequest(t *testing.T) {
+	is := is.New(t)
+	farConfig, farBudget := budgeted()
+	farConfig.Handler = &handlerFunc{serve: echo}
+	to := takesOver(t, caller.New(farConfig))
+	nearConfig, nearBudget := budgeted()
+	near := handsOver(t, to, &handlerFunc{serve: echo}, func(bool) {}, func(config *caller.Config) {
+		config.Budget, config.ConnMemory, config.MaxBody = nearConfig.Budget, connMemory, heldBody
+	})
+	ln := listen(t)
+	go func() { _ = near.Serve(ln) }()
+	conn := send(t, ln.Addr().String(), announce(heldBody)+strings.Repeat("x", heldBody-1))
+	for end := time.Now().Add(5 * time.Second); nearBudget.Figures().Held["handovers"] == 0 || farBudget.Figures().Held["bodies"] < heldBody; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("held at the near router: %v, at the far one: %v", nearBudget.Figures().Held, farBudget.Figures().Held)
+		}
+	}
+	_, err := io.WriteString(conn, "x")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(len(body), heldBody)
+	conn.Close()
+	awaitReleased(t, nearBudget)
+	awaitReleased(t, farBudget)
+}
+
+// Guards against a caller that does not read its answer and is kept while the memory is short, and against bytes of
+// a stream that stay counted.
+func TestUnreadAnswerIsEndedWhileMemoryIsShort(t *testing.T) {
+	config, budget := budgeted()
+	large := bytes.Repeat([]byte("x"), 4*heldBody/2)
+	config, r := record(config, func(_ context.Context, req *caller.Request, w caller.Writer) {
+		for range 200 {
+			if w.Event(caller.Event{Data: large[:heldBody/2]}) != nil {
+				return
+			}
+		}
+		_ = w.Close()
+	})
+	address := serveOn(listen(t), config)
+	for range 4 {
+		send(t, address, request)
+	}
+	for end := time.Now().Add(20 * time.Second); budget.Figures().Evicted["stalled"] == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("nothing is evicted; held: %v, requests: %d", budget.Figures().Held, r.handler.calls.Load())
+		}
+	}
+}
+
+// FuzzChunkedBody checks that a chunked request which the server serves is decoded as net/http decodes it, and that no
+// request hangs the server or leaves bytes counted.
+func FuzzChunkedBody(f *testing.F) {
+	for _, seed := range []string{"0\r\n\r\n", "1\r\nx\r\n0\r\n\r\n", "5;a=b\r\nhello\r\n0\r\nT: v\r\n\r\n", "fffffffffffffff\r\nx", "2\r\nx\r\n0\r\n\r\n", "-1\r\n", "\r\n", "1\r\nx\r\n1\r\ny\r\n0\r\n", "0x1\r\nx\r\n0\r\n\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Add([]byte("2000\r\n" + strings.Repeat("x", 0x2000) + "\r\n" + strings.Repeat("1\r\ny\r\n", 9000) + "0\r\n\r\n"))
+	config, budget := budgeted()
+	config.ReadTimeout, config.Handler = time.Second, &handlerFunc{serve: echo}
+	ln := listen(f)
+	address := serveOn(ln, config)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > heldBody {
+			return
+		}
+		whole := head + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" + string(data)
+		conn := send(t, address, whole)
+		_ = conn.(interface{ CloseWrite() error }).CloseWrite()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil && resp.StatusCode == http.StatusOK {
+			got, err := io.ReadAll(resp.Body)
+			is := is.New(t)
+			is.NoErr(err)
+			req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(whole)))
+			is.NoErr(err)
+			want, err := io.ReadAll(req.Body)
+			is.NoErr(err)
+			is.True(bytes.Equal(got, want))
+		}
+		conn.Close()
+		awaitReleased(t, budget)
+	})
+}
--- a/io/caller/hold.go
+++ b/io/caller/hold.go
@@ -94,11 +94,11 @@
 	link   *conn // link is nil if nothing is counted.
 	budget *holding.Budget
 	holder holding.Holder
-	holds  atomic.Bool  // holds means that the holder may hold bytes.
-	queued atomic.Int64 // queued is the number of bytes in the queue of a stream.
+	holds  atomic.Bool   // holds means that the holder may hold bytes.
+	queued atomic.Int64  // queued is the number of bytes in the queue of a stream.
 	drain  chan struct{} // drain wakes holdEvent when the queue has become shorter.
-	taken  int64        // taken is the number of bytes held for the event that is being written.
-	ends   atomic.Int32 // ends counts the calls of end.
+	taken  int64         // taken is the number of bytes held for the event that is being written.
+	ends   atomic.Int32  // ends counts the calls of end.
 }
 
 // count makes the outflow of an answer count against the budget of the connection's server, if that has one.
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -5,6 +5,10 @@
 	"net"
 	"sync"
 	"time"
+
+	"ryelug/core/holding"
+	"ryelug/io/handover"
+	"ryelug/io/held"
 )
 
 const (
@@ -38,10 +42,19 @@
 	if !ok {
 		return false
 	}
+	share := s.config.ConnMemory / relaysPerConn
+	if !s.config.Budget.TakeConnection(share) {
+		to.Conn.Close()
+		to.Ended(false)
+		return false
+	}
 	r := &relay{server: s, near: near, far: to.Conn, age: age, since: time.Now(), forwarded: make(chan struct{})}
 	s.trackRelay(r)
 	go func() {
 		defer s.untrackRelay(r)
+		defer s.config.Budget.ReleaseConnection(share)
+		defer s.endHold(&r.request)
+		defer s.endHold(&r.response)
 		defer near.Close()
 		r.run()
 		to.Ended(r.served)
@@ -72,6 +85,12 @@
 	served bool  // served means that the answer has begun and is not a refusal.
 	err    error // err is the error that ended the answer.
 
+	request    holding.Holder // request holds the bytes of a request that is kept or on its way to the other router.
+	response   holding.Holder // response holds the bytes of an answer on its way from there.
+	isLarge    bool           // isLarge means that bytes were taken for request; only forward uses it.
+	mayKeep    int            // mayKeep limits the bytes that are kept; only forward uses it.
+	isAnswered bool           // isAnswered means that bytes were taken for response; only run uses it.
+
 	forwarded chan struct{} // forwarded is closed when forward has returned, which owns received, sent and firstRead until then.
 	received  int           // received is the number of bytes that were read from the caller.
 	sent      int           // sent is the number of bytes that were written to the other router.
@@ -107,6 +126,7 @@
 	for {
 		n, err := r.near.Read(buffer[:])
 		if n > 0 {
+			r.holdRequest(n)
 			r.keep(buffer[:n])
 			sent, failed := r.far.Write(buffer[:n])
 			r.sent += sent
@@ -121,6 +141,38 @@
 	}
 }
 
+// freeRelay is the number of bytes in one direction that the share of a relayed connection covers.
+const freeRelay = 16 << 10
+
+// holdRequest takes bytes of the budget for a request that is larger than freeRelay, once, before n bytes of it are passed on.
+// If there are none, no more of the request is kept, so that it can't be served here.
+func (r *relay) holdRequest(n int) {
+	if r.mayKeep == 0 {
+		r.mayKeep = maxKeptRequest
+	}
+	if r.isLarge || r.received+n <= freeRelay {
+		return
+	}
+	r.isLarge = true
+	r.request.Kind, r.request.Client = holding.Handovers, clientOf(r.near.RemoteAddr())
+	if held.Take(r.server.config.Budget, &r.request, maxKeptRequest+handover.Window, takeWait) != holding.None {
+		r.mayKeep = max(freeRelay, r.server.config.MaxHeader)
+		r.server.config.Budget.Force(time.Now(), &r.request, handover.Window)
+	}
+}
+
+// holdResponse takes bytes of the budget for an answer that is larger than freeRelay, once, after so many bytes were read.
+func (r *relay) holdResponse(copied int) {
+	if r.isAnswered || copied <= freeRelay {
+		return
+	}
+	r.isAnswered = true
+	r.response.Kind, r.response.Client = holding.Handovers, clientOf(r.near.RemoteAddr())
+	if held.Take(r.server.config.Budget, &r.response, handover.Window, takeWait) != holding.None {
+		r.server.config.Budget.Force(time.Now(), &r.response, handover.Window) // The window bounds what arrives anyway.
+	}
+}
+
 // keep counts bytes of the request and stores them while no answer has begun.
 func (r *relay) keep(data []byte) {
 	if r.received == 0 {
@@ -133,7 +185,7 @@
 		if r.kept == nil {
 			r.keptSince = time.Now()
 		}
-		r.kept = append(r.kept, data[:min(len(data), maxKeptRequest-len(r.kept))]...)
+		r.kept = append(r.kept, data[:min(len(data), max(0, r.mayKeep-len(r.kept)))]...)
 	}
 }
 
@@ -149,8 +201,11 @@
 func (r *relay) copyAnswer() (begun, served bool, err error) {
 	buffer := relayBuffers.Get().(*[relayBufferSize]byte)
 	defer relayBuffers.Put(buffer)
+	copied := 0
 	for {
 		n, err := r.far.Read(buffer[:])
+		copied += n
+		r.holdResponse(copied)
 		if start := bytes.TrimPrefix(buffer[:n], interimAnswer); len(start) > 0 && !begun {
 			begun, served = true, !bytes.HasPrefix(start, refusedStatus)
 			r.dropKept()
--- a/io/caller/relay_test.go
+++ b/io/caller/relay_test.go
@@ -77,7 +77,7 @@
 }
 
 // handsOver waits for a link to the router at address to, and returns a server that hands all its connections over to it.
-func handsOver(t *testing.T, to netip.AddrPort, own *handlerFunc, ended func(served bool)) *caller.Server {
+func handsOver(t *testing.T, to netip.AddrPort, own *handlerFunc, ended func(served bool), change ...func(*caller.Config)) *caller.Server {
 	dialer := handover.NewDialer(handover.DialerConfig{
 		Identity: handover.Identity{Router: "near/1", Key: key}, Log: quiet(),
 		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
@@ -91,16 +91,20 @@
 		dialer.SetTargets(time.Now(), []neighbour.Router{one})
 		_, linked = dialer.Load(&one)
 	}
-	return caller.New(caller.Config{
+	config := caller.Config{
 		Handler: own, MaxConns: 100,
 		Elsewhere: func(age time.Duration) (caller.Relay, bool) {
 			stream, ok := dialer.Open(to, age)
 			return caller.Relay{Conn: stream, Ended: ended}, ok
 		},
-	})
+	}
+	for _, one := range change {
+		one(&config)
+	}
+	return caller.New(config)
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { ln.Close() })
