--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -106,7 +106,7 @@
 	numberKey("retry_burst", "Retries of a pool that may be saved up, in the whole fleet.", 20, 0, 100_000, func(s *Settings) *float64 { return &s.RetryBurst }),
 	numberKey("cold_factor", "Factor of the rate of requests that the configuration allows a cold endpoint.", 1, 0.01, 100, func(s *Settings) *float64 { return &s.ColdFactor }),
 	numberKey("cold_slack", "Requests a second that a cold endpoint bears beyond that.", 0, 0, 10_000, func(s *Settings) *float64 { return &s.ColdSlack }),
-	intKey("memory_limit", "Memory of the process, in MiB; the garbage collector works harder when three quarters of it are in use, callers' connections get half of it at most, and answers that are being read an eighth. Zero is no limit.",
+	intKey("memory_limit", "Memory of the process, in MiB; the garbage collector works harder when three quarters of it are in use; of these, an eighth of the whole is for answers that are being read, 24 MiB for the process itself, and the rest for all that is held for callers and endpoints, an eighth of the whole at least. Callers' connections get half of it at most. Zero is no limit.",
 		0, 0, 1_000_000, func(s *Settings) *int { return &s.MemoryLimit }),
 	intKey("max_descriptors", "Descriptors that the process may open; callers get half of them at most, since each request may need one to an endpoint. Zero is no limit.",
 		0, 0, 10_000_000, func(s *Settings) *int { return &s.MaxDescriptors }),
