--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -66,8 +66,6 @@
 	Name string
 	Data []byte
 	Raw  []byte // Raw is the encoded event; if it is not nil, it is written in place of the other fields.
-
-	held int64 // held is the number of bytes that the event takes from the budget.
 }
 
 // Refusal is a final answer that the router gives in place of an endpoint.
--- a/io/caller/hold.go
+++ b/io/caller/hold.go
@@ -93,12 +93,11 @@
 type outflow struct {
 	link   *conn // link is nil if nothing is counted.
 	budget *holding.Budget
-	holder holding.Holder
-	holds  atomic.Bool   // holds means that the holder may hold bytes.
-	queued atomic.Int64  // queued is the number of bytes in the queue of a stream.
-	drain  chan struct{} // drain wakes holdEvent when the queue has become shorter.
-	taken  int64         // taken is the number of bytes held for the event that is being written.
-	ends   atomic.Int32  // ends counts the calls of end.
+	holder atomic.Pointer[holding.Holder] // holder is nil until a large answer or event takes bytes.
+	queued atomic.Int64                   // queued is the number of bytes in the queue of a stream.
+	drain  chan struct{}                  // drain wakes holdEvent when the queue has become shorter.
+	taken  int64                          // taken is the number of bytes held for the event that is being written.
+	ends   atomic.Int32                   // ends counts the calls of end.
 }
 
 // count makes the outflow of an answer count against the budget of the connection's server, if that has one.
@@ -110,12 +109,10 @@
 
 // take takes bytes of the answer from the budget; small answers never come here.
 func (o *outflow) take(bytes int64) holding.Cause {
-	if !o.holds.Load() {
-		o.holder.Kind, o.holder.Client, o.holder.OnlyStalled = holding.Responses, clientOf(o.link.RemoteAddr()), true
-		o.holder.Evict = o.evict
-		o.holds.Store(true)
+	if o.holder.Load() == nil {
+		o.holder.Store(&holding.Holder{Kind: holding.Responses, Client: clientOf(o.link.RemoteAddr()), OnlyStalled: true, Evict: o.evict})
 	}
-	return held.Take(o.budget, &o.holder, bytes, responseWait)
+	return held.Take(o.budget, o.holder.Load(), bytes, responseWait)
 }
 
 // evict implements holding.Holder.Evict.
@@ -131,7 +128,7 @@
 		return
 	}
 	if o.take(int64(bytes)) != holding.None {
-		o.budget.Force(time.Now(), &o.holder, int64(bytes))
+		o.budget.Force(time.Now(), o.holder.Load(), int64(bytes))
 	}
 }
 
@@ -153,8 +150,7 @@
 		}
 	}
 	if size > freeEvent {
-		event.held = copiesPerOut * size
-		switch o.take(event.held) {
+		switch o.take(copiesPerOut * size) {
 		case holding.None:
 		case holding.Full:
 			o.evict()
@@ -172,8 +168,11 @@
 	if o.link == nil {
 		return
 	}
-	o.taken = event.held
-	o.queued.Add(-int64(len(event.Data) + len(event.Raw)))
+	size := int64(len(event.Data) + len(event.Raw))
+	if size > freeEvent {
+		o.taken = copiesPerOut * size
+	}
+	o.queued.Add(-size)
 	select {
 	case o.drain <- struct{}{}:
 	default:
@@ -183,21 +182,24 @@
 // eventWritten releases the bytes of the event that was written.
 func (o *outflow) eventWritten() {
 	if o.taken > 0 {
-		o.budget.Release(&o.holder, o.taken)
+		o.budget.Release(o.holder.Load(), o.taken)
 		o.taken = 0
 	}
 }
 
 // progressed records that the caller has read a part of the answer.
 func (o *outflow) progressed() {
-	if o.holds.Load() {
-		o.budget.Progress(time.Now(), &o.holder)
+	if h := o.holder.Load(); h != nil {
+		o.budget.Progress(time.Now(), h)
 	}
 }
 
 // end is called when the handler has returned and when the answer was written, and releases all bytes at the later one.
 func (o *outflow) end() {
-	if o.ends.Add(1) == 2 && o.holds.Load() {
-		o.budget.End(&o.holder)
+	if o.ends.Add(1) != 2 {
+		return
+	}
+	if h := o.holder.Load(); h != nil {
+		o.budget.End(h)
 	}
 }
