--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -47,10 +47,19 @@
 			a.server.refuseUnread(raw)
 			continue
 		}
+		bytes := a.server.config.ConnMemory
+		if !a.server.config.Budget.TakeConnection(bytes) {
+			a.server.config.Refused(result.Overloaded)
+			a.server.refuseUnread(raw)
+			continue
+		}
 		a.open.Add(1)
 		return a.server.track(&conn{
 			Conn: raw, server: a.server, accepted: time.Now(), idle: true, writeTimeout: a.writeTimeout, singleRequest: a.singleRequest, handedOver: a.singleRequest,
-			age: requestAge(raw, a.processorDelay()), release: func() { a.open.Add(-1) },
+			age: requestAge(raw, a.processorDelay()), release: func() {
+				a.open.Add(-1)
+				a.server.config.Budget.ReleaseConnection(bytes)
+			},
 		}), nil
 	}
 }
@@ -77,6 +86,9 @@
 	readAhead   []byte    // readAhead holds bytes of the next request that watch or a relay has read, if any.
 	progress    progress
 	rest        rest
+	unread      bool // unread means that the caller does not read its answer, which is ended.
+	evicted     bool // evicted means that the rest of the body that is being read is not awaited.
+	rawLimit    int  // rawLimit is the number of bytes on the wire that the request may take; zero means no limit.
 }
 
 // requestAge returns how long the first request of a new connection has already waited. For a connection that another
@@ -125,20 +137,37 @@
 		}
 		c.receivedAny = c.receivedAny || n > 0
 		c.progress.noteRead(n, err)
+		if c.rawLimit > 0 && c.progress.received > c.rawLimit {
+			return 0, errBodyTooLarge
+		}
 		return n, err
 	}
 }
 
-// Write implements net.Conn. It fails if the data is not written within the write timeout.
+// maxWrite is the number of bytes that must be written within the write timeout: a caller that reads steadily gets a
+// large answer, however long that takes.
+const maxWrite = 64 << 10
+
+// Write implements net.Conn. It fails if maxWrite bytes, or all, are not written within the write timeout.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		ex, err := c.limitWrite()
+		if err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+maxWrite)])
+		written += n
+		c.mu.Lock()
+		c.progress.noteWrite(n, err)
+		c.mu.Unlock()
+		if ex != nil {
+			ex.outflow.progressed()
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
 	}
-	n, err := c.Conn.Write(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.progress.noteWrite(n, err)
-	return n, err
 }
 
 // begin records the ID of the request that is about to be served.
@@ -161,6 +190,7 @@
 		return net.ErrClosed
 	}
 	c.reportUnanswered()
+	defer c.endServing()
 	defer c.server.untrack(c) // Shutdown waits for what closeAnswered still reads.
 	if c.release != nil {
 		c.release()
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -78,6 +78,10 @@
 		"peers":           func() any { return p.peers() },
 		"cells":           func() any { return p.cells() },
 	}
+	if p.budget != nil {
+		gauges["memory_held"] = func() any { return p.budget.Figures() }
+		gauges["memory_refused"] = func() any { return p.router.Evicted() }
+	}
 	if p.registry != nil {
 		gauges["told_dropped"] = func() any { return p.registry.Dropped() }
 		gauges["confirmed_ms_ago"] = func() any { return p.registry.ConfirmedAgo().Milliseconds() }
