--- a/core/admission/rollout.go
+++ b/core/admission/rollout.go
@@ -57,6 +57,7 @@
 		d.rollout = &rolloutState{trial: rollout.New(rollout.Config{Order: *order, Bounds: policy.RolloutBounds})}
 	}
 	d.endpoints.SetTarget(order.Target)
+	d.endpoints.SetFaulty(d.rollout.trial)
 }
 
 func (d *Dispatcher) isSameOrder(order *rollout.Order) bool {
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -81,6 +81,7 @@
 // precedes a verdict of this dispatcher. A final state that the store has lost again is kept, and Step returns it.
 func (t *Trial) Update(order Order) {
 	t.order, t.isRemoved = order, false
+	t.order.State = max(Running, order.State) // An order without a status is running.
 	if order.State == Completed || order.State == RolledBack {
 		t.state, t.reason = order.State, "the store has this state"
 	}
