Count streams from their first event

The time of a stream was known to the Trial only when the stream ended, so a service with long answers had too few samples in the time of a roll-out.

--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -76,6 +76,9 @@
 		granted := d.flights.At(slotIndex)
 		d.teams[granted.team].active = now
 		d.endpoints.Begun(now, &granted.placed)
+		if d.rollout != nil {
+			d.countBegun(slotIndex, granted, progress.FirstToken)
+		}
 		if granted.begunAt.IsZero() {
 			granted.begunAt = now
 		}
--- a/core/admission/rollout.go
+++ b/core/admission/rollout.go
@@ -21,6 +21,7 @@
 	group    rollout.Group
 	class    string
 	expected time.Duration
+	hasBegun bool // hasBegun is true if the trial knows the time of the first token.
 }
 
 // TakeVerdicts returns the verdicts on the cell's roll-out since the last call, which must be written to the store. A verdict is
@@ -138,17 +139,34 @@
 	r.trial.Granted(now, group, request.Class, grant.Endpoint)
 }
 
+// countBegun records the first token of an attempt with the index.
+func (d *Dispatcher) countBegun(index int32, granted *attempt, took time.Duration) {
+	if sample, ok := d.sampleOf(index, granted); ok && !sample.HasBegun {
+		d.rollout.grants[index].hasBegun = true
+		sample.Took = took
+		d.rollout.trial.Begun(sample)
+	}
+}
+
 // countEnd records the end of an attempt with the index, which still counts at its endpoint.
 func (d *Dispatcher) countEnd(index int32, granted *attempt, end *cell.End) {
+	if sample, ok := d.sampleOf(index, granted); ok {
+		d.rollout.grants[index] = rolloutGrant{}
+		sample.Outcome, sample.Took = end.Outcome, end.Took
+		d.rollout.trial.Ended(d.now, sample)
+	}
+}
+
+// sampleOf returns what the trial needs of an attempt with the index, and false if it does not count the attempt.
+func (d *Dispatcher) sampleOf(index int32, granted *attempt) (rollout.Sample, bool) {
 	if int(index) >= len(d.rollout.grants) || d.rollout.grants[index].group == 0 {
-		return
+		return rollout.Sample{}, false
 	}
 	counted := &d.rollout.grants[index]
 	sample := d.endpoints.Sample(d.now, &granted.placed)
 	sample.Group, sample.Class, sample.Expected = counted.group, counted.class, counted.expected
-	sample.Outcome, sample.Took, sample.GrantedAt = end.Outcome, end.Took, granted.grantedAt
-	d.rollout.trial.Ended(d.now, sample)
-	*counted = rolloutGrant{}
+	sample.GrantedAt, sample.HasBegun = granted.grantedAt, counted.hasBegun
+	return sample, true
 }
 
 // learnNote reports whether a counter is a note about a roll-out, and passes it on.
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -58,13 +58,9 @@
 	buckets []rates // buckets holds, by target endpoint, its samples in this bucket.
 }
 
-// addSample records a response, or a refusal. The index of the endpoint is negative for the stable group.
-func (t *Trial) addSample(now time.Time, state *class, at int32, sample *Sample) {
-	hasFailed := sample.Outcome != cell.Completed
-	one := rates{samples: 1}
-	if hasFailed {
-		one.failed = 1
-	}
+// addAnswer counts an answer that has begun, and its time. The index of the endpoint is negative for the stable group.
+func (t *Trial) addAnswer(state *class, at int32, sample *Sample) {
+	var one rates
 	measure := sample.measure()
 	if measure > 0 && state.slowFrom > 0 {
 		one.timed = 1
@@ -74,7 +70,6 @@
 	}
 	if at < 0 {
 		t.counts.StableSamples++
-		t.counts.StableFailures += int(one.failed)
 		if sample.Slots > 0 {
 			t.pressure.add(float64(sample.Running) / float64(sample.Slots))
 		}
@@ -84,31 +79,52 @@
 		}
 		return
 	}
-	endpoint := &t.endpoints[at]
 	t.counts.TargetSamples++
-	t.counts.TargetFailures += int(one.failed)
 	state.samples++
 	t.all.samples++
+	endpoint := &t.endpoints[at]
+	if sample.Running >= min(t.level(endpoint), sample.Slots) {
+		endpoint.loaded++
+	}
+	if !endpoint.isFaulty {
+		state.bucketOf(at).add(&one)
+	}
+}
+
+// addOutcome counts whether a request failed. The index of the endpoint is negative for the stable group.
+func (t *Trial) addOutcome(now time.Time, state *class, at int32, sample *Sample) {
+	one := rates{samples: 1}
+	if sample.Outcome != cell.Completed {
+		one.failed = 1
+	}
+	if at < 0 {
+		t.counts.StableFailures += int(one.failed)
+		state.bucket.add(&one)
+		return
+	}
+	t.counts.TargetFailures += int(one.failed)
+	endpoint := &t.endpoints[at]
 	if endpoint.isFaulty || sample.GrantedAt.Before(endpoint.failedAt) {
 		return // The crash or the cut that ended an earlier request may have ended this one too, so it is no evidence of its own.
 	}
-	if hasFailed {
+	if one.failed > 0 {
 		endpoint.failedAt = now
 	}
-	endpoint.samples++
-	if sample.Running >= min(t.level(endpoint), sample.Slots) {
-		endpoint.loaded++
-	}
-	for len(state.buckets) <= int(at) {
-		state.buckets = append(state.buckets, rates{})
+	state.bucketOf(at).add(&one)
+}
+
+// bucketOf returns the bucket of a target endpoint.
+func (c *class) bucketOf(at int32) *rates {
+	for len(c.buckets) <= int(at) {
+		c.buckets = append(c.buckets, rates{})
 	}
-	state.buckets[at].add(&one)
+	return &c.buckets[at]
 }
 
 // measure returns the time of an answer in relation to what was expected of it, in seconds; zero if it is no evidence.
 func (s *Sample) measure() float64 {
 	switch {
-	case s.Outcome != cell.Completed || s.Cold || s.Took <= 0:
+	case s.Outcome != cell.Completed && !s.HasBegun || s.Cold || s.Took <= 0:
 		return 0
 	case s.Expected > 0:
 		return float64(s.Took) / float64(s.Expected)
@@ -122,8 +138,8 @@
 		state := &t.classes[i]
 		tests := state.closeStable()
 		for at := range state.buckets {
-			if state.buckets[at].samples > 0 && state.disrupted == 0 {
-				added := tests.add(&state.buckets[at])
+			if got := &state.buckets[at]; got.samples+got.timed > 0 && state.disrupted == 0 {
+				added := tests.add(got)
 				state.add(at, &added)
 				t.all.add(at, &added)
 				t.endpoints[at].addOdds(&added)
--- a/core/rollout/sample.go
+++ b/core/rollout/sample.go
@@ -15,7 +15,7 @@
 	Target                  // Target: the endpoints of the target version.
 )
 
-// Sample is the end of a granted request.
+// Sample is the first event or the end of a granted request.
 type Sample struct {
 	Group    Group
 	Class    string // Class is the route class of the request.
@@ -27,6 +27,7 @@
 	Running  int           // Running is the number of requests that ran at the endpoint, with this one.
 	Slots    int           // Slots is the number of requests that the endpoint runs at once.
 
+	HasBegun  bool      // HasBegun is true if Begun was called for the request.
 	GrantedAt time.Time // GrantedAt is when the request was granted.
 }
 
--- a/core/rollout/stage.go
+++ b/core/rollout/stage.go
@@ -33,9 +33,8 @@
 // endpoint is a target endpoint.
 type endpoint struct {
 	id       cell.EndpointID
-	running  int // running is the number of requests granted here that have not ended.
-	slots    int // slots is the number of requests that it runs at once.
-	samples  int
+	running  int  // running is the number of requests granted here that have not ended.
+	slots    int  // slots is the number of requests that it runs at once.
 	loaded   int  // loaded counts the samples that were taken beside as many other requests as the other version runs.
 	isOpen   bool // isOpen is true if it may get requests.
 	isFaulty bool // isFaulty is true if it alone is bad, not its version.
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -172,29 +172,48 @@
 	}
 }
 
+// Begun records the first event of a stream for which Granted was called, so that a stream counts long before its end.
+func (t *Trial) Begun(sample Sample) {
+	sample.HasBegun = true
+	state, at := t.find(&sample)
+	t.addAnswer(state, at, &sample)
+}
+
 // Ended records the end of a request for which Granted was called.
 func (t *Trial) Ended(now time.Time, sample Sample) {
-	state := &t.classes[t.ensureClass(sample.Class)]
-	at := int32(-1)
-	if sample.Group == Target {
-		at = t.ensureEndpoint(sample.Endpoint)
+	state, at := t.find(&sample)
+	if at >= 0 {
 		t.endpoints[at].running--
 	}
 	switch sample.Outcome {
 	case cell.Unused, cell.Unreached, cell.StartChanged: // Nothing was sent.
 		t.counts.Requests--
 		state.requests--
-		if sample.Group == Target {
+		if at >= 0 {
 			t.counts.Exposed--
 			state.exposed--
 		}
-	case cell.Completed, cell.Failed:
-		t.addSample(now, state, at, &sample)
+		return
 	case cell.Refused:
-		if sample.Running <= sample.Slots { // An endpoint that is not full has no good reason to refuse.
-			t.addSample(now, state, at, &sample)
+		if sample.Running > sample.Slots {
+			return // An endpoint that is not full has no good reason to refuse.
 		}
+	case cell.Cancelled:
+		return
+	}
+	if !sample.HasBegun {
+		t.addAnswer(state, at, &sample)
+	}
+	t.addOutcome(now, state, at, &sample)
+}
+
+// find returns the class of a sample, and the index of its endpoint; negative for one of the stable group.
+func (t *Trial) find(sample *Sample) (state *class, at int32) {
+	state = &t.classes[t.ensureClass(sample.Class)]
+	if sample.Group == Target {
+		return state, t.ensureEndpoint(sample.Endpoint)
 	}
+	return state, -1
 }
 
 // Focus returns the target endpoint that requests of the target are to go to; empty if any may get them.
--- a/core/rollout/trial_test.go
+++ b/core/rollout/trial_test.go
@@ -19,15 +19,19 @@
 	verdicts []rollout.Verdict
 }
 
-func try(failEvery int, capacity rollout.Capacity) *tried {
+func newTried(capacity rollout.Capacity) *tried {
 	began := time.Unix(1000, 0)
 	order := rollout.Order{Cell: "c", Target: "v2", Revision: 1, Duration: 12 * time.Second, Seen: began, ConfirmedAt: began, State: rollout.Running}
-	t := &tried{
+	return &tried{
 		Trial: rollout.New(rollout.Config{Order: order, Bounds: rollout.Bounds{Share: 0.1, Slack: 50, Rollback: 5 * time.Second}}),
 		now:   began, order: order, capacity: capacity,
 	}
+}
+
+func try(failEvery int, capacity rollout.Capacity) *tried {
+	t := newTried(capacity)
 	exposed := 0
-	for t.now.Before(began.Add(10500 * time.Millisecond)) {
+	for t.now.Before(t.order.Seen.Add(10500 * time.Millisecond)) {
 		t.step(10 * time.Millisecond)
 		endpoint := t.Focus()
 		sample := rollout.Sample{Group: t.Pick(t.now, "k"), Class: "k", Endpoint: endpoint, Outcome: cell.Completed, Took: time.Millisecond, Running: 1, Slots: 4, GrantedAt: t.now}
@@ -101,3 +105,23 @@
 	is.True(tried.verdicts[0].Counts.Exposed < 50)
 	is.True(tried.verdicts[0].Order.ConfirmedAt.Before(tried.order.Seen.Add(8 * time.Second)))
 }
+
+// Guards against versions that are never compared because few streams end by themselves: callers leave them after the first event.
+func TestStreams(t *testing.T) {
+	is := is.New(t)
+	for _, factor := range []time.Duration{1, 3} {
+		tried := newTried(enough)
+		for tried.now.Before(tried.order.Seen.Add(10500 * time.Millisecond)) {
+			tried.step(10 * time.Millisecond)
+			sample := rollout.Sample{Group: tried.Pick(tried.now, "k"), Class: "k", Endpoint: tried.Focus(), Took: 100 * time.Millisecond, Running: 1, Slots: 4}
+			if sample.Group == rollout.Target {
+				sample.Took *= factor
+			}
+			tried.Granted(tried.now, sample.Group, "k", sample.Endpoint)
+			tried.Begun(sample)
+			sample.Outcome, sample.HasBegun = cell.Cancelled, true
+			tried.Ended(tried.now, sample)
+		}
+		is.Equal(tried.verdicts[0].State == rollout.Completed, factor == 1)
+	}
+}
