Don't hold answers against a target that was cold at their grant

A request that is granted to a cold endpoint may end when the endpoint is warm, and counted as slow. TestColdIsNotSlow fails without the change and passes with it.

--- a/core/admission/rollout.go
+++ b/core/admission/rollout.go
@@ -6,7 +6,6 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/placing"
-	"ryelug/core/queue"
 	"ryelug/core/rollout"
 )
 
@@ -21,6 +20,7 @@
 	group    rollout.Group
 	class    string
 	expected time.Duration
+	wasCold  bool // wasCold is true if the endpoint was cold at the grant.
 	hasBegun bool // hasBegun is true if the trial knows the time of the first token.
 }
 
@@ -130,13 +130,15 @@
 	return choice
 }
 
-// countGrant records the grant of a request whose attempt has the index.
-func (r *rolloutState) countGrant(now time.Time, index int32, request *queue.Request, group rollout.Group, grant *cell.Grant, expected time.Duration) {
+// noteGrant records the grant of a request of the class whose attempt has the index.
+func (d *Dispatcher) noteGrant(index int32, class string, placed *placing.Placement, grant *cell.Grant) {
+	r := d.rollout
 	for len(r.grants) <= int(index) {
 		r.grants = append(r.grants, rolloutGrant{})
 	}
-	r.grants[index] = rolloutGrant{group: group, class: request.Class, expected: expected}
-	r.trial.Granted(now, group, request.Class, grant.Endpoint)
+	sample := d.endpoints.Sample(d.now, placed)
+	r.grants[index] = rolloutGrant{group: sample.Group, class: class, expected: placed.Expected(grant), wasCold: sample.Cold}
+	r.trial.Granted(d.now, sample.Group, class, grant.Endpoint)
 }
 
 // countBegun records the first token of an attempt with the index.
@@ -165,6 +167,7 @@
 	counted := &d.rollout.grants[index]
 	sample := d.endpoints.Sample(d.now, &granted.placed)
 	sample.Group, sample.Class, sample.Expected = counted.group, counted.class, counted.expected
+	sample.Cold = sample.Cold || counted.wasCold
 	sample.GrantedAt, sample.HasBegun = granted.grantedAt, counted.hasBegun
 	return sample, true
 }
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -224,7 +224,7 @@
 	d.returns.Granted(now)
 	index := d.addAttempt(granted)
 	if d.rollout != nil {
-		d.rollout.countGrant(now, index, &taken, d.endpoints.GroupOf(granted.placed.EndpointIndex), &cellGrant, granted.placed.Expected(&cellGrant))
+		d.noteGrant(index, taken.Class, &granted.placed, &cellGrant)
 	}
 	d.outbox.Grant(d.entries.At(granted.entry), cellGrant)
 }
