--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -84,6 +84,9 @@
 		d.teams[granted.team].active = now
 		d.endpoints.Report(now, &granted.placed, progress.Load)
 		d.endpoints.Begun(now, &granted.placed)
+		if d.rollout != nil {
+			d.countBegun(slotIndex, granted, progress.FirstToken)
+		}
 		if granted.begunAt.IsZero() {
 			granted.begunAt = now
 		}
