--- a/core/admission/rollout.go
+++ b/core/admission/rollout.go
@@ -6,7 +6,6 @@
 	"ryelug/core/cell"
 	"ryelug/core/dispatch"
 	"ryelug/core/placing"
-	"ryelug/core/queue"
 	"ryelug/core/rollout"
 )
 
@@ -21,6 +20,8 @@
 	group    rollout.Group
 	class    string
 	expected time.Duration
+	wasCold  bool // wasCold is true if the endpoint was cold at the grant.
+	hasBegun bool // hasBegun is true if the trial knows the time of the first token.
 }
 
 // TakeVerdicts returns the verdicts on the cell's roll-out since the last call, which must be written to the store. A verdict is
@@ -57,6 +58,7 @@
 		d.rollout = &rolloutState{trial: rollout.New(rollout.Config{Order: *order, Bounds: policy.RolloutBounds})}
 	}
 	d.endpoints.SetTarget(order.Target)
+	d.endpoints.SetFaulty(d.rollout.trial)
 }
 
 func (d *Dispatcher) isSameOrder(order *rollout.Order) bool {
@@ -128,26 +130,46 @@
 	return choice
 }
 
-// countGrant records the grant of a request whose attempt has the index.
-func (r *rolloutState) countGrant(now time.Time, index int32, request *queue.Request, group rollout.Group, grant *cell.Grant, expected time.Duration) {
+// noteGrant records the grant of a request of the class whose attempt has the index.
+func (d *Dispatcher) noteGrant(index int32, class string, placed *placing.Placement, grant *cell.Grant) {
+	r := d.rollout
 	for len(r.grants) <= int(index) {
 		r.grants = append(r.grants, rolloutGrant{})
 	}
-	r.grants[index] = rolloutGrant{group: group, class: request.Class, expected: expected}
-	r.trial.Granted(now, group, request.Class, grant.Endpoint)
+	sample := d.endpoints.Sample(d.now, placed)
+	r.grants[index] = rolloutGrant{group: sample.Group, class: class, expected: placed.Expected(grant), wasCold: sample.Cold}
+	r.trial.Granted(d.now, sample.Group, class, grant.Endpoint)
+}
+
+// countBegun records the first token of an attempt with the index.
+func (d *Dispatcher) countBegun(index int32, granted *attempt, took time.Duration) {
+	if sample, ok := d.sampleOf(index, granted); ok && !sample.HasBegun {
+		d.rollout.grants[index].hasBegun = true
+		sample.Took = took
+		d.rollout.trial.Begun(sample)
+	}
 }
 
 // countEnd records the end of an attempt with the index, which still counts at its endpoint.
 func (d *Dispatcher) countEnd(index int32, granted *attempt, end *cell.End) {
+	if sample, ok := d.sampleOf(index, granted); ok {
+		d.rollout.grants[index] = rolloutGrant{}
+		sample.Outcome, sample.Took = end.Outcome, end.Took
+		d.rollout.trial.Ended(d.now, sample)
+	}
+}
+
+// sampleOf returns what the trial needs of an attempt with the index, and false if it does not count the attempt.
+func (d *Dispatcher) sampleOf(index int32, granted *attempt) (rollout.Sample, bool) {
 	if int(index) >= len(d.rollout.grants) || d.rollout.grants[index].group == 0 {
-		return
+		return rollout.Sample{}, false
 	}
 	counted := &d.rollout.grants[index]
 	sample := d.endpoints.Sample(d.now, &granted.placed)
 	sample.Group, sample.Class, sample.Expected = counted.group, counted.class, counted.expected
-	sample.Outcome, sample.Took, sample.GrantedAt = end.Outcome, end.Took, granted.grantedAt
-	d.rollout.trial.Ended(d.now, sample)
-	*counted = rolloutGrant{}
+	sample.Cold = sample.Cold || counted.wasCold
+	sample.GrantedAt, sample.HasBegun = granted.grantedAt, counted.hasBegun
+	return sample, true
 }
 
 // learnNote reports whether a counter is a note about a roll-out, and passes it on.
