--- a/core/admission/small_service_test.go
+++ b/core/admission/small_service_test.go
@@ -40,6 +40,7 @@
 type playEndpoint struct {
 	running int
 	queue   []*playCall
+	isDown  bool                                       // isDown is set if nothing reaches the endpoint from the third to the sixth second; what it runs by then is answered.
 	always  float64                                    // always is the pace without pauses.
 	paused  func(since time.Duration) (factor float64) // paused returns the factor of a pause.
 }
@@ -117,9 +118,25 @@
 	if p.slowEntries && p.arrivals.IntN(10) == 0 {
 		way += time.Duration(p.arrivals.Int64N(int64(p.objective)))
 	}
-	p.after(way, func() {
-		demand := cell.Demand{Attempt: call.attempt, Team: team, Class: "charge", Deadline: call.asked.Add(p.objective)}
-		p.take(p.Step(p.now, &dispatch.Want{Router: entryRouter, Session: 1, Demands: []cell.Demand{demand}}))
+	p.after(way, func() { p.want(call, "") })
+}
+
+func (p *servicePlay) want(call *playCall, avoid cell.EndpointID) {
+	demand := cell.Demand{Attempt: call.attempt, Team: call.team, Class: "charge", Avoid: avoid, Deadline: call.asked.Add(p.objective)}
+	p.take(p.Step(p.now, &dispatch.Want{Router: entryRouter, Session: 1, Demands: []cell.Demand{demand}}))
+}
+
+// unreached ends the attempt of a call at an endpoint that is down, and asks for another one.
+func (p *servicePlay) unreached(call *playCall) {
+	failed := call.attempt
+	p.last++
+	again := *call
+	again.attempt = p.last
+	p.calls[again.attempt] = &again
+	p.after(p.way(), func() {
+		delete(p.calls, failed)
+		p.take(p.Step(p.now, &dispatch.Ended{Router: entryRouter, Ends: []cell.End{{Attempt: failed, Outcome: cell.Unreached}}}))
+		p.want(&again, call.endpoint)
 	})
 }
 
@@ -151,6 +168,10 @@
 }
 
 func (p *servicePlay) arrive(call *playCall) {
+	if since := p.now.Sub(p.start); call.at.isDown && since > 3*time.Second && since < 6*time.Second {
+		p.unreached(call)
+		return
+	}
 	if call.at.running >= p.slots {
 		for _, other := range p.endpoints {
 			if other.running < p.slots {
@@ -233,6 +254,7 @@
 	pauses           bool                              // pauses lets a third of the endpoints pause for some hundred milliseconds every second.
 	slowWays         bool                              // slowWays lets a part of the messages take up to fifteen milliseconds longer.
 	slowEntries      bool                              // slowEntries lets a tenth of the requests reach the dispatcher late, some only at the end of their objective.
+	oneDown          bool                              // oneDown lets one endpoint be down for three seconds.
 	falseReports     bool                              // falseReports lets the endpoints report a pace that has nothing to do with their work.
 	load             float64                           // load is a factor of the arrivals; one if zero.
 	reports          bool
@@ -251,7 +273,7 @@
 	for i := range s.endpoints {
 		id := cell.EndpointID(fmt.Sprintf("e%d", i))
 		policy.Endpoints = append(policy.Endpoints, dispatch.EndpointPolicy{Endpoint: id, WarmLimit: s.slots, Start: "s"})
-		at := &playEndpoint{always: 1}
+		at := &playEndpoint{always: 1, isDown: s.oneDown && i == 0}
 		if i < len(s.always) {
 			at.always = s.always[i]
 		}
@@ -335,6 +357,7 @@
 		{"slow entries, and pauses", with(short, func(s *smallService) { s.slowEntries, s.pauses = true, true }), 0.95, 0.97},
 		{"false reports", with(short, func(s *smallService) { s.falseReports = true }), 0.97, 0.97},
 		{"too slow for the objective", with(short, func(s *smallService) { s.always, s.load = []float64{6, 6, 6}, 0.15 }), 0, 0},
+		{"one down", with(short, func(s *smallService) { s.oneDown, s.load = true, 0.9 }), 0.95, 0.97},
 		{"overload", with(short, func(s *smallService) { s.load = 1.6 }), 0.8, 0.97},
 		{"bursts", with(short, func(s *smallService) { s.rate = bursts }), 0.999, 0.999},
 		{"longer calls, one at half speed, and pauses", with(long, func(s *smallService) { s.pauses, s.always = true, []float64{2} }), 0.97, 0.97},
@@ -342,7 +365,9 @@
 		t.Run(one.name, func(t *testing.T) {
 			is := is.New(t)
 			one.service.seed = 1
-			t.Logf("without reports: %v", one.service.play())
+			if testing.Verbose() {
+				t.Logf("without reports: %v", one.service.play())
+			}
 			one.service.reports = true
 			result := one.service.play()
 			t.Logf("with reports:    %v", result)
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -177,7 +177,7 @@
 	FirstToken time.Duration `msgpack:"f,omitempty"` // FirstToken is the time from sending to the first token; zero if unknown.
 	IsBroken   bool          `msgpack:"b,omitempty"` // IsBroken is true if the connection closed before the answer was complete.
 	Load       EndpointLoad  `msgpack:"l,omitempty"` // Load is the endpoint's load by the header of its answer.
-	Took       time.Duration `msgpack:"d,omitempty"` // Took is the time from sending to the complete answer, or to the first event of a stream; zero unless the cell has a roll-out.
+	Took       time.Duration `msgpack:"d,omitempty"` // Took is the time from sending to the complete answer, or to the first event of a stream; zero unless the cell has a roll-out or Load is known with a whole answer.
 	Bytes      uint32        `msgpack:"y,omitempty"` // Bytes is the size of the request's body and its answer; zero unless Load is known.
 }
 
--- a/core/engine/engine_test.go
+++ b/core/engine/engine_test.go
@@ -120,3 +120,30 @@
 	is.True(e.Missing(chain(1, 3)).Shared > 0)
 	is.Equal(e.Missing(chain(1, 3)).Shared, 800)
 }
+
+// The work of an engine in a pause takes longer, also what was sent before, and a pause that ends leaves the order of the
+// predicted ends as it was: Begun looks them up by it.
+func TestPaceScalesTheWork(t *testing.T) {
+	is := is.New(t)
+	e := engine.New(engine.Profile{Prefill: 10 * time.Microsecond, Step: time.Nanosecond, StepPerSlot: time.Nanosecond, Pairs: time.Nanosecond, FirstLatency: 50 * time.Millisecond})
+	usual := predict(e, began, prompt(1, 6000, 4000), false)
+	e.SetPace(began, 1)
+	is.Equal(predict(e, began, prompt(1, 6000, 4000), false), usual)
+	e.SetPace(began, 2.5)
+	is.Equal(predict(e, began, prompt(1, 6000, 4000), false).First.Round(time.Millisecond), 300*time.Millisecond)
+	e.SetPace(began, 1)
+
+	first := e.Admit(began, prompt(1, 6000, 4000), false)
+	e.SetPace(began, 2.5)
+	is.Equal(predict(e, began, prompt(2, 0, 10), false).Wait.Round(time.Millisecond), 250*time.Millisecond)
+	second := e.Admit(began, prompt(2, 6000, 4000), false)
+	e.SetPace(began, 0.1)
+	third := e.Admit(began, prompt(3, 6000, 4000), false)
+	for i, run := range []*engine.Run{&first, &second, &third} {
+		now := began.Add(time.Duration(1+i) * time.Second)
+		e.Begun(now, run)
+		e.Ended(now, run)
+	}
+	is.Equal(e.Running(), 0)
+	is.Equal(predict(e, began.Add(time.Minute), prompt(4, 0, 10), false).Wait, time.Duration(0))
+}
