Order the waiting requests of all data centres in one queue again

A request that its own data centre can't take is tried at all others since then, so all wait for the same slots. Change: the count and the failed tries are those of the class again, as without crossing. The play of calls in three data centres still passes.

--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -77,43 +77,26 @@
 		return
 	}
 	d.lastPassAt = now
-	callTime := d.endpoints.LeastCallTime(now)
+	ahead, callTime := 0, d.endpoints.LeastCallTime(now)
 	d.callRate = d.endpoints.CallRate(now)
 	clear(d.failedTries)
-	clear(d.ahead)
 	for _, turn := range d.turns(now) {
 		slotIndex := turn.slotIndex
-		kind := d.kindOf(slotIndex)
-		if d.failedTries[kind] < max(maxFailedTries, d.smallBacklog()) {
+		class := d.waiting.At(slotIndex).Class
+		if d.failedTries[class] < max(maxFailedTries, d.smallBacklog()) {
 			if d.try(now, slotIndex) {
 				continue
 			}
-			d.failedTries[kind]++
+			d.failedTries[class]++
 		}
-		if !d.wouldMissDeadline(now, slotIndex, d.ahead[kind.from], callTime) {
-			d.ahead[kind.from]++
+		if !d.wouldMissDeadline(now, slotIndex, ahead, callTime) {
+			ahead++
 			continue
 		}
 		d.refuseForDeadline(now, slotIndex, placing.Choice{})
 	}
 }
 
-// kind is what determines which endpoints may take a request, besides its size.
-type kind struct {
-	class string
-	from  string // from is the data centre of the entry; empty where it doesn't matter.
-}
-
-// kindOf returns the kind of the waiting request at the index. Where most requests stay in the data centre of their entry, those of
-// a data centre that is full must not keep those of others from being tried.
-func (d *Dispatcher) kindOf(slotIndex int32) kind {
-	request := d.waiting.At(slotIndex)
-	if !d.endpoints.DecidesCrossing() {
-		return kind{class: request.Class}
-	}
-	return kind{class: request.Class, from: d.dataCentres[d.entries.At(request.Entry).Router.Host()]}
-}
-
 // turn is the position of a waiting request in the order in which requests are tried.
 type turn struct {
 	slotIndex int32   // slotIndex is the index of the request in Dispatcher.waiting.
