Keep the overflow of a full data centre away from cut and slow paths

Cause: a request that its own data centre can't take is tried at all others at once, without regard to the path. Change: a path on which attempts are lost (a stall, or more than half of them failed) gets one attempt in 0.5 s from the overflow as well, and one whose delay exceeds the time left gets none. A path that only has not been used for 5 s still takes all of it. The usual time of an answer on a path without answers is that of the target's own callers, so that engines with late first tokens don't count as a stall. Where no endpoint of the own data centre is open, everything leaves as before.

--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -205,6 +205,7 @@
 type Costs struct {
 	of      [maxSites]time.Duration
 	entered uint32 // entered has a bit for each data centre that takes the request.
+	barred  uint32 // barred has a bit for each data centre that the request doesn't reach in time, as the path is cut, fails or is slow.
 }
 
 // Of returns the cost of an endpoint in a data centre, as a time.
@@ -218,6 +219,9 @@
 // MayEnter reports whether a data centre takes the request although it has come elsewhere.
 func (c *Costs) MayEnter(to Site) bool { return to != NoSite && c.entered>>to&1 == 1 }
 
+// IsBarred reports whether the request would be lost or late on the path to a data centre.
+func (c *Costs) IsBarred(to Site) bool { return to != NoSite && c.barred>>to&1 == 1 }
+
 // SetCosts sets the costs of a request of a data centre's callers: none there, elsewhere the delay and the failures of the path, the
 // price of the bytes, and the time to read a shared part where it won't be asked for again.
 func (c *Control) SetCosts(now time.Time, from Site, trip *Trip, costs *Costs) {
@@ -233,6 +237,9 @@
 		if c.mayEnter(now, from, Site(i)) {
 			costs.entered |= 1 << i
 		}
+		if along.isLost && !along.mayCarry(now) || along.delay >= trip.Left {
+			costs.barred |= 1 << i
+		}
 		costs.of[i] = along.delay + price + time.Duration(along.failures*float64(lossCost))
 		if along.isProbed {
 			costs.of[i] += lossCost
@@ -298,6 +305,7 @@
 	}
 	own.credit--
 	along := &own.paths[to]
+	along.took = cmp.Or(along.took, c.sites[to].answer) // Engines take longer than minStall for their first answers.
 	ticket.epoch = along.sent(now)
 	along.counts[decision.Cause].add(decision.Bytes)
 	c.recordSpill(now, from, to, trip, decision)
--- a/core/crossing/path.go
+++ b/core/crossing/path.go
@@ -38,7 +38,7 @@
 type path struct {
 	delay    time.Duration // delay is by how much answers take longer than within the target's data centre.
 	sampled  time.Time     // sampled is when delay was last updated.
-	took     time.Duration // took is the moving average of the time of an answer; zero before the first.
+	took     time.Duration // took is the moving average of the time of an answer; before the first that of the target's own callers, or zero.
 	failures float64       // failures is a moving average of failed attempts, from 0 to 1.
 	decayed  time.Time     // decayed is when failures was last decayed.
 
@@ -47,6 +47,7 @@
 	answeredAt time.Time // answeredAt is when the last answer came.
 	epoch      uint32    // epoch is increased when probing begins, from when on older attempts aren't awaited.
 	isProbed   bool      // isProbed is true while the path gets single attempts only: from a stall, many failures, a long delay not measured lately or a long time without answers until the next answer.
+	isLost     bool      // isLost is true from a stall or many failures until the next answer: attempts on the path are lost.
 	nextProbe  time.Time // nextProbe is when a path that is probed may get its next attempt.
 
 	counts [causes]Amount
@@ -71,7 +72,15 @@
 		p.probe(now)
 		p.nextProbe = now
 	}
-	if !p.isProbed && p.awaiting >= minAwaiting && now.Sub(p.progressed) > max(minStall, stallFactor*p.took) {
+	if p.awaiting >= minAwaiting && now.Sub(p.progressed) > max(minStall, stallFactor*p.took) {
+		p.lose(now)
+	}
+}
+
+// lose records that attempts on the path are lost, and begins to probe it.
+func (p *path) lose(now time.Time) {
+	p.isLost = true
+	if !p.isProbed {
 		p.probe(now)
 	}
 }
@@ -113,7 +122,7 @@
 	if isCompared && p.isProbed {
 		p.delay = max(0, longer)
 	}
-	p.progressed, p.answeredAt, p.isProbed = now, now, false
+	p.progressed, p.answeredAt, p.isProbed, p.isLost = now, now, false, false
 	p.failures -= p.failures / lossWeight
 	if p.took == 0 {
 		p.took = took
@@ -133,8 +142,8 @@
 		return // The caller or the endpoint ended it.
 	}
 	p.failures += (1 - p.failures) / lossWeight
-	if !p.isProbed && p.failures > 0.5 {
-		p.probe(now)
+	if p.failures > 0.5 {
+		p.lose(now)
 	}
 }
 
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -11,11 +11,12 @@
 
 // leave is the decision on whether a request may be sent to another data centre, with its inputs.
 type leave struct {
-	isDecided bool // isDecided is false where the Table makes no decision; then the other fields are zero.
-	from      crossing.Site
-	trip      crossing.Trip
-	decision  crossing.Decision
-	costs     crossing.Costs // costs is unset if the request may not leave.
+	isDecided  bool // isDecided is false where the Table makes no decision; then the other fields are zero.
+	isOverflow bool // isOverflow is true if the request may leave only because its own data centre can't take it.
+	from       crossing.Site
+	trip       crossing.Trip
+	decision   crossing.Decision
+	costs      crossing.Costs // costs is unset if the request may not leave.
 }
 
 // scope returns where the request may be sent.
@@ -30,6 +31,7 @@
 		// A request that leaves doesn't wait for a slot at its endpoint: its own data centre could have done that as well.
 		return at.site == l.from || at.running >= at.slots || !l.costs.MayEnter(at.site)
 	case crossing.Anywhere:
+		return l.isOverflow && l.costs.IsBarred(at.site)
 	}
 	return false
 }
@@ -129,7 +131,8 @@
 }
 
 // bestOfferInScope returns the best offers as bestOffer does. If no other data centre takes a request that may leave, they are those
-// of its own. If its own can't take a request that should stay, they are those of all: no endpoint is idle while a request waits.
+// of its own. If its own can't take a request that should stay, they are those of all that it reaches in time: no endpoint is idle
+// while a request waits.
 func (t *Table) bestOfferInScope(now time.Time, request *Request, given conditions) (cacheHolders, others bestOffer) {
 	cacheHolders, others = t.bestOffer(now, request, given)
 	l := given.leave
@@ -138,9 +141,9 @@
 		cacheHolders, others = t.bestOffer(now, request, given)
 	}
 	if l.scope() == crossing.Own && cacheHolders.endpoint < 0 && others.endpoint < 0 {
-		l.decision.Scope, l.decision.Cause = crossing.Anywhere, crossing.OwnLate
+		l.decision.Scope, l.decision.Cause, l.isOverflow = crossing.Anywhere, crossing.OwnLate, true
 		if cacheHolders.verdict.combine(others.verdict) == Closed {
-			l.decision.Cause = crossing.OwnClosed // The request avoids the only endpoint of its data centre.
+			l.decision.Cause, l.isOverflow = crossing.OwnClosed, false // The request avoids the only endpoint of its data centre.
 		}
 		t.crossing.SetCosts(now, l.from, &l.trip, &l.costs)
 		*given.obstacles = dispatch.Obstacles{}
--- a/core/placing/distance_test.go
+++ b/core/placing/distance_test.go
@@ -162,6 +162,62 @@
 	}
 }
 
+// Requests that a full data centre can't take go over a cut, failing or slow path only as attempts that show whether it has recovered;
+// otherwise they would be lost or late although slots of their own data centre become free.
+func TestOverflowStaysAwayFromDisturbedPaths(t *testing.T) {
+	const left = 150 * time.Millisecond
+	for name, end := range map[string]func(*placing.Table, time.Time, *placing.Placement){
+		"cut":     func(*placing.Table, time.Time, *placing.Placement) {},
+		"failing": func(t *placing.Table, now time.Time, placed *placing.Placement) { t.Ended(now, placed, cell.Unreached) },
+		"slow": func(t *placing.Table, now time.Time, placed *placing.Placement) {
+			t.Ended(now.Add(2*left), placed, cell.Completed)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, now := is.New(t), time.Unix(1e9, 0)
+			table := newSites(crossing.Always)
+			table.SetPolicy(&dispatch.Policy{Predicted: true, Endpoints: []dispatch.EndpointPolicy{
+				{Endpoint: "0", WarmLimit: 1, Start: "s", DataCentre: "a"}, {Endpoint: "3", WarmLimit: 2000, Start: "s", DataCentre: "b"},
+			}})
+			place := func(from string) (placing.Placement, bool) {
+				request := &placing.Request{Prompt: &cell.Prompt{}, Since: now, Deadline: now.Add(left), Avoid: -1, From: from, WithinShare: true}
+				table.Arrived(now, from)
+				choice := table.Choose(now, request)
+				if choice.Verdict != placing.Admitted {
+					return placing.Placement{}, false
+				}
+				placed, _ := table.Grant(now, choice, request.Prompt)
+				return placed, true
+			}
+			for range 100 { // The usual time of an answer in "b".
+				placed, ok := place("b")
+				is.True(ok)
+				now = now.Add(30 * time.Millisecond)
+				table.Ended(now, &placed, cell.Completed)
+			}
+			for range 2 { // A slot and the wait for one.
+				placed, ok := place("a")
+				is.True(ok)
+				is.Equal(placed.EndpointIndex, table.Find("0"))
+			}
+			var crossed [6]int // by second
+			for i := range 600 {
+				now = now.Add(10 * time.Millisecond)
+				if placed, ok := place("a"); ok {
+					is.Equal(placed.EndpointIndex, table.Find("3"))
+					crossed[i/100]++
+					end(table, now, &placed)
+				}
+			}
+			t.Log("crossed ", crossed)
+			is.True(crossed[0] > 0)
+			for _, number := range crossed[1:] {
+				is.True(number <= 3)
+			}
+		})
+	}
+}
+
 // engines is a table of engines of five data centres, "a" to "e", whose requests end 100 ms after the predicted first token.
 type engines struct {
 	*placing.Table
