Bound the credit that overflow takes from the share

Cause: requests that leave because their own data centre can't take them take credit without having it, so that the credit fell without bound as long as they were more than the share. It was cleared only once the share had fallen to zero. Until then no request left although its own data centre could take it, however late it would be there. Change: the credit falls to -maxCredit at most.

--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -303,7 +303,7 @@
 		own.wait += (trip.Waited - own.wait) / answerWeight
 		return ticket
 	}
-	own.credit--
+	own.credit = max(-maxCredit, own.credit-1)
 	along := &own.paths[to]
 	along.took = cmp.Or(along.took, c.sites[to].answer) // Engines take longer than minStall for their first answers.
 	ticket.epoch = along.sent(now)
--- a/core/crossing/control_test.go
+++ b/core/crossing/control_test.go
@@ -120,6 +120,35 @@
 	}
 }
 
+// Requests that leave because their own data centre can't take them must not use up the share for a long time after: then the own
+// data centre would be late while others have room.
+func TestOverflowLeavesNoDebt(t *testing.T) {
+	is, now := is.New(t), time.Unix(1e9, 0)
+	control := crossing.New(crossing.Config{Mode: crossing.Always})
+	own, other := control.Site("a"), control.Site("b")
+	control.AddLoad(own, crossing.Load{Slots: slots, Running: slots})
+	control.AddLoad(other, crossing.Load{Slots: slots})
+	trip := crossing.Trip{Waited: 50 * time.Millisecond, Left: 100 * time.Millisecond}
+	run := func(span time.Duration, isOverflow bool) (left, asked int) {
+		for end := now.Add(span); now.Before(end); now = now.Add(time.Millisecond) {
+			control.Arrived(now, own)
+			asked++
+			decision := control.Decide(now, own, &trip)
+			if decision.Scope != crossing.Others && !isOverflow {
+				continue
+			}
+			left++
+			ticket := control.Sent(now, own, other, &trip, &decision)
+			control.Answered(now, &ticket, callTime)
+		}
+		return left, asked
+	}
+	run(20*time.Second, true)
+	left, asked := run(time.Second, false)
+	t.Log("left ", left, " of ", asked)
+	is.True(left > asked/2)
+}
+
 // The alternatives that docs/design/leaving-a-data-centre.md compares, under the same loads.
 func TestAlternatives(t *testing.T) {
 	rules := []struct {
--- a/core/crossing/site.go
+++ b/core/crossing/site.go
@@ -24,7 +24,8 @@
 	// hold is how long the share stays after the last request that needed it. Demand that comes in waves shorter than that
 	// doesn't change the share.
 	hold = time.Second
-	// maxCredit limits the requests that may leave at once because none could before.
+	// maxCredit limits the requests that may leave at once because none could before, and those that may not because others have left
+	// without credit.
 	maxCredit = 2
 	// cheapCredit and dearCredit are the credit that a request needs in order to leave: one for which leaving is worthwhile
 	// leaves before the others, so that the share is made up of such requests where there are enough.
@@ -52,7 +53,7 @@
 	wait   time.Duration // wait is the moving average of the wait for a grant of requests that didn't leave.
 
 	share    float64   // share is the part of the demand that leaves.
-	credit   float64   // credit is the number of requests that may leave now.
+	credit   float64   // credit is the number of requests that may leave now, from -maxCredit to maxCredit.
 	neededAt time.Time // neededAt is when a request last needed the share.
 	needFrom time.Time // needFrom is since when it is needed throughout.
 	lateAt   time.Time // lateAt is when a request was last late while the site was full.
