Let measured times end the doubt about an endpoint that stopped reporting

Cause: a service's endpoint whose last report was slow gets two calls at a time until it reports anew. Change: a time that was measured after the report had become old ends the doubt, until the next report.

Measured: TestMeasuredTimesEndTheDoubt fails before and passes after.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -98,9 +98,10 @@
 	return reported
 }
 
-// IsDoubtful reports whether the endpoint was slow by its last report, which is too old to say whether it still is.
+// IsDoubtful reports whether the endpoint was slow by its last report, which is too old to say whether it still is, and nothing was
+// measured since it was that old.
 func (e *Endpoint) IsDoubtful(now time.Time) bool {
-	return e.load.Pace >= slowPace && now.Sub(e.reportedAt) > freshFor
+	return e.load.Pace >= slowPace && now.Sub(e.reportedAt) > freshFor && e.measuredAt.Sub(e.reportedAt) <= freshFor
 }
 
 // Long returns the factor of the endpoint in the long term, by which those are found that are permanently slower; one if unknown.
