Expect nothing of endpoints that fail as long as others don't

Cause: the least time to expect of a paced call included endpoints that are down. With the only endpoint down that is fast enough for the objective, calls waited beside the idle slots of the others until they were refused, while calls that no endpoint answers in time are to be taken anyway. Change: failing endpoints that await a probe count only if there are no others, as in CallRate.

Measured: TestFailingEndpointSetsNoExpectation, the verdict was Waits before, and is Admitted after.

--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -224,18 +225,23 @@
 }
 
 // leastPacedTime returns the least time to expect of a call at the open endpoints if they had free slots; zero if unknown at all.
+// Endpoints that fail count only if there are no others.
 func (t *Table) leastPacedTime(now time.Time) time.Duration {
-	var least time.Duration
+	var least, leastFailing time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
 		if !at.open || at.paced.usual == 0 {
 			continue
 		}
-		if expected := t.pacedExpected(now, at, 0); least == 0 || expected < least {
-			least = expected
+		from := &least
+		if at.health.AwaitsProbe(now) {
+			from = &leastFailing
+		}
+		if expected := t.pacedExpected(now, at, 0); *from == 0 || expected < *from {
+			*from = expected
 		}
 	}
-	return least
+	return cmp.Or(least, leastFailing)
 }
 
 // CallRate returns how many calls the open endpoints of a service answer in a second at their present pace; zero if
--- a/core/placing/paced_test.go
+++ b/core/placing/paced_test.go
@@ -134,6 +134,25 @@
 	}
 }
 
+// Guards against calls that wait for an endpoint that is down while the others, on which any call takes longer than its objective,
+// are idle: no call would be answered.
+func TestFailingEndpointSetsNoExpectation(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	service := newService(now, 4, 100, 600)
+	now = now.Add(7 * callTime)
+	for range 8 {
+		placed := service.Adopt(0, 1)
+		service.Ended(now, &placed, cell.Unreached)
+	}
+	service.Report(now, &placing.Placement{EndpointIndex: 1, Start: "s"}, cell.EndpointLoad{Slots: 4, Pace: 600})
+	now = now.Add(time.Millisecond)
+	choice := service.Choose(now, call(now, 150*time.Millisecond))
+	is.Equal(choice.Verdict, placing.Admitted)
+	placed, _ := service.Grant(now, choice, &cell.Prompt{})
+	is.Equal(placed.EndpointIndex, int32(1))
+}
+
 // A new endpoint must not get calls that have too little time left, as if calls took no time there.
 func TestNewEndpointStartsFromTheTimesOfTheOthers(t *testing.T) {
 	is := is.New(t)
