Keep the queue of a cut-off data centre apart from that of the others

Cause: all waiting requests of a class share one count of failed tries and one of requests ahead. While the paths of a full data centre are cut, its requests can only wait for its own slots. With many teams they come first in the order, so that requests of the other data centres were neither tried nor counted as in time, beside free slots of their own. Change: requests that don't reach all data centres in time, as a path is cut, fails or is slow, are counted by data centre. All others still form one queue.

--- a/core/admission/crossing_test.go
+++ b/core/admission/crossing_test.go
@@ -24,6 +24,8 @@
 	last  cell.AttemptID
 	came  map[cell.AttemptID]time.Time
 	ends  []siteEnd
+	isCut bool // isCut is set if attempts between data centres are lost, which their entries learn at the end of the objective.
+	teams [3]int
 	asked [3]int
 	timely,
 	left [3]int
@@ -33,6 +35,7 @@
 	at      time.Time
 	from    int
 	attempt cell.AttemptID
+	isLost  bool
 }
 
 func router(site int) cell.RouterID { return cell.RouterID(fmt.Sprintf("%c/1", 'a'+site)) }
@@ -63,10 +66,12 @@
 		for len(s.ends) > 0 && !s.ends[0].at.After(s.now) {
 			done := s.ends[0]
 			s.ends = s.ends[1:]
-			if s.now.Sub(s.came[done.attempt]) <= 150*time.Millisecond {
+			report := cell.End{Attempt: done.attempt, Outcome: cell.Completed, Bytes: 4000}
+			if done.isLost {
+				report = cell.End{Attempt: done.attempt, Outcome: cell.Unreached}
+			} else if s.now.Sub(s.came[done.attempt]) <= 150*time.Millisecond {
 				s.timely[done.from]++
 			}
-			report := cell.End{Attempt: done.attempt, Outcome: cell.Completed, Bytes: 4000}
 			s.act(s.Step(s.now, &dispatch.Ended{Router: router(done.from), Ends: []cell.End{report}}))
 		}
 		for from, part := range demand {
@@ -74,7 +79,7 @@
 				s.last++
 				s.asked[from]++
 				s.came[s.last] = s.now
-				want := cell.Demand{Attempt: s.last, Team: "team", Estimate: 1, Class: "call", Deadline: s.now.Add(150 * time.Millisecond)}
+				want := cell.Demand{Attempt: s.last, Team: s.team(from, random), Estimate: 1, Class: "call", Deadline: s.now.Add(150 * time.Millisecond)}
 				s.act(s.Step(s.now, &dispatch.Want{Router: router(from), Session: 1, Demands: []cell.Demand{want}}))
 			}
 		}
@@ -84,6 +89,14 @@
 	}
 }
 
+// team returns the team of the next call of a data centre's callers: one for all data centres unless teams says how many each has.
+func (s *sites) team(from int, random *rand.Rand) cell.TeamID {
+	if s.teams[from] == 0 {
+		return "team"
+	}
+	return cell.TeamID(fmt.Sprint(from, " ", random.IntN(s.teams[from])))
+}
+
 func (s *sites) act(actions []dispatch.Action) {
 	for _, action := range actions {
 		grant, ok := action.(*dispatch.GrantTo)
@@ -91,6 +104,11 @@
 			continue
 		}
 		from, to := int(grant.Router[0]-'a'), int(grant.Grant.Endpoint[0]-'0')
+		if s.isCut && from != to/2 {
+			s.left[from]++
+			s.ends = append(s.ends, siteEnd{at: s.now.Add(150 * time.Millisecond), from: from, attempt: grant.Grant.Attempt, isLost: true})
+			continue
+		}
 		slots := &s.slots[to]
 		free := 0
 		for i := range slots {
@@ -138,3 +156,19 @@
 		}
 	}
 }
+
+// While the paths between data centres are cut, the waiting calls of one that is overloaded don't hold up those of the others, which
+// have free slots, and it serves what it can itself.
+func TestCutOffDataCentreHoldsUpNoOther(t *testing.T) {
+	is := is.New(t)
+	s := newSites(crossing.Always)
+	s.isCut, s.teams = true, [3]int{40, 1, 1}
+	s.run(20*time.Second, [3]float64{3, 0.6, 0.6})
+	var part [3]float64
+	for site := range 3 {
+		part[site] = float64(s.timely[site]) / float64(s.asked[site])
+	}
+	t.Logf("in time %.3f, left %v", part, s.left)
+	is.True(part[0] > 0.9/3)
+	is.True(min(part[1], part[2]) > 0.95)
+}
--- a/core/admission/dispatcher.go
+++ b/core/admission/dispatcher.go
@@ -54,7 +54,8 @@
 	dataCentres map[cell.HostID]string // dataCentres maps the hosts of entry routers to their data centres, as far as these are known.
 	waiting     session.Waiting
 	order       []turn         // order is a buffer for the waiting requests in the order in which they are tried.
-	failedTries map[string]int // failedTries counts, by request class, the tries of the current pass that found no capacity.
+	failedTries map[kind]int   // failedTries counts, by kind of request, the tries of the current pass that found no capacity.
+	ahead       map[string]int // ahead counts, by kind.from, the requests of the current pass that stay waiting.
 	decayedAt   time.Time      // decayedAt is the time of the last decay of the ledger.
 	callRate    float64        // callRate is the rate at which the endpoints answer calls, as of the last pass; zero unless calls are paced.
 	lastPassAt  time.Time      // lastPassAt is the time of the last pass over the waiting requests.
@@ -93,7 +94,8 @@
 		cell:        config.Cell,
 		teamIndex:   slot.NewIndex[cell.TeamID](),
 		entries:     session.New(),
-		failedTries: make(map[string]int),
+		failedTries: make(map[kind]int),
+		ahead:       make(map[string]int),
 		sizes:       make(map[string]*fair.SizeStats),
 		objectives:  make(map[string]time.Duration),
 		broken:      make(map[int32]*brokenEngine),
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -19,7 +19,7 @@
 	newestFirstBacklog = 64                    // backlog of one team from which its newest requests come first, as most of its older ones would miss their deadlines
 	minPassInterval    = 10 * time.Millisecond // minimum time between two retry passes over a larger backlog
 	maxTriedPerPass    = 4096                  // largest number of waiting requests that one pass sorts and tries
-	maxFailedTries     = 32                    // failed tries of a class after which a pass skips the rest; with 5 classes and 90 engines it takes less than half of minPassInterval
+	maxFailedTries     = 32                    // failed tries of a kind after which a pass skips the rest; with 5 classes and 90 engines it takes less than half of minPassInterval
 )
 
 // handleWant handles new demands. A demand that no waiting request precedes is tried at once. The others join the backlog
@@ -70,33 +70,51 @@
 // of the least served teams. It refuses a request when so many others precede it that its deadline will pass.
 //
 // A backlog of more than smallBacklog requests is not retried at every event, but at most once per minPassInterval, and
-// each class only until maxFailedTries of its requests have found no capacity. Otherwise the cost of a pass would grow
+// each kind only until maxFailedTries of its requests have found no capacity. Otherwise the cost of a pass would grow
 // with the backlog of an overload.
 func (d *Dispatcher) tryWaiting(now time.Time) {
 	if d.waiting.Len() > d.smallBacklog() && now.Sub(d.lastPassAt) < minPassInterval {
 		return
 	}
 	d.lastPassAt = now
-	ahead, callTime := 0, d.endpoints.LeastCallTime(now)
+	callTime := d.endpoints.LeastCallTime(now)
 	d.callRate = d.endpoints.CallRate(now)
 	clear(d.failedTries)
+	clear(d.ahead)
 	for _, turn := range d.turns(now) {
 		slotIndex := turn.slotIndex
-		class := d.waiting.At(slotIndex).Class
-		if d.failedTries[class] < max(maxFailedTries, d.smallBacklog()) {
+		kind := d.kindOf(now, slotIndex)
+		if d.failedTries[kind] < max(maxFailedTries, d.smallBacklog()) {
 			if d.try(now, slotIndex) {
 				continue
 			}
-			d.failedTries[class]++
+			d.failedTries[kind]++
 		}
-		if !d.wouldMissDeadline(now, slotIndex, ahead, callTime) {
-			ahead++
+		if !d.wouldMissDeadline(now, slotIndex, d.ahead[kind.from], callTime) {
+			d.ahead[kind.from]++
 			continue
 		}
 		d.refuseForDeadline(now, slotIndex, placing.Choice{})
 	}
 }
 
+// kind is what determines which endpoints may take a request, besides its size.
+type kind struct {
+	class string
+	from  string // from is the data centre of the entry if the request can't reach all others; otherwise empty.
+}
+
+// kindOf returns the kind of the waiting request at the index. Requests that can't leave their data centre, as a path is disturbed,
+// wait for other slots than the rest, which they must not keep from being tried.
+func (d *Dispatcher) kindOf(now time.Time, slotIndex int32) kind {
+	request := d.waiting.At(slotIndex)
+	from := d.dataCentres[d.entries.At(request.Entry).Router.Host()]
+	if !d.endpoints.IsConfined(now, from, request.Deadline) {
+		from = ""
+	}
+	return kind{class: request.Class, from: from}
+}
+
 // turn is the position of a waiting request in the order in which requests are tried.
 type turn struct {
 	slotIndex int32   // slotIndex is the index of the request in Dispatcher.waiting.
--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -256,6 +256,21 @@
 	}
 }
 
+// IsConfined reports whether a request of a data centre's callers with this time left can't reach a data centre with open endpoints in
+// time, as the path is cut, fails or is slow.
+func (c *Control) IsConfined(from Site, left time.Duration) bool {
+	if from == NoSite {
+		return false
+	}
+	for i := range c.sites {
+		along := &c.sites[from].paths[i]
+		if Site(i) != from && c.sites[i].load.Slots > 0 && (along.isLost || along.delay >= left) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Control) mayEnter(now time.Time, from, to Site) bool {
 	along := &c.sites[from].paths[to]
 	along.refresh(now)
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -64,6 +64,12 @@
 	}
 }
 
+// IsConfined reports whether a request of a data centre's callers with this deadline can't reach another one in time.
+func (t *Table) IsConfined(now time.Time, dataCentre string, deadline time.Time) bool {
+	request := Request{Deadline: deadline}
+	return t.DecidesCrossing() && t.crossing.IsConfined(t.crossing.Site(dataCentre), request.left(now))
+}
+
 // decideLeave decides whether a request may be sent to another data centre. lookUpCached must have been called for its prompt.
 func (t *Table) decideLeave(now time.Time, request *Request, l *leave) {
 	if !t.DecidesCrossing() {
