Count only the capacity of the version in use during a roll-out

Cause: the rate and the least time of calls of a service whose endpoints report a pace included the endpoints of the version that gets a small share at most. With as many target endpoints as old ones, refused callers were told to return at twice the rate that the service could answer, waiting calls were kept too long, and a call that no endpoint of the old version could answer in time waited for one of the target that it could not get, until its refusal.

Change: CallRate and leastPacedTime leave out the target's group while the order runs or is rolled back, and the old one once it is completed.

--- a/core/admission/rollout.go
+++ b/core/admission/rollout.go
@@ -45,6 +45,7 @@
 func (d *Dispatcher) setRollout(policy *dispatch.Policy) {
 	if policy.RolloutBounds.Share <= 0 {
 		d.rollout = nil
+		d.endpoints.EndRollout()
 		return
 	}
 	order := policy.Rollout
@@ -73,6 +74,7 @@
 	switch {
 	case !isMixed:
 		d.rollout = nil
+		d.endpoints.EndRollout()
 		if version != "" {
 			d.version = version
 		}
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -223,12 +223,12 @@
 	return callTime
 }
 
-// leastPacedTime returns the least time to expect of a call at the open endpoints if they had free slots; zero if unknown at all.
+// leastPacedTime returns the least time to expect of a call at the endpoints in use if they had free slots; zero if unknown at all.
 func (t *Table) leastPacedTime(now time.Time) time.Duration {
 	var least time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.paced.usual == 0 {
+		if !t.isInUse(at) || at.paced.usual == 0 {
 			continue
 		}
 		if expected := t.pacedExpected(now, at, 0); least == 0 || expected < least {
@@ -238,7 +238,7 @@
 	return least
 }
 
-// CallRate returns how many calls the open endpoints of a service answer in a second at their present pace; zero if
+// CallRate returns how many calls the endpoints in use of a service answer in a second at their present pace; zero if
 // unknown, and where endpoints report none.
 func (t *Table) CallRate(now time.Time) float64 {
 	rate := 0.0
@@ -247,7 +247,7 @@
 	}
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.paced.usual == 0 || at.health.AwaitsProbe(now) {
+		if !t.isInUse(at) || at.paced.usual == 0 || at.health.AwaitsProbe(now) {
 			continue
 		}
 		_, call := at.pacedTime(now, 0)
--- a/core/placing/rollout.go
+++ b/core/placing/rollout.go
@@ -26,6 +26,7 @@
 
 // SetTarget assigns the endpoints to the groups of a roll-out to the target version.
 func (t *Table) SetTarget(target string) {
+	t.unused = 0
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
 		at.group, at.isFaulty = rollout.Stable, false
@@ -35,8 +36,9 @@
 	}
 }
 
-// SetFaulty updates which endpoints the Trial leaves out.
+// SetFaulty updates which endpoints the Trial leaves out, and the group that it does not use.
 func (t *Table) SetFaulty(trial *rollout.Trial) {
+	t.unused = trial.Unused()
 	for i := range t.endpoints {
 		if at := &t.endpoints[i]; at.group == rollout.Target {
 			at.isFaulty = trial.IsFaulty(at.id)
@@ -125,3 +127,11 @@
 	}
 	return version, len(counts) > 1
 }
+
+// EndRollout ends the roll-out; every open endpoint is in use again.
+func (t *Table) EndRollout() { t.unused = 0 }
+
+// isInUse reports whether the endpoint is open and gets more than the small share of a version on trial, so that its capacity counts.
+func (t *Table) isInUse(at *endpoint) bool {
+	return at.open && (t.unused == 0 || at.group != t.unused)
+}
--- a/core/placing/table.go
+++ b/core/placing/table.go
@@ -28,6 +28,7 @@
 	crossing *crossing.Control // crossing decides on requests for other data centres, in a cell where DecidesCrossing reports true.
 
 	selection selection       // selection holds the endpoints that a roll-out allows for the request that is being placed.
+	unused    rollout.Group   // unused is the group of a roll-out whose capacity does not count, as it gets a small share at most; zero if there is none.
 	offers    []rollout.Offer // offers is a buffer of Capacity.
 }
 
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -138,6 +138,17 @@
 	return t.burst.isActive
 }
 
+// Unused returns the group that gets a small share of the requests at most; zero if the order has been removed.
+func (t *Trial) Unused() Group {
+	switch {
+	case t.isRemoved:
+		return 0
+	case t.state == Completed:
+		return Stable
+	}
+	return Target
+}
+
 // mayExpose reports whether the target may get one more request.
 func (t *Trial) mayExpose(now time.Time) bool {
 	if t.state != Running || t.isRemoved || t.isStopped || !t.isJudge || now.Sub(t.order.ConfirmedAt) > confirmedFor {
