Limit the share of the target in classes beyond the sixteenth

Cause: Trial.Pick looked a class up without the rule that classes beyond maxClasses count as one, so each of their requests seemed to be the first of a new class and went to the target while there was credit: beyond a third of a rare class, and ahead of the classes that need samples.

Change: Pick and ensureClass use the same look-up.

Result: TestRareClassesBeyondTheLastGoToTheOldVersion failed before and passes; core/rollout and core/admission pass.

--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -104,7 +104,7 @@
 	case t.burst.isActive:
 		return Target
 	}
-	index, isKnown := t.classIndex[class]
+	index, isKnown := t.findClass(class)
 	if !isKnown {
 		return Target
 	}
@@ -257,13 +257,19 @@
 	return status
 }
 
-// ensureClass returns the index of a class. Classes beyond maxClasses count as one.
-func (t *Trial) ensureClass(name string) int32 {
-	index, ok := t.classIndex[name]
-	if !ok && len(t.classes) >= maxClasses {
-		return maxClasses - 1
+// findClass returns the index of a class, and false if it is new. Classes beyond maxClasses count as one.
+func (t *Trial) findClass(name string) (index int32, isKnown bool) {
+	index, isKnown = t.classIndex[name]
+	if !isKnown && len(t.classes) >= maxClasses {
+		return maxClasses - 1, true
 	}
-	if !ok {
+	return index, isKnown
+}
+
+// ensureClass returns the index of a class, and adds the class if it is new.
+func (t *Trial) ensureClass(name string) int32 {
+	index, isKnown := t.findClass(name)
+	if !isKnown {
 		index = int32(len(t.classes))
 		t.classes = append(t.classes, class{evidence: evidence{name: fmt.Sprintf("class %q", name)}})
 		t.classIndex[name] = index
--- a/core/rollout/trial_test.go
+++ b/core/rollout/trial_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -125,3 +126,29 @@
 		is.Equal(tried.verdicts[0].State == rollout.Completed, factor == 1)
 	}
 }
+
+// Guards against a version in doubt that answers most requests of the rare classes beyond those that are told apart.
+func TestRareClassesBeyondTheLastGoToTheOldVersion(t *testing.T) {
+	is := is.New(t)
+	tried := newTried(enough)
+	asked, exposed := 0, 0
+	for n := range 1000 {
+		tried.step(10 * time.Millisecond)
+		class := fmt.Sprint(n % 16)
+		if n >= 100 && n%20 == 0 {
+			class = fmt.Sprint("rare ", n%40)
+		}
+		group := tried.Pick(tried.now, class)
+		if class[0] == 'r' {
+			asked++
+			if group == rollout.Target {
+				exposed++
+			}
+		}
+		sample := rollout.Sample{Group: group, Class: class, Endpoint: tried.Focus(), Outcome: cell.Completed, Took: time.Millisecond, Running: 1, Slots: 4, GrantedAt: tried.now}
+		tried.Granted(tried.now, group, class, sample.Endpoint)
+		tried.Ended(tried.now, sample)
+	}
+	is.True(asked > 40)
+	is.True(3*exposed <= asked)
+}
