Take back the note that a version on trial is sound

Cause: a judge that had told its successor that the target was sound took this back by leaving the note out, but the entries keep the largest counter of each name for 10 s. A judge that was lost after the target had turned bad, and before it was proven, was followed by one that completed the target on the older note, without samples of its own.

Change: the counter of the note is odd while it holds and rises by one when it no longer does, so that the largest one is the newest one.

--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -56,9 +56,9 @@
 	demand     average   // demand is the number of requests that run at endpoints of other versions.
 	pressure   average   // pressure is the number of requests per slot at endpoints of other versions.
 
-	notes   notes
-	heard   heard
-	isSound bool // isSound is true if the evidence suffices for Completed, in the last stage.
+	notes notes
+	heard heard
+	told  float64 // told is the counter of the note sound, by this judge; zero before the first such note.
 
 	state     State  // state is the final state that this dispatcher goes by; Running until then.
 	isStopped bool   // isStopped is true if the target gets nothing more here, whoever is judge.
--- a/core/rollout/trial_test.go
+++ b/core/rollout/trial_test.go
@@ -152,3 +152,53 @@
 	is.True(asked > 40)
 	is.True(3*exposed <= asked)
 }
+
+// play lets time pass with 100 requests a second, of which those at the target fail if isBad is true, until the span has passed or
+// until returns true.
+func (t *tried) play(span time.Duration, isBad bool, until func() bool) {
+	for end := t.now.Add(span); t.now.Before(end) && !until(); {
+		t.step(10 * time.Millisecond)
+		sample := rollout.Sample{Group: t.Pick(t.now, "k"), Class: "k", Endpoint: t.Focus(), Outcome: cell.Completed, Took: time.Millisecond, Running: 1, Slots: 4, GrantedAt: t.now}
+		t.Granted(t.now, sample.Group, "k", sample.Endpoint)
+		if isBad && sample.Group == rollout.Target {
+			sample.Outcome = cell.Failed
+		}
+		t.Ended(t.now, sample)
+	}
+}
+
+// Guards against the completion of a version that turned bad late, by a judge that goes by what an earlier one found before that: the
+// entries keep the largest counter of each name for some seconds, so a note can't be taken back by leaving it out.
+func TestNoteIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	const sound = "@rollout/v2/1/sound"
+	entries := map[cell.TeamID]float64{}
+	first := newTried(enough)
+	isTold := func() bool {
+		notes := first.Notes(nil)
+		for _, note := range notes {
+			entries[note.Team] = max(entries[note.Team], note.Service)
+		}
+		return len(notes) == 1 && notes[0] == cell.TeamCounter{Team: sound, Service: 1}
+	}
+	never := func() bool { return false }
+	first.play(9*time.Second, false, isTold)
+	is.True(isTold())
+	first.play(time.Second, true, func() bool { return !isTold() })
+	is.True(!isTold())
+	is.Equal(len(first.verdicts), 0) // It has doubts, and no proof yet.
+
+	for _, isFresh := range []bool{true, false} { // The first judge may also be lost before it has doubts.
+		next := newTried(enough)
+		next.now = next.now.Add(10 * time.Second)
+		next.step(0)
+		for team, service := range entries {
+			if !isFresh {
+				service = 1
+			}
+			next.Learn(&cell.TeamCounter{Team: team, Service: service})
+		}
+		next.play(1500*time.Millisecond, false, never)
+		is.Equal(len(next.verdicts) > 0 && next.verdicts[0].State == rollout.Completed, !isFresh)
+	}
+}
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -133,7 +134,7 @@
 	verdictAt, lastMoment := t.order.verdictAt(), t.order.lastMoment()
 	isLast := !now.Before(lastMoment)
 	doubt := t.doubt(isLast)
-	t.isSound = doubt == "" && t.stage(now) == 3 && !t.isLate()
+	t.setSound(doubt == "" && t.stage(now) == 3 && !t.isLate())
 	if t.isLate() && !t.heard.isGood {
 		verdictAt = lastMoment
 	}
@@ -155,6 +156,17 @@
 	}
 }
 
+// setSound records whether the evidence suffices for Completed, in the last stage, for the note to a successor.
+func (t *Trial) setSound(isSound bool) {
+	if was := math.Mod(t.told, 2) == 1; isSound == was {
+		return
+	}
+	t.told = max(t.told, t.heard.sound) + 1
+	if isOdd := math.Mod(t.told, 2) == 1; isOdd != isSound {
+		t.told++
+	}
+}
+
 // doubt returns why the target may not be good; empty if the evidence suffices. Slight doubts count only while there is time for
 // more samples.
 func (t *Trial) doubt(isLast bool) string {
@@ -162,7 +174,7 @@
 	for i := range t.classes {
 		worst = max(worst, slices.Max(t.classes[i].odds[:]))
 	}
-	isProven := t.isLate() && (t.heard.isSound || t.heard.isGood)
+	isProven := t.isLate() && (t.heard.isSound() || t.heard.isGood)
 	if lack := t.lackOfSamples(); lack != "" && !isProven {
 		return lack
 	}
