--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -224,13 +224,13 @@
 	return callTime
 }
 
-// leastPacedTime returns the least time to expect of a call at the open endpoints if they had free slots; zero if unknown at all.
+// leastPacedTime returns the least time to expect of a call at the endpoints in use if they had free slots; zero if unknown at all.
 // Endpoints that fail count only if there are no others.
 func (t *Table) leastPacedTime(now time.Time) time.Duration {
 	var least, leastFailing time.Duration
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.paced.usual == 0 {
+		if !t.isInUse(at) || at.paced.usual == 0 {
 			continue
 		}
 		from := &least
@@ -244,7 +244,7 @@
 	return cmp.Or(least, leastFailing)
 }
 
-// CallRate returns how many calls the open endpoints of a service answer in a second at their present pace; zero if
+// CallRate returns how many calls the endpoints in use of a service answer in a second at their present pace; zero if
 // unknown, and where endpoints report none.
 func (t *Table) CallRate(now time.Time) float64 {
 	rate := 0.0
@@ -253,7 +253,7 @@
 	}
 	for i := range t.endpoints {
 		at := &t.endpoints[i]
-		if !at.open || at.paced.usual == 0 || at.health.AwaitsProbe(now) {
+		if !t.isInUse(at) || at.paced.usual == 0 || at.health.AwaitsProbe(now) {
 			continue
 		}
 		_, call := at.pacedTime(now, 0)
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -56,9 +56,9 @@
 	demand     average   // demand is the number of requests that run at endpoints of other versions.
 	pressure   average   // pressure is the number of requests per slot at endpoints of other versions.
 
-	notes   notes
-	heard   heard
-	isSound bool // isSound is true if the evidence suffices for Completed, in the last stage.
+	notes notes
+	heard heard
+	told  float64 // told is the counter of the note sound, by this judge; zero before the first such note.
 
 	state     State  // state is the final state that this dispatcher goes by; Running until then.
 	isStopped bool   // isStopped is true if the target gets nothing more here, whoever is judge.
@@ -104,7 +104,7 @@
 	case t.burst.isActive:
 		return Target
 	}
-	index, isKnown := t.classIndex[class]
+	index, isKnown := t.findClass(class)
 	if !isKnown {
 		return Target
 	}
@@ -138,6 +138,17 @@
 	return t.burst.isActive
 }
 
+// Unused returns the group that gets a small share of the requests at most; zero if the order has been removed.
+func (t *Trial) Unused() Group {
+	switch {
+	case t.isRemoved:
+		return 0
+	case t.state == Completed:
+		return Stable
+	}
+	return Target
+}
+
 // mayExpose reports whether the target may get one more request.
 func (t *Trial) mayExpose(now time.Time) bool {
 	if t.state != Running || t.isRemoved || t.isStopped || !t.isJudge || now.Sub(t.order.ConfirmedAt) > confirmedFor {
@@ -246,13 +257,19 @@
 	return status
 }
 
-// ensureClass returns the index of a class. Classes beyond maxClasses count as one.
-func (t *Trial) ensureClass(name string) int32 {
-	index, ok := t.classIndex[name]
-	if !ok && len(t.classes) >= maxClasses {
-		return maxClasses - 1
+// findClass returns the index of a class, and false if it is new. Classes beyond maxClasses count as one.
+func (t *Trial) findClass(name string) (index int32, isKnown bool) {
+	index, isKnown = t.classIndex[name]
+	if !isKnown && len(t.classes) >= maxClasses {
+		return maxClasses - 1, true
 	}
-	if !ok {
+	return index, isKnown
+}
+
+// ensureClass returns the index of a class, and adds the class if it is new.
+func (t *Trial) ensureClass(name string) int32 {
+	index, isKnown := t.findClass(name)
+	if !isKnown {
 		index = int32(len(t.classes))
 		t.classes = append(t.classes, class{evidence: evidence{name: fmt.Sprintf("class %q", name)}})
 		t.classIndex[name] = index
