Reuse the buffers of large events

Cause: in one of three runs of the memory tests, on a machine with a load of 36 on 7 processors, slow readers of streams made a router with memory_limit = 144 use 189 MiB: each event of 128 KiB left several copies as garbage, faster than it was collected.

Change: a stream reuses the buffers of long lines and of queued large events, and keeps their bytes taken until it ends.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -110,7 +110,7 @@
 	if !x.outflow.holdEvent(&event, x.gone) {
 		return ErrGone
 	}
-	event.Data, event.Raw = bytes.Clone(event.Data), bytes.Clone(event.Raw)
+	event.Data, event.Raw = x.outflow.clone(event.Data), x.outflow.clone(event.Raw)
 	select {
 	case x.events <- event:
 		return nil
@@ -201,6 +201,7 @@
 		x.written.Add(1)
 		x.outflow.eventTaken(&event)
 		x.buf = appendEvent(x.buf[:0], &event)
+		x.outflow.recycle(&event)
 		x.unwritten = x.buf
 	}
 	n := copy(p, x.unwritten)
--- a/io/caller/hold.go
+++ b/io/caller/hold.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"os"
 	"sync/atomic"
 	"time"
@@ -97,6 +98,7 @@
 	queued atomic.Int64                   // queued is the number of bytes in the queue of a stream.
 	drain  chan struct{}                  // drain wakes holdEvent when the queue has become shorter.
 	taken  int64                          // taken is the number of bytes held for the event that is being written.
+	spare  atomic.Pointer[[]byte]         // spare is the buffer of an event that was written.
 	ends   atomic.Int32                   // ends counts the calls of end.
 }
 
@@ -163,6 +165,29 @@
 	return true
 }
 
+// clone returns a copy of data. Large copies reuse the buffer of an earlier event: the garbage of 64 streams of large events
+// exceeded the memory faster than it was collected.
+func (o *outflow) clone(data []byte) []byte {
+	if len(data) <= freeEvent {
+		return bytes.Clone(data)
+	}
+	if spare := o.spare.Swap(nil); spare != nil && cap(*spare) >= len(data) {
+		return append((*spare)[:0], data...)
+	}
+	return bytes.Clone(data)
+}
+
+// recycle keeps the buffer of a large event that was encoded for the next one.
+func (o *outflow) recycle(event *Event) {
+	if one := max(len(event.Data), len(event.Raw)); one > freeEvent {
+		spare := event.Data
+		if len(event.Raw) == one {
+			spare = event.Raw
+		}
+		o.spare.Store(&spare)
+	}
+}
+
 // eventTaken records that an event has left the queue and is being written.
 func (o *outflow) eventTaken(event *Event) {
 	if o.link == nil {
--- a/io/endpoint/events.go
+++ b/io/endpoint/events.go
@@ -37,9 +37,10 @@
 	buffered   buffered
 	data       []byte
 	raw        []byte
-	isInEvent  bool // Whether the bytes read last belong to an event that is not complete.
-	hasStarted bool // Whether an event was read, or the stream resumes an earlier one.
-	isComplete bool // Whether the stream was read to its end.
+	long       []byte // Buffer for lines that are longer than the reader's; reused, because the garbage of large events exceeded the memory.
+	isInEvent  bool   // Whether the bytes read last belong to an event that is not complete.
+	hasStarted bool   // Whether an event was read, or the stream resumes an earlier one.
+	isComplete bool   // Whether the stream was read to its end.
 	isClosed   bool
 }
 
@@ -51,7 +52,7 @@
 		resp:       resp,
 		detach:     detach,
 		reader:     bufio.NewReader(resp.BodyStream()),
-		buffered:   buffered{client: client},
+		buffered:   buffered{client: client, copies: copiesPerEvent},
 		answer:     Answer{RequestID: string(resp.Header.Peek(client.config.Dialect.RequestID))},
 		hasStarted: call.LastEvent != "",
 	}
@@ -122,7 +123,7 @@
 	var event Event
 	e.data, e.raw, e.isInEvent = e.data[:0], e.raw[:0], false
 	size, hasData := 0, false
-	defer e.buffered.release()
+	defer e.buffered.releaseCount()
 	for {
 		line, err := e.line(e.client.config.MaxEvent - size)
 		if err != nil {
@@ -190,7 +191,8 @@
 
 // readLongLine reads the rest of a line that is longer than the reader's buffer.
 func (e *Events) readLongLine(limit int, start []byte) ([]byte, error) {
-	line := append([]byte(nil), start...)
+	line := append(e.long[:0], start...)
+	defer func() { e.long = line }()
 	err := bufio.ErrBufferFull
 	for errors.Is(err, bufio.ErrBufferFull) && len(line) <= limit {
 		var more []byte
@@ -210,6 +212,7 @@
 		return
 	}
 	e.isClosed = true
+	e.buffered.release()
 	if !e.isComplete || !e.endsHere() {
 		e.detach()
 		e.link.close()
--- a/io/endpoint/held.go
+++ b/io/endpoint/held.go
@@ -17,6 +17,7 @@
 type buffered struct {
 	client *Client
 	bytes  int64
+	copies int64           // copies is how often the buffered bytes are held; zero means once.
 	holder *holding.Holder // holder holds the bytes of the budget; nil until more than freeBytes are buffered.
 	taken  int64           // taken is the number of bytes taken from the budget.
 }
@@ -37,7 +38,7 @@
 		h.holder = &holding.Holder{Kind: holding.Responses, OnlyStalled: true}
 	}
 	more := max(takenBytes, h.bytes-h.taken)
-	if held.Take(budget, h.holder, more, budgetWait) != holding.None {
+	if held.Take(budget, h.holder, max(1, h.copies)*more, budgetWait) != holding.None {
 		return h.client.newErrTooLong("no memory for an answer of more than %d bytes", h.bytes)
 	}
 	h.taken += more
@@ -53,10 +54,19 @@
 	return h.take()
 }
 
-// release takes the counted bytes off the client's total.
-func (h *buffered) release() {
+// copiesPerEvent is the number of buffers in which an event is held: a long line, its data and its bytes as received.
+const copiesPerEvent = 3
+
+// releaseCount takes the counted bytes off the client's total. The bytes of the budget stay taken, because the buffers of a
+// stream are reused for its next event.
+func (h *buffered) releaseCount() {
 	h.client.buffered.Add(-h.bytes)
 	h.bytes = 0
+}
+
+// release takes the counted bytes off the client's total and releases those of the budget.
+func (h *buffered) release() {
+	h.releaseCount()
 	if h.holder != nil {
 		h.client.config.Budget.End(h.holder)
 		h.taken = 0
