Reserve a part of the budget for answers

Cause: complete bodies that wait for a grant are not evicted, so they could use up the budget, and answers of requests that were executed would be lost for want of it.

Change: bodies may take three quarters of the budget, answers seven eighths, connections all of it.

--- a/core/holding/budget.go
+++ b/core/holding/budget.go
@@ -48,8 +48,8 @@
 	return all
 }
 
-// reserveDivisor is the divisor of the size that gives the bytes which only connections may take, so that ordinary
-// callers are still accepted while bodies and responses have used up the rest.
+// reserveDivisor is the divisor of the size that gives the bytes which only connections and responses may take, so that
+// ordinary callers are still accepted and answered while bodies have used up the rest. Half of it is for connections alone.
 const reserveDivisor = 4
 
 // Config configures a Budget.
@@ -138,6 +138,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	reserve := b.config.Size / reserveDivisor
+	if h.Kind == Responses {
+		reserve /= 2 // Answers of requests that were executed go before bodies of others.
+	}
 	others := b.total - b.used[Connections]
 	if excess := others + bytes + max(reserve, b.used[Connections]) - b.config.Size; excess > 0 {
 		if h.cause == None {
--- a/core/holding/budget_test.go
+++ b/core/holding/budget_test.go
@@ -75,6 +75,22 @@
 	is.True(!b.TakeConnection(1))
 }
 
+// Guards against a request that was executed and whose answer is lost because bodies that wait fill the budget.
+func TestResponseIsTakenBesideWaitingBodies(t *testing.T) {
+	is := is.New(t)
+	b := newBudget(400)
+	whole := body("a")
+	ok, _ := b.Take(start, whole, 300)
+	is.True(ok)
+	is.True(b.Keep(whole))
+	answer := &holding.Holder{Kind: holding.Responses, OnlyStalled: true}
+	ok, _ = b.Take(start, answer, 50)
+	is.True(ok)
+	ok, _ = b.Take(start, answer, 1)
+	is.True(!ok)
+	is.True(b.TakeConnection(50))
+}
+
 // Guards against leaked and negative counts over random sequences of take, force, release, eviction and end.
 func TestNothingLeaks(t *testing.T) {
 	const (
