--- a/io/held/held.go
+++ b/io/held/held.go
@@ -1,4 +1,3 @@
-// Package held takes bytes from the budget of a process for bodies and responses of its peers.
 package held
 
 import (
