Set the read deadline of a body that is above its minimum rate

Cause: limitPace set the deadline of the minimum rate, but left that of an earlier part in place once the body was ahead of the rate for the rest of ReadTimeout. TestBodyBelowTheMinimumRateIsRefused missed it, because its first deadline was late.

Change: the deadline becomes the end of ReadTimeout then.

--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -339,15 +339,16 @@
 	return n, err
 }
 
-// limitPace sets the read deadline to when the body falls below the minimum rate, unless the request must have arrived before
-// that, and returns it; zero if it is not set.
+// limitPace sets the read deadline to when the body falls below the minimum rate, or to when the request must have arrived if that is
+// earlier. It returns the time in the first case, and zero in the second one or without a minimum rate.
 func (r *bodyReader) limitPace() time.Time {
 	config := &r.server.config
 	if config.BodyRate <= 0 || r.link == nil {
 		return time.Time{}
 	}
 	pace := r.started.Add(config.BodyGrace + time.Duration(float64(r.arrived)/float64(config.BodyRate)*float64(time.Second)))
-	if !pace.Before(r.started.Add(config.ReadTimeout)) {
+	if due := r.started.Add(config.ReadTimeout); !pace.Before(due) {
+		r.link.limitRead(due) // The deadline of an earlier part may be set.
 		return time.Time{}
 	}
 	r.link.limitRead(pace)
--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -139,6 +139,23 @@
 	}
 }
 
+// Guards against the refusal of a body above the minimum rate by the deadline that was set for its first part.
+func TestBodyAboveTheMinimumRateHasTheWholeReadTimeout(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	config.ReadTimeout, config.BodyRate, config.BodyGrace = 5500*time.Millisecond, 10<<10, 300*time.Millisecond
+	config, _ = record(config, echo)
+	conn := send(t, serveOn(listen(t), config), announce(60<<10)+strings.Repeat("x", 56<<10))
+	time.Sleep(2500 * time.Millisecond) // Longer than the time for the 16 KiB that are read first, and shorter than the one for 56 KiB and than ReadTimeout.
+	_, err := io.WriteString(conn, strings.Repeat("x", 4<<10))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	conn.Close()
+	awaitReleased(t, budget)
+}
+
 // Guards against bytes that neither or only one of the two routers counts while a handed-over request is held, and against
 // bytes that stay counted afterwards.
 func TestBothRoutersCountAHandedOverRequest(t *testing.T) {
