Don't delay complete answers while the memory is short

Cause: holdWhole waited up to 3 s for bytes of the budget before a complete answer of more than 16 KiB was written, holding the lock of the exchange. The answer was in memory already, uncounted, so the wait freed nothing and held a ready answer back.

Change: it evicts as before, and counts the answer beyond the budget at once if there are no bytes.

--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -211,6 +211,27 @@
 	}
 }
 
+// Guards against a complete answer that waits for memory although it is held already.
+func TestWholeAnswerIsNotDelayedWhileMemoryIsShort(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	whole := holding.Holder{Kind: holding.Bodies, Client: "a"}
+	is.True(budget.Keep(&whole))
+	budget.Force(time.Now(), &whole, 3*heldBody)
+	took := make(chan time.Duration, 1)
+	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		began := time.Now()
+		_ = w.Whole(caller.Answer{Status: http.StatusOK, Body: make([]byte, heldBody)})
+		took <- time.Since(began)
+	})
+	conn := send(t, serveOn(listen(t), config), request)
+	assertAnswered(is, bufio.NewReader(conn))
+	is.True(<-took < 2*time.Second) // Nothing releases the memory; with a wait it took 3 s.
+	conn.Close()
+	budget.End(&whole)
+	awaitReleased(t, budget)
+}
+
 // FuzzChunkedBody checks that a chunked request which the server serves is decoded as net/http decodes it, and that no
 // request hangs the server or leaves bytes counted.
 func FuzzChunkedBody(f *testing.F) {
--- a/io/caller/hold.go
+++ b/io/caller/hold.go
@@ -86,7 +86,7 @@
 	freeEvent    = 4 << 10         // freeEvent is the same for an event.
 	maxQueued    = 32 << 10        // maxQueued limits the bytes of a stream that are queued, unless a single event is larger.
 	copiesPerOut = 2               // copiesPerOut is the number of copies of an event that a stream holds: as queued and as encoded.
-	responseWait = 3 * time.Second // responseWait is how long bytes for an answer are awaited; its endpoint waits meanwhile.
+	responseWait = 3 * time.Second // responseWait is how long bytes for an event are awaited; its endpoint waits meanwhile.
 )
 
 // outflow counts the bytes of one answer that its caller has not read. Its budget may be nil.
@@ -107,12 +107,12 @@
 	}
 }
 
-// take takes bytes of the answer from the budget; small answers never come here.
-func (o *outflow) take(bytes int64) holding.Cause {
+// take takes bytes of the answer from the budget, and waits for them up to the given time; small answers never come here.
+func (o *outflow) take(bytes int64, wait time.Duration) holding.Cause {
 	if o.holder.Load() == nil {
 		o.holder.Store(&holding.Holder{Kind: holding.Responses, Client: clientOf(o.link.RemoteAddr()), OnlyStalled: true, Evict: o.evict})
 	}
-	return held.Take(o.budget, o.holder.Load(), bytes, responseWait)
+	return held.Take(o.budget, o.holder.Load(), bytes, wait)
 }
 
 // evict implements holding.Holder.Evict.
@@ -121,13 +121,13 @@
 	o.link.evictWrite()
 }
 
-// holdWhole takes the bytes of a complete answer. An answer that is not covered after responseWait is counted beyond the
-// budget, because it is in memory already.
+// holdWhole takes the bytes of a complete answer. It doesn't wait for them: the answer is in memory already, so it is counted beyond
+// the budget if that is exhausted.
 func (o *outflow) holdWhole(bytes int) {
 	if bytes <= freeResponse || o.link == nil {
 		return
 	}
-	if o.take(int64(bytes)) != holding.None {
+	if o.take(int64(bytes), 0) != holding.None {
 		o.budget.Force(time.Now(), o.holder.Load(), int64(bytes))
 	}
 }
@@ -150,7 +150,7 @@
 		}
 	}
 	if size > freeEvent {
-		switch o.take(copiesPerOut * size) {
+		switch o.take(copiesPerOut*size, responseWait) {
 		case holding.None:
 		case holding.Full:
 			o.evict()
