Let a late eviction spare the next answer on its connection

Cause: a victim is selected under the lock of the budget and evicted after it. If its answer was written in between, the eviction marked the connection as unread, and ended the answer to the next request on it, which had run.

Change: an eviction ends only the answer that it is for, and a written answer clears the mark.

--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -232,6 +232,36 @@
 	awaitReleased(t, budget)
 }
 
+// Guards against an eviction that comes when the answer has just been written, and ends the next one on its connection.
+func TestLateEvictionSparesTheNextAnswer(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	returned := make(chan struct{})
+	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		_ = w.Whole(caller.Answer{Status: http.StatusOK, Body: make([]byte, 3*heldBody)})
+		<-returned // Keeps the bytes counted until a victim was selected.
+	})
+	conn := send(t, serveOn(listen(t), config), request)
+	reader := bufio.NewReader(conn)
+	for end := time.Now().Add(5 * time.Second); budget.Figures().Held["responses"] == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	other := holding.Holder{Kind: holding.Bodies, Client: "a"}
+	_, victim := budget.Take(time.Now().Add(time.Minute), &other, heldBody)
+	is.True(victim != nil)
+	assertAnswered(is, reader)
+	close(returned)
+	for end := time.Now().Add(5 * time.Second); budget.Figures().Held["responses"] > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	victim.Evict()
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	assertAnswered(is, reader)
+	conn.Close()
+	awaitReleased(t, budget)
+}
+
 // FuzzChunkedBody checks that a chunked request which the server serves is decoded as net/http decodes it, and that no
 // request hangs the server or leaves bytes counted.
 func FuzzChunkedBody(f *testing.F) {
--- a/io/caller/hold.go
+++ b/io/caller/hold.go
@@ -58,10 +58,13 @@
 	return c.served, c.SetWriteDeadline(time.Now().Add(c.writeTimeout))
 }
 
-// evictWrite ends the write of an answer that the caller does not read.
-func (c *conn) evictWrite() {
+// evictWrite ends the write of an answer that the caller does not read, unless that was written meanwhile.
+func (c *conn) evictWrite(o *outflow) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.served == nil || &c.served.outflow != o {
+		return
+	}
 	c.unread = true
 	if stream, ok := c.Conn.(*handover.Stream); ok {
 		_ = stream.Close() // Its deadlines do not end a write that is blocked.
@@ -74,7 +77,7 @@
 func (c *conn) endServing() {
 	c.mu.Lock()
 	ex := c.served
-	c.served = nil
+	c.served, c.unread = nil, false
 	c.mu.Unlock()
 	if ex != nil {
 		ex.outflow.end()
@@ -118,7 +121,7 @@
 // evict implements holding.Holder.Evict.
 func (o *outflow) evict() {
 	o.link.server.config.Evicted(Eviction{Kind: holding.Responses, Cause: holding.Stalled, Caller: o.link.RemoteAddr()})
-	o.link.evictWrite()
+	o.link.evictWrite(o)
 }
 
 // holdWhole takes the bytes of a complete answer. It doesn't wait for them: the answer is in memory already, so it is counted beyond
