Take the memory of a relayed connection before another router is chosen

Cause: handOver opened a stream to another router first, and then closed it with Ended(false) if there was no memory for the relay. This counted the other router as one that had refused or lost a connection.

Change: the memory is taken first.

--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -187,6 +189,24 @@
 	awaitReleased(t, farBudget)
 }
 
+// Guards against counting the lack of memory here as a failure of the router that a connection would have been handed over to.
+func TestNothingIsHandedOverWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	config, _ := budgeted()
+	config, r := record(config, echo)
+	config.MaxConns, config.Budget = 100, holding.New(holding.Config{Size: connMemory/2 - 1})
+	var asked atomic.Int64
+	config.Elsewhere = func(time.Duration) (caller.Relay, bool) {
+		asked.Add(1)
+		near, _ := net.Pipe()
+		return caller.Relay{Conn: near, Ended: func(bool) {}}, true
+	}
+	conn := send(t, serveOn(listen(t), config), request)
+	assertEnd(is, conn, statusOf(result.Overloaded))
+	is.Equal(<-r.refused, result.Overloaded)
+	is.Equal(asked.Load(), int64(0))
+}
+
 // Guards against a caller that does not read its answer and is kept while the memory is short, and against bytes of
 // a stream that stay counted.
 func TestUnreadAnswerIsEndedWhileMemoryIsShort(t *testing.T) {
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -37,15 +37,14 @@
 	if s.config.Elsewhere == nil || s.inUse() >= s.config.MaxConns {
 		return false
 	}
+	share := s.config.ConnMemory / relaysPerConn
+	if !s.config.Budget.TakeConnection(share) {
+		return false
+	}
 	age := requestAge(near, s.config.Late())
 	to, ok := s.config.Elsewhere(age)
 	if !ok {
-		return false
-	}
-	share := s.config.ConnMemory / relaysPerConn
-	if !s.config.Budget.TakeConnection(share) {
-		to.Conn.Close()
-		to.Ended(false)
+		s.config.Budget.ReleaseConnection(share)
 		return false
 	}
 	r := &relay{server: s, near: near, far: to.Conn, age: age, since: time.Now(), forwarded: make(chan struct{})}
