--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,6 +141,23 @@
 	}
 }
 
+// Guards against the refusal of a body above the minimum rate by the deadline that was set for its first part.
+func TestBodyAboveTheMinimumRateHasTheWholeReadTimeout(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	config.ReadTimeout, config.BodyRate, config.BodyGrace = 5500*time.Millisecond, 10<<10, 300*time.Millisecond
+	config, _ = record(config, echo)
+	conn := send(t, serveOn(listen(t), config), announce(60<<10)+strings.Repeat("x", 56<<10))
+	time.Sleep(2500 * time.Millisecond) // Longer than the time for the 16 KiB that are read first, and shorter than the one for 56 KiB and than ReadTimeout.
+	_, err := io.WriteString(conn, strings.Repeat("x", 4<<10))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	conn.Close()
+	awaitReleased(t, budget)
+}
+
 // Guards against bytes that neither or only one of the two routers counts while a handed-over request is held, and against
 // bytes that stay counted afterwards.
 func TestBothRoutersCountAHandedOverRequest(t *testing.T) {
@@ -170,6 +189,24 @@
 	awaitReleased(t, farBudget)
 }
 
+// Guards against counting the lack of memory here as a failure of the router that a connection would have been handed over to.
+func TestNothingIsHandedOverWithoutMemory(t *testing.T) {
+	is := is.New(t)
+	config, _ := budgeted()
+	config, r := record(config, echo)
+	config.MaxConns, config.Budget = 100, holding.New(holding.Config{Size: connMemory/2 - 1})
+	var asked atomic.Int64
+	config.Elsewhere = func(time.Duration) (caller.Relay, bool) {
+		asked.Add(1)
+		near, _ := net.Pipe()
+		return caller.Relay{Conn: near, Ended: func(bool) {}}, true
+	}
+	conn := send(t, serveOn(listen(t), config), request)
+	assertEnd(is, conn, statusOf(result.Overloaded))
+	is.Equal(<-r.refused, result.Overloaded)
+	is.Equal(asked.Load(), int64(0))
+}
+
 // Guards against a caller that does not read its answer and is kept while the memory is short, and against bytes of
 // a stream that stay counted.
 func TestUnreadAnswerIsEndedWhileMemoryIsShort(t *testing.T) {
@@ -194,6 +231,57 @@
 	}
 }
 
+// Guards against a complete answer that waits for memory although it is held already.
+func TestWholeAnswerIsNotDelayedWhileMemoryIsShort(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	whole := holding.Holder{Kind: holding.Bodies, Client: "a"}
+	is.True(budget.Keep(&whole))
+	budget.Force(time.Now(), &whole, 3*heldBody)
+	took := make(chan time.Duration, 1)
+	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		began := time.Now()
+		_ = w.Whole(caller.Answer{Status: http.StatusOK, Body: make([]byte, heldBody)})
+		took <- time.Since(began)
+	})
+	conn := send(t, serveOn(listen(t), config), request)
+	assertAnswered(is, bufio.NewReader(conn))
+	is.True(<-took < 2*time.Second) // Nothing releases the memory; with a wait it took 3 s.
+	conn.Close()
+	budget.End(&whole)
+	awaitReleased(t, budget)
+}
+
+// Guards against an eviction that comes when the answer has just been written, and ends the next one on its connection.
+func TestLateEvictionSparesTheNextAnswer(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	returned := make(chan struct{})
+	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		_ = w.Whole(caller.Answer{Status: http.StatusOK, Body: make([]byte, 3*heldBody)})
+		<-returned // Keeps the bytes counted until a victim was selected.
+	})
+	conn := send(t, serveOn(listen(t), config), request)
+	reader := bufio.NewReader(conn)
+	for end := time.Now().Add(5 * time.Second); budget.Figures().Held["responses"] == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	other := holding.Holder{Kind: holding.Bodies, Client: "a"}
+	_, victim := budget.Take(time.Now().Add(time.Minute), &other, heldBody)
+	is.True(victim != nil)
+	assertAnswered(is, reader)
+	close(returned)
+	for end := time.Now().Add(5 * time.Second); budget.Figures().Held["responses"] > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	victim.Evict()
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	assertAnswered(is, reader)
+	conn.Close()
+	awaitReleased(t, budget)
+}
+
 // FuzzChunkedBody checks that a chunked request which the server serves is decoded as net/http decodes it, and that no
 // request hangs the server or leaves bytes counted.
 func FuzzChunkedBody(f *testing.F) {
