End the doubt about an endpoint with any answer that carries no report

An endpoint whose answers no longer have them still got two calls at a time from then on. Change: the last answer is recorded, with a time or without; the test of the former rule is replaced by one of the new rule, which asks for the same.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -32,7 +32,8 @@
 type Endpoint struct {
 	load       cell.EndpointLoad
 	reportedAt time.Time
-	long       float64 // long is the long-term median of the reported factor; zero before the first report.
+	answeredAt time.Time // answeredAt is when the endpoint last answered, with a report or without.
+	long       float64   // long is the long-term median of the reported factor; zero before the first report.
 
 	measured             float64 // measured is the long-term median of the measured factor; zero before the first sample.
 	measuredAt           time.Time
@@ -98,12 +99,15 @@
 	return reported
 }
 
-// IsDoubtful reports whether the endpoint was slow by its last report, which is too old to say whether it still is, and nothing was
-// measured since it was that old.
+// IsDoubtful reports whether the endpoint was slow by its last report, which is too old to say whether it still is. An endpoint that
+// has answered since the report was that old without a new one has stopped reporting: then own counts and times are used.
 func (e *Endpoint) IsDoubtful(now time.Time) bool {
-	return e.load.Pace >= slowPace && now.Sub(e.reportedAt) > freshFor && e.measuredAt.Sub(e.reportedAt) <= freshFor
+	return e.load.Pace >= slowPace && now.Sub(e.reportedAt) > freshFor && e.answeredAt.Sub(e.reportedAt) <= freshFor
 }
 
+// Answered records that the endpoint has answered; Report must have been called before if it reported its load.
+func (e *Endpoint) Answered(now time.Time) { e.answeredAt = now }
+
 // Long returns the factor of the endpoint in the long term, by which those are found that are permanently slower; one if unknown.
 func (e *Endpoint) Long() float64 {
 	if e.long == 0 {
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -46,16 +46,15 @@
 	is.True(e.Long() < 1.05) // one slow report is no slow endpoint
 }
 
-// Guards against an endpoint that stops reporting after a slow report and gets only single calls from then on: answers without a report
-// that came after it say how fast it is.
-func TestMeasuredTimesEndTheDoubt(t *testing.T) {
+// Guards against an endpoint that stops reporting after a slow report and stays doubtful from then on, though it answers.
+func TestAnswersWithoutAReportEndTheDoubt(t *testing.T) {
 	is := is.New(t)
 	var e pace.Endpoint
 	now := time.Now()
 	e.Report(now, load(250))
-	e.Measured(now, 2.5, 2.5) // The answer that carried the report.
+	e.Answered(now)
 	is.True(e.IsDoubtful(now.Add(400 * time.Millisecond)))
-	e.Measured(now.Add(400*time.Millisecond), 2.5, 1)
+	e.Answered(now.Add(400 * time.Millisecond))
 	is.True(!e.IsDoubtful(now.Add(400 * time.Millisecond)))
 	is.True(!e.IsDoubtful(now.Add(time.Minute)))
 	e.Report(now.Add(time.Minute), load(250))
--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -74,10 +74,14 @@
 	t.isPaced, at.paced.at = true, time.Time{}
 }
 
-// Took records that a granted call was answered completely in this time after its entry sent it.
+// Took records that a granted call was answered completely in this time after its entry sent it; zero if that is unknown.
 func (t *Table) Took(now time.Time, placed *Placement, took time.Duration) {
 	at := &t.endpoints[placed.EndpointIndex]
-	if !t.HasPacedCalls() || at.start != placed.Start || took <= 0 || placed.grantedAt.IsZero() {
+	if !t.HasPacedCalls() || at.start != placed.Start {
+		return
+	}
+	at.pace.Answered(now)
+	if took <= 0 || placed.grantedAt.IsZero() {
 		return
 	}
 	ways := max(0, now.Sub(placed.grantedAt)-took)
--- a/core/placing/paced_test.go
+++ b/core/placing/paced_test.go
@@ -153,6 +153,32 @@
 	is.Equal(placed.EndpointIndex, int32(1))
 }
 
+// Guards against an endpoint that stops reporting after a slow report and gets only single calls from then on, though it answers them.
+func TestEndpointThatStopsReportingGetsItsSlots(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	service := newService(now, 6, 250)
+	granted := func() []placing.Placement {
+		var placed []placing.Placement
+		for range 6 {
+			if choice := service.Choose(now, call(now, 150*time.Millisecond)); choice.Verdict == placing.Admitted {
+				one, _ := service.Grant(now, choice, &cell.Prompt{})
+				placed = append(placed, one)
+			}
+		}
+		return placed
+	}
+	now = now.Add(time.Second)
+	placed := granted()
+	is.Equal(len(placed), 2) // They show whether the endpoint is still slow.
+	now = now.Add(callTime)
+	for i := range placed {
+		service.Took(now, &placed[i], 0) // An end without a report has no time either.
+		service.Ended(now, &placed[i], cell.Completed)
+	}
+	is.Equal(len(granted()), 6)
+}
+
 // A new endpoint must not get calls that have too little time left, as if calls took no time there.
 func TestNewEndpointStartsFromTheTimesOfTheOthers(t *testing.T) {
 	is := is.New(t)
