Compare whole answers of engines with no first tokens

Cause: an engine's request that ended without a first token (an answer in one piece) counted with its whole time among the times to the first token. Change: such an answer shows that the path works, and its time is used only to tell a stall.

Measured: TestWholeAnswersSayNothingOfTheDelay fails before (an answer of 5.1 s beside first tokens of 100 ms) and passes after.

--- a/core/crossing/control.go
+++ b/core/crossing/control.go
@@ -329,13 +329,25 @@
 
 // Answered records the answer to a request, which took this time without the wait for a slot at its endpoint.
 func (c *Control) Answered(now time.Time, ticket *Ticket, took time.Duration) {
+	c.recordAnswer(now, ticket, took, true)
+}
+
+// AnsweredWhole records an answer as Answered does where others are recorded at their first tokens: its time can't be compared with theirs.
+func (c *Control) AnsweredWhole(now time.Time, ticket *Ticket, took time.Duration) {
+	c.recordAnswer(now, ticket, took, false)
+}
+
+func (c *Control) recordAnswer(now time.Time, ticket *Ticket, took time.Duration, isComparable bool) {
 	if !ticket.isRecorded || ticket.isAnswered {
 		return
 	}
 	ticket.isAnswered = true
 	usual := &c.sites[ticket.to].answer
 	if ticket.from != ticket.to {
-		c.sites[ticket.from].paths[ticket.to].answered(now, ticket.epoch, took, took-*usual, *usual > 0)
+		c.sites[ticket.from].paths[ticket.to].answered(now, ticket.epoch, took, took-*usual, isComparable && *usual > 0)
+		return
+	}
+	if !isComparable {
 		return
 	}
 	if *usual == 0 {
--- a/core/placing/distance.go
+++ b/core/placing/distance.go
@@ -180,7 +180,12 @@
 // endTicket records the end of a request for the path that it took. It reports whether the path rather than the endpoint failed.
 func (t *Table) endTicket(now time.Time, placed *Placement, outcome cell.Outcome) bool {
 	if outcome == cell.Completed && !placed.grantedAt.IsZero() {
-		t.crossing.Answered(now, &placed.ticket, time.Duration(float64(now.Sub(placed.grantedAt))/placed.waitFactor))
+		took := time.Duration(float64(now.Sub(placed.grantedAt)) / placed.waitFactor)
+		if placed.hasRun {
+			t.crossing.AnsweredWhole(now, &placed.ticket, took)
+		} else {
+			t.crossing.Answered(now, &placed.ticket, took)
+		}
 		return false
 	}
 	return t.crossing.Failed(now, &placed.ticket, outcome)
--- a/core/placing/distance_test.go
+++ b/core/placing/distance_test.go
@@ -300,6 +300,36 @@
 	is.True(own > 300)
 }
 
+// Guards against a path that counts as slow because an engine's whole answer, which has no first token, takes longer than the first
+// tokens of others.
+func TestWholeAnswersSayNothingOfTheDelay(t *testing.T) {
+	is, now := is.New(t), time.Unix(1e9, 0)
+	table := placing.New(&limit.Stakes{})
+	table.SetCrossing(crossing.Config{Mode: crossing.Always})
+	policy := newPolicy(1)
+	policy.Endpoints[0].DataCentre = "b"
+	table.SetPolicy(policy)
+	prompt := cell.Prompt{Parts: []cell.Part{{ID: 1, Tokens: 10}}, Output: 10}
+	place := func(from string) placing.Placement {
+		request := &placing.Request{Prompt: &prompt, Since: now, Deadline: now.Add(time.Second), Avoid: -1, From: from, WithinShare: true}
+		choice := table.Choose(now, request)
+		is.Equal(choice.Verdict, placing.Admitted)
+		placed, _ := table.Grant(now, choice, &prompt)
+		now = now.Add(100 * time.Millisecond)
+		return placed
+	}
+	for range 20 {
+		stream := place("b")
+		table.Begun(now, &stream)
+		table.Ended(now, &stream, cell.Completed)
+	}
+	whole := place("a")
+	now = now.Add(5 * time.Second)
+	table.Ended(now, &whole, cell.Completed)
+	is.True(table.Crossing().Paths()[0].Delay <= 10*time.Millisecond)
+	is.True(!table.Crossing().Paths()[0].IsProbed)
+}
+
 // Requests that leave go to where their shared part is cached, and all of those with one part to the same data centre if it is cached
 // nowhere: elsewhere the part would be read again.
 func TestRequestsLeaveForTheirSharedPart(t *testing.T) {
