Measure the calls at endpoints without reports beside others with them

Cause: entries measure a call only where its answer has the figures. In a service of which some endpoints report their pace and others don't, the latter had no time of a call: calls went there with too little time left, as if they took none, and their slots weren't counted in the rate by which waiting calls are refused as too late. Change: the dispatcher uses its own time, less the usual ways, where the entry gives none.

--- a/core/placing/paced.go
+++ b/core/placing/paced.go
@@ -74,16 +74,20 @@
 	t.isPaced, at.paced.at = true, time.Time{}
 }
 
-// Took records that a granted call was answered completely in this time after its entry sent it; zero if that is unknown.
+// Took records that a granted call was answered completely in this time after its entry sent it; zero if the entry
+// didn't measure it, as the answer had no report. Then the usual ways are subtracted from the own time.
 func (t *Table) Took(now time.Time, placed *Placement, took time.Duration) {
 	at := &t.endpoints[placed.EndpointIndex]
 	if !t.HasPacedCalls() || at.start != placed.Start {
 		return
 	}
 	at.pace.Answered(now)
-	if took <= 0 || placed.grantedAt.IsZero() {
+	if placed.grantedAt.IsZero() {
 		return
 	}
+	if took <= 0 {
+		took = max(hopTime, now.Sub(placed.grantedAt)-t.mean.ways)
+	}
 	ways := max(0, now.Sub(placed.grantedAt)-took)
 	work := float64(took) / placed.waitFactor
 	factor := at.pace.Factor(now)
--- a/core/placing/paced_test.go
+++ b/core/placing/paced_test.go
@@ -179,6 +179,36 @@
 	is.Equal(len(granted()), 6)
 }
 
+// Guards against an endpoint without reports, beside others with them, that counts as one that answers at once and adds nothing to the
+// rate: calls with too little time would go there, and others be refused for want of a capacity that exists.
+func TestEndpointWithoutReportsIsMeasuredBesideOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	service := placing.New(&limit.Stakes{})
+	service.SetPolicy(&dispatch.Policy{Endpoints: []dispatch.EndpointPolicy{
+		{Endpoint: "0", WarmLimit: 2, Start: "s"}, {Endpoint: "1", WarmLimit: 2, Start: "s"},
+	}})
+	var placed []placing.Placement
+	for range 4 {
+		one, _ := service.Grant(now, service.Choose(now, call(now, time.Second)), &cell.Prompt{})
+		placed = append(placed, one)
+	}
+	now = now.Add(callTime)
+	for i := range placed {
+		took := time.Duration(0) // Entries measure only calls whose answers have the figures.
+		if placed[i].EndpointIndex == 0 {
+			report(service, now, &placed[i], []uint16{100})
+			took = callTime
+		}
+		service.Took(now, &placed[i], took)
+		service.Ended(now, &placed[i], cell.Completed)
+	}
+	is.Equal(int(service.CallRate(now)), 133) // four slots, 30 ms
+	late := call(now, 20*time.Millisecond)
+	late.Objective = 150 * time.Millisecond
+	is.Equal(service.Choose(now, late).Verdict, placing.Hopeless)
+}
+
 // A new endpoint must not get calls that have too little time left, as if calls took no time there.
 func TestNewEndpointStartsFromTheTimesOfTheOthers(t *testing.T) {
 	is := is.New(t)
