Release the kept part of a relayed request when its answer begins

Cause: a relayed request of more than 16 KiB counted 144 KiB against the budget until its connection ended. The 80 KiB for the part that is kept to be served here stayed counted through a long stream, although that part is dropped when the answer begins, so streams used up memory that nothing held, and later requests waited for it or were refused.

Change: these bytes are released when the answer begins.

--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -18,6 +18,7 @@
 	"ryelug/core/holding"
 	"ryelug/core/result"
 	"ryelug/io/caller"
+	"ryelug/io/handover"
 )
 
 const (
@@ -207,6 +208,35 @@
 	is.Equal(asked.Load(), int64(0))
 }
 
+// Guards against counting the kept part of a handed-over request for as long as its stream lasts, although it is dropped when the
+// answer begins.
+func TestKeptRequestIsReleasedWhenItsAnswerBegins(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	farConfig, _ := budgeted()
+	farConfig.Handler = &handlerFunc{serve: func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		_ = w.Event(caller.Event{Data: []byte("one")})
+		<-release
+		_ = w.Close()
+	}}
+	to := takesOver(t, caller.New(farConfig))
+	nearConfig, nearBudget := budgeted()
+	near := handsOver(t, to, &handlerFunc{serve: echo}, func(bool) {}, func(config *caller.Config) {
+		config.Budget, config.ConnMemory, config.MaxBody = nearConfig.Budget, connMemory, heldBody
+	})
+	ln := listen(t)
+	go func() { _ = near.Serve(ln) }()
+	conn := send(t, ln.Addr().String(), announce(heldBody)+strings.Repeat("x", heldBody))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(nearBudget.Figures().Held["handovers"], int64(handover.Window))
+	close(release)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	conn.Close()
+	awaitReleased(t, nearBudget)
+}
+
 // Guards against a caller that does not read its answer and is kept while the memory is short, and against bytes of
 // a stream that stay counted.
 func TestUnreadAnswerIsEndedWhileMemoryIsShort(t *testing.T) {
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -89,6 +89,7 @@
 	isLarge    bool           // isLarge means that bytes were taken for request; only forward uses it.
 	mayKeep    int            // mayKeep limits the bytes that are kept; only forward uses it.
 	isAnswered bool           // isAnswered means that bytes were taken for response; only run uses it.
+	holdsKept  bool           // holdsKept means that request holds maxKeptRequest bytes for kept; mu guards it.
 
 	forwarded chan struct{} // forwarded is closed when forward has returned, which owns received, sent and firstRead until then.
 	received  int           // received is the number of bytes that were read from the caller.
@@ -157,6 +158,21 @@
 	if held.Take(r.server.config.Budget, &r.request, maxKeptRequest+handover.Window, takeWait) != holding.None {
 		r.mayKeep = max(freeRelay, r.server.config.MaxHeader)
 		r.server.config.Budget.Force(time.Now(), &r.request, handover.Window)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holdsKept = true
+	if r.answered {
+		r.releaseKept()
+	}
+}
+
+// releaseKept releases the bytes of the budget for kept; r.mu must be held.
+func (r *relay) releaseKept() {
+	if r.holdsKept {
+		r.holdsKept = false
+		r.server.config.Budget.Release(&r.request, maxKeptRequest)
 	}
 }
 
@@ -193,6 +209,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answered, r.kept = true, nil
+	r.releaseKept()
 }
 
 // copyAnswer copies the answer to the caller as it arrives, until a read or write fails with err. It reports whether an
