Report a stream that ends for lack of memory with its cause

Cause: a stream that got no bytes of the budget for 3 s was logged and counted as stalled, although its caller may have read everything.

Change: its cause is full.

--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -312,6 +312,24 @@
 	awaitReleased(t, budget)
 }
 
+// Guards against the report of a caller as stalled whose stream is ended because others use up the memory.
+func TestStreamWithoutMemoryIsReportedAsSuch(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	whole := holding.Holder{Kind: holding.Bodies, Client: "a"}
+	budget.Force(time.Now(), &whole, 3*heldBody)
+	causes := make(chan holding.Cause, 1)
+	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		_ = w.Event(caller.Event{Data: make([]byte, 8<<10)})
+	})
+	config.Evicted = func(eviction caller.Eviction) { causes <- eviction.Cause }
+	conn := send(t, serveOn(listen(t), config), request)
+	is.Equal(<-causes, holding.Full)
+	conn.Close()
+	budget.End(&whole)
+	awaitReleased(t, budget)
+}
+
 // FuzzChunkedBody checks that a chunked request which the server serves is decoded as net/http decodes it, and that no
 // request hangs the server or leaves bytes counted.
 func FuzzChunkedBody(f *testing.F) {
--- a/io/caller/hold.go
+++ b/io/caller/hold.go
@@ -119,8 +119,11 @@
 }
 
 // evict implements holding.Holder.Evict.
-func (o *outflow) evict() {
-	o.link.server.config.Evicted(Eviction{Kind: holding.Responses, Cause: holding.Stalled, Caller: o.link.RemoteAddr()})
+func (o *outflow) evict() { o.abort(holding.Stalled) }
+
+// abort ends the answer because of the memory that it takes.
+func (o *outflow) abort(cause holding.Cause) {
+	o.link.server.config.Evicted(Eviction{Kind: holding.Responses, Cause: cause, Caller: o.link.RemoteAddr()})
 	o.link.evictWrite(o)
 }
 
@@ -156,7 +159,7 @@
 		switch o.take(copiesPerOut*size, responseWait) {
 		case holding.None:
 		case holding.Full:
-			o.evict()
+			o.abort(holding.Full)
 			return false
 		default:
 			return false // It is evicted already.
