Check that an evicted stream releases its bytes

Cause: TestUnreadAnswerIsEndedWhileMemoryIsShort claims to guard against bytes of a stream that stay counted, and checked no release.

Change: it waits until nothing is held after the callers have closed.

--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -251,14 +251,19 @@
 		_ = w.Close()
 	})
 	address := serveOn(listen(t), config)
-	for range 4 {
-		send(t, address, request)
+	conns := make([]net.Conn, 4)
+	for i := range conns {
+		conns[i] = send(t, address, request)
 	}
 	for end := time.Now().Add(20 * time.Second); budget.Figures().Evicted["stalled"] == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("nothing is evicted; held: %v, requests: %d", budget.Figures().Held, r.handler.calls.Load())
 		}
 	}
+	for _, one := range conns {
+		one.Close()
+	}
+	awaitReleased(t, budget)
 }
 
 // Guards against a complete answer that waits for memory although it is held already.
