Refuse bodies that the budget can never cover with 413

Cause: with a memory_limit that is small for max_body (below about 56 MiB at 4 MiB, or 144 MiB at a max_body of 32 MiB), the bytes for a large body are never available. Its reader then evicted all other bodies, waited for a second, and was told with 503 to come back after a second, each time.

Change: the limit of bodies is lowered to what the budget can cover when nothing else is held, so such a body is answered with 413 at its head. Without a memory_limit, and with 144 MiB and a max_body of 4 MiB, nothing changes.

--- a/core/holding/budget.go
+++ b/core/holding/budget.go
@@ -104,6 +104,9 @@
 	return b
 }
 
+// MaxHeld returns the most bytes that holders, without connections, can ever hold together; b must not be nil.
+func (b *Budget) MaxHeld() int64 { return b.config.Size - b.config.Size/reserveDivisor }
+
 // TakeConnection takes bytes for a connection and reports whether they were available.
 func (b *Budget) TakeConnection(bytes int64) bool {
 	if b == nil {
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -21,6 +21,7 @@
 	takeWait         = time.Second            // takeWait is how long bytes of the budget are awaited; nothing is read from the peer meanwhile.
 	progressInterval = 100 * time.Millisecond // progressInterval is the least time between two records of progress.
 	refusalTimeout   = time.Second            // refusalTimeout limits the write of a refusal to a caller that may not read it.
+	copiesPerBody    = 2                      // copiesPerBody is the most bytes that are held for each byte of a body, while its segments are joined.
 	rawPerBody       = 8                      // rawPerBody is the number of bytes on the wire that a chunked body may take for each byte of MaxBody: chunks of one byte take six.
 )
 
@@ -80,6 +81,16 @@
 	return r.last, &r.holder, nil
 }
 
+// maxBody returns the largest body that the budget can ever cover, MaxBody at most. A larger one would wait for bytes that are never
+// available, and evict all others meanwhile.
+func maxBody(config *Config) int {
+	if config.Budget == nil {
+		return config.MaxBody
+	}
+	covered := (config.Budget.MaxHeld() - handover.Window) / copiesPerBody
+	return min(config.MaxBody, max(freeBody, int(covered)))
+}
+
 // clientOf returns the client that the bytes of a request are held for: the address of its connection without the port.
 func clientOf(address net.Addr) string {
 	if tcp, ok := address.(*net.TCPAddr); ok {
--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -82,6 +82,21 @@
 	is.Equal(<-r.refused, result.TooLarge)
 }
 
+// Guards against a body that the budget can never cover, which evicts all others, waits and is told to come back.
+func TestBodyBeyondTheBudgetIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	config, _ := budgeted()
+	config.ReadTimeout, config.Budget = 2*time.Second, holding.New(holding.Config{Size: heldBody, StallAfter: time.Second})
+	config, r := record(config, echo)
+	address := serveOn(listen(t), config)
+	assertEnd(is, send(t, address, announce(heldBody)), http.StatusRequestEntityTooLarge)
+	is.Equal(<-r.refused, result.TooLarge)
+	conn := send(t, address, announce(heldBody/8)+strings.Repeat("x", heldBody/8))
+	assertAnswered(is, bufio.NewReader(conn))
+	conn.Close()
+	awaitReleased(t, config.Budget)
+}
+
 // Guards against chunks, trailers and extensions that make a request of legal size cost without a limit.
 func TestChunkedBodyOverALimitIsRefused(t *testing.T) {
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -48,7 +48,7 @@
 	HandedOverGrace time.Duration                         // HandedOverGrace is how much longer than others the requests of other routers' callers go on at a Shutdown; zero is no longer.
 	IdleTimeout     time.Duration                         // IdleTimeout limits the time between two requests on a connection; zero means one minute.
 	MaxHeader       int                                   // MaxHeader limits the request line and the header of a request, in bytes; zero means 8 KiB.
-	MaxBody         int                                   // MaxBody limits the body of a request, in bytes; zero means 4 MiB.
+	MaxBody         int                                   // MaxBody limits the body of a request, in bytes; zero means 4 MiB. The limit is lower if Budget can't cover so much.
 	BodyRate        int                                   // BodyRate is the least number of bytes per second in which a body must arrive after BodyGrace; zero means no minimum.
 	BodyGrace       time.Duration                         // BodyGrace is the time in which a body may arrive at any rate.
 	Budget          *holding.Budget                       // Budget bounds the bytes that are held for callers; nil means no bound.
@@ -111,6 +111,7 @@
 	config.IdleTimeout = cmp.Or(config.IdleTimeout, defaultIdleTimeout)
 	config.MaxHeader = cmp.Or(config.MaxHeader, defaultMaxHeader)
 	config.MaxBody = cmp.Or(config.MaxBody, defaultMaxBody)
+	config.MaxBody = maxBody(&config)
 	config.Buffer = cmp.Or(config.Buffer, defaultBuffer)
 	if config.Refused == nil {
 		config.Refused = func(result.Code) {}
