--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -18,6 +18,7 @@
 	"ryelug/core/holding"
 	"ryelug/core/result"
 	"ryelug/io/caller"
+	"ryelug/io/handover"
 )
 
 const (
@@ -81,6 +82,21 @@
 	is.Equal(<-r.refused, result.TooLarge)
 }
 
+// Guards against a body that the budget can never cover, which evicts all others, waits and is told to come back.
+func TestBodyBeyondTheBudgetIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	config, _ := budgeted()
+	config.ReadTimeout, config.Budget = 2*time.Second, holding.New(holding.Config{Size: heldBody, StallAfter: time.Second})
+	config, r := record(config, echo)
+	address := serveOn(listen(t), config)
+	assertEnd(is, send(t, address, announce(heldBody)), http.StatusRequestEntityTooLarge)
+	is.Equal(<-r.refused, result.TooLarge)
+	conn := send(t, address, announce(heldBody/8)+strings.Repeat("x", heldBody/8))
+	assertAnswered(is, bufio.NewReader(conn))
+	conn.Close()
+	awaitReleased(t, config.Budget)
+}
+
 // Guards against chunks, trailers and extensions that make a request of legal size cost without a limit.
 func TestChunkedBodyOverALimitIsRefused(t *testing.T) {
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
@@ -207,6 +223,35 @@
 	is.Equal(asked.Load(), int64(0))
 }
 
+// Guards against counting the kept part of a handed-over request for as long as its stream lasts, although it is dropped when the
+// answer begins.
+func TestKeptRequestIsReleasedWhenItsAnswerBegins(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	farConfig, _ := budgeted()
+	farConfig.Handler = &handlerFunc{serve: func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		_ = w.Event(caller.Event{Data: []byte("one")})
+		<-release
+		_ = w.Close()
+	}}
+	to := takesOver(t, caller.New(farConfig))
+	nearConfig, nearBudget := budgeted()
+	near := handsOver(t, to, &handlerFunc{serve: echo}, func(bool) {}, func(config *caller.Config) {
+		config.Budget, config.ConnMemory, config.MaxBody = nearConfig.Budget, connMemory, heldBody
+	})
+	ln := listen(t)
+	go func() { _ = near.Serve(ln) }()
+	conn := send(t, ln.Addr().String(), announce(heldBody)+strings.Repeat("x", heldBody))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(nearBudget.Figures().Held["handovers"], int64(handover.Window))
+	close(release)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	conn.Close()
+	awaitReleased(t, nearBudget)
+}
+
 // Guards against a caller that does not read its answer and is kept while the memory is short, and against bytes of
 // a stream that stay counted.
 func TestUnreadAnswerIsEndedWhileMemoryIsShort(t *testing.T) {
@@ -221,14 +266,19 @@
 		_ = w.Close()
 	})
 	address := serveOn(listen(t), config)
-	for range 4 {
-		send(t, address, request)
+	conns := make([]net.Conn, 4)
+	for i := range conns {
+		conns[i] = send(t, address, request)
 	}
 	for end := time.Now().Add(20 * time.Second); budget.Figures().Evicted["stalled"] == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("nothing is evicted; held: %v, requests: %d", budget.Figures().Held, r.handler.calls.Load())
 		}
 	}
+	for _, one := range conns {
+		one.Close()
+	}
+	awaitReleased(t, budget)
 }
 
 // Guards against a complete answer that waits for memory although it is held already.
@@ -282,6 +332,24 @@
 	awaitReleased(t, budget)
 }
 
+// Guards against the report of a caller as stalled whose stream is ended because others use up the memory.
+func TestStreamWithoutMemoryIsReportedAsSuch(t *testing.T) {
+	is := is.New(t)
+	config, budget := budgeted()
+	whole := holding.Holder{Kind: holding.Bodies, Client: "a"}
+	budget.Force(time.Now(), &whole, 3*heldBody)
+	causes := make(chan holding.Cause, 1)
+	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
+		_ = w.Event(caller.Event{Data: make([]byte, 8<<10)})
+	})
+	config.Evicted = func(eviction caller.Eviction) { causes <- eviction.Cause }
+	conn := send(t, serveOn(listen(t), config), request)
+	is.Equal(<-causes, holding.Full)
+	conn.Close()
+	budget.End(&whole)
+	awaitReleased(t, budget)
+}
+
 // FuzzChunkedBody checks that a chunked request which the server serves is decoded as net/http decodes it, and that no
 // request hangs the server or leaves bytes counted.
 func FuzzChunkedBody(f *testing.F) {
