--- a/io/wire/decode.go
+++ b/io/wire/decode.go
@@ -242,11 +242,11 @@
 }
 
 func (d *Decoder) progress() cell.Progress {
-	progress := cell.Progress{Attempt: d.attempt(), Cost: cell.Cost(d.int()), FirstToken: d.duration()}
-	if d.uint()&endHasLoad != 0 {
-		progress.Load = d.load()
+	attempt, cost := d.attempt(), d.int()
+	if cost >= 0 {
+		return cell.Progress{Attempt: attempt, Cost: cell.Cost(cost), FirstToken: d.duration()}
 	}
-	return progress
+	return cell.Progress{Attempt: attempt, Cost: cell.Cost(^cost), FirstToken: d.duration(), Load: d.load()}
 }
 
 func (d *Decoder) load() cell.EndpointLoad {
--- a/io/wire/encode.go
+++ b/io/wire/encode.go
@@ -195,13 +195,13 @@
 
 func (e *Encoder) progress(p *cell.Progress) {
 	e.attempt(&p.Attempt)
-	e.int(int64(p.Cost))
-	e.duration(p.FirstToken)
 	if !p.Load.IsKnown() {
-		e.uint(0)
+		e.int(int64(p.Cost))
+		e.duration(p.FirstToken)
 		return
 	}
-	e.uint(endHasLoad)
+	e.int(^int64(p.Cost)) // A negative number announces a load, so that reports without one are no longer for it.
+	e.duration(p.FirstToken)
 	e.load(&p.Load)
 }
 
