--- a/io/caller/body_test.go
+++ b/io/caller/body_test.go
@@ -24,6 +24,7 @@
 const (
 	heldBody   = 128 << 10
 	connMemory = 1 << 10
+	endLimit   = 20 * time.Second // endLimit is longer than bytes for an event are awaited.
 )
 
 // budgeted returns a configuration with a budget for one body of heldBody bytes and a little more.
@@ -299,7 +300,7 @@
 	config, budget := budgeted()
 	whole := holding.Holder{Kind: holding.Bodies, Client: "a"}
 	is.True(budget.Keep(&whole))
-	budget.Force(time.Now(), &whole, 3*heldBody)
+	budget.Force(time.Now(), &whole, budget.Figures().Size*7/8) // Also what is reserved for answers, but not for connections.
 	took := make(chan time.Duration, 1)
 	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
 		began := time.Now()
@@ -349,14 +350,19 @@
 	is := is.New(t)
 	config, budget := budgeted()
 	whole := holding.Holder{Kind: holding.Bodies, Client: "a"}
-	budget.Force(time.Now(), &whole, 3*heldBody)
+	budget.Force(time.Now(), &whole, budget.Figures().Size*7/8) // Also what is reserved for answers, but not for connections.
 	causes := make(chan holding.Cause, 1)
 	config, _ = record(config, func(_ context.Context, _ *caller.Request, w caller.Writer) {
 		_ = w.Event(caller.Event{Data: make([]byte, 8<<10)})
 	})
 	config.Evicted = func(eviction caller.Eviction) { causes <- eviction.Cause }
 	conn := send(t, serveOn(listen(t), config), request)
-	is.Equal(<-causes, holding.Full)
+	select {
+	case cause := <-causes:
+		is.Equal(cause, holding.Full)
+	case <-time.After(endLimit):
+		t.Fatalf("the stream was not ended within %v", endLimit)
+	}
 	conn.Close()
 	budget.End(&whole)
 	awaitReleased(t, budget)
