Render the bounds of roll-outs without a section in the template

Change: rollout_share and rollout_slack may be empty, which means the default, so the template has no section; rollout_rollback keeps its default. TestEmptyRolloutSettingsMeanNone fails without the change.

--- a/router/settings/key.go
+++ b/router/settings/key.go
@@ -110,9 +110,9 @@
 	numberKey("retry_burst", "Retries of a pool that may be saved up, in the whole fleet.", 20, 0, 100_000, func(s *Settings) *float64 { return &s.RetryBurst }),
 	numberKey("cold_factor", "Factor of the rate of requests that the configuration allows a cold endpoint.", 1, 0.01, 100, func(s *Settings) *float64 { return &s.ColdFactor }),
 	numberKey("cold_slack", "Requests a second that a cold endpoint bears beyond that.", 0, 0, 10_000, func(s *Settings) *float64 { return &s.ColdSlack }),
-	numberKey("rollout_share", "Largest part of a service's requests that a bad software version may get between an operator's order to roll it out and the order's deadline. Zero means that there are no roll-outs; allowed with `registered` only; the same in the whole environment.",
+	optionalNumberKey("rollout_share", "Largest part of a service's requests that a bad software version may get between an operator's order to roll it out and the order's deadline. Zero means that there are no roll-outs; allowed with `registered` only; the same in the whole environment.",
 		0, 0, 1, func(s *Settings) *float64 { return &s.RolloutShare }),
-	numberKey("rollout_slack", "Requests that a bad version may get beyond `rollout_share`.", 0, 0, 1_000_000, func(s *Settings) *float64 { return &s.RolloutSlack }),
+	optionalNumberKey("rollout_slack", "Requests that a bad version may get beyond `rollout_share`.", 0, 0, 1_000_000, func(s *Settings) *float64 { return &s.RolloutSlack }),
 	durationKey("rollout_rollback", "Time after the fiftieth bad answer of a version from which on no request may be sent to it.",
 		5*time.Second, 500*time.Millisecond, 10*time.Minute, func(s *Settings) *time.Duration { return &s.RolloutRollback }),
 	intKey("memory_limit", "Memory of the process, in MiB; the garbage collector works harder when three quarters of it are in use; of these, an eighth of the whole is for answers that are being read, 24 MiB for the process itself, and the rest for all that is held for callers and endpoints, an eighth of the whole at least. Callers' connections get half of it at most. Zero is no limit.",
@@ -238,6 +238,22 @@
 	}
 }
 
+// optionalNumberKey is numberKey for a value that a rendered template may leave empty, which means the default.
+func optionalNumberKey(name, text string, initial, least, most float64, field func(*Settings) *float64) Key {
+	key := numberKey(name, text, initial, least, most, field)
+	set := key.set
+	key.Allowed = `"" or ` + key.Allowed
+	key.set = func(s *Settings, v toml.Value) bool {
+		var given string
+		if v.Text(&given) && given == "" {
+			*field(s) = initial
+			return true
+		}
+		return set(s, v)
+	}
+	return key
+}
+
 func peerKeyKey() Key {
 	return Key{
 		Name: "peer_key", Secret: true,
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -131,3 +131,12 @@
 		}
 	}
 }
+
+// Guards against a template whose value is empty in deployments without roll-outs.
+func TestEmptyRolloutSettingsMeanNone(t *testing.T) {
+	is := is.New(t)
+	parsed, err := settings.Parse("f.toml", []byte(validSettings+"rollout_share = \"\"\nrollout_slack = \"\"\n"))
+	is.NoErr(err)
+	is.Equal(parsed.RolloutShare, 0.0)
+	is.Equal(parsed.RolloutSlack, 0.0)
+}
