--- a/core/crossing/config.go
+++ b/core/crossing/config.go
@@ -8,7 +8,7 @@
 
 // The modes.
 const (
-	Auto   Mode = iota // Auto: in cells whose endpoints report their pace.
+	Auto   Mode = iota // Auto: in pools of engines that report their pace.
 	Always             // Always: in all cells.
 	Never              // Never: in no cell.
 )
