--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,12 +1,12 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the second review start, into target/review-2. Run in the project's root.
-set -e
+# Builds the stand-ins that the scripts of the second review start, into target/review-2. It needs no network.
+set -eu
+cd "$(dirname "$0")/.."
 source=target/review-2/source
 rm -rf "$source"
 mkdir -p "$source"
 for file in review/lab-2/*.txt; do
-	name=$(basename "$file" .txt)
-	cp "$file" "$source/$name"
+	cp "$file" "$source/$(basename "$file" .txt)"
 done
 cd "$source"
 go build -o ../lab .
