Reject answers of endpoints whose status does not exist

What callers saw: an answer with status 000 reached them as a 200; 099, 600 and 101 were passed on as they came. Cause: the parser of fasthttp takes any three digits, and its getter shows a status of 0 as 200. Each place that reads an answer trusted it. Change: package io/http1 checks the status line as bytes before the parser reads it, also of interim answers. A resumed stream, the load report, the cancellation and the query for cached parts read answers through the same function as a call. Why it works: the check sees what came, not what the parser made of it, and an answer is read in no other way in this package.

--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -57,9 +57,10 @@
 type Client struct {
 	config Config
 
-	holds        holds        // Starts of endpoints that want nothing from this router.
-	buffered     atomic.Int64 // Bytes buffered for answers and events that are being read.
-	tooLongCount atomic.Int64 // Number of answers given up because they exceeded a limit.
+	holds          holds        // Starts of endpoints that want nothing from this router.
+	buffered       atomic.Int64 // Bytes buffered for answers and events that are being read.
+	tooLongCount   atomic.Int64 // Number of answers given up because they exceeded a limit.
+	malformedCount atomic.Int64 // Number of answers rejected because their head broke a rule.
 
 	mu        sync.Mutex
 	idle      map[poolKey][]*conn // Idle connections; the one used last is at the end of its slice.
@@ -95,6 +96,10 @@
 	return &Client{config: config, idle: make(map[poolKey][]*conn)}
 }
 
+// MalformedAnswers returns the number of answers rejected since the client was created because their head broke a rule of
+// package http1.
+func (c *Client) MalformedAnswers() int64 { return c.malformedCount.Load() }
+
 func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", address.String())
@@ -176,7 +181,7 @@
 		return nil, err
 	}
 	resp := &fasthttp.Response{}
-	if err := resp.ReadLimitBody(link.reader, c.config.MaxBody); err != nil {
+	if err := link.read(resp, c.config.MaxBody); err != nil {
 		return nil, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
@@ -287,5 +292,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, address, c.config.MaxHeader), nil
+	return c.newConn(raw, address), nil
 }
--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -10,11 +10,13 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"ryelug/core/cell"
+	"ryelug/io/http1"
 )
 
 const (
@@ -43,10 +45,11 @@
 	load          Load          // Last load report on this connection.
 	idleSince     time.Time     // When the connection last became idle.
 	watchResult   chan error    // Receives the error that ended the read in Client.watch.
+	malformed     *atomic.Int64 // Counts the answers of all connections whose head broke a rule.
 }
 
-func newConn(raw net.Conn, address netip.AddrPort, maxHeader int) *conn {
-	return &conn{raw: raw, address: address, reader: bufio.NewReaderSize(raw, maxHeader)}
+func (c *Client) newConn(raw net.Conn, address netip.AddrPort) *conn {
+	return &conn{raw: raw, address: address, reader: bufio.NewReaderSize(raw, c.config.MaxHeader), malformed: &c.malformedCount}
 }
 
 // Write implements io.Writer and counts the bytes sent, so that a failed call can tell whether any were.
@@ -83,6 +86,15 @@
 	return writer.Flush()
 }
 
+// read reads an answer into resp, and counts it if its head breaks a rule.
+func (c *conn) read(resp *fasthttp.Response, maxBodyBytes int) error {
+	err := http1.ReadResponse(c.reader, resp, maxBodyBytes)
+	if http1.IsMalformed(err) {
+		c.malformed.Add(1)
+	}
+	return err
+}
+
 func (c *conn) newRequest(method, path string) *fasthttp.Request {
 	req := &fasthttp.Request{}
 	req.Header.SetMethod(method)
@@ -105,7 +117,7 @@
 		return err
 	}
 	resp := &fasthttp.Response{}
-	if err := resp.ReadLimitBody(c.reader, maxReportBytes); err != nil {
+	if err := c.read(resp, maxReportBytes); err != nil {
 		return err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
@@ -130,8 +142,7 @@
 	if err := c.send(c.newRequest(fasthttp.MethodDelete, cancelPath+requestID)); err != nil {
 		return err
 	}
-	resp := &fasthttp.Response{}
-	return resp.ReadLimitBody(c.reader, maxReportBytes)
+	return c.read(&fasthttp.Response{}, maxReportBytes)
 }
 
 // exchange sends the call and reads the header of the answer, and the body too unless it is an event stream.
@@ -166,7 +177,7 @@
 func (c *Client) readHeader(link *conn, call Call) (*fasthttp.Response, *Answer, error) {
 	for skipped := 0; ; skipped++ {
 		resp := &fasthttp.Response{StreamBody: true}
-		if err := resp.ReadLimitBody(link.reader, c.config.MaxBody); err != nil {
+		if err := link.read(resp, c.config.MaxBody); err != nil {
 			return nil, nil, newErrUnknown(call, err)
 		}
 		answer, err := link.checkHeader(call, resp, &c.config.Dialect)
--- /dev/null
+++ b/io/endpoint/malformed_test.go
@@ -0,0 +1,147 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ryelug/core/cell"
+	"ryelug/io/endpoint"
+)
+
+// rawServer listens on loopback, reads a request on each connection, writes text and closes the connection.
+func rawServer(t *testing.T, text string) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(conn, text)
+			}()
+		}
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// framings are the ways in which an answer can state where its body ends; each text follows the fields of the header.
+var framings = map[string]string{
+	"length":           "Content-Length: 2\r\n\r\n{}",
+	"chunks":           "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"end by closing":   "\r\n{}",
+	"stream in chunks": "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n0\r\n\r\n",
+	"stream, closed":   "Content-Type: text/event-stream\r\n\r\ndata: x\n\n",
+}
+
+// send sends a call to a server that answers with text, reads the answer to its end and returns the kind of the error.
+func send(t *testing.T, text string) string {
+	t.Helper()
+	client := newVerbatimClient()
+	call := endpoint.Call{Endpoint: "e", Address: rawServer(t, text), RequestID: "a", Method: "POST", Path: "/", Body: []byte("body")}
+	got, err := client.Send(t.Context(), call)
+	if err == nil && got.Events != nil {
+		defer got.Events.Close()
+		for err == nil {
+			_, err = got.Events.Next()
+		}
+		if err == io.EOF { //nolint:errorlint // Only io.EOF itself is the end of a complete stream.
+			return ""
+		}
+	}
+	return verbatimErrorKind(err)
+}
+
+const ownFields = "X-Request-Id: a\r\nX-Seal: s\r\n"
+
+// An answer with a status outside 100 to 599, or with a final status of 101, must not be taken for an answer.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 X", "HTTP/1.1 000", "HTTP/1.1 001 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X",
+		"HTTP/1.1 0 X", "HTTP/1.1 20 X", "HTTP/1.1 1000 X", "HTTP/1.1 00200 X", "HTTP/1.1 +20 X", "HTTP/1.1 2OO X",
+		"HTTP/1.1 101 Switching Protocols", "HTTP/9.9 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1", "http/1.1 200 OK", "\r\nHTTP/1.1 200 OK",
+	} {
+		for framing, rest := range framings {
+			t.Run(fmt.Sprintf("%q, %s", line, framing), func(t *testing.T) {
+				is.New(t).Equal(send(t, line+"\r\n"+ownFields+rest), "unknown")
+			})
+		}
+	}
+}
+
+// A load report, the answer to a cancellation and the report of cached parts are answers too.
+func TestInvalidHeadsOfOtherAnswers(t *testing.T) {
+	const load, kept = `{"start":"s1"}`, `{}`
+	for name, head := range malformedHeads() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answer := func(body string) netip.AddrPort {
+				return rawServer(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+			}
+			_, err := newClient().Load(t.Context(), answer(load))
+			is.True(err != nil)
+			is.True(newClient().Cancel(t.Context(), answer(""), "a") != nil)
+			dialect := verbatimDialect
+			dialect.Kept = emptyKept{}
+			_, err = endpoint.New(endpoint.Config{Dialect: dialect}).Kept(t.Context(), answer(kept))
+			is.True(err != nil)
+		})
+	}
+}
+
+// emptyKept is a query for cached parts whose answer is ignored.
+type emptyKept struct{}
+
+func (emptyKept) Path() string                     { return "/kept" }
+func (emptyKept) Read([]byte) ([]cell.Part, error) { return nil, nil }
+
+// malformedHeads returns heads of answers that break a rule, without their empty lines.
+func malformedHeads() map[string]string {
+	return map[string]string{"status 000": "HTTP/1.1 000 X\r\n", "status 099": "HTTP/1.1 099 X\r\n", "status 600": "HTTP/1.1 600 X\r\n"}
+}
+
+// A stream that is resumed has a head of its own, which follows the same rules.
+func TestMalformedHeadOfResumedStream(t *testing.T) {
+	for name, head := range malformedHeads() {
+		t.Run(name, func(t *testing.T) {
+			call := endpoint.Call{Endpoint: "e", RequestID: "a", Method: "POST", Path: "/", LastEvent: "3"}
+			call.Address = rawServer(t, head+ownFields+framings["stream in chunks"])
+			_, err := newVerbatimClient().Send(t.Context(), call)
+			is.New(t).Equal(verbatimErrorKind(err), "unknown")
+		})
+	}
+}
+
+// A refusal with an invalid status must not promise that the call was not run.
+func TestRefusalWithInvalidStatusPromisesNothing(t *testing.T) {
+	is.New(t).Equal(send(t, "HTTP/1.1 000 X\r\n"+ownFields+"X-Refused: 1\r\nContent-Length: 0\r\n\r\n"), "unknown")
+}
+
+// Answers that are rejected for their heads are counted.
+func TestMalformedAnswersAreCounted(t *testing.T) {
+	is := is.New(t)
+	client := newVerbatimClient()
+	call := endpoint.Call{Endpoint: "e", RequestID: "a", Method: "POST", Path: "/"}
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 000 X", "HTTP/1.1 600 X"} {
+		call.Address = rawServer(t, line+"\r\n"+ownFields+framings["length"])
+		_, _ = client.Send(t.Context(), call)
+	}
+	is.Equal(client.MalformedAnswers(), int64(2))
+}
