Reject answers whose field names are no tokens

What callers saw: an answer with a blank in the name of a field was passed on, with that line, or with a body that was not the endpoint's: after "Transfer Encoding: chunked" the sizes of the chunks were in the body, after "Content-Length : 3" the body ended after 3 bytes. The field that marks a call as not run held with a blank before its colon, so a broken 503 promised that nothing had run. Cause: the parser of fasthttp accepts blanks in a name, and drops those before the colon. Control bytes in a name were rejected before as well; their cases stay. Change: package io/http1 checks each field: a token, a colon right after it, and a value without control bytes. RFC 9112, 5.1, lets a proxy drop a blank before the colon; here the answer is rejected, as a head that breaks a rule says nothing certain of its framing. A line that continues the one before is rejected too, as 5.2 allows: it can't be told from a name with a blank in front. Why it works: what passes has exactly the names that its bytes show.

--- a/io/endpoint/malformed_test.go
+++ b/io/endpoint/malformed_test.go
@@ -114,7 +114,41 @@
 
 // malformedHeads returns heads of answers that break a rule, without their empty lines.
 func malformedHeads() map[string]string {
-	return map[string]string{"status 000": "HTTP/1.1 000 X\r\n", "status 099": "HTTP/1.1 099 X\r\n", "status 600": "HTTP/1.1 600 X\r\n"}
+	heads := map[string]string{"status 000": "HTTP/1.1 000 X\r\n", "status 099": "HTTP/1.1 099 X\r\n", "status 600": "HTTP/1.1 600 X\r\n"}
+	for _, line := range malformedFields {
+		heads[fmt.Sprintf("%q", line)] = "HTTP/1.1 200 OK\r\n" + line + "\r\n"
+	}
+	return heads
+}
+
+// malformedFields are lines of a header whose field names are no tokens.
+var malformedFields = []string{
+	"X Foo: 1", "X-Foo : 1", "X-Foo   : 1", "X-Foo\t: 1", "Content Length: 1", "Content-Length : 1", "Transfer Encoding: chunked",
+	"Transfer-Encoding : chunked", "Connection : close", "X-Request-Id : a", "X-Seal : s", " X-Foo: 1", "\tX-Foo: 1", "X\x01Foo: 1",
+	"X\tFoo: 1", "X\x00Foo: 1", "X\x7fFoo: 1", "\x01X-Foo: 1", "X-Foo\x1f: 1", "X\rFoo: 1", "X(Foo): 1", "X\xe9Foo: 1", ": 1", "X-Foo",
+}
+
+// An answer with a blank or a control byte in a field name must not be taken for an answer, whatever the name looks like
+// without that byte and wherever the field stands.
+func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range malformedFields {
+		for framing, rest := range framings {
+			t.Run(fmt.Sprintf("%q, %s", line, framing), func(t *testing.T) {
+				is := is.New(t)
+				is.Equal(send(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+ownFields+rest), "unknown")
+				is.Equal(send(t, "HTTP/1.1 200 OK\r\n"+ownFields+line+"\r\n"+rest), "unknown")
+			})
+		}
+	}
+}
+
+// A refusal with a malformed head must not promise that the call was not run, nor stop later calls to the endpoint.
+func TestMalformedRefusalPromisesNothing(t *testing.T) {
+	for _, fields := range []string{"X-Refused : 1\r\n", "X-Refused: 1\r\nX Foo: 1\r\n", "X-Refused: 1\r\nServer-Leaving : 1\r\n"} {
+		t.Run(fields, func(t *testing.T) {
+			is.New(t).Equal(send(t, "HTTP/1.1 503 Busy\r\n"+ownFields+fields+"Content-Length: 0\r\n\r\n"), "unknown")
+		})
+	}
 }
 
 // A stream that is resumed has a head of its own, which follows the same rules.
--- /dev/null
+++ b/io/http1/field.go
@@ -0,0 +1,29 @@
+package http1
+
+// tokenBytes marks the bytes of which field names consist.
+var tokenBytes = newTokenBytes()
+
+func newTokenBytes() (table [256]bool) {
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		table[b] = true
+	}
+	return table
+}
+
+// checkField checks the line of one field, without its line end.
+func checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return newErrHead(RuleFolding, line)
+	}
+	length := 0
+	for length < len(line) && tokenBytes[line[length]] {
+		length++
+	}
+	if length == 0 || length == len(line) || line[length] != ':' {
+		return newErrHead(RuleFieldName, line)
+	}
+	if !isText(line[length+1:]) {
+		return newErrHead(RuleFieldValue, line)
+	}
+	return nil
+}
--- a/io/http1/rule.go
+++ b/io/http1/rule.go
@@ -14,6 +14,9 @@
 	RuleStatusLine Rule = "status_line" // RuleStatusLine: the first line is HTTP/1.0 or HTTP/1.1, a blank, three digits, and a blank and a text or nothing (RFC 9112, 4).
 	RuleStatusCode Rule = "status_code" // RuleStatusCode: the status is one of 100 to 599 (RFC 9110, 15).
 	RuleUpgrade    Rule = "upgrade"     // RuleUpgrade: status 101 answers only a request for an upgrade, and none is ever sent (RFC 9110, 15.2.2).
+	RuleFieldName  Rule = "field_name"  // RuleFieldName: a field begins with a token and a colon, with nothing between them (RFC 9110, 5.1; RFC 9112, 5.1).
+	RuleFieldValue Rule = "field_value" // RuleFieldValue: a value has no control byte but tabs (RFC 9110, 5.5).
+	RuleFolding    Rule = "folding"     // RuleFolding: no line continues the one before (RFC 9112, 5.2).
 	RuleInterim    Rule = "interim"     // RuleInterim: at most 100 interim answers come before the final one; a limit of this package.
 )
 
--- a/io/http1/scan.go
+++ b/io/http1/scan.go
@@ -36,11 +36,14 @@
 		return false, newErrHead(RuleLineEnd, line)
 	}
 	line = line[:len(line)-1]
-	if s.status == 0 {
+	switch {
+	case s.status == 0:
 		s.status, err = parseStatusLine(line)
 		return false, err
+	case len(line) == 0:
+		return true, nil
 	}
-	return len(line) == 0, nil
+	return false, checkField(line)
 }
 
 // isInterim reports whether another head follows the current one.
