Reject chunks in answers of HTTP/1.0

What callers saw: an answer of HTTP/1.0 with Transfer-Encoding: chunked reached them as a 200 with the sizes of the chunks in its body. Cause: HTTP/1.0 has no Transfer-Encoding, so the parser of fasthttp drops the field and reads up to the end of the connection. Change: a head of HTTP/1.0 with that field breaks a rule. RFC 9112, 6.1: its framing is to be treated as faulty. Why it works: for each head that passes, the parser's framing is the one that the bytes state; the fuzz test holds that.

--- a/io/endpoint/malformed_test.go
+++ b/io/endpoint/malformed_test.go
@@ -179,3 +179,12 @@
 	}
 	is.Equal(client.MalformedAnswers(), int64(2))
 }
+
+// HTTP/1.0 has no chunks, so a parser that follows its version would take their sizes for the body.
+func TestChunksInHTTP10AreNoAnswer(t *testing.T) {
+	for _, framing := range []string{"chunks", "stream in chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			is.New(t).Equal(send(t, "HTTP/1.0 200 OK\r\n"+ownFields+framings[framing]), "unknown")
+		})
+	}
+}
--- a/io/http1/field.go
+++ b/io/http1/field.go
@@ -1,5 +1,7 @@
 package http1
 
+import "strings"
+
 // tokenBytes marks the bytes of which field names consist.
 var tokenBytes = newTokenBytes()
 
@@ -10,8 +12,8 @@
 	return table
 }
 
-// checkField checks the line of one field, without its line end.
-func checkField(line []byte) error {
+// checkField checks the line of one field, without its line end, in a head of HTTP/1.0 or of HTTP/1.1.
+func checkField(line []byte, isHTTP10 bool) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return newErrHead(RuleFolding, line)
 	}
@@ -25,5 +27,8 @@
 	if !isText(line[length+1:]) {
 		return newErrHead(RuleFieldValue, line)
 	}
+	if isHTTP10 && strings.EqualFold(string(line[:length]), "Transfer-Encoding") {
+		return newErrHead(RuleChunks, line)
+	}
 	return nil
 }
--- a/io/http1/read_test.go
+++ b/io/http1/read_test.go
@@ -78,6 +78,10 @@
 	})
 }
 
+func TestHTTP10HasNoChunks(t *testing.T) {
+	breaks(t, "HTTP/1.0 200 OK\r\ntransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http1.RuleChunks, "transfer-Encoding: chunked")
+}
+
 // An error quotes a bounded part of the line that breaks a rule, and no control byte as it came.
 func TestErrorQuotesABoundedPart(t *testing.T) {
 	is := is.New(t)
--- a/io/http1/rule.go
+++ b/io/http1/rule.go
@@ -17,6 +17,7 @@
 	RuleFieldName  Rule = "field_name"  // RuleFieldName: a field begins with a token and a colon, with nothing between them (RFC 9110, 5.1; RFC 9112, 5.1).
 	RuleFieldValue Rule = "field_value" // RuleFieldValue: a value has no control byte but tabs (RFC 9110, 5.5).
 	RuleFolding    Rule = "folding"     // RuleFolding: no line continues the one before (RFC 9112, 5.2).
+	RuleChunks     Rule = "chunks"      // RuleChunks: HTTP/1.0 has no Transfer-Encoding (RFC 9112, 6.1).
 	RuleInterim    Rule = "interim"     // RuleInterim: at most 100 interim answers come before the final one; a limit of this package.
 )
 
--- a/io/http1/scan.go
+++ b/io/http1/scan.go
@@ -10,8 +10,9 @@
 
 // scanner checks the heads of one answer, those of interim answers included, line by line. Its zero value expects a status line.
 type scanner struct {
-	status   int // status is that of the current head; zero before its status line.
-	interims int // interims counts the heads of interim answers that have ended.
+	status   int  // status is that of the current head; zero before its status line.
+	isHTTP10 bool // isHTTP10 is set if the current head is one of HTTP/1.0.
+	interims int  // interims counts the heads of interim answers that have ended.
 }
 
 // scan checks the complete lines at the start of data, up to the end of a head, and returns their length in bytes and whether
@@ -38,12 +39,13 @@
 	line = line[:len(line)-1]
 	switch {
 	case s.status == 0:
+		s.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 		s.status, err = parseStatusLine(line)
 		return false, err
 	case len(line) == 0:
 		return true, nil
 	}
-	return false, checkField(line)
+	return false, checkField(line, s.isHTTP10)
 }
 
 // isInterim reports whether another head follows the current one.
