Reject malformed answers of the platform

What callers saw: nothing directly; a router took a write for acknowledged, and a list for read, after an answer with status 000 or with a blank in the name of a field. Cause: io/platform trusts the lenient parser of fasthttp as well, inside its HostClient and for the head of a watch. A watch also took an interim answer for the final one. Change: the HostClient reads from an http1.WritingConn, which passes the bytes of a head on only after its lines were checked; a watch reads its head by http1.ReadHeader. Why it works: the HostClient writes a request before it reads the answer, so each write announces one answer, and its head ends before any parser has seen its last line.

--- /dev/null
+++ b/io/http1/conn.go
@@ -0,0 +1,96 @@
+package http1
+
+import (
+	"net"
+	"sync"
+)
+
+// maxHeadBytes bounds the heads of one answer on a Conn, in bytes; those of interim answers count.
+const maxHeadBytes = 64 << 10
+
+// Conn is a client's connection that checks the heads of answers before they reach a parser. It serves libraries that read
+// answers from a connection themselves. A head that breaks a rule ends reading: that Read and all later ones return its *ErrHead.
+//
+// Only the caller knows when the next answer begins, since a Conn doesn't follow the framing of bodies. It calls ExpectAnswer
+// before each request.
+type Conn struct {
+	net.Conn
+	onMalformed func()
+
+	mu        sync.Mutex
+	expects   bool    // Whether the bytes to come belong to heads of an answer.
+	heads     scanner // Checks those heads.
+	partial   []byte  // The last line that was received, as far as it has come.
+	headBytes int     // Length of the heads received so far.
+	err       error   // What ended reading.
+}
+
+// NewConn returns a Conn over a connection that has carried nothing. It calls onMalformed for an answer whose head breaks a rule.
+func NewConn(raw net.Conn, onMalformed func()) *Conn {
+	return &Conn{Conn: raw, onMalformed: onMalformed}
+}
+
+// ExpectAnswer announces that the next bytes received are the head of an answer.
+func (c *Conn) ExpectAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expects, c.heads, c.partial, c.headBytes = true, scanner{}, nil, 0
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if malformed := c.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
+// check checks bytes that were received, as far as they belong to heads.
+func (c *Conn) check(received []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil || !c.expects {
+		return c.err
+	}
+	c.headBytes += len(received)
+	c.partial = append(c.partial, received...)
+	if c.err = c.checkLines(); c.err != nil {
+		c.onMalformed()
+	}
+	return c.err
+}
+
+// checkLines checks the lines that are complete; the caller holds the mutex.
+func (c *Conn) checkLines() error {
+	for c.expects {
+		n, hasEnded, err := c.heads.scan(c.partial)
+		if err != nil {
+			return err
+		}
+		c.partial = c.partial[n:]
+		switch {
+		case !hasEnded && c.headBytes > maxHeadBytes:
+			return newErrHead(RuleSize, c.partial)
+		case !hasEnded:
+			return nil
+		case !c.heads.isInterim():
+			c.expects, c.partial = false, nil
+		default:
+			if err := c.heads.next(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// WritingConn is a Conn of a client that writes each request as a whole before it reads the answer, so that a write
+// announces an answer.
+type WritingConn struct{ *Conn }
+
+// Write implements net.Conn.
+func (c WritingConn) Write(p []byte) (int, error) {
+	c.ExpectAnswer()
+	return c.Conn.Write(p)
+}
--- a/io/http1/rule.go
+++ b/io/http1/rule.go
@@ -18,6 +18,7 @@
 	RuleFieldValue Rule = "field_value" // RuleFieldValue: a value has no control byte but tabs (RFC 9110, 5.5).
 	RuleFolding    Rule = "folding"     // RuleFolding: no line continues the one before (RFC 9112, 5.2).
 	RuleChunks     Rule = "chunks"      // RuleChunks: HTTP/1.0 has no Transfer-Encoding (RFC 9112, 6.1).
+	RuleSize       Rule = "size"        // RuleSize: the heads of one answer on a Conn take 64 KiB at most; a limit of this package.
 	RuleInterim    Rule = "interim"     // RuleInterim: at most 100 interim answers come before the final one; a limit of this package.
 )
 
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"ryelug/io/http1"
 )
 
 const (
@@ -36,9 +38,10 @@
 
 // Client calls the platform for one environment.
 type Client struct {
-	config Config
-	http   *fasthttp.HostClient
-	calls  atomic.Int64
+	config    Config
+	http      *fasthttp.HostClient
+	calls     atomic.Int64
+	malformed atomic.Int64
 }
 
 // New returns a client; it opens connections when they are needed.
@@ -75,9 +78,15 @@
 func (c *Client) dial(string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.config.Timeout)
 	defer cancel()
-	return c.config.Dial(ctx, c.config.Address)
+	conn, err := c.config.Dial(ctx, c.config.Address)
+	if err != nil {
+		return nil, err
+	}
+	return http1.WritingConn{Conn: http1.NewConn(conn, c.countMalformed)}, nil
 }
 
+func (c *Client) countMalformed() { c.malformed.Add(1) }
+
 // Environment returns the environment that the client calls for.
 func (c *Client) Environment() string {
 	return c.config.Environment
@@ -88,6 +97,11 @@
 	return c.calls.Load()
 }
 
+// MalformedAnswers returns the number of answers rejected so far because their head broke a rule of package http1.
+func (c *Client) MalformedAnswers() int64 {
+	return c.malformed.Load()
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- a/io/platform/watch.go
+++ b/io/platform/watch.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"ryelug/io/http1"
 )
 
 const (
@@ -51,7 +53,10 @@
 	}
 	in := bufio.NewReader(conn)
 	var header fasthttp.ResponseHeader
-	if err := header.Read(in); err != nil {
+	if err := http1.ReadHeader(in, &header); err != nil {
+		if http1.IsMalformed(err) {
+			c.countMalformed()
+		}
 		return &ErrUnavailable{Cause: err}
 	}
 	if header.StatusCode() != http.StatusOK {
