Keep a platform's words out of io

Cause: TestWordsStayHere failed since: a parameter was named like a setting of the platform, and a test used one of its header fields. Change: both have names of their own. Result: TestWordsStayHere and the tests of io/endpoint and io/http1 pass.

--- a/io/endpoint/conn.go
+++ b/io/endpoint/conn.go
@@ -87,8 +87,8 @@
 }
 
 // read reads an answer into resp, and counts it if its head breaks a rule.
-func (c *conn) read(resp *fasthttp.Response, maxBodyBytes int) error {
-	err := http1.ReadResponse(c.reader, resp, maxBodyBytes)
+func (c *conn) read(resp *fasthttp.Response, maxBody int) error {
+	err := http1.ReadResponse(c.reader, resp, maxBody)
 	if http1.IsMalformed(err) {
 		c.malformed.Add(1)
 	}
--- a/io/endpoint/malformed_test.go
+++ b/io/endpoint/malformed_test.go
@@ -144,7 +144,7 @@
 
 // A refusal with a malformed head must not promise that the call was not run, nor stop later calls to the endpoint.
 func TestMalformedRefusalPromisesNothing(t *testing.T) {
-	for _, fields := range []string{"X-Refused : 1\r\n", "X-Refused: 1\r\nX Foo: 1\r\n", "X-Refused: 1\r\nServer-Leaving : 1\r\n"} {
+	for _, fields := range []string{"X-Refused : 1\r\n", "X-Refused: 1\r\nX Foo: 1\r\n", "X-Refused: 1\r\nX-Leaving : 1\r\n"} {
 		t.Run(fields, func(t *testing.T) {
 			is.New(t).Equal(send(t, "HTTP/1.1 503 Busy\r\n"+ownFields+fields+"Content-Length: 0\r\n\r\n"), "unknown")
 		})
--- a/io/http1/read.go
+++ b/io/http1/read.go
@@ -11,11 +11,11 @@
 
 // ReadResponse checks the head of an answer, discards interim answers before it, and reads the answer as resp.ReadLimitBody
 // does. The whole head must fit into the buffer of r. It returns an *ErrHead if a head breaks a rule.
-func ReadResponse(r *bufio.Reader, resp *fasthttp.Response, maxBodyBytes int) error {
+func ReadResponse(r *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
 	if err := discardInterim(r); err != nil {
 		return err
 	}
-	return resp.ReadLimitBody(r, maxBodyBytes)
+	return resp.ReadLimitBody(r, maxBody)
 }
 
 // ReadHeader is like ReadResponse, but leaves the body of the answer in r.
