--- a/router/process/process.go
+++ b/router/process/process.go
@@ -123,6 +123,14 @@
 	return p.platform.Calls()
 }
 
+// malformedPlatformAnswers returns the number of answers of the platform rejected since the start because their head broke a rule.
+func (p *Process) malformedPlatformAnswers() int64 {
+	if p.registry != nil {
+		return p.registry.MalformedAnswers()
+	}
+	return p.platform.MalformedAnswers()
+}
+
 // Health returns the state from which the health check decides whether the balancer should send requests here.
 func (p *Process) Health() operator.Health {
 	health := p.router.Health()
--- a/router/process/vars.go
+++ b/router/process/vars.go
@@ -66,18 +66,19 @@
 // gauges returns the metrics that are computed at each read, by name.
 func (p *Process) gauges() map[string]func() any {
 	gauges := map[string]func() any{
-		"latency":           func() any { return p.latencies.read() },
-		"log_dropped":       func() any { return p.dropped() },
-		"handed_over":       func() any { return p.router.HandedOver() },
-		"unanswered":        func() any { return p.router.Unanswered() },
-		"answers_long":      func() any { return p.endpoints.OversizedAnswers() },
-		"answers_malformed": func() any { return p.endpoints.MalformedAnswers() },
-		"answers_leaving":   func() any { return p.endpoints.LeavingAnswers() },
-		"answers_resting":   func() any { return p.endpoints.RestingAnswers() },
-		"health":            func() any { return p.Health() },
-		"platform_calls":    func() any { return p.platformCalls() },
-		"peers":             func() any { return p.peers() },
-		"cells":             func() any { return p.cells() },
+		"latency":                    func() any { return p.latencies.read() },
+		"log_dropped":                func() any { return p.dropped() },
+		"handed_over":                func() any { return p.router.HandedOver() },
+		"unanswered":                 func() any { return p.router.Unanswered() },
+		"answers_long":               func() any { return p.endpoints.OversizedAnswers() },
+		"answers_malformed":          func() any { return p.endpoints.MalformedAnswers() },
+		"answers_leaving":            func() any { return p.endpoints.LeavingAnswers() },
+		"answers_resting":            func() any { return p.endpoints.RestingAnswers() },
+		"health":                     func() any { return p.Health() },
+		"platform_calls":             func() any { return p.platformCalls() },
+		"platform_answers_malformed": func() any { return p.malformedPlatformAnswers() },
+		"peers":                      func() any { return p.peers() },
+		"cells":                      func() any { return p.cells() },
 	}
 	if p.budget != nil {
 		gauges["memory_held"] = func() any { return p.budget.Figures() }
