Take no answer of the store for complete after its write has failed

What callers saw: nothing directly; a store that answered a long write at once with a 200 without a length, and reset the connection while the write was on its way, had acknowledged it in the eyes of the router. Cause: net/http writes a request and reads its answer at the same time. The system reports a reset once: the write got the error, and the read after it the end of the connection, which ends an answer without a length. An orderly end gives the same result in the read only if no write has failed. Change: http1.Conn keeps the error of a failed write, and returns it in place of io.EOF. At the end of a connection it waits for the write in progress, which may have got the error already. Why it works: the write takes its turn before the system can give it the error, so a reader that finds the end finds that write in progress or failed. Answers with a length or chunks don't need the end of the connection and stay as they were.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -1,6 +1,9 @@
 package http1
 
 import (
+	"cmp"
+	"errors"
+	"io"
 	"net"
 	"sync"
 )
@@ -11,12 +14,18 @@
 // Conn is a client's connection that checks the heads of answers before they reach a parser. It serves libraries that read
 // answers from a connection themselves. A head that breaks a rule ends reading: that Read and all later ones return its *ErrHead.
 //
+// A connection that was reset ends for its reader as if it had ended in order if a write has got the error of the reset, so a Conn
+// returns the error of a failed write in place of io.EOF.
+//
 // Only the caller knows when the next answer begins, since a Conn doesn't follow the framing of bodies. It calls ExpectAnswer
 // before each request.
 type Conn struct {
 	net.Conn
 	onMalformed func()
 
+	writing  chan struct{} // Holds a value during a write.
+	writeErr error         // The error of the first write that failed; used only by who has put the value into writing.
+
 	mu        sync.Mutex
 	expects   bool    // Whether the bytes to come belong to heads of an answer.
 	heads     scanner // Checks those heads.
@@ -27,7 +36,7 @@
 
 // NewConn returns a Conn over a connection that has carried nothing. It calls onMalformed for an answer whose head breaks a rule.
 func NewConn(raw net.Conn, onMalformed func()) *Conn {
-	return &Conn{Conn: raw, onMalformed: onMalformed}
+	return &Conn{Conn: raw, onMalformed: onMalformed, writing: make(chan struct{}, 1)}
 }
 
 // ExpectAnswer announces that the next bytes received are the head of an answer.
@@ -43,6 +52,25 @@
 	if malformed := c.check(p[:n]); malformed != nil {
 		return 0, malformed
 	}
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(c.failedWrite(), err)
+	}
+	return n, err
+}
+
+// failedWrite waits for the write in progress, if there is one, and returns the error of the first write that failed.
+func (c *Conn) failedWrite() error {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	return c.writeErr
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	n, err := c.Conn.Write(p)
+	c.writeErr = cmp.Or(c.writeErr, err)
 	return n, err
 }
 
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -1,10 +1,13 @@
 package http1_test
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -93,3 +96,33 @@
 	is.True(http1.IsMalformed(err))
 	is.Equal(*malformed, 1)
 }
+
+// scriptedConn ends for its reader once a write waits, which then fails if writeErr is set.
+type scriptedConn struct {
+	net.Conn
+	writes   chan struct{}
+	writeErr error
+}
+
+func (c *scriptedConn) Read([]byte) (int, error) {
+	<-c.writes
+	return 0, io.EOF
+}
+
+func (c *scriptedConn) Write(p []byte) (int, error) {
+	c.writes <- struct{}{}
+	return len(p), c.writeErr
+}
+
+// The end of a connection whose write has failed, or is about to, is no orderly end.
+func TestConnEndsAsItsWriteFailed(t *testing.T) {
+	for _, writeErr := range []error{nil, syscall.ECONNRESET} {
+		t.Run(fmt.Sprint(writeErr), func(t *testing.T) {
+			is := is.New(t)
+			conn := http1.NewConn(&scriptedConn{writes: make(chan struct{}), writeErr: writeErr}, func() {})
+			go func() { _, _ = conn.Write([]byte("body")) }()
+			_, err := conn.Read(make([]byte, 1))
+			is.True(errors.Is(err, cmp.Or[error](writeErr, io.EOF)))
+		})
+	}
+}
