Reject malformed answers in the bench of regions

Cause: the bench reads the metrics of routers through the lenient parser of fasthttp as well, so figures of an answer that is none could stand in a report. Change: it reads them from an http1.WritingConn. Reading is a function of its own, so that a test can answer it.

--- a/bench/region/phase.go
+++ b/bench/region/phase.go
@@ -14,6 +14,7 @@
 
 	"ryelug/bench"
 	"ryelug/core/result"
+	"ryelug/io/http1"
 	"ryelug/standin/fleet"
 )
 
@@ -164,12 +165,20 @@
 }
 
 func (r *run) variables(ctx context.Context, m *fleet.Member) []byte {
-	dial := r.fleet.Network.Dialer(m.Address)
-	client := fasthttp.Client{Dial: func(address string) (net.Conn, error) {
-		return dial(ctx, netip.MustParseAddrPort(address))
+	return readVariables(ctx, r.fleet.Network.Dialer(m.Address), m.Operators())
+}
+
+// readVariables reads the metrics of the router whose operators' server is at an address; nil if there is no valid answer.
+func readVariables(ctx context.Context, dial func(context.Context, netip.AddrPort) (net.Conn, error), address netip.AddrPort) []byte {
+	client := fasthttp.Client{Dial: func(string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return http1.WritingConn{Conn: http1.NewConn(conn, func() {})}, nil
 	}}
 	defer client.CloseIdleConnections()
-	_, body, err := client.Get(nil, fmt.Sprintf("http://%s/debug/vars", m.Operators()))
+	_, body, err := client.Get(nil, fmt.Sprintf("http://%s/debug/vars", address))
 	if err != nil {
 		return nil
 	}
