--- a/router/request/log.go
+++ b/router/request/log.go
@@ -10,6 +10,7 @@
 
 	"ryelug/core/entry"
 	"ryelug/core/result"
+	"ryelug/io/http1"
 )
 
 // logDecision logs an action with the event that caused it and, while a permit is held, the
@@ -37,6 +38,9 @@
 	}
 	if r.lastError != nil {
 		fields["cause"] = r.lastError.Error()
+		if head, ok := errors.AsType[*http1.ErrHead](r.lastError); ok {
+			fields["broken_rule"] = string(head.Rule)
+		}
 		r.lastError = nil
 	}
 	if obstacle := r.lifecycle.Obstacle(); obstacle != entry.NoObstacle {
