--- a/io/endpoint/early_reset_test.go
+++ b/io/endpoint/early_reset_test.go
@@ -2,42 +2,15 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"ryelug/io/endpoint"
+	"ryelug/standin/raw"
 )
 
-// earlyServer listens on loopback. On each connection it reads the first bytes of a request, writes text, waits, and resets
-// the connection.
-func earlyServer(t *testing.T, text string, wait time.Duration) *net.TCPAddr {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer resetConn(conn)
-				if _, err := io.ReadFull(conn, make([]byte, 64)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, text)
-				time.Sleep(wait)
-			}()
-		}
-	}()
-	return ln.Addr().(*net.TCPAddr)
-}
-
 // An endpoint that answers a long upload at once, without a length, and resets the connection while the upload is being
 // written, has sent no complete answer.
 func TestResetDuringALongUpload(t *testing.T) {
@@ -52,7 +25,7 @@
 				t.Run(fmt.Sprintf("%s, %d KiB, %s", name, size>>10, wait), func(t *testing.T) {
 					t.Parallel()
 					call := endpoint.Call{
-						Endpoint: "e", Address: earlyServer(t, text, wait).AddrPort(), RequestID: "a", Method: "POST", Path: "/", Body: make([]byte, size),
+						Endpoint: "e", Address: startRaw(t, raw.AnswerEarly(text, wait)), RequestID: "a", Method: "POST", Path: "/", Body: make([]byte, size),
 					}
 					got, err := newVerbatimClient().Send(t.Context(), call)
 					if err == nil && got.Events != nil {
--- a/io/endpoint/malformed_test.go
+++ b/io/endpoint/malformed_test.go
@@ -1,11 +1,9 @@
 package endpoint_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"testing"
 
@@ -13,32 +11,16 @@
 
 	"ryelug/core/cell"
 	"ryelug/io/endpoint"
+	"ryelug/standin/raw"
 )
 
-// rawServer listens on loopback, reads a request on each connection, writes text and closes the connection.
-func rawServer(t *testing.T, text string) netip.AddrPort {
+// startRaw starts a server that calls serve for each connection, and returns its address.
+func startRaw(t *testing.T, serve func(net.Conn)) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := raw.Start(serve)
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, text)
-			}()
-		}
-	}()
-	return ln.Addr().(*net.TCPAddr).AddrPort()
+	t.Cleanup(s.Close)
+	return s.Address()
 }
 
 // framings are the ways in which an answer can state where its body ends; each text follows the fields of the header.
@@ -54,7 +36,7 @@
 func send(t *testing.T, text string) string {
 	t.Helper()
 	client := newVerbatimClient()
-	call := endpoint.Call{Endpoint: "e", Address: rawServer(t, text), RequestID: "a", Method: "POST", Path: "/", Body: []byte("body")}
+	call := endpoint.Call{Endpoint: "e", Address: startRaw(t, raw.Answer(text)), RequestID: "a", Method: "POST", Path: "/", Body: []byte("body")}
 	got, err := client.Send(t.Context(), call)
 	if err == nil && got.Events != nil {
 		defer got.Events.Close()
@@ -93,7 +75,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			answer := func(body string) netip.AddrPort {
-				return rawServer(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+				return startRaw(t, raw.Answer(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)))
 			}
 			_, err := newClient().Load(t.Context(), answer(load))
 			is.True(err != nil)
@@ -156,7 +138,7 @@
 	for name, head := range malformedHeads() {
 		t.Run(name, func(t *testing.T) {
 			call := endpoint.Call{Endpoint: "e", RequestID: "a", Method: "POST", Path: "/", LastEvent: "3"}
-			call.Address = rawServer(t, head+ownFields+framings["stream in chunks"])
+			call.Address = startRaw(t, raw.Answer(head+ownFields+framings["stream in chunks"]))
 			_, err := newVerbatimClient().Send(t.Context(), call)
 			is.New(t).Equal(verbatimErrorKind(err), "unknown")
 		})
@@ -174,7 +156,7 @@
 	client := newVerbatimClient()
 	call := endpoint.Call{Endpoint: "e", RequestID: "a", Method: "POST", Path: "/"}
 	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 000 X", "HTTP/1.1 600 X"} {
-		call.Address = rawServer(t, line+"\r\n"+ownFields+framings["length"])
+		call.Address = startRaw(t, raw.Answer(line+"\r\n"+ownFields+framings["length"]))
 		_, _ = client.Send(t.Context(), call)
 	}
 	is.Equal(client.MalformedAnswers(), int64(2))
--- a/io/platform/malformed_test.go
+++ b/io/platform/malformed_test.go
@@ -1,49 +1,25 @@
 package platform_test
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"ryelug/io/platform"
+	"ryelug/standin/raw"
 )
 
-// rawClient returns a client of a server that reads each request and answers it with text. A text without a length needs
-// closes, with which the server closes the connection after the answer.
-func rawClient(t *testing.T, text string, closes bool) *platform.Client {
+// newRawClient returns a client of a server that calls serve for each connection.
+func newRawClient(t *testing.T, serve func(net.Conn)) *platform.Client {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := raw.Start(serve)
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				for in := bufio.NewReader(conn); ; {
-					req, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					if _, err := io.WriteString(conn, text); err != nil || closes {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return platform.New(platform.Config{Address: ln.Addr().(*net.TCPAddr).AddrPort(), Environment: "trial", Timeout: time.Second})
+	t.Cleanup(s.Close)
+	return platform.New(platform.Config{Address: s.Address(), Environment: "trial", Timeout: time.Second})
 }
 
 // calls are calls of each method, and whether it writes.
@@ -88,7 +64,7 @@
 		for name, c := range calls {
 			t.Run(fmt.Sprintf("%s, %q", name, answer), func(t *testing.T) {
 				is := is.New(t)
-				err := c.call(t, rawClient(t, answer, true))
+				err := c.call(t, newRawClient(t, raw.Answer(answer)))
 				var unavailable *platform.ErrUnavailable
 				is.True(errors.As(err, &unavailable))
 				is.Equal(unavailable.Unknown, c.writes)
@@ -100,7 +76,7 @@
 // Only the first bytes of an answer are its head: a body may look like a malformed one, and a connection carries many answers.
 func TestWellFormedAnswers(t *testing.T) {
 	const body = `{"metadata":{"name":"x y : z"},"data":{"a":"HTTP/1.1 000 X\r\nX Foo: 1"}}`
-	client := rawClient(t, fmt.Sprintf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200\r\nX-Foo:\r\nContent-Length: %d\r\n\r\n%s", len(body), body), false)
+	client := newRawClient(t, raw.AnswerEach(fmt.Sprintf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200\r\nX-Foo:\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
 	for range 3 {
 		for name, c := range calls {
 			t.Run(name, func(t *testing.T) { is.New(t).NoErr(c.call(t, client)) })
@@ -112,7 +88,7 @@
 func TestMalformedWatch(t *testing.T) {
 	const event = `{"type":"ADDED","object":{"metadata":{"name":"a"}}}` + "\n"
 	watch := func(head string) (events int, err error) {
-		client := rawClient(t, fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(event), event), true)
+		client := newRawClient(t, raw.Answer(fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(event), event)))
 		err = client.Watch(t.Context(), platform.Hosts, "1", func(platform.Event) error { events++; return nil })
 		return events, err
 	}
@@ -136,7 +112,7 @@
 // Answers that are rejected for their heads are counted, those of watches too.
 func TestMalformedAnswersAreCounted(t *testing.T) {
 	is := is.New(t)
-	client := rawClient(t, "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}", true)
+	client := newRawClient(t, raw.Answer("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}"))
 	for _, c := range calls {
 		_ = c.call(t, client)
 	}
