Name the half-duplex connection as the field does, and describe a Conn's state

Cause: WritingConn didn't say what its clients have in common, and a counter was described as less than it counts. Result: tests of io/http1, io/platform and io/endpoint pass with -race.

--- a/bench/region/phase.go
+++ b/bench/region/phase.go
@@ -175,7 +175,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return http1.WritingConn{Conn: http1.NewConn(conn, func() {})}, nil
+		return http1.HalfDuplexConn{Conn: http1.NewConn(conn, func() {})}, nil
 	}}
 	defer client.CloseIdleConnections()
 	_, body, err := client.Get(nil, fmt.Sprintf("http://%s/debug/vars", address))
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -14,8 +14,8 @@
 // Conn is a client's connection that checks the heads of answers before they reach a parser. It serves libraries that read
 // answers from a connection themselves. A head that breaks a rule ends reading: that Read and all later ones return its *ErrHead.
 //
-// A connection that was reset ends for its reader as if it had ended in order if a write has got the error of the reset, so a Conn
-// returns the error of a failed write in place of io.EOF.
+// The operating system reports a reset once: if a write gets the error, the next read returns io.EOF as at an orderly end. A Conn
+// returns the error of the failed write in place of io.EOF.
 //
 // Only the caller knows when the next answer begins, since a Conn doesn't follow the framing of bodies. It calls ExpectAnswer
 // before each request.
@@ -26,12 +26,12 @@
 	writing  chan struct{} // Holds a value during a write.
 	writeErr error         // The error of the first write that failed; used only by who has put the value into writing.
 
-	mu        sync.Mutex
-	expects   bool    // Whether the bytes to come belong to heads of an answer.
-	heads     scanner // Checks those heads.
-	partial   []byte  // The last line that was received, as far as it has come.
-	headBytes int     // Length of the heads received so far.
-	err       error   // What ended reading.
+	mu       sync.Mutex
+	expects  bool    // Whether the bytes to come belong to heads of an answer.
+	heads    scanner // Checks those heads.
+	partial  []byte  // The line that is being received, as far as it has come.
+	received int     // Number of bytes received since ExpectAnswer, as long as expects is set.
+	err      error   // The *ErrHead that ended reading.
 }
 
 // NewConn returns a Conn over a connection that has carried nothing. It calls onMalformed for an answer whose head breaks a rule.
@@ -43,7 +43,7 @@
 func (c *Conn) ExpectAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expects, c.heads, c.partial, c.headBytes = true, scanner{}, nil, 0
+	c.expects, c.heads, c.partial, c.received = true, scanner{}, nil, 0
 }
 
 // Read implements net.Conn.
@@ -74,15 +74,15 @@
 	return n, err
 }
 
-// check checks bytes that were received, as far as they belong to heads.
-func (c *Conn) check(received []byte) error {
+// check checks the bytes of a read, as far as they belong to heads.
+func (c *Conn) check(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil || !c.expects {
 		return c.err
 	}
-	c.headBytes += len(received)
-	c.partial = append(c.partial, received...)
+	c.received += len(data)
+	c.partial = append(c.partial, data...)
 	if c.err = c.checkLines(); c.err != nil {
 		c.onMalformed()
 	}
@@ -98,7 +98,7 @@
 		}
 		c.partial = c.partial[n:]
 		switch {
-		case !hasEnded && c.headBytes > maxHeadBytes:
+		case !hasEnded && c.received > maxHeadBytes:
 			return newErrHead(RuleSize, c.partial)
 		case !hasEnded:
 			return nil
@@ -113,12 +113,12 @@
 	return nil
 }
 
-// WritingConn is a Conn of a client that writes each request as a whole before it reads the answer, so that a write
-// announces an answer.
-type WritingConn struct{ *Conn }
+// HalfDuplexConn is a Conn of a client that writes each request as a whole before it reads the answer. Each write announces an
+// answer, so that nobody needs to call ExpectAnswer.
+type HalfDuplexConn struct{ *Conn }
 
 // Write implements net.Conn.
-func (c WritingConn) Write(p []byte) (int, error) {
+func (c HalfDuplexConn) Write(p []byte) (int, error) {
 	c.ExpectAnswer()
 	return c.Conn.Write(p)
 }
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return http1.WritingConn{Conn: http1.NewConn(conn, c.countMalformed)}, nil
+	return http1.HalfDuplexConn{Conn: http1.NewConn(conn, c.countMalformed)}, nil
 }
 
 func (c *Client) countMalformed() { c.malformed.Add(1) }
