Check the forwarded fields of a head in pieces, and use the term space

Cause: read as a newcomer would, comments said blank where RFC 9112 says space, and the test of well-formed heads in pieces looked at status and body alone. Change: the words, and two assertions on fields.

--- a/io/endpoint/malformed_test.go
+++ b/io/endpoint/malformed_test.go
@@ -110,7 +110,7 @@
 	"X\tFoo: 1", "X\x00Foo: 1", "X\x7fFoo: 1", "\x01X-Foo: 1", "X-Foo\x1f: 1", "X\rFoo: 1", "X(Foo): 1", "X\xe9Foo: 1", ": 1", "X-Foo",
 }
 
-// An answer with a blank or a control byte in a field name must not be taken for an answer, whatever the name looks like
+// An answer with a space or a control byte in a field name must not be taken for an answer, whatever the name looks like
 // without that byte and wherever the field stands.
 func TestMalformedFieldNameIsNoAnswer(t *testing.T) {
 	for _, line := range malformedFields {
--- a/io/endpoint/wellformed_test.go
+++ b/io/endpoint/wellformed_test.go
@@ -1,28 +1,30 @@
 package endpoint_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"ryelug/io/endpoint"
+	"ryelug/io/header"
 )
 
 // Well-formed answers are accepted in each of their forms.
 func TestWellFormedHeadsAreAnswers(t *testing.T) {
 	fields := map[string]string{
-		"none":                       "",
-		"every token character":      "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz: 1\r\n",
-		"empty value":                "X-Foo:\r\n",
-		"blanks around the value":    "X-Foo: \t 1 \t \r\n",
-		"no blank before the value":  "X-Foo:1\r\n",
-		"byte above 127 in a value":  "X-Foo: caf\xe9\r\n",
-		"tab and blanks in a value":  "X-Foo: a\tb  c:d\r\n",
-		"field twice":                "X-Foo: 1\r\nX-Foo: 2\r\n",
-		"name of one character":      "X: 1\r\n",
-		"more than a read's bytes":   strings.Repeat("X-Foo: "+strings.Repeat("x", 100)+"\r\n", 50),
-		"lines that end in a length": "X-Length: 3\r\n",
+		"none":                      "",
+		"every token character":     "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz: 1\r\n",
+		"empty value":               "X-Foo:\r\n",
+		"spaces around the value":   "X-Foo: \t 1 \t \r\n",
+		"no space before the value": "X-Foo:1\r\n",
+		"byte above 127 in a value": "X-Foo: caf\xe9\r\n",
+		"tab and spaces in a value": "X-Foo: a\tb  c:d\r\n",
+		"field twice":               "X-Foo: 1\r\nX-Foo: 2\r\n",
+		"name of one character":     "X: 1\r\n",
+		"more than a read's bytes":  strings.Repeat("X-Foo: "+strings.Repeat("x", 100)+"\r\n", 50),
+		"name like a length":        "X-Content-Length: 1\r\n",
 	}
 	for name, more := range fields {
 		for framing, rest := range framings {
@@ -64,6 +66,8 @@
 		is.NoErr(err)
 		is.Equal(got.Status, 200)
 		is.Equal(string(got.Body), "{}")
+		is.True(slices.Contains(got.Header, header.Field{Name: "X-Foo", Value: "1"}))
+		is.True(!slices.Contains(got.Header, header.Field{Name: "A", Value: "b"})) // A field of the interim answer.
 	}
 	t.Run("byte by byte", func(t *testing.T) { check(t, strings.Split(text, "")...) })
 	for i := 1; i < len(text); i++ {
--- a/io/http1/rule.go
+++ b/io/http1/rule.go
@@ -11,7 +11,7 @@
 // The rules for the heads of answers, with the section that states them.
 const (
 	RuleLineEnd    Rule = "line_end"    // RuleLineEnd: each line ends in CR LF (RFC 9112, 2.2).
-	RuleStatusLine Rule = "status_line" // RuleStatusLine: the first line is HTTP/1.0 or HTTP/1.1, a blank, three digits, and a blank and a text or nothing (RFC 9112, 4).
+	RuleStatusLine Rule = "status_line" // RuleStatusLine: the first line is HTTP/1.0 or HTTP/1.1, a space, three digits, and either nothing or a space and a reason phrase (RFC 9112, 4).
 	RuleStatusCode Rule = "status_code" // RuleStatusCode: the status is one of 100 to 599 (RFC 9110, 15).
 	RuleUpgrade    Rule = "upgrade"     // RuleUpgrade: status 101 answers only a request for an upgrade, and none is ever sent (RFC 9110, 15.2.2).
 	RuleFieldName  Rule = "field_name"  // RuleFieldName: a field begins with a token and a colon, with nothing between them (RFC 9110, 5.1; RFC 9112, 5.1).
