--- a/bench/region/variables_test.go
+++ b/bench/region/variables_test.go
@@ -1,30 +1,15 @@
 package region
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"testing"
 
 	"github.com/matryer/is"
-)
 
-// rawDialer returns a dial function to a server that answers one request with text and closes the connection.
-func rawDialer(text string) func(context.Context, netip.AddrPort) (net.Conn, error) {
-	return func(context.Context, netip.AddrPort) (net.Conn, error) {
-		local, remote := net.Pipe()
-		go func() {
-			defer remote.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(remote)); err == nil {
-				_, _ = io.WriteString(remote, text)
-			}
-		}()
-		return local, nil
-	}
-}
+	"ryelug/standin/raw"
+)
 
 // Metrics in an answer with a malformed head are not used.
 func TestMalformedAnswerHasNoVariables(t *testing.T) {
@@ -35,8 +20,14 @@
 		"HTTP/1.1 200 OK\r\nX-Foo : 1\r\n": "",
 	} {
 		t.Run(head, func(t *testing.T) {
-			got := readVariables(t.Context(), rawDialer(head+"Content-Length: 2\r\n\r\n{}"), netip.MustParseAddrPort("192.0.2.1:80"))
-			is.New(t).Equal(string(got), want)
+			is := is.New(t)
+			s, err := raw.Start(raw.Answer(head + "Content-Length: 2\r\n\r\n{}"))
+			is.NoErr(err)
+			defer s.Close()
+			dial := func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+			}
+			is.Equal(string(readVariables(t.Context(), dial, s.Address())), want)
 		})
 	}
 }
--- a/io/endpoint/malformed_test.go
+++ b/io/endpoint/malformed_test.go
@@ -35,9 +35,14 @@
 // send sends a call to a server that answers with text, reads the answer to its end and returns the kind of the error.
 func send(t *testing.T, text string) string {
 	t.Helper()
-	client := newVerbatimClient()
-	call := endpoint.Call{Endpoint: "e", Address: startRaw(t, raw.Answer(text)), RequestID: "a", Method: "POST", Path: "/", Body: []byte("body")}
-	got, err := client.Send(t.Context(), call)
+	return sendTo(t, startRaw(t, raw.Answer(text)), []byte("body"))
+}
+
+// sendTo sends a call, reads the answer to its end and returns the kind of the error; it is empty for a complete answer.
+func sendTo(t *testing.T, address netip.AddrPort, body []byte) string {
+	t.Helper()
+	call := endpoint.Call{Endpoint: "e", Address: address, RequestID: "a", Method: "POST", Path: "/", Body: body}
+	got, err := newVerbatimClient().Send(t.Context(), call)
 	if err == nil && got.Events != nil {
 		defer got.Events.Close()
 		for err == nil {
