--- a/review/lab-3/leaving.go
+++ b/review/lab-3/leaving.go
@@ -43,7 +43,7 @@
 		}
 		kept = append(kept, c)
 	}
-	end := time.Now().Add(16 * time.Second)
+	end := time.Now().Add(30 * time.Second)
 	users := 0
 	burst := func(more int) { // many users at once, on open connections
 		for range more {
@@ -58,14 +58,14 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
-	burst(100)
-	for elsewhere, tries := 0, 0; elsewhere < handedInARow; tries++ { // until the first router hands new connections over
-		if time.Now().After(end.Add(-8 * time.Second)) {
+	burst(60)
+	for elsewhere, tries, isEnough := 0, 0, false; elsewhere < handedInARow; tries++ { // until the first router hands new connections over
+		if time.Now().After(end.Add(-9 * time.Second)) {
 			l.close()
 			fail(errors.New("no connection is handed over"))
 		}
-		if tries%20 == 19 && users < 200 {
-			burst(20)
+		if tries%16 == 15 && users < 300 {
+			burst(10)
 		}
 		c := l.newClient(first)
 		a := c.send(l.filing())
@@ -73,6 +73,10 @@
 		if elsewhere++; l.nodeOf(a.request.id) == first.name {
 			elsewhere = 0
 		}
+		if elsewhere == handedInARow && !isEnough { // some more, so that its load does not sink below the half again
+			isEnough, elsewhere = true, 0
+			burst(25)
+		}
 	}
 	l.note("the first router hands new connections over; users: %d", users)
 	x.beats.Store(false)
