review: a router passes on that a server leaves and sends to it later

Cause: only answers that a process reads itself are noted; those that it passes on for another router are not.

--- a/review/lab-3/cases.go
+++ b/review/lab-3/cases.go
@@ -31,3 +31,14 @@
 	}
 	return ""
 }
+
+// serverOf returns the last server that a request reached.
+func (l *lab) serverOf(id string) string {
+	name := ""
+	for _, a := range l.all() {
+		if a.id == id {
+			name = a.server
+		}
+	}
+	return name
+}
--- a/review/lab-3/leaving.go
+++ b/review/lab-3/leaving.go
@@ -10,7 +10,8 @@
 
 const (
 	drainBound   = 2 * time.Second // bounds.drainMs
-	handedInARow = 8
+	handedInARow = 5
+	outage       = 8 * time.Second
 )
 
 // leaving: a server leaves while the store is down, and says so in its answers. A busy router passes such an answer on, which another
@@ -34,7 +35,7 @@
 	l.awaitReady()
 	time.Sleep(3 * time.Second)
 
-	first, x := l.routers[0], apps[0]
+	first, second := l.routers[0], l.routers[1]
 	var kept []*client // clients that keep a connection to the first router open, from before the burst
 	for range 40 {
 		c := l.newClient(first)
@@ -70,37 +71,52 @@
 		c := l.newClient(first)
 		a := c.send(l.filing())
 		c.close()
-		if elsewhere++; l.nodeOf(a.request.id) == first.name {
+		switch l.nodeOf(a.request.id) {
+		case second.name:
+			elsewhere++
+		case first.name:
 			elsewhere = 0
 		}
 		if elsewhere == handedInARow && !isEnough { // some more, so that its load does not sink below the half again
 			isEnough, elsewhere = true, 0
-			burst(25)
+			burst(10)
 		}
 	}
 	l.note("the first router hands new connections over; users: %d", users)
-	x.beats.Store(false)
-	x.state.Store("draining")
-	x.leaving.Store(true)
-	l.note("%s leaves, and says so in its answers", x.id)
 	if hasTrouble() {
 		l.store.setSilent(true)
-		l.note("the store is down, so %s can't report draining there", x.id)
-	} else {
-		x.beat()
+		l.note("the store is down, so servers can't report draining there")
 	}
+	var x *server
 	var passedOn time.Time
-	for range 30 {
-		c := l.newClient(first)
-		a := c.send(l.filing())
-		c.close()
-		if a.leaving {
-			passedOn = a.ended
-			l.note("%s has passed an answer with Server-Leaving on, to %s; %s got it", first.name, a.request.id, l.nodeOf(a.request.id))
+	for _, x = range apps[:2] { // another one, if the first router itself got the answer of the first one
+		x.beats.Store(false)
+		x.state.Store("draining")
+		x.leaving.Store(true)
+		x.beat()
+		l.note("%s leaves, and says so in its answers", x.id)
+		for range 30 {
+			c := l.newClient(first)
+			a := c.send(l.filing())
+			c.close()
+			if !a.leaving || l.serverOf(a.request.id) != x.id {
+				continue
+			}
+			l.note("%s has passed an answer with Server-Leaving of %s on, to %s; %s got it", first.name, x.id, a.request.id, l.nodeOf(a.request.id))
+			if l.nodeOf(a.request.id) != first.name {
+				passedOn = a.ended
+			}
+			break
+		}
+		if !passedOn.IsZero() {
 			break
 		}
 	}
 	if passedOn.IsZero() {
+		if hasTrouble() {
+			l.close()
+			fail(errors.New("the first router itself got the answers of the servers that leave"))
+		}
 		passedOn = time.Now()
 	}
 	time.Sleep(time.Until(passedOn.Add(drainBound + 100*time.Millisecond)))
@@ -109,7 +125,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for range 40 {
+			for time.Since(passedOn) < outage-2*time.Second {
 				c.send(l.filing())
 				time.Sleep(5 * time.Millisecond)
 			}
